--- /dev/null
+++ b/Source/Process/Json.cpp
@@ -0,0 +1,180 @@
+#include "Process/Json.h"
+
+#include <Poco/JSON/Parser.h>
+#include <absl/strings/str_cat.h>
+
+#include <sstream>
+
+namespace poplardock::Json {
+
+namespace {
+
+constexpr std::size_t MAXIMUM_DEPTH = 64;
+
+auto mismatch(const std::string &key, const char *expected) -> absl::Status
+{
+    return absl::InvalidArgumentError(absl::StrCat("\"", key, "\" must be ", expected));
+}
+
+auto isPresent(const JsonObject &object, const std::string &key) -> bool
+{
+    return object.has(key) && !object.isNull(key);
+}
+
+} // namespace
+
+auto parseObject(const std::string &text) -> absl::StatusOr<JsonObject::Ptr>
+{
+    try {
+        Poco::JSON::Parser parser;
+        parser.setDepth(MAXIMUM_DEPTH);
+        const Poco::Dynamic::Var value = parser.parse(text);
+        if (value.type() != typeid(JsonObject::Ptr)) {
+            return absl::InvalidArgumentError("a JSON object is expected");
+        }
+        return value.extract<JsonObject::Ptr>();
+    } catch (const Poco::Exception &exception) {
+        return absl::InvalidArgumentError(absl::StrCat("malformed JSON: ", exception.displayText()));
+    } catch (const std::exception &exception) {
+        return absl::InvalidArgumentError(absl::StrCat("malformed JSON: ", exception.what()));
+    }
+}
+
+auto toText(const JsonObject &object) -> std::string
+{
+    std::ostringstream stream;
+    object.stringify(stream);
+    return stream.str();
+}
+
+auto toText(const JsonArray &array) -> std::string
+{
+    std::ostringstream stream;
+    array.stringify(stream);
+    return stream.str();
+}
+
+auto requireString(const JsonObject &object, const std::string &key) -> absl::StatusOr<std::string>
+{
+    const Poco::Dynamic::Var value = object.get(key);
+    if (value.isEmpty() || !value.isString()) {
+        return mismatch(key, "a string");
+    }
+    return value.extract<std::string>();
+}
+
+auto requireInteger(const JsonObject &object, const std::string &key) -> absl::StatusOr<std::int64_t>
+{
+    const Poco::Dynamic::Var value = object.get(key);
+    if (value.isEmpty() || value.isBoolean() || !value.isInteger()) {
+        return mismatch(key, "an integer");
+    }
+    try {
+        return value.convert<std::int64_t>();
+    } catch (const Poco::Exception &) {
+        return mismatch(key, "a 64-bit integer");
+    }
+}
+
+auto requireNumber(const JsonObject &object, const std::string &key) -> absl::StatusOr<double>
+{
+    const Poco::Dynamic::Var value = object.get(key);
+    if (value.isEmpty() || value.isBoolean() || !value.isNumeric()) {
+        return mismatch(key, "a number");
+    }
+    return value.convert<double>();
+}
+
+auto requireObject(const JsonObject &object, const std::string &key) -> absl::StatusOr<JsonObject::Ptr>
+{
+    const JsonObject::Ptr value = object.getObject(key);
+    if (value.isNull()) {
+        return mismatch(key, "an object");
+    }
+    return value;
+}
+
+auto requireArray(const JsonObject &object, const std::string &key) -> absl::StatusOr<JsonArray::Ptr>
+{
+    const JsonArray::Ptr value = object.getArray(key);
+    if (value.isNull()) {
+        return mismatch(key, "an array");
+    }
+    return value;
+}
+
+auto optionalString(const JsonObject &object, const std::string &key, const std::string &fallback) -> absl::StatusOr<std::string>
+{
+    return isPresent(object, key) ? requireString(object, key) : absl::StatusOr<std::string>(fallback);
+}
+
+auto optionalInteger(const JsonObject &object, const std::string &key, std::int64_t fallback) -> absl::StatusOr<std::int64_t>
+{
+    return isPresent(object, key) ? requireInteger(object, key) : absl::StatusOr<std::int64_t>(fallback);
+}
+
+auto optionalNumber(const JsonObject &object, const std::string &key, double fallback) -> absl::StatusOr<double>
+{
+    return isPresent(object, key) ? requireNumber(object, key) : absl::StatusOr<double>(fallback);
+}
+
+auto optionalBool(const JsonObject &object, const std::string &key, bool fallback) -> absl::StatusOr<bool>
+{
+    if (!isPresent(object, key)) {
+        return fallback;
+    }
+    const Poco::Dynamic::Var value = object.get(key);
+    if (!value.isBoolean()) {
+        return mismatch(key, "true or false");
+    }
+    return value.extract<bool>();
+}
+
+auto optionalStrings(const JsonObject &object, const std::string &key) -> absl::StatusOr<std::vector<std::string>>
+{
+    std::vector<std::string> values;
+    if (!isPresent(object, key)) {
+        return values;
+    }
+    const auto array = requireArray(object, key);
+    if (!array.ok()) {
+        return array.status();
+    }
+    for (const Poco::Dynamic::Var &value : **array) {
+        if (!value.isString()) {
+            return mismatch(key, "an array of strings");
+        }
+        values.push_back(value.extract<std::string>());
+    }
+    return values;
+}
+
+auto optionalObjects(const JsonObject &object, const std::string &key) -> absl::StatusOr<std::vector<JsonObject::Ptr>>
+{
+    std::vector<JsonObject::Ptr> values;
+    if (!isPresent(object, key)) {
+        return values;
+    }
+    const auto array = requireArray(object, key);
+    if (!array.ok()) {
+        return array.status();
+    }
+    for (const Poco::Dynamic::Var &value : **array) {
+        if (value.type() != typeid(JsonObject::Ptr)) {
+            return mismatch(key, "an array of objects");
+        }
+        values.push_back(value.extract<JsonObject::Ptr>());
+    }
+    return values;
+}
+
+auto fromStrings(const std::vector<std::string> &values) -> JsonArray::Ptr
+{
+    JsonArray::Ptr array = new JsonArray;
+    for (const std::string &value : values) {
+        array->add(value);
+    }
+    return array;
+}
+
+} // namespace poplardock::Json
--- /dev/null
+++ b/Source/Process/JsonClient.cpp
@@ -0,0 +1,114 @@
+#include "Process/JsonClient.h"
+
+#include <Poco/Net/HTTPRequest.h>
+#include <Poco/Net/HTTPResponse.h>
+#include <Poco/Net/SocketAddress.h>
+#include <Poco/StreamCopier.h>
+
+#include <istream>
+#include <ostream>
+
+namespace poplardock {
+
+namespace {
+
+constexpr std::size_t MAXIMUM_IDLE_SESSIONS = 16;
+constexpr std::size_t MAXIMUM_ANSWER_BYTES = 16U << 20U;
+
+/// True when the peer has closed a kept-alive connection or sent bytes that no request asked for.
+auto isUnusable(Poco::Net::HTTPClientSession &session) -> bool
+{
+    return session.connected() && session.socket().poll(Poco::Timespan(0), Poco::Net::Socket::SELECT_READ);
+}
+
+auto readAll(std::istream &stream, std::string &body) -> bool
+{
+    char buffer[16384];
+    while (stream.read(buffer, sizeof buffer) || stream.gcount() > 0) {
+        body.append(buffer, static_cast<std::size_t>(stream.gcount()));
+        if (body.size() > MAXIMUM_ANSWER_BYTES) {
+            return false;
+        }
+    }
+    return true;
+}
+
+} // namespace
+
+JsonClient::JsonClient(std::string address)
+    : address_(std::move(address))
+{
+}
+
+JsonClient::~JsonClient() = default;
+
+auto JsonClient::address() const -> const std::string &
+{
+    return address_;
+}
+
+auto JsonClient::takeSession() -> Session
+{
+    {
+        const std::lock_guard lock(mutex_);
+        while (!idle_.empty()) {
+            Session session = std::move(idle_.back());
+            idle_.pop_back();
+            if (!isUnusable(*session)) {
+                return session;
+            }
+        }
+    }
+    auto session = std::make_unique<Poco::Net::HTTPClientSession>(Poco::Net::SocketAddress(address_));
+    session->setKeepAlive(true);
+    // Below the 15 s after which POCO servers close an idle connection.
+    session->setKeepAliveTimeout(Poco::Timespan(5, 0));
+    return session;
+}
+
+auto JsonClient::returnSession(Session session) -> void
+{
+    const std::lock_guard lock(mutex_);
+    if (idle_.size() < MAXIMUM_IDLE_SESSIONS) {
+        idle_.push_back(std::move(session));
+    }
+}
+
+auto JsonClient::call(const Call &request) -> CallResult
+{
+    bool mayHaveRun = false;
+    try {
+        Session session = takeSession();
+        session->setTimeout(Poco::Timespan(std::chrono::microseconds(request.timeout).count()));
+        Poco::Net::HTTPRequest head(request.method, request.path, Poco::Net::HTTPMessage::HTTP_1_1);
+        for (const auto &[name, value] : request.headers) {
+            head.set(name, value);
+        }
+        if (!request.body.empty()) {
+            head.setContentType("application/json");
+        }
+        head.setContentLength(static_cast<std::streamsize>(request.body.size()));
+        std::ostream &out = session->sendRequest(head);
+        mayHaveRun = true;
+        out << request.body << std::flush;
+        Poco::Net::HTTPResponse response;
+        std::istream &in = session->receiveResponse(response);
+        HttpAnswer answer { static_cast<int>(response.getStatus()), {} };
+        const bool complete
+            = readAll(in, answer.body) && session->networkException() == nullptr
+              && (!response.hasContentLength() || response.getContentLength() == static_cast<std::streamsize>(answer.body.size()));
+        if (!complete) {
+            return CallFailure { true, "the answer is incomplete" };
+        }
+        if (response.getKeepAlive()) {
+            returnSession(std::move(session));
+        }
+        return answer;
+    } catch (const Poco::Exception &exception) {
+        return CallFailure { mayHaveRun, exception.displayText() };
+    } catch (const std::exception &exception) {
+        return CallFailure { mayHaveRun, exception.what() };
+    }
+}
+
+} // namespace poplardock
--- /dev/null
+++ b/Source/Request/ResultCode.h
@@ -0,0 +1,114 @@
+#pragma once
+
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace poplardock {
+
+/// What is known about a request at the upstream.
+enum class RunState
+{
+    /// No byte of the request was sent to an upstream, or the upstream refused it before running it.
+    NotRun,
+    /// Bytes were sent and no full answer came back.
+    MayHaveRun,
+    /// A full answer came back.
+    Ran,
+};
+
+auto toString(RunState state) -> std::string_view;
+
+/// Numbered results that callers and operators see. docs/result-codes.md holds the same table.
+enum class ResultCode
+{
+    Ok = 0,
+
+    MalformedJson = 1001,
+    InvalidField = 1002,
+    BodyTooLarge = 1003,
+    HeadersInvalid = 1004,
+    RouteUnknown = 1005,
+    ModelUnknown = 1006,
+    MethodNotAllowed = 1007,
+    ClassUnknown = 1008,
+    BodyTruncated = 1009,
+
+    KeyMissing = 2001,
+    KeyUnknown = 2002,
+    KeyWithdrawn = 2003,
+    ConfigurationStale = 2004,
+    AllowanceExceeded = 2101,
+    AllowanceUnavailable = 2102,
+
+    NoUpstream = 3001,
+    Overloaded = 3002,
+    UpstreamConnectFailed = 3003,
+    UpstreamLost = 3004,
+    UpstreamTimedOut = 3005,
+    RetriesExhausted = 3006,
+    RequestCrashesUpstreams = 3007,
+    ClaimUnavailable = 3008,
+    ClaimPending = 3009,
+    ClaimConflict = 3010,
+    ShuttingDown = 3011,
+    UpstreamAnswerInvalid = 3012,
+
+    JobInvalid = 4001,
+    JobConflict = 4002,
+    JobUnknown = 4003,
+    JobNotAccepted = 4004,
+    JobUncertain = 4005,
+    JobCancelled = 4006,
+    ItemAttemptsExhausted = 4101,
+    ItemMayHaveRun = 4102,
+    ItemResultTooLarge = 4103,
+    ItemRefused = 4104,
+
+    ConfigurationInvalid = 5001,
+    ConfigurationConflict = 5002,
+    ConfigurationUncertain = 5003,
+    TeamUnknown = 5004,
+    UpstreamUnknown = 5005,
+
+    StoreUnavailable = 6001,
+    StoreBudgetExhausted = 6002,
+
+    PeerUnreachable = 7001,
+    NotHome = 7002,
+
+    Internal = 9001,
+};
+
+/// One row of the table of result codes.
+struct ResultDescription
+{
+    ResultCode code = ResultCode::Internal;
+    std::string_view name;
+    int httpStatus = 500;
+    RunState run = RunState::NotRun;
+    std::string_view meaning;
+
+    auto operator==(const ResultDescription &) const -> bool = default;
+};
+
+/// Returns the row of a code. Thread-safe; every enumerator has a row.
+auto describe(ResultCode code) -> const ResultDescription &;
+
+/// Returns all rows in the order of their numbers. Thread-safe.
+auto resultTable() -> const std::vector<ResultDescription> &;
+
+/// An error for a caller or operator.
+struct RequestError
+{
+    ResultCode code = ResultCode::Internal;
+    std::string message;
+    /// Seconds after which a retry is sensible; 0 means no hint.
+    int retryAfterSeconds = 0;
+
+    /// The JSON body: {"error":{"code","name","message","run"}}.
+    [[nodiscard]] auto toJson() const -> std::string;
+    auto operator==(const RequestError &) const -> bool = default;
+};
+
+} // namespace poplardock
--- /dev/null
+++ b/Source/Version/MemberTable.h
@@ -0,0 +1,44 @@
+#pragma once
+
+#include "Process/Json.h"
+#include "Version/Member.h"
+
+#include <absl/status/statusor.h>
+
+#include <string>
+#include <vector>
+
+namespace poplardock {
+
+/// The members of the fleet, sorted by name. Immutable; safe to read from any thread.
+class MemberTable
+{
+public:
+    MemberTable() = default;
+    /// Errors: InvalidArgument when a name occurs twice or a field is missing.
+    static auto create(std::vector<Member> members) -> absl::StatusOr<MemberTable>;
+    static auto fromJson(const JsonObject &object) -> absl::StatusOr<MemberTable>;
+    [[nodiscard]] auto toJson() const -> JsonObject::Ptr;
+
+    [[nodiscard]] auto members() const -> const std::vector<Member> &;
+    /// Null when there is none of that name.
+    [[nodiscard]] auto find(const std::string &name) const -> const Member *;
+    /// A copy in which the member of that name is added or replaced.
+    [[nodiscard]] auto with(const Member &member) const -> MemberTable;
+    [[nodiscard]] auto without(const std::string &name) const -> MemberTable;
+
+    /// The home of a key by rendezvous hashing over the members of a region, weighted by nothing but the
+    /// member's name: a restart keeps its homes, and a change of one of n members moves 1/n of the keys.
+    /// An empty region means all members. Null when the region has none.
+    [[nodiscard]] auto homeOf(const std::string &key, const std::string &region) const -> const Member *;
+
+    auto operator==(const MemberTable &) const -> bool = default;
+
+private:
+    std::vector<Member> members_;
+};
+
+/// A 64-bit hash that is equal in every process and build; it decides homes and shards.
+auto stableHash(std::string_view text) -> std::uint64_t;
+
+} // namespace poplardock
--- /dev/null
+++ b/Source/Version/Route.h
@@ -0,0 +1,21 @@
+#pragma once
+
+#include <string>
+
+namespace poplardock {
+
+/// Maps a path prefix to a group of plain services.
+struct Route
+{
+    std::string prefix;
+    std::string group;
+    std::string serviceClass;
+    /// A request on this route may be sent again after an attempt that may have run.
+    bool repeatable = false;
+    /// Needs no key.
+    bool open = false;
+
+    auto operator==(const Route &) const -> bool = default;
+};
+
+} // namespace poplardock
