--- /dev/null
+++ b/Source/Process/FreshnessRule.cpp
@@ -0,0 +1,17 @@
+#include "Process/FreshnessRule.h"
+
+namespace poplardock {
+
+auto judgeFreshness(const FreshnessInput &input) -> Freshness
+{
+    if (!input.confirmedAt || input.highestKnownRevision > input.ownRevision) {
+        return Freshness::Stale;
+    }
+    if (input.now - *input.confirmedAt <= FRESHNESS_BOUND) {
+        return Freshness::Current;
+    }
+    const bool hasMajority = input.memberCount > 0 && 2 * input.heardMembers > input.memberCount;
+    return hasMajority ? Freshness::StoreDownForAll : Freshness::Stale;
+}
+
+} // namespace poplardock
