Add the command line, settings check, daemon frame, state dump and pages

The command line has one command per task of callers and operators; settings and options are checked as a whole and unknown ones are errors with exit code 2. The page of result codes is compared with the program by a test. Errors that end a running answer have codes of their own, since "not run" would be false for them.

--- a/Source/Connection/HttpService.cpp
+++ b/Source/Connection/HttpService.cpp
@@ -7,6 +7,8 @@
 #include <Poco/Net/HTTPServerParams.h>
 #include <absl/strings/str_cat.h>
 
+#include <csignal>
+
 namespace poplardock {
 
 namespace {
@@ -88,6 +90,8 @@
 auto HttpService::start(const std::string &address, Options options, Handler handler) -> absl::StatusOr<std::unique_ptr<HttpService>>
 {
     try {
+        // A write to a connection that the peer has closed must be an error and not end the process.
+        static_cast<void>(std::signal(SIGPIPE, SIG_IGN));
         const Poco::Net::ServerSocket socket(Poco::Net::SocketAddress(address), ACCEPT_BACKLOG);
         return std::unique_ptr<HttpService>(new HttpService(socket, options, std::move(handler)));
     } catch (const Poco::Exception &exception) {
--- a/Source/Main.cpp
+++ b/Source/Main.cpp
@@ -1,19 +1,17 @@
-#include "Process/Log.h"
-#include "Process/Settings.h"
-
-#include <cxxopts.hpp>
+#include "Process/CommandLine.h"
+#include "Process/CommandRunner.h"
+#include "Process/Signals.h"
 
 #include <iostream>
 
 auto main(int argc, char **argv) -> int
 {
-    cxxopts::Options options("poplardock", "Serves online and batch inference on one fleet");
-    options.add_options()("version", "print the version")("help", "print this help");
-    const auto parsed = options.parse(argc, argv);
-    if (parsed.count("version") != 0) {
-        std::cout << "poplardock " << POPLARDOCK_VERSION << '\n';
-        return 0;
+    using namespace poplardock;
+    blockDaemonSignals();
+    const auto command = parseCommandLine({ argv + 1, argv + argc });
+    if (!command.ok()) {
+        std::cerr << command.status().message() << '\n';
+        return EXIT_INVALID;
     }
-    std::cout << options.help() << '\n';
-    return 0;
+    return runCommand(*command);
 }
--- /dev/null
+++ b/Source/Process/RequestCounter.h
@@ -0,0 +1,39 @@
+#pragma once
+
+#include "Process/Clock.h"
+
+#include <condition_variable>
+#include <mutex>
+
+namespace poplardock {
+
+/// Counts the requests that are running, so that a shutdown can wait for them. Thread-safe.
+class RequestCounter
+{
+public:
+    /// Counts one request for as long as it lives.
+    class Running
+    {
+    public:
+        explicit Running(RequestCounter &counter);
+        Running(const Running &) = delete;
+        auto operator=(const Running &) -> Running & = delete;
+        Running(Running &&) = delete;
+        auto operator=(Running &&) -> Running & = delete;
+        ~Running();
+
+    private:
+        RequestCounter &counter_;
+    };
+
+    [[nodiscard]] auto count() const -> int;
+    /// Returns true when no request runs, and false when some still do at the deadline.
+    auto waitUntilIdle(TimePoint deadline) -> bool;
+
+private:
+    mutable std::mutex mutex_;
+    std::condition_variable changed_;
+    int running_ = 0;
+};
+
+} // namespace poplardock
--- a/Source/Request/ResultCode.h
+++ b/Source/Request/ResultCode.h
@@ -38,6 +38,8 @@
     KeyUnknown = 2002,
     KeyWithdrawn = 2003,
     ConfigurationStale = 2004,
+    KeyWithdrawnInStream = 2005,
+    ConfigurationStaleInStream = 2006,
     AllowanceExceeded = 2101,
     AllowanceUnavailable = 2102,
 
--- a/Tests/Fakes/FakeUpstreamMain.cpp
+++ b/Tests/Fakes/FakeUpstreamMain.cpp
@@ -1,5 +1,5 @@
 #include "Fakes/FakeUpstream.h"
-#include "Support/WaitForSignal.h"
+#include "Process/Signals.h"
 
 #include <cxxopts.hpp>
 
@@ -16,7 +16,7 @@
         "slowdown", "slowdown for each further running request", cxxopts::value<double>()->default_value("0.02"))(
         "report-lag-ms", "age of load reports", cxxopts::value<int>()->default_value("200"));
     const auto parsed = options.parse(argc, argv);
-    poplardock::blockTerminationSignals();
+    poplardock::blockDaemonSignals();
     const auto upstream = poplardock::FakeUpstream::start(parsed["listen"].as<std::string>(),
                                                           { parsed["name"].as<std::string>(),
                                                             parsed["slots"].as<int>(),
@@ -29,6 +29,6 @@
         return 1;
     }
     std::cout << "listening " << (*upstream)->address() << std::endl;
-    poplardock::waitForTerminationSignal();
+    while (poplardock::waitForDaemonSignal() != poplardock::DaemonSignal::Terminate) { }
     return 0;
 }
