--- a/Source/Process/FleetState.cpp
+++ b/Source/Process/FleetState.cpp
@@ -48,21 +48,21 @@
     highestKnownRevision_ = std::max(highestKnownRevision_, revision);
 }
 
-auto FleetState::recordHeard(const std::string &member, TimePoint sentAt) -> void
+auto FleetState::recordHeard(const std::string &member, TimePoint sentAt, std::uint64_t sentRevision) -> void
 {
     const std::lock_guard lock(mutex_);
-    const auto [entry, isNew] = heardAt_.emplace(member, sentAt);
-    if (!isNew) {
-        entry->second = std::max(entry->second, sentAt);
-    }
+    Heard &heard = heard_.try_emplace(member, Heard { sentAt, sentRevision }).first->second;
+    heard.sentAt = std::max(heard.sentAt, sentAt);
+    heard.sentRevision = std::max(heard.sentRevision, sentRevision);
 }
 
-auto FleetState::heardCount(TimePoint now) const -> std::size_t
+auto FleetState::heardCount(TimePoint now, std::uint64_t lowestRevision) const -> std::size_t
 {
     std::size_t count = 0;
     for (const Member &member : version_->members.members()) {
-        const auto found = heardAt_.find(member.name);
-        const bool isHeard = found != heardAt_.end() && now - found->second <= FRESHNESS_BOUND;
+        const auto found = heard_.find(member.name);
+        const bool isHeard
+            = found != heard_.end() && now - found->second.sentAt <= FRESHNESS_BOUND && found->second.sentRevision >= lowestRevision;
         count += member.name == memberName_ || isHeard ? 1 : 0;
     }
     return count;
@@ -71,7 +71,7 @@
 auto FleetState::freshnessLocked(TimePoint now) const -> Freshness
 {
     return judgeFreshness(
-        { now, confirmedAt_, version_->revision, highestKnownRevision_, heardCount(now), version_->members.members().size() });
+        { now, confirmedAt_, version_->revision, highestKnownRevision_, heardCount(now, 0), version_->members.members().size() });
 }
 
 auto FleetState::freshness(TimePoint now) const -> Freshness
@@ -101,13 +101,24 @@
 {
     const std::lock_guard lock(mutex_);
     const std::size_t memberCount = version_->members.members().size();
-    return memberCount > 0 && 2 * heardCount(now) > memberCount;
+    return memberCount > 0 && 2 * heardCount(now, 0) > memberCount;
+}
+
+auto FleetState::hasHeardMajorityWithCurrentRevision(TimePoint now) const -> bool
+{
+    const std::lock_guard lock(mutex_);
+    const std::size_t memberCount = version_->members.members().size();
+    return memberCount > 0 && 2 * heardCount(now, version_->revision) > memberCount;
 }
 
 auto FleetState::heardAt() const -> std::map<std::string, TimePoint>
 {
     const std::lock_guard lock(mutex_);
-    return heardAt_;
+    std::map<std::string, TimePoint> times;
+    for (const auto &[member, heard] : heard_) {
+        times.emplace(member, heard.sentAt);
+    }
+    return times;
 }
 
 auto FleetState::highestKnownRevision() const -> std::uint64_t
--- a/Source/Process/FleetState.h
+++ b/Source/Process/FleetState.h
@@ -30,8 +30,8 @@
     auto confirm(std::uint64_t revision, TimePoint confirmedAt, bool isDirect) -> void;
     /// Records that a revision exists, without a confirmation.
     auto noteRevision(std::uint64_t revision) -> void;
-    /// Records that a member answered a request that was sent at that time.
-    auto recordHeard(const std::string &member, TimePoint sentAt) -> void;
+    /// Records that a member answered a request that was sent at that time and named that revision.
+    auto recordHeard(const std::string &member, TimePoint sentAt, std::uint64_t sentRevision) -> void;
 
     [[nodiscard]] auto freshness(TimePoint now) const -> Freshness;
     /// True when keyed routes may be served and this daemon may act as a home.
@@ -42,6 +42,10 @@
     [[nodiscard]] auto hasStoreContact(TimePoint now) const -> bool;
     /// True when more than half of the members, this daemon included, were heard within the bound.
     [[nodiscard]] auto hasHeardMajority(TimePoint now) const -> bool;
+    /// As hasHeardMajority(), counting only answers to requests that named the revision in force. Changes of
+    /// the member table and the wait of a new home need this: an answer to an older request does not show that
+    /// the peer knows of the new revision.
+    [[nodiscard]] auto hasHeardMajorityWithCurrentRevision(TimePoint now) const -> bool;
     /// Time of the last answer of each member.
     [[nodiscard]] auto heardAt() const -> std::map<std::string, TimePoint>;
     [[nodiscard]] auto highestKnownRevision() const -> std::uint64_t;
@@ -55,7 +59,13 @@
     [[nodiscard]] auto memberName() const -> const std::string &;
 
 private:
-    auto heardCount(TimePoint now) const -> std::size_t;
+    struct Heard
+    {
+        TimePoint sentAt;
+        std::uint64_t sentRevision = 0;
+    };
+
+    auto heardCount(TimePoint now, std::uint64_t lowestRevision) const -> std::size_t;
     auto freshnessLocked(TimePoint now) const -> Freshness;
 
     const std::string memberName_;
@@ -64,7 +74,7 @@
     std::optional<TimePoint> confirmedAt_;
     std::optional<TimePoint> directContactAt_;
     std::uint64_t highestKnownRevision_ = 0;
-    std::map<std::string, TimePoint> heardAt_;
+    std::map<std::string, Heard> heard_;
     std::set<std::string> tombstones_;
 };
 
