Serve connections with an own loop over POCO's HTTP parser

Cause: POCO's connection class answers malformed headers without a body, closes while the caller still sends, by which the answer can be lost, and accepts duplicated lengths.

--- a/Source/Connection/HttpService.cpp
+++ b/Source/Connection/HttpService.cpp
@@ -1,10 +1,7 @@
 #include "Connection/HttpService.h"
 
-#include "Connection/HttpReply.h"
-
-#include <Poco/Net/HTTPRequestHandler.h>
-#include <Poco/Net/HTTPRequestHandlerFactory.h>
 #include <Poco/Net/HTTPServerParams.h>
+#include <Poco/Net/TCPServerConnectionFactory.h>
 #include <absl/strings/str_cat.h>
 
 #include <csignal>
@@ -14,50 +11,32 @@
 namespace {
 
 constexpr int ACCEPT_BACKLOG = 512;
-/// POCO drops a connection that sends nothing for this long.
+/// A connection that sends nothing for this long in the middle of a request is dropped.
 constexpr int RECEIVE_TIMEOUT_SECONDS = 30;
 constexpr int KEEP_ALIVE_SECONDS = 15;
+constexpr int THREAD_IDLE_SECONDS = 60;
+/// 300 open streams at the default of 8 MB would be counted as 2.4 GB of address space.
 constexpr int STACK_BYTES = 512 * 1024;
 
-class FunctionHandler : public Poco::Net::HTTPRequestHandler
+class HttpConnectionFactory : public Poco::Net::TCPServerConnectionFactory
 {
 public:
-    explicit FunctionHandler(const HttpService::Handler &handler)
-        : handler_(handler)
+    HttpConnectionFactory(Poco::Net::HTTPServerParams::Ptr parameters, const HttpHandler &handler, HttpConnectionRegistry &registry)
+        : parameters_(std::move(parameters))
+        , handler_(handler)
+        , registry_(registry)
     {
     }
 
-    auto handleRequest(Poco::Net::HTTPServerRequest &request, Poco::Net::HTTPServerResponse &response) -> void override
+    auto createConnection(const Poco::Net::StreamSocket &socket) -> Poco::Net::TCPServerConnection * override
     {
-        try {
-            handler_(request, response);
-        } catch (const std::exception &exception) {
-            response.setKeepAlive(false);
-            if (!response.sent()) {
-                HttpReply::sendError(response, { ResultCode::Internal, {} });
-            }
-        }
+        return new HttpConnection(socket, parameters_, handler_, registry_);
     }
 
 private:
-    const HttpService::Handler &handler_;
-};
-
-class FunctionHandlerFactory : public Poco::Net::HTTPRequestHandlerFactory
-{
-public:
-    explicit FunctionHandlerFactory(HttpService::Handler handler)
-        : handler_(std::move(handler))
-    {
-    }
-
-    auto createRequestHandler(const Poco::Net::HTTPServerRequest &) -> Poco::Net::HTTPRequestHandler * override
-    {
-        return new FunctionHandler(handler_);
-    }
-
-private:
-    const HttpService::Handler handler_;
+    const Poco::Net::HTTPServerParams::Ptr parameters_;
+    const HttpHandler &handler_;
+    HttpConnectionRegistry &registry_;
 };
 
 auto makeParameters(HttpService::Options options) -> Poco::Net::HTTPServerParams::Ptr
@@ -74,11 +53,13 @@
 } // namespace
 
 HttpService::HttpService(const Poco::Net::ServerSocket &socket, Options options, Handler handler)
-    : socket_(socket)
-    , pool_(2, options.threads + 1, 60, STACK_BYTES)
-    , server_(
-          std::make_unique<Poco::Net::HTTPServer>(new FunctionHandlerFactory(std::move(handler)), pool_, socket_, makeParameters(options)))
+    : handler_(std::move(handler))
+    , socket_(socket)
+    , pool_(2, options.threads + 1, THREAD_IDLE_SECONDS, STACK_BYTES)
 {
+    const Poco::Net::HTTPServerParams::Ptr parameters = makeParameters(options);
+    server_ = std::make_unique<Poco::Net::TCPServer>(
+        new HttpConnectionFactory(parameters, handler_, registry_), pool_, socket_, Poco::Net::TCPServerParams::Ptr(parameters));
     server_->start();
 }
 
@@ -104,14 +85,15 @@
     return socket_.address().toString();
 }
 
-auto HttpService::currentConnections() const -> int
+auto HttpService::openConnections() const -> int
 {
-    return server_->currentConnections();
+    return registry_.count();
 }
 
-auto HttpService::stopAccepting() -> void
+auto HttpService::drain() -> void
 {
     server_->stop();
+    registry_.drain();
 }
 
 auto HttpService::stop() -> void
@@ -120,7 +102,8 @@
         return;
     }
     stopped_ = true;
-    server_->stopAll(true);
+    server_->stop();
+    registry_.abort();
     pool_.joinAll();
 }
 
--- a/Source/Connection/HttpService.h
+++ b/Source/Connection/HttpService.h
@@ -1,23 +1,23 @@
 #pragma once
 
-#include <Poco/Net/HTTPServer.h>
-#include <Poco/Net/HTTPServerRequest.h>
-#include <Poco/Net/HTTPServerResponse.h>
+#include "Connection/HttpConnection.h"
+
+#include <Poco/Net/ServerSocket.h>
+#include <Poco/Net/TCPServer.h>
 #include <Poco/ThreadPool.h>
 #include <absl/status/statusor.h>
 
-#include <functional>
 #include <memory>
 #include <string>
 
 namespace poplardock {
 
 /// An HTTP server on one address with its own pool of threads, one thread for each open connection.
-/// Thread safety: stop() may be called once from any thread; the handler is called from many threads.
+/// Thread safety: drain() and stop() may be called from any thread; the handler is called from many threads.
 class HttpService
 {
 public:
-    using Handler = std::function<void(Poco::Net::HTTPServerRequest &, Poco::Net::HTTPServerResponse &)>;
+    using Handler = HttpHandler;
 
     struct Options
     {
@@ -27,7 +27,8 @@
     };
 
     /// Binds "IP:port" (port 0 takes a free one) and starts to serve. An exception that leaves the handler is
-    /// answered with ResultCode::Internal when nothing was sent yet, and closes the connection otherwise.
+    /// answered with ResultCode::Internal when nothing was sent yet, and closes the connection otherwise. A
+    /// handler that returns without an answer closes the connection.
     /// Errors: Unavailable when the address cannot be bound.
     static auto start(const std::string &address, Options options, Handler handler) -> absl::StatusOr<std::unique_ptr<HttpService>>;
 
@@ -39,18 +40,20 @@
 
     /// "IP:port" with the real port.
     [[nodiscard]] auto address() const -> std::string;
-    [[nodiscard]] auto currentConnections() const -> int;
-    /// Accepts no more connections; running requests go on and their connections close after the answer.
-    auto stopAccepting() -> void;
+    [[nodiscard]] auto openConnections() const -> int;
+    /// Accepts no more connections; idle ones close, busy ones close after their answer.
+    auto drain() -> void;
     /// Also breaks the open connections and waits for the handlers to return.
     auto stop() -> void;
 
 private:
     HttpService(const Poco::Net::ServerSocket &socket, Options options, Handler handler);
 
+    const Handler handler_;
+    HttpConnectionRegistry registry_;
     Poco::Net::ServerSocket socket_;
     Poco::ThreadPool pool_;
-    std::unique_ptr<Poco::Net::HTTPServer> server_;
+    std::unique_ptr<Poco::Net::TCPServer> server_;
     bool stopped_ = false;
 };
 
--- a/Source/Process/Daemon.cpp
+++ b/Source/Process/Daemon.cpp
@@ -166,7 +166,7 @@
 {
     parts_->isDraining = true;
     std::this_thread::sleep_for(BALANCER_GRACE);
-    parts_->callersService->stopAccepting();
+    parts_->callersService->drain();
     if (!parts_->requests.waitUntilIdle(Clock::now() + DRAIN_LIMIT)) {
         Log::warning(Part::Process, "Requests are still running at the drain limit and are cut.");
     }
--- a/Tests/Connection/RouterTest.cpp
+++ b/Tests/Connection/RouterTest.cpp
@@ -96,6 +96,43 @@
     BOOST_TEST(std::string(answer).find("400") != std::string::npos);
 }
 
+// Guards against malformed headers that are answered without the usual error shape.
+BOOST_AUTO_TEST_CASE(MalformedHeadersGetTheUsualErrorShape)
+{
+    const std::vector<std::string> requests = {
+        "GET /a/b HTTP/1.1\r\nLong: " + std::string(20000, 'x') + "\r\n\r\n",
+        "GET /a/b HTTP/1.1\r\n" + std::string(300, 'n') + ": 1\r\n\r\n",
+        "POST /body HTTP/1.1\r\nContent-Length: 5\r\nContent-Length: 6\r\n\r\n01234",
+    };
+    for (const std::string &request : requests) {
+        Poco::Net::StreamSocket socket { Poco::Net::SocketAddress(service->address()) };
+        socket.sendBytes(request.data(), static_cast<int>(request.size()));
+        socket.shutdownSend();
+        std::string answer;
+        char buffer[512];
+        for (int received = 1; received > 0;) {
+            received = socket.receiveBytes(buffer, sizeof buffer);
+            answer.append(buffer, static_cast<std::size_t>(std::max(received, 0)));
+        }
+        BOOST_TEST(answer.find("headers_invalid") != std::string::npos, request.substr(0, 40) << " gave " << answer);
+    }
+    BOOST_TEST(ask("GET", "/a/b").status == 200);
+}
+
+// Guards against a drain that cuts a request that has reached the server.
+BOOST_AUTO_TEST_CASE(DrainAnswersWhatHasArrived)
+{
+    Poco::Net::StreamSocket socket { Poco::Net::SocketAddress(service->address()) };
+    const std::string request = "GET /a/b HTTP/1.1\r\nHost: a\r\n\r\n";
+    char buffer[512] = {};
+    socket.sendBytes(request.data(), static_cast<int>(request.size()));
+    BOOST_TEST(socket.receiveBytes(buffer, sizeof buffer) > 0);
+    socket.sendBytes(request.data(), static_cast<int>(request.size()));
+    service->drain();
+    BOOST_TEST(socket.receiveBytes(buffer, sizeof buffer) > 0);
+    BOOST_TEST(std::string(buffer).find("200") != std::string::npos);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace poplardock
