Add the admission log

Tests and audits need the instant of every token spent on several daemons, to check the allowance over every window; the monotonic clock is common to the processes of one VM.

--- /dev/null
+++ b/Source/Process/AdmissionLog.h
@@ -0,0 +1,32 @@
+#pragma once
+
+#include "Process/Clock.h"
+
+#include <absl/status/statusor.h>
+
+#include <fstream>
+#include <memory>
+#include <mutex>
+#include <string>
+
+namespace poplardock {
+
+/// Appends one line "TEAM NANOSECONDS" for each token spent, by the monotonic clock of the VM, so that the
+/// admissions of several daemons on one VM can be checked against the allowance. For tests and audits.
+/// Thread-safe.
+class AdmissionLog
+{
+public:
+    /// Errors: InvalidArgument when the file cannot be opened for appending.
+    static auto open(const std::string &file) -> absl::StatusOr<std::unique_ptr<AdmissionLog>>;
+
+    auto record(const std::string &team, TimePoint spentAt) -> void;
+
+private:
+    explicit AdmissionLog(std::ofstream stream);
+
+    std::mutex mutex_;
+    std::ofstream stream_;
+};
+
+} // namespace poplardock
