--- a/Source/Process/Daemon.cpp
+++ b/Source/Process/Daemon.cpp
@@ -1,21 +1,30 @@
 #include "Process/Daemon.h"
 
+#include "Connection/ControlRoutes.h"
 #include "Connection/HttpReply.h"
 #include "Connection/HttpService.h"
 #include "Connection/Router.h"
+#include "Process/ConfigurationEditor.h"
 #include "Process/FleetState.h"
 #include "Process/Log.h"
+#include "Process/Membership.h"
 #include "Process/Metrics.h"
 #include "Process/PeerClients.h"
+#include "Process/PeerExchange.h"
 #include "Process/RequestCounter.h"
+#include "Process/RootCommitter.h"
 #include "Process/Signals.h"
 #include "Process/StateDump.h"
 #include "Process/StoreClient.h"
+#include "Process/VersionLoader.h"
+#include "Process/VersionWatcher.h"
 
+#include <Poco/UUIDGenerator.h>
 #include <absl/strings/str_cat.h>
 
 #include <atomic>
 #include <iostream>
+#include <random>
 
 namespace poplardock {
 
@@ -25,6 +34,9 @@
 constexpr int OPERATOR_THREADS = 8;
 /// Time for the balancer to see the negative health check and to send no new connections.
 constexpr Milliseconds BALANCER_GRACE { 2000 };
+/// Time for the store to answer at the start; a supervisor starts the process again after that.
+constexpr Milliseconds JOIN_LIMIT { 60000 };
+constexpr Milliseconds LEAVE_LIMIT { 5000 };
 /// Longest time for running requests to end after SIGTERM; long streams are cut then.
 constexpr Milliseconds DRAIN_LIMIT { 120000 };
 
@@ -34,12 +46,22 @@
 {
     explicit Parts(Settings given)
         : settings(std::move(given))
-        , store(settings.platformAddress, settings.name, {})
+        , seed(std::random_device {}())
+        , writer(absl::StrCat(settings.name, "-", Poco::UUIDGenerator::defaultGenerator().createRandom().toString()))
+        , store(settings.platformAddress, writer, {})
         , state(settings.name)
+        , loader(store, state, peers)
+        , watcher(store, state, loader, peers, seed)
+        , exchange(state, watcher, peers, seed + 1)
+        , committer(store, state, loader, writer, seed + 2)
+        , editor(state, committer, exchange, seed + 3)
     {
     }
 
     const Settings settings;
+    const std::uint64_t seed;
+    /// Unique for this process, so that its writer tokens are never those of an earlier one.
+    const std::string writer;
     Metrics metrics;
     StateDump dump;
     RequestCounter requests;
@@ -50,11 +72,19 @@
     Router callersRouter;
     Router peersRouter;
     Router operatorsRouter;
+    VersionLoader loader;
+    VersionWatcher watcher;
+    PeerExchange exchange;
+    RootCommitter committer;
+    ConfigurationEditor editor;
+    std::unique_ptr<Membership> membership;
     std::unique_ptr<HttpService> callersService;
     std::unique_ptr<HttpService> peersService;
     std::unique_ptr<HttpService> operatorsService;
 
-    auto registerOwnRoutes() -> void;
+    auto registerRoutes() -> void;
+    auto startServices() -> absl::Status;
+    auto join() -> absl::Status;
     auto registerDumpSections() -> void;
     auto handleCaller(Poco::Net::HTTPServerRequest &request, Poco::Net::HTTPServerResponse &response) -> void;
 };
@@ -68,7 +98,7 @@
     callersRouter.handle(request, response);
 }
 
-auto Daemon::Parts::registerOwnRoutes() -> void
+auto Daemon::Parts::registerRoutes() -> void
 {
     callersRouter.add("GET", "/healthz", [this](Poco::Net::HTTPServerRequest &, Poco::Net::HTTPServerResponse &response) {
         const bool isHealthy = !isDraining && state.mayAct(Clock::now());
@@ -77,6 +107,54 @@
     operatorsRouter.add("GET", "/dump", [this](Poco::Net::HTTPServerRequest &, Poco::Net::HTTPServerResponse &response) {
         HttpReply::sendJson(response, 200, Json::toText(*dump.toJson()));
     });
+    ControlRoutes::addPeerRoutes(peersRouter, exchange, loader, state);
+    ControlRoutes::addOperatorRoutes(operatorsRouter, editor, state);
+}
+
+auto Daemon::Parts::startServices() -> absl::Status
+{
+    struct Listener
+    {
+        const std::string &address;
+        int threads;
+        HttpService::Handler handler;
+        std::unique_ptr<HttpService> &service;
+    };
+    const Listener listeners[] = {
+        { settings.operatorsAddress,
+          OPERATOR_THREADS,
+          [this](auto &request, auto &response) { operatorsRouter.handle(request, response); },
+          operatorsService },
+        { settings.peersAddress,
+          PEER_THREADS,
+          [this](auto &request, auto &response) { peersRouter.handle(request, response); },
+          peersService },
+        { settings.callersAddress,
+          settings.onlineThreads,
+          [this](auto &request, auto &response) { handleCaller(request, response); },
+          callersService },
+    };
+    for (const Listener &listener : listeners) {
+        auto service = HttpService::start(listener.address, { listener.threads, listener.threads }, listener.handler);
+        if (!service.ok()) {
+            return service.status();
+        }
+        listener.service = *std::move(service);
+    }
+    return absl::OkStatus();
+}
+
+auto Daemon::Parts::join() -> absl::Status
+{
+    Member self;
+    self.name = settings.name;
+    self.address = peersService->address();
+    self.dataCentre = settings.dataCentre;
+    self.region = settings.region;
+    self.size = settings.size;
+    self.vm = settings.vm;
+    membership = std::make_unique<Membership>(store, state, watcher, committer, exchange, self, seed + 4);
+    return membership->join(Clock::now() + JOIN_LIMIT);
 }
 
 auto Daemon::Parts::registerDumpSections() -> void
@@ -130,41 +208,28 @@
 auto Daemon::start() -> absl::Status
 {
     Parts &parts = *parts_;
-    parts.registerOwnRoutes();
+    parts.registerRoutes();
     parts.registerDumpSections();
-    auto operators = HttpService::start(parts.settings.operatorsAddress,
-                                        { OPERATOR_THREADS, OPERATOR_THREADS },
-                                        [&parts](Poco::Net::HTTPServerRequest &request, Poco::Net::HTTPServerResponse &response) {
-                                            parts.operatorsRouter.handle(request, response);
-                                        });
-    if (!operators.ok()) {
-        return operators.status();
+    if (const absl::Status status = parts.startServices(); !status.ok()) {
+        return status;
     }
-    parts.operatorsService = *std::move(operators);
-    auto peers = HttpService::start(parts.settings.peersAddress,
-                                    { PEER_THREADS, PEER_THREADS },
-                                    [&parts](Poco::Net::HTTPServerRequest &request, Poco::Net::HTTPServerResponse &response) {
-                                        parts.peersRouter.handle(request, response);
-                                    });
-    if (!peers.ok()) {
-        return peers.status();
+    if (const absl::Status status = parts.join(); !status.ok()) {
+        return status;
     }
-    parts.peersService = *std::move(peers);
-    auto callers = HttpService::start(parts.settings.callersAddress,
-                                      { parts.settings.onlineThreads, parts.settings.onlineThreads },
-                                      [&parts](Poco::Net::HTTPServerRequest &request, Poco::Net::HTTPServerResponse &response) {
-                                          parts.handleCaller(request, response);
-                                      });
-    if (!callers.ok()) {
-        return callers.status();
-    }
-    parts.callersService = *std::move(callers);
+    parts.watcher.start();
+    parts.exchange.start();
+    parts.editor.start();
+    parts.membership->start();
     return absl::OkStatus();
 }
 
 auto Daemon::drain() -> void
 {
     parts_->isDraining = true;
+    parts_->membership->stop();
+    if (const absl::Status status = parts_->membership->leave(Clock::now() + LEAVE_LIMIT); !status.ok()) {
+        Log::warning(Part::Member, absl::StrCat("The member record stays in the table: ", status.message()));
+    }
     std::this_thread::sleep_for(BALANCER_GRACE);
     parts_->callersService->drain();
     if (!parts_->requests.waitUntilIdle(Clock::now() + DRAIN_LIMIT)) {
@@ -174,6 +239,12 @@
 
 auto Daemon::stop() -> void
 {
+    if (parts_->membership) {
+        parts_->membership->stop();
+    }
+    parts_->editor.stop();
+    parts_->exchange.stop();
+    parts_->watcher.stop();
     for (auto *service : { &parts_->callersService, &parts_->peersService, &parts_->operatorsService }) {
         if (*service) {
             (*service)->stop();
--- a/Source/Process/PeerExchange.cpp
+++ b/Source/Process/PeerExchange.cpp
@@ -193,7 +193,8 @@
     }
 }
 
-auto PeerExchange::acceptAnswer(const Member &member, const JsonObject &message, TimePoint sentAt) -> absl::Status
+auto PeerExchange::acceptAnswer(const Member &member, const JsonObject &message, TimePoint sentAt, std::uint64_t sentRevision)
+    -> absl::Status
 {
     const auto from = Json::requireString(message, "from");
     const auto incarnation = Json::requireString(message, "incarnation");
@@ -208,7 +209,7 @@
     if (*from != member.name || *incarnation != member.incarnation) {
         return absl::FailedPreconditionError(absl::StrCat(member.address, " is not ", member.name, " ", member.incarnation));
     }
-    state_.recordHeard(member.name, sentAt);
+    state_.recordHeard(member.name, sentAt, sentRevision);
     const auto peerRevision = static_cast<std::uint64_t>(std::max<std::int64_t>(0, *revision));
     if (*age >= 0) {
         state_.confirm(isPlausible(peerRevision) ? peerRevision : 0, sentAt - Milliseconds(*age), false);
@@ -229,6 +230,8 @@
 
 auto PeerExchange::exchangeWith(const Member &member) -> absl::Status
 {
+    // Read before the message is made, so that the message names at least this revision.
+    const std::uint64_t sentRevision = state_.current()->revision;
     const std::string body = makeMessage();
     const TimePoint sentAt = Clock::now();
     const CallResult result = peers_.clientFor(member.address)->call({ "POST", "/peers/exchange", body, {}, EXCHANGE_TIMEOUT });
@@ -245,7 +248,7 @@
         return absl::UnavailableError(absl::StrCat(member.name, " did not answer"));
     }
     const auto message = Json::parseObject(answer->body);
-    return message.ok() ? acceptAnswer(member, **message, sentAt) : message.status();
+    return message.ok() ? acceptAnswer(member, **message, sentAt, sentRevision) : message.status();
 }
 
 auto PeerExchange::handleRequest(const std::string &body) -> absl::StatusOr<std::string>
--- a/Source/Process/PeerExchange.h
+++ b/Source/Process/PeerExchange.h
@@ -124,7 +124,7 @@
 
     auto makeMessage() const -> std::string;
     auto pendingTombstones(const FleetVersion &version) const -> std::vector<std::string>;
-    auto acceptAnswer(const Member &member, const JsonObject &message, TimePoint sentAt) -> absl::Status;
+    auto acceptAnswer(const Member &member, const JsonObject &message, TimePoint sentAt, std::uint64_t sentRevision) -> absl::Status;
     auto raiseMonotone(const JsonObject &message) -> absl::Status;
     auto consumeFields(const JsonObject &message, const ExchangeSource &source) -> void;
     auto isPlausible(std::uint64_t revision) const -> bool;
