--- a/Source/Process/Daemon.cpp
+++ b/Source/Process/Daemon.cpp
@@ -210,10 +210,10 @@
     Parts &parts = *parts_;
     parts.registerRoutes();
     parts.registerDumpSections();
-    if (const absl::Status status = parts.startServices(); !status.ok()) {
+    if (absl::Status status = parts.startServices(); !status.ok()) {
         return status;
     }
-    if (const absl::Status status = parts.join(); !status.ok()) {
+    if (absl::Status status = parts.join(); !status.ok()) {
         return status;
     }
     parts.watcher.start();
