--- /dev/null
+++ b/Source/Process/BatchDispatcher.cpp
@@ -0,0 +1,849 @@
+#include "Process/BatchDispatcher.h"
+
+#include "Process/Log.h"
+
+#include <absl/strings/str_cat.h>
+
+#include <algorithm>
+
+namespace poplardock {
+
+namespace {
+
+constexpr Milliseconds SCHEDULE_INTERVAL { 20 };
+constexpr Milliseconds STORE_INTERVAL { 20 };
+constexpr Milliseconds FIRST_PAUSE { 250 };
+constexpr Milliseconds LONGEST_PAUSE { 10000 };
+constexpr Milliseconds FIRST_STORE_PAUSE { 100 };
+constexpr Milliseconds LONGEST_STORE_PAUSE { 2000 };
+constexpr std::chrono::minutes REMOVAL_INTERVAL { 5 };
+/// Chunks held for one upstream; enough that its share is filled while the last items of one chunk run.
+constexpr int HELD_PER_UPSTREAM = 3;
+constexpr int READS_PER_LEASE = 4;
+constexpr int GIVE_BACK_TRIES = 5;
+constexpr double DEFAULT_TARGET_MS = 1000;
+constexpr double FIRST_ITEM_SECONDS = 1;
+constexpr double SMOOTHING = 0.1;
+constexpr const char *CHAT_PATH = "/v1/chat/completions";
+
+auto poolOf(const BatchJob &job) -> const std::string &
+{
+    return job.model.empty() ? job.path : job.model;
+}
+
+auto pathOf(const BatchJob &job) -> std::string
+{
+    return job.model.empty() ? job.path : CHAT_PATH;
+}
+
+/// All upstreams of the fleet that can run the job's items and are not leaving.
+auto upstreamsFor(const BatchJob &job, const Configuration &configuration) -> std::vector<std::string>
+{
+    const Route *route = job.model.empty() ? configuration.findRoute(job.path) : nullptr;
+    std::vector<const Upstream *> found;
+    if (!job.model.empty()) {
+        found = configuration.upstreamsOfModel(job.model);
+    } else if (route != nullptr) {
+        found = configuration.upstreamsOfGroup(route->group);
+    }
+    std::vector<std::string> names;
+    for (const Upstream *upstream : found) {
+        if (!upstream->leaving) {
+            names.push_back(upstream->name);
+        }
+    }
+    return names;
+}
+
+auto contains(const std::vector<std::string> &names, const std::string &name) -> bool
+{
+    return std::find(names.begin(), names.end(), name) != names.end();
+}
+
+auto totalsOf(const BatchChunk &chunk) -> ChunkTotals
+{
+    return { chunk.count(ItemState::Done), chunk.count(ItemState::Failed) };
+}
+
+auto targetOf(const Configuration &configuration) -> double
+{
+    double target = 0;
+    for (const ServiceClass &entry : configuration.data().classes) {
+        if (entry.kind == WorkKind::Online && (target == 0 || static_cast<double>(entry.firstTokenMs) < target)) {
+            target = static_cast<double>(entry.firstTokenMs);
+        }
+    }
+    return target == 0 ? DEFAULT_TARGET_MS : target;
+}
+
+auto currentWallTime() -> WallTime
+{
+    return std::chrono::time_point_cast<Milliseconds>(WallClock::now());
+}
+
+auto isStoreAway(const absl::Status &status) -> bool
+{
+    return absl::IsUnavailable(status) || absl::IsUnknown(status) || absl::IsResourceExhausted(status);
+}
+
+} // namespace
+
+BatchDispatcher::BatchDispatcher(JobStore &store, const FleetState &fleet, Metrics &metrics, Options options, Hooks hooks)
+    : store_(store)
+    , fleet_(fleet)
+    , metrics_(metrics)
+    , options_(std::move(options))
+    , hooks_(std::move(hooks))
+    , random_(stableHash(fleet.memberName()))
+{
+}
+
+BatchDispatcher::~BatchDispatcher()
+{
+    stop();
+}
+
+auto BatchDispatcher::start() -> void
+{
+    for (int index = 0; index < options_.threads; ++index) {
+        workers_.emplace_back([this](const std::stop_token &stop) { workLoop(stop); });
+    }
+    scheduler_ = std::jthread([this](const std::stop_token &stop) { scheduleLoop(stop); });
+    storeThread_ = std::jthread([this](const std::stop_token &stop) { storeLoop(stop); });
+}
+
+auto BatchDispatcher::stop() -> void
+{
+    {
+        std::unique_lock lock(mutex_);
+        if (isStopping_) {
+            return;
+        }
+        isStopping_ = true;
+        for (auto &[name, work] : upstreams_) {
+            dropRuns(work, static_cast<int>(work.runs.size()));
+        }
+        runsChanged_.wait_for(lock, options_.drainLimit, [this] { return runCount_ == 0; });
+        for (auto &[name, work] : upstreams_) {
+            for (const RunPointer &run : work.runs) {
+                run->stop.request_stop();
+            }
+        }
+        runsChanged_.wait(lock, [this] { return runCount_ == 0; });
+    }
+    for (std::jthread *thread : { &scheduler_, &storeThread_ }) {
+        thread->request_stop();
+    }
+    for (std::jthread &worker : workers_) {
+        worker.request_stop();
+    }
+    {
+        const std::lock_guard lock(mutex_);
+        scheduleChanged_.notify_all();
+        workChanged_.notify_all();
+    }
+    workers_.clear();
+    scheduler_ = {};
+    storeThread_ = {};
+    for (const HeldPointer &held : heldList()) {
+        for (int attempt = 0; attempt < GIVE_BACK_TRIES && !giveBack(held); ++attempt) {
+            std::this_thread::sleep_for(FIRST_STORE_PAUSE);
+        }
+    }
+    recordEnded();
+}
+
+auto BatchDispatcher::onYield(const std::string &upstream) -> void
+{
+    const TimePoint now = Clock::now();
+    const std::lock_guard lock(mutex_);
+    const auto found = upstreams_.find(upstream);
+    if (found == upstreams_.end() || !found->second.isServed) {
+        return;
+    }
+    UpstreamWork &work = found->second;
+    dropRuns(work, work.share.yieldNow(now, static_cast<int>(work.runs.size())));
+    metrics_.count("batch_yields");
+}
+
+auto BatchDispatcher::toJson() const -> JsonObject::Ptr
+{
+    const std::lock_guard lock(mutex_);
+    JsonObject::Ptr upstreams = new JsonObject;
+    for (const auto &[name, work] : upstreams_) {
+        JsonObject::Ptr entry = new JsonObject;
+        entry->set("limit", work.share.limit());
+        entry->set("running", work.runs.size());
+        entry->set("served", work.isServed);
+        upstreams->set(name, entry);
+    }
+    JsonObject::Ptr held = new JsonObject;
+    for (const auto &[name, chunk] : held_) {
+        JsonObject::Ptr entry = new JsonObject;
+        entry->set("epoch", chunk->lease().epoch);
+        entry->set("waiting", chunk->waitingCount());
+        entry->set("running", chunk->runningCount());
+        held->set(name, entry);
+    }
+    JsonObject::Ptr whole = new JsonObject;
+    whole->set("upstreams", upstreams);
+    whole->set("held_chunks", held);
+    whole->set("open_jobs", jobs_.size());
+    return whole;
+}
+
+auto BatchDispatcher::serve(TimePoint now) const -> Served
+{
+    Served served;
+    served.version = fleet_.current();
+    served.self = { fleet_.memberName(), hooks_.incarnation() };
+    served.targetMs = targetOf(served.version->configuration);
+    const Member *self = served.version->members.find(served.self.name);
+    if (!fleet_.mayAct(now) || self == nullptr || self->incarnation != served.self.incarnation) {
+        return served;
+    }
+    for (const Upstream &upstream : served.version->configuration.data().upstreams) {
+        const Member *home = served.version->members.homeOf(absl::StrCat("upstream/", upstream.name), options_.region);
+        if (!upstream.leaving && home != nullptr && home->name == served.self.name) {
+            served.upstreams.push_back(upstream);
+        }
+    }
+    return served;
+}
+
+auto BatchDispatcher::scheduleLoop(const std::stop_token &stop) -> void
+{
+    while (!stop.stop_requested()) {
+        schedule();
+        std::unique_lock lock(mutex_);
+        scheduleChanged_.wait_for(lock, SCHEDULE_INTERVAL, [this, &stop] { return isScheduleDue_ || stop.stop_requested(); });
+        isScheduleDue_ = false;
+    }
+}
+
+auto BatchDispatcher::schedule() -> void
+{
+    const TimePoint now = Clock::now();
+    const Served served = serve(now);
+    std::map<std::string, UpstreamLoad> loads;
+    for (const Upstream &upstream : served.upstreams) {
+        loads.emplace(upstream.name, hooks_.loadOf(upstream.name));
+    }
+    const std::lock_guard lock(mutex_);
+    updateUpstreams(served, loads, now);
+    if (!isStopping_) {
+        startRuns(served, now);
+    }
+}
+
+auto BatchDispatcher::updateUpstreams(const Served &served, const std::map<std::string, UpstreamLoad> &loads, TimePoint now) -> void
+{
+    for (auto &[name, work] : upstreams_) {
+        work.isServed = false;
+    }
+    for (const Upstream &upstream : served.upstreams) {
+        const auto entry = upstreams_.try_emplace(upstream.name, UpstreamWork { upstream, BatchShare(options_.share) }).first;
+        UpstreamWork &work = entry->second;
+        work.upstream = upstream;
+        work.isServed = true;
+        dropRuns(work, work.share.update(now, loads.at(upstream.name), static_cast<int>(work.runs.size()), served.targetMs));
+    }
+    std::erase_if(upstreams_, [](const auto &entry) { return !entry.second.isServed && entry.second.runs.empty(); });
+}
+
+auto BatchDispatcher::startRuns(const Served &served, TimePoint now) -> void
+{
+    for (auto &[name, work] : upstreams_) {
+        const auto hasRoom = [&work = work, this] {
+            return static_cast<int>(work.runs.size()) < work.share.limit() && runCount_ < options_.threads;
+        };
+        while (work.isServed && now >= work.pausedUntil && hasRoom()) {
+            if (!startNext(work, served.version->configuration, now)) {
+                break;
+            }
+        }
+    }
+}
+
+auto BatchDispatcher::startNext(UpstreamWork &work, const Configuration &configuration, TimePoint now) -> bool
+{
+    std::vector<JobPointer> jobs;
+    for (const auto &[name, held] : held_) {
+        const JobPointer job = findJob(*held);
+        const bool isNew = job && std::find(jobs.begin(), jobs.end(), job) == jobs.end();
+        if (isNew && held->waitingCount() > 0 && contains(upstreamsFor(job->job, configuration), work.upstream.name)) {
+            jobs.push_back(job);
+        }
+    }
+    const bool hasSuspect
+        = std::any_of(work.runs.begin(), work.runs.end(), [](const RunPointer &run) { return run->held->isSuspect(run->item); });
+    for (const JobPointer &job : sortedJobs(jobs, configuration)) {
+        std::vector<std::string> others = upstreamsFor(job->job, configuration);
+        std::erase(others, work.upstream.name);
+        for (const auto &[name, held] : held_) {
+            if (held->stored().chunk.job != job->id) {
+                continue;
+            }
+            // Items that were there at a death run one at a time, so that one of them does not blame another.
+            if (const auto item = held->nextRunnable(work.upstream.name, others, !hasSuspect, now)) {
+                beginRun(work, held, *item, job, now);
+                return true;
+            }
+        }
+    }
+    return false;
+}
+
+auto BatchDispatcher::beginRun(UpstreamWork &work, const HeldPointer &held, std::size_t item, const JobPointer &job, TimePoint now) -> void
+{
+    held->beginRun(item);
+    auto run = std::make_shared<Run>(Run { held, item, job, work.upstream, held->stored().chunk.items[item].body, now, {} });
+    work.runs.push_back(run);
+    ++runningByTeam_[job->job.team];
+    ++runCount_;
+    queue_.push_back(std::move(run));
+    workChanged_.notify_one();
+}
+
+auto BatchDispatcher::dropRuns(UpstreamWork &work, int count) -> void
+{
+    // The youngest lose the least work. A dropped item that may not be repeated would be lost for good.
+    for (auto run = work.runs.rbegin(); run != work.runs.rend() && count > 0; ++run) {
+        if ((*run)->held->stored().chunk.repeatable && !(*run)->stop.stop_requested()) {
+            (*run)->stop.request_stop();
+            --count;
+        }
+    }
+}
+
+auto BatchDispatcher::sortedJobs(const std::vector<JobPointer> &jobs, const Configuration &configuration) const -> std::vector<JobPointer>
+{
+    std::vector<OrderCandidate> candidates;
+    std::map<std::string, JobPointer> byId;
+    for (const JobPointer &job : jobs) {
+        const std::vector<std::string> able = upstreamsFor(job->job, configuration);
+        double streams = 0;
+        double served = 0;
+        for (const auto &[name, work] : upstreams_) {
+            if (contains(able, name)) {
+                streams += work.share.limit();
+                served += 1;
+            }
+        }
+        const double fleetStreams = std::max(1.0, served > 0 ? streams * static_cast<double>(able.size()) / served : 0);
+        const auto seconds = itemSeconds_.find(poolOf(job->job));
+        const double itemSeconds = seconds == itemSeconds_.end() ? FIRST_ITEM_SECONDS : seconds->second;
+        const auto left = static_cast<double>(job->job.itemCount() - job->job.doneItems - job->job.failedItems);
+        const Milliseconds remaining(static_cast<std::int64_t>(1000 * left * itemSeconds / fleetStreams));
+        candidates.push_back({ job->id, job->job.team, job->job.due, remaining });
+        byId.emplace(job->id, job);
+    }
+    std::vector<JobPointer> sorted;
+    for (const OrderCandidate &candidate : BatchOrder::sorted(std::move(candidates), runningByTeam_, currentWallTime())) {
+        sorted.push_back(byId.at(candidate.job));
+    }
+    return sorted;
+}
+
+auto BatchDispatcher::workLoop(const std::stop_token &stop) -> void
+{
+    while (true) {
+        RunPointer run;
+        {
+            std::unique_lock lock(mutex_);
+            workChanged_.wait(lock, [this, &stop] { return !queue_.empty() || stop.stop_requested(); });
+            if (queue_.empty()) {
+                return;
+            }
+            run = std::move(queue_.front());
+            queue_.pop_front();
+        }
+        finishRun(run, runItem(*run));
+    }
+}
+
+auto BatchDispatcher::runItem(const Run &run) -> ItemRunResult
+{
+    const std::string path = pathOf(run.job->job);
+    if (hooks_.isRefused(run.job->job.team, path, run.body)) {
+        return ItemEnded { ResultCode::RequestCrashesUpstreams, {} };
+    }
+    ItemRunResult result
+        = BatchItemRun::run(run.upstream, run.job->job, run.body, Clock::now() + options_.itemLimit, run.stop.get_token(), hooks_.isAlive);
+    const auto *failed = std::get_if<AttemptFailed>(&result);
+    if (failed != nullptr && failed->isDeath) {
+        hooks_.reportDeath(run.job->job.team, path, run.body);
+    }
+    return result;
+}
+
+auto BatchDispatcher::finishRun(const RunPointer &run, const ItemRunResult &result) -> void
+{
+    const TimePoint now = Clock::now();
+    const std::lock_guard lock(mutex_);
+    run->held->endRun(run->item, result, now);
+    --runningByTeam_[run->job->job.team];
+    --runCount_;
+    const auto found = upstreams_.find(run->upstream.name);
+    if (found != upstreams_.end()) {
+        std::erase(found->second.runs, run);
+        recordHealth(found->second, result, now);
+    }
+    if (std::holds_alternative<CompletedItem>(result)) {
+        const double seconds = std::chrono::duration<double>(now - run->startedAt).count();
+        const auto entry = itemSeconds_.emplace(poolOf(run->job->job), seconds).first;
+        entry->second += SMOOTHING * (seconds - entry->second);
+    }
+    metrics_.count(std::holds_alternative<CompletedItem>(result)  ? "batch_items_answered"
+                   : std::holds_alternative<ItemReturned>(result) ? "batch_items_returned"
+                                                                  : "batch_items_failed");
+    isScheduleDue_ = true;
+    scheduleChanged_.notify_one();
+    runsChanged_.notify_all();
+}
+
+auto BatchDispatcher::recordHealth(UpstreamWork &work, const ItemRunResult &result, TimePoint now) -> void
+{
+    if (std::holds_alternative<CompletedItem>(result)) {
+        work.failures = 0;
+        return;
+    }
+    const auto *returned = std::get_if<ItemReturned>(&result);
+    const bool isUnreachable = returned != nullptr && !returned->mayHaveRun;
+    if ((!isUnreachable && !std::holds_alternative<AttemptFailed>(result)) || now < work.pausedUntil) {
+        return;
+    }
+    const Milliseconds pause = FIRST_PAUSE * (1 << std::min(work.failures, 6));
+    work.pausedUntil = now + std::min(pause, LONGEST_PAUSE);
+    ++work.failures;
+}
+
+auto BatchDispatcher::storeLoop(const std::stop_token &stop) -> void
+{
+    while (!stop.stop_requested()) {
+        storeStep();
+        std::this_thread::sleep_for(STORE_INTERVAL);
+    }
+}
+
+auto BatchDispatcher::noteStore(const absl::Status &status) -> bool
+{
+    if (!isStoreAway(status)) {
+        storeFailures_ = 0;
+        return true;
+    }
+    const Milliseconds pause = std::min(FIRST_STORE_PAUSE * (1 << std::min(storeFailures_, 5)), LONGEST_STORE_PAUSE);
+    std::uniform_int_distribution<std::int64_t> jitter(pause.count() / 2, pause.count());
+    storeRetryAt_ = Clock::now() + Milliseconds(jitter(random_));
+    if (storeFailures_ == 0) {
+        Log::warning(Part::Batch, absl::StrCat("Store calls fail, outcomes wait: ", std::string(status.message())));
+    }
+    ++storeFailures_;
+    return false;
+}
+
+auto BatchDispatcher::storeStep() -> void
+{
+    if (Clock::now() < storeRetryAt_ || (Clock::now() >= nextListAt_ && !listJobs())) {
+        return;
+    }
+    for (const HeldPointer &held : heldList()) {
+        if (!writeHeld(held, false)) {
+            return;
+        }
+    }
+    const Served served = serve(Clock::now());
+    if (!recordEnded() || !giveBackBlocked(served)) {
+        return;
+    }
+    for (const Upstream &upstream : served.upstreams) {
+        if (!leaseFor(served, upstream.name)) {
+            return;
+        }
+    }
+    removeAbandoned(served);
+}
+
+auto BatchDispatcher::findJob(const HeldChunk &held) const -> JobPointer
+{
+    const auto found = jobs_.find(held.stored().chunk.job);
+    return found == jobs_.end() ? nullptr : found->second.job;
+}
+
+auto BatchDispatcher::heldList() const -> std::vector<HeldPointer>
+{
+    const std::lock_guard lock(mutex_);
+    std::vector<HeldPointer> list;
+    for (const auto &[name, held] : held_) {
+        list.push_back(held);
+    }
+    return list;
+}
+
+auto BatchDispatcher::listJobs() -> bool
+{
+    std::uniform_real_distribution<double> jitter(0.8, 1.0);
+    nextListAt_
+        = Clock::now() + Milliseconds(static_cast<std::int64_t>(jitter(random_) * static_cast<double>(options_.listInterval.count())));
+    const auto listed = store_.openJobs();
+    if (!noteStore(listed.status()) || !listed.ok()) {
+        return false;
+    }
+    std::vector<std::string> missing;
+    {
+        const std::lock_guard lock(mutex_);
+        std::map<std::string, JobWork> jobs;
+        for (const StoredJob &stored : *listed) {
+            const std::string id = jobIdOf(stored.job.team, stored.job.jobKey);
+            JobWork work = jobs_.contains(id) ? std::move(jobs_[id]) : JobWork {};
+            work.job = std::make_shared<const KnownJob>(KnownJob { id, stored.job });
+            jobs.emplace(id, std::move(work));
+        }
+        for (const auto &[name, held] : held_) {
+            if (!jobs.contains(held->stored().chunk.job) && !contains(missing, held->stored().chunk.job)) {
+                missing.push_back(held->stored().chunk.job);
+            }
+        }
+        jobs_ = std::move(jobs);
+    }
+    return std::all_of(missing.begin(), missing.end(), [this](const std::string &id) { return dropCancelled(id); });
+}
+
+auto BatchDispatcher::dropCancelled(const std::string &id) -> bool
+{
+    const auto job = store_.job(id);
+    if (!noteStore(job.status())) {
+        return false;
+    }
+    if (job.ok() && job->job.state == JobState::Open) {
+        return true;
+    }
+    for (const HeldPointer &held : heldList()) {
+        if (held->stored().chunk.job != id) {
+            continue;
+        }
+        forget(held);
+        // When this fails, the chunk stays as it is: nobody leases chunks of a job that is not open.
+        noteStore(store_.change(held->stored(), ChunkTransition::cancel).status());
+    }
+    return true;
+}
+
+auto BatchDispatcher::forget(const HeldPointer &held) -> void
+{
+    const std::lock_guard lock(mutex_);
+    held_.erase(held->name());
+    for (auto &[name, work] : upstreams_) {
+        for (const RunPointer &run : work.runs) {
+            if (run->held == held) {
+                run->stop.request_stop();
+            }
+        }
+    }
+}
+
+auto BatchDispatcher::startGroupFor(const HeldChunk &held) const -> int
+{
+    const JobPointer job = findJob(held);
+    if (isStopping_ || !job) {
+        return 0;
+    }
+    const std::vector<std::string> able = upstreamsFor(job->job, fleet_.current()->configuration);
+    int room = 0;
+    for (const auto &[name, work] : upstreams_) {
+        const int free = work.share.limit() - static_cast<int>(work.runs.size());
+        room += work.isServed && contains(able, name) ? std::max(0, free) : 0;
+    }
+    return room;
+}
+
+auto BatchDispatcher::writeHeld(const HeldPointer &held, bool atOnce) -> bool
+{
+    HeldChunk::Write write;
+    StoredChunk stored;
+    ChunkLease lease;
+    {
+        const std::lock_guard lock(mutex_);
+        const HeldChunk::Write *due = held->dueWrite(options_.pace, startGroupFor(*held), atOnce, Clock::now());
+        if (due == nullptr) {
+            return true;
+        }
+        write = *due;
+        stored = held->stored();
+        lease = held->lease();
+    }
+    if (!write.answers.empty() && !write.areAnswersStored) {
+        const absl::Status status = store_.writeResults(write.resultName, write.answers);
+        if (!noteStore(status)) {
+            return false;
+        }
+        const std::lock_guard lock(mutex_);
+        if (!status.ok()) {
+            Log::error(Part::Batch, absl::StrCat("The store refused results of ", held->name(), ": ", std::string(status.message())));
+            held->rejectAnswers();
+            return true;
+        }
+        held->markAnswersStored();
+    }
+    const auto changed = store_.change(stored, [&write, &lease](const BatchChunk &chunk) {
+        auto committed = ChunkTransition::commit(chunk, lease, write.outcomes);
+        return !committed.ok() || write.starts.empty() ? committed : ChunkTransition::start(*committed, lease, write.starts);
+    });
+    if (!noteStore(changed.status())) {
+        return false;
+    }
+    if (!changed.ok()) {
+        Log::info(Part::Batch, absl::StrCat("Lost the lease of ", held->name(), ": ", std::string(changed.status().message())));
+        metrics_.count("batch_leases_lost");
+        forget(held);
+        return true;
+    }
+    const std::lock_guard lock(mutex_);
+    held->applyWrite(*changed, Clock::now());
+    isScheduleDue_ = true;
+    scheduleChanged_.notify_one();
+    if (changed->chunk.hasEnded()) {
+        held_.erase(held->name());
+        JobWork &work = jobs_[changed->chunk.job];
+        work.notes[changed->chunk.number].hasEnded = true;
+        work.unrecorded[changed->chunk.number] = totalsOf(changed->chunk);
+    }
+    return true;
+}
+
+auto BatchDispatcher::giveBack(const HeldPointer &held) -> bool
+{
+    {
+        const std::lock_guard lock(mutex_);
+        held->returnUnsent();
+    }
+    // The first write may be one that was planned earlier, the second one has the rest.
+    for (int round = 0; round < 2; ++round) {
+        if (!writeHeld(held, true)) {
+            return false;
+        }
+    }
+    StoredChunk stored;
+    ChunkLease lease;
+    {
+        const std::lock_guard lock(mutex_);
+        if (!held_.contains(held->name())) {
+            return true;
+        }
+        stored = held->stored();
+        lease = held->lease();
+    }
+    const auto changed = store_.change(stored, [&lease](const BatchChunk &chunk) { return ChunkTransition::giveBack(chunk, lease); });
+    if (!noteStore(changed.status())) {
+        return false;
+    }
+    forget(held);
+    return true;
+}
+
+auto BatchDispatcher::giveBackBlocked(const Served &served) -> bool
+{
+    std::vector<HeldPointer> blocked;
+    {
+        const std::lock_guard lock(mutex_);
+        for (const auto &entry : held_) {
+            const HeldPointer &held = entry.second;
+            const JobPointer job = findJob(*held);
+            if (!job || held->runningCount() > 0 || held->waitingCount() == 0) {
+                continue;
+            }
+            const auto able = upstreamsFor(job->job, served.version->configuration);
+            const bool canRun = std::any_of(served.upstreams.begin(), served.upstreams.end(), [&](const Upstream &upstream) {
+                std::vector<std::string> others = able;
+                std::erase(others, upstream.name);
+                const bool isOpen = !held->stored().chunk.repeatable || held->nextRunnable(upstream.name, others, true, TimePoint::max());
+                return contains(able, upstream.name) && isOpen;
+            });
+            if (!canRun) {
+                blocked.push_back(held);
+                ChunkNote &note = jobs_[job->id].notes[held->stored().chunk.number];
+                note.nextLookAt = Clock::now() + options_.goneBound;
+                note.wasBlocked = true;
+            }
+        }
+    }
+    return std::all_of(blocked.begin(), blocked.end(), [this](const HeldPointer &held) { return giveBack(held); });
+}
+
+auto BatchDispatcher::leaseFor(const Served &served, const std::string &upstream) -> bool
+{
+    const TimePoint now = Clock::now();
+    const Configuration &configuration = served.version->configuration;
+    std::vector<std::pair<JobPointer, std::int64_t>> picks;
+    {
+        const std::lock_guard lock(mutex_);
+        const auto found = upstreams_.find(upstream);
+        if (isStopping_ || found == upstreams_.end() || now < found->second.pausedUntil) {
+            return true;
+        }
+        const int free = found->second.share.limit() - static_cast<int>(found->second.runs.size());
+        int waiting = 0;
+        int heldHere = 0;
+        std::vector<JobPointer> fitting;
+        for (const auto &[id, work] : jobs_) {
+            if (!work.job || !contains(upstreamsFor(work.job->job, configuration), upstream)) {
+                continue;
+            }
+            fitting.push_back(work.job);
+            for (const auto &[name, held] : held_) {
+                heldHere += held->stored().chunk.job == id ? 1 : 0;
+                waiting += held->stored().chunk.job == id ? held->waitingCount() : 0;
+            }
+        }
+        const int servedCount = std::max<int>(1, static_cast<int>(served.upstreams.size()));
+        if (free <= 0 || waiting > free || heldHere >= HELD_PER_UPSTREAM * servedCount) {
+            return true;
+        }
+        for (const JobPointer &job : sortedJobs(fitting, configuration)) {
+            JobWork &work = jobs_[job->id];
+            while (picks.size() < READS_PER_LEASE) {
+                const auto number = pickChunk(work, now);
+                if (!number) {
+                    break;
+                }
+                // Not looked at again in this round; tryLease() sets the real time.
+                work.notes[*number].nextLookAt = now + options_.listInterval;
+                picks.emplace_back(job, *number);
+            }
+        }
+    }
+    for (const auto &[job, number] : picks) {
+        const bool isLeased = tryLease(served, job, number);
+        if (Clock::now() < storeRetryAt_) {
+            return false;
+        }
+        if (isLeased) {
+            break;
+        }
+    }
+    return true;
+}
+
+auto BatchDispatcher::pickChunk(JobWork &work, TimePoint now) const -> std::optional<std::int64_t>
+{
+    const std::int64_t count = work.job->job.chunkCount();
+    // Each daemon begins elsewhere, so that they seldom want the same chunk.
+    const auto first = static_cast<std::int64_t>(stableHash(fleet_.memberName()) % static_cast<std::uint64_t>(count));
+    for (std::int64_t offset = 0; offset < count; ++offset) {
+        const std::int64_t number = (first + offset) % count;
+        const auto note = work.notes.find(number);
+        const bool isClosed = note != work.notes.end() && (note->second.hasEnded || now < note->second.nextLookAt);
+        if (!isClosed && !work.job->job.endedChunks[static_cast<std::size_t>(number)]
+            && !held_.contains(chunkNameOf(work.job->id, number))) {
+            return number;
+        }
+    }
+    return std::nullopt;
+}
+
+auto BatchDispatcher::tryLease(const Served &served, const JobPointer &job, std::int64_t number) -> bool
+{
+    const std::string &id = job->id;
+    const auto stored = store_.readChunk(id, number);
+    if (!noteStore(stored.status()) || !stored.ok()) {
+        return false;
+    }
+    bool wasBlocked = false;
+    {
+        const std::lock_guard lock(mutex_);
+        if (!jobs_.contains(id)) {
+            return false;
+        }
+        JobWork &work = jobs_[id];
+        ChunkNote &note = work.notes[number];
+        wasBlocked = note.wasBlocked;
+        if (stored->chunk.hasEnded() || stored->chunk.cancelled) {
+            note.hasEnded = true;
+            if (stored->chunk.hasEnded()) {
+                work.unrecorded[number] = totalsOf(stored->chunk);
+            }
+            return false;
+        }
+        if (!mayTake(note, stored->chunk, served, Clock::now())) {
+            return false;
+        }
+    }
+    const auto leased = store_.change(*stored, [&served](const BatchChunk &chunk) { return ChunkTransition::lease(chunk, served.self); });
+    if (!noteStore(leased.status()) || !leased.ok()) {
+        return false;
+    }
+    const std::lock_guard lock(mutex_);
+    const ChunkLease lease { served.self, leased->chunk.epoch };
+    auto held = std::make_shared<HeldChunk>(*leased, lease, wasBlocked || !leased->chunk.repeatable, Clock::now());
+    held_.emplace(held->name(), std::move(held));
+    metrics_.count("batch_leases");
+    isScheduleDue_ = true;
+    scheduleChanged_.notify_one();
+    return true;
+}
+
+auto BatchDispatcher::mayTake(ChunkNote &note, const BatchChunk &chunk, const Served &served, TimePoint now) const -> bool
+{
+    if (chunk.holder.name.empty() || chunk.holder == served.self) {
+        return true;
+    }
+    if (note.seenAt == TimePoint() || note.progress != chunk.progress) {
+        note.progress = chunk.progress;
+        note.seenAt = now;
+    }
+    const Member *member = served.version->members.find(chunk.holder.name);
+    const bool isMember = member != nullptr && member->incarnation == chunk.holder.incarnation;
+    const Milliseconds bound = isMember ? options_.leaseBound : options_.goneBound;
+    if (now - note.seenAt > bound) {
+        return true;
+    }
+    note.nextLookAt = now + bound / 5;
+    return false;
+}
+
+auto BatchDispatcher::recordEnded() -> bool
+{
+    std::map<std::string, std::map<std::int64_t, ChunkTotals>> ended;
+    {
+        const std::lock_guard lock(mutex_);
+        for (const auto &[id, work] : jobs_) {
+            if (!work.unrecorded.empty()) {
+                ended.emplace(id, work.unrecorded);
+            }
+        }
+    }
+    for (const auto &[id, chunks] : ended) {
+        const auto recorded = store_.recordEnded(id, chunks);
+        if (!noteStore(recorded.status())) {
+            return false;
+        }
+        const std::lock_guard lock(mutex_);
+        const auto found = jobs_.find(id);
+        if (found == jobs_.end()) {
+            continue;
+        }
+        for (const auto &[number, totals] : chunks) {
+            found->second.unrecorded.erase(number);
+        }
+        if (recorded.ok()) {
+            found->second.job = std::make_shared<const KnownJob>(KnownJob { id, *recorded });
+        }
+        if (!recorded.ok() || recorded->state != JobState::Open) {
+            jobs_.erase(found);
+        }
+    }
+    return true;
+}
+
+auto BatchDispatcher::removeAbandoned(const Served &served) -> bool
+{
+    const Member *home = served.version->members.homeOf("abandoned-submissions", {});
+    const TimePoint now = Clock::now();
+    if (home == nullptr || home->name != served.self.name || served.upstreams.empty() || now < nextRemovalAt_) {
+        return true;
+    }
+    nextRemovalAt_ = now + REMOVAL_INTERVAL;
+    return noteStore(store_.removeAbandoned(currentWallTime()));
+}
+
+} // namespace poplardock
--- /dev/null
+++ b/Source/Process/HeldChunk.cpp
@@ -0,0 +1,206 @@
+#include "Process/HeldChunk.h"
+
+#include <algorithm>
+
+namespace poplardock {
+
+namespace {
+
+/// Wait before the same item is tried again after an upstream could not be reached.
+constexpr Milliseconds RETURN_WAIT { 200 };
+
+} // namespace
+
+HeldChunk::HeldChunk(StoredChunk stored, ChunkLease lease, bool ignoresExclusion, TimePoint now)
+    : stored_(std::move(stored))
+    , lease_(std::move(lease))
+    , ignoresExclusion_(ignoresExclusion)
+    , slots_(stored_.chunk.items.size())
+    , changedAt_(now)
+{
+}
+
+auto HeldChunk::stored() const -> const StoredChunk &
+{
+    return stored_;
+}
+
+auto HeldChunk::lease() const -> const ChunkLease &
+{
+    return lease_;
+}
+
+auto HeldChunk::name() const -> std::string
+{
+    return chunkNameOf(stored_.chunk.job, stored_.chunk.number);
+}
+
+auto HeldChunk::isReady(std::size_t item) const -> bool
+{
+    const Slot &slot = slots_[item];
+    const ItemState state = stored_.chunk.items[item].state;
+    if (slot.state != SlotState::Idle) {
+        return false;
+    }
+    return stored_.chunk.repeatable ? state == ItemState::Waiting : state == ItemState::Started && slot.isCleared;
+}
+
+auto HeldChunk::isSuspect(std::size_t item) const -> bool
+{
+    return stored_.chunk.items[item].deaths > 0;
+}
+
+auto HeldChunk::nextRunnable(const std::string &upstream, const std::vector<std::string> &others, bool allowsSuspects, TimePoint now) const
+    -> std::optional<std::size_t>
+{
+    for (std::size_t index = 0; index < slots_.size(); ++index) {
+        if (!isReady(index) || now < slots_[index].notBefore || (isSuspect(index) && !allowsSuspects)) {
+            continue;
+        }
+        const auto &excluded = stored_.chunk.items[index].excluded;
+        const auto isExcluded = [&excluded](const std::string &name) {
+            return std::find(excluded.begin(), excluded.end(), name) != excluded.end();
+        };
+        const bool hasAlternative = !std::all_of(others.begin(), others.end(), isExcluded);
+        if (ignoresExclusion_ || !isExcluded(upstream) || !hasAlternative) {
+            return index;
+        }
+    }
+    return std::nullopt;
+}
+
+auto HeldChunk::waitingCount() const -> int
+{
+    int count = 0;
+    for (std::size_t index = 0; index < slots_.size(); ++index) {
+        const bool isIdle = slots_[index].state == SlotState::Idle && !stored_.chunk.items[index].hasEnded();
+        count += isIdle ? 1 : 0;
+    }
+    return count;
+}
+
+auto HeldChunk::runningCount() const -> int
+{
+    return static_cast<int>(std::count_if(slots_.begin(), slots_.end(), [](const Slot &slot) { return slot.state == SlotState::Running; }));
+}
+
+auto HeldChunk::beginRun(std::size_t item) -> void
+{
+    slots_[item].state = SlotState::Running;
+    slots_[item].isCleared = false;
+}
+
+auto HeldChunk::endRun(std::size_t item, const ItemRunResult &result, TimePoint now) -> void
+{
+    Slot &slot = slots_[item];
+    const auto *returned = std::get_if<ItemReturned>(&result);
+    if (returned != nullptr && (stored_.chunk.repeatable || !returned->mayHaveRun)) {
+        // Nothing to record: the item waits as before, or is still marked started.
+        slot.state = SlotState::Idle;
+        slot.isCleared = !stored_.chunk.repeatable;
+        slot.notBefore = returned->mayHaveRun ? now : now + RETURN_WAIT;
+        return;
+    }
+    slot.state = SlotState::Pending;
+    slot.result = result;
+    oldestOutcomeAt_ = oldestOutcomeAt_.value_or(now);
+}
+
+auto HeldChunk::planOutcomes(Write &write) -> void
+{
+    std::size_t bytes = 0;
+    for (std::size_t index = 0; index < slots_.size(); ++index) {
+        if (slots_[index].state != SlotState::Pending) {
+            continue;
+        }
+        const ItemRunResult &result = slots_[index].result;
+        if (const auto *completed = std::get_if<CompletedItem>(&result)) {
+            if (bytes + completed->body.size() > JobStore::MAXIMUM_RESULT_BYTES) {
+                continue;
+            }
+            bytes += completed->body.size();
+            write.answers.push_back({ index, completed->status, completed->body });
+            write.outcomes.emplace(index, ItemCompleted { write.resultName });
+        } else if (const auto *ended = std::get_if<ItemEnded>(&result)) {
+            write.outcomes.emplace(index, *ended);
+        } else if (const auto *failed = std::get_if<AttemptFailed>(&result)) {
+            write.outcomes.emplace(index, *failed);
+        } else {
+            write.outcomes.emplace(index, std::get<ItemReturned>(result));
+        }
+    }
+}
+
+auto HeldChunk::planStarts(Write &write, int startGroup) -> void
+{
+    if (stored_.chunk.repeatable) {
+        return;
+    }
+    for (std::size_t index = 0; index < slots_.size(); ++index) {
+        const bool isWaiting = slots_[index].state == SlotState::Idle && stored_.chunk.items[index].state == ItemState::Waiting;
+        if (isWaiting && static_cast<int>(write.starts.size()) < startGroup) {
+            write.starts.push_back(index);
+        }
+    }
+}
+
+auto HeldChunk::dueWrite(const Pace &pace, int startGroup, bool atOnce, TimePoint now) -> const Write *
+{
+    if (write_) {
+        return &*write_;
+    }
+    const bool isIdle = waitingCount() == 0 && runningCount() == 0;
+    const bool isCommitDue = oldestOutcomeAt_ && (atOnce || isIdle || now - *oldestOutcomeAt_ >= pace.commitAfter);
+    const bool isRenewalDue = now - changedAt_ >= pace.renewAfter;
+    Write write;
+    write.resultName = JobStore::resultNameOf(stored_.chunk, lease_.epoch, nextPart_);
+    planStarts(write, startGroup);
+    if (!isCommitDue && !isRenewalDue && write.starts.empty()) {
+        return nullptr;
+    }
+    planOutcomes(write);
+    ++nextPart_;
+    write_ = std::move(write);
+    return &*write_;
+}
+
+auto HeldChunk::markAnswersStored() -> void
+{
+    write_->areAnswersStored = true;
+}
+
+auto HeldChunk::rejectAnswers() -> void
+{
+    for (const ItemAnswer &answer : write_->answers) {
+        write_->outcomes[answer.index] = ItemEnded { ResultCode::ItemResultTooLarge, "the store refused the answer" };
+    }
+    write_->answers.clear();
+}
+
+auto HeldChunk::applyWrite(StoredChunk stored, TimePoint now) -> void
+{
+    stored_ = std::move(stored);
+    changedAt_ = now;
+    for (const auto &[index, outcome] : write_->outcomes) {
+        slots_[index] = {};
+    }
+    for (const std::size_t index : write_->starts) {
+        slots_[index].isCleared = true;
+    }
+    write_.reset();
+    const bool hasMore = std::any_of(slots_.begin(), slots_.end(), [](const Slot &slot) { return slot.state == SlotState::Pending; });
+    oldestOutcomeAt_ = hasMore ? std::optional<TimePoint>(now) : std::nullopt;
+}
+
+auto HeldChunk::returnUnsent() -> void
+{
+    for (Slot &slot : slots_) {
+        if (slot.state == SlotState::Idle && slot.isCleared) {
+            slot.state = SlotState::Pending;
+            slot.result = ItemReturned { false };
+            oldestOutcomeAt_ = oldestOutcomeAt_.value_or(TimePoint());
+        }
+    }
+}
+
+} // namespace poplardock
--- /dev/null
+++ b/Source/Process/HeldChunk.h
@@ -0,0 +1,99 @@
+#pragma once
+
+#include "Process/Clock.h"
+#include "Process/JobStore.h"
+#include "Request/BatchItemRun.h"
+
+#include <functional>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace poplardock {
+
+/// A chunk that this daemon has leased, with the runs and outcomes that the store does not know yet.
+/// Not thread-safe; the dispatcher guards it.
+class HeldChunk
+{
+public:
+    /// One write to the store. A write whose fate is unknown is tried again unchanged.
+    struct Write
+    {
+        std::string resultName;
+        std::vector<ItemAnswer> answers;
+        bool areAnswersStored = false;
+        ItemOutcomes outcomes;
+        std::vector<std::size_t> starts;
+    };
+
+    /// When a write is due.
+    struct Pace
+    {
+        Milliseconds commitAfter { 2000 };
+        Milliseconds renewAfter { 10000 };
+    };
+
+    HeldChunk(StoredChunk stored, ChunkLease lease, bool ignoresExclusion, TimePoint now);
+
+    [[nodiscard]] auto stored() const -> const StoredChunk &;
+    [[nodiscard]] auto lease() const -> const ChunkLease &;
+    [[nodiscard]] auto name() const -> std::string;
+
+    /// The next item that may be sent to the upstream. Items that were there when an upstream died run only
+    /// when suspects are allowed. "others" are the other upstreams of the fleet that can run the chunk.
+    [[nodiscard]] auto nextRunnable(const std::string &upstream,
+                                    const std::vector<std::string> &others,
+                                    bool allowsSuspects,
+                                    TimePoint now) const -> std::optional<std::size_t>;
+    /// Items that wait for a run, at whichever upstream.
+    [[nodiscard]] auto waitingCount() const -> int;
+    [[nodiscard]] auto runningCount() const -> int;
+    [[nodiscard]] auto isSuspect(std::size_t item) const -> bool;
+
+    auto beginRun(std::size_t item) -> void;
+    auto endRun(std::size_t item, const ItemRunResult &result, TimePoint now) -> void;
+
+    /// The write that is due, or null. At most "startGroup" items that may not be repeated are marked started.
+    /// "atOnce" asks for every outcome now.
+    auto dueWrite(const Pace &pace, int startGroup, bool atOnce, TimePoint now) -> const Write *;
+    auto markAnswersStored() -> void;
+    /// The store refused the answers: their items end without one.
+    auto rejectAnswers() -> void;
+    /// The write took effect.
+    auto applyWrite(StoredChunk stored, TimePoint now) -> void;
+    /// Returns started items that were never sent, ahead of giving the chunk back.
+    auto returnUnsent() -> void;
+
+private:
+    enum class SlotState
+    {
+        Idle,
+        Running,
+        /// Has an outcome that the store does not know.
+        Pending,
+    };
+    struct Slot
+    {
+        SlotState state = SlotState::Idle;
+        /// Marked started in the store and not sent yet.
+        bool isCleared = false;
+        TimePoint notBefore;
+        ItemRunResult result;
+    };
+
+    [[nodiscard]] auto isReady(std::size_t item) const -> bool;
+    auto planOutcomes(Write &write) -> void;
+    auto planStarts(Write &write, int startGroup) -> void;
+
+    StoredChunk stored_;
+    ChunkLease lease_;
+    bool ignoresExclusion_;
+    std::vector<Slot> slots_;
+    std::optional<Write> write_;
+    std::optional<TimePoint> oldestOutcomeAt_;
+    TimePoint changedAt_;
+    std::uint64_t nextPart_ = 0;
+};
+
+} // namespace poplardock
--- /dev/null
+++ b/Source/Request/BatchItemRun.cpp
@@ -0,0 +1,235 @@
+#include "Request/BatchItemRun.h"
+
+#include "Process/JobStore.h"
+#include "Process/Json.h"
+
+#include <absl/strings/match.h>
+#include <absl/strings/str_cat.h>
+
+#include <algorithm>
+
+namespace poplardock {
+
+namespace {
+
+constexpr const char *CHAT_PATH = "/v1/chat/completions";
+constexpr int TOO_MANY_REQUESTS = 429;
+constexpr Milliseconds PROBE_LIMIT { 1000 };
+constexpr std::size_t REASON_BYTES = 120;
+constexpr std::string_view DATA_PREFIX = "data:";
+
+auto tooLarge() -> ItemEnded
+{
+    return { ResultCode::ItemResultTooLarge, absl::StrCat("the answer has more than ", JobStore::MAXIMUM_RESULT_BYTES, " bytes") };
+}
+
+/// Bytes that JSON text cannot carry unchanged would be lost in the results object.
+auto canBeStored(const std::string &body) -> bool
+{
+    const bool isPlain
+        = std::all_of(body.begin(), body.end(), [](char c) { return (c >= ' ' && c <= '~') || c == '\n' || c == '\r' || c == '\t'; });
+    if (isPlain) {
+        return true;
+    }
+    JsonObject object;
+    object.set("body", body);
+    const auto read = Json::parseObject(Json::toText(object));
+    return read.ok() && (*read)->optValue<std::string>("body", "") == body;
+}
+
+auto judgeAnswer(const UpstreamAnswer &answer, const std::string &upstream) -> ItemRunResult
+{
+    const int status = answer.head.status;
+    if (status == TOO_MANY_REQUESTS || status >= 500) {
+        return AttemptFailed { upstream, status != TOO_MANY_REQUESTS, false, absl::StrCat("the upstream answered ", status) };
+    }
+    if (status >= 400) {
+        return ItemEnded { ResultCode::ItemRefused,
+                           absl::StrCat("the upstream answered ", status, ": ", answer.body.substr(0, REASON_BYTES)) };
+    }
+    if (answer.body.size() > JobStore::MAXIMUM_RESULT_BYTES) {
+        return tooLarge();
+    }
+    if (!canBeStored(answer.body)) {
+        return ItemEnded { ResultCode::UpstreamAnswerInvalid, "the answer is not text" };
+    }
+    return CompletedItem { status, answer.body };
+}
+
+} // namespace
+
+auto StreamedAnswer::add(std::string_view bytes) -> bool
+{
+    unread_.append(bytes);
+    std::size_t start = 0;
+    for (std::size_t end = unread_.find('\n'); end != std::string::npos; end = unread_.find('\n', start)) {
+        addLine(unread_.substr(start, end - start));
+        start = end + 1;
+    }
+    unread_.erase(0, start);
+    size_ = content_.size() + unread_.size();
+    return !isTooLarge();
+}
+
+auto StreamedAnswer::isTooLarge() const -> bool
+{
+    return size_ > JobStore::MAXIMUM_RESULT_BYTES;
+}
+
+auto StreamedAnswer::addLine(const std::string &line) -> void
+{
+    if (!line.starts_with(DATA_PREFIX)) {
+        return;
+    }
+    const auto event = Json::parseObject(line.substr(DATA_PREFIX.size()));
+    if (!event.ok()) {
+        return;
+    }
+    for (const auto &[name, value] : **event) {
+        if (name != "choices" && !value.isEmpty()) {
+            fields_[name] = value;
+        }
+    }
+    const JsonArray::Ptr choices = (*event)->getArray("choices");
+    const JsonObject::Ptr choice = choices.isNull() || choices->size() == 0 ? nullptr : choices->getObject(0);
+    if (choice.isNull()) {
+        return;
+    }
+    hasChoice_ = true;
+    if (const auto reason = Json::requireString(*choice, "finish_reason"); reason.ok()) {
+        finishReason_ = *reason;
+    }
+    const JsonObject::Ptr delta = choice->getObject("delta");
+    if (!delta.isNull()) {
+        const auto content = Json::optionalString(*delta, "content", "");
+        content_ += content.ok() ? *content : "";
+    }
+}
+
+auto StreamedAnswer::toBody() const -> std::string
+{
+    if (!hasChoice_) {
+        return {};
+    }
+    JsonObject::Ptr message = new JsonObject;
+    message->set("role", "assistant");
+    message->set("content", content_);
+    JsonObject::Ptr choice = new JsonObject;
+    choice->set("index", 0);
+    choice->set("message", message);
+    choice->set("finish_reason", finishReason_.empty() ? "stop" : finishReason_);
+    JsonArray::Ptr choices = new JsonArray;
+    choices->add(choice);
+    JsonObject answer;
+    for (const auto &[name, value] : fields_) {
+        answer.set(name, value);
+    }
+    answer.set("object", "chat.completion");
+    answer.set("choices", choices);
+    return Json::toText(answer);
+}
+
+namespace BatchItemRun {
+
+auto isStreamed(const BatchJob &job, const std::string &body) -> bool
+{
+    const auto object = Json::parseObject(body);
+    if (job.model.empty() || !object.ok()) {
+        return false;
+    }
+    for (const char *key : { "n", "tools", "functions", "logprobs", "stream", "stream_options" }) {
+        if ((*object)->has(key)) {
+            return false;
+        }
+    }
+    return true;
+}
+
+auto requestFor(const BatchJob &job, const std::string &body, TimePoint deadline) -> UpstreamRequest
+{
+    UpstreamRequest request;
+    request.path = job.model.empty() ? job.path : CHAT_PATH;
+    request.headers["Content-Type"] = "application/json";
+    request.body = body;
+    request.deadline = deadline;
+    const auto parsed = Json::parseObject(body);
+    if (job.model.empty() || !parsed.ok()) {
+        return request;
+    }
+    JsonObject changed(**parsed);
+    changed.set("model", job.model);
+    changed.set("stream", isStreamed(job, body));
+    request.body = Json::toText(changed);
+    return request;
+}
+
+auto judge(const UpstreamResult &result, const std::string &upstream, bool isAlive) -> ItemRunResult
+{
+    if (const auto *answer = std::get_if<UpstreamAnswer>(&result)) {
+        return judgeAnswer(*answer, upstream);
+    }
+    const auto &failure = std::get<UpstreamFailure>(result);
+    const bool mayHaveRun = failure.run != RunState::NotRun;
+    if (failure.isStopped) {
+        return ItemReturned { mayHaveRun };
+    }
+    if (!mayHaveRun) {
+        // The upstream cannot be reached. Counting this would fail all items when it is away for a moment.
+        return ItemReturned { false };
+    }
+    return AttemptFailed { upstream, true, failure.isConnectionLost && !isAlive, failure.reason };
+}
+
+auto run(const Upstream &upstream,
+         const BatchJob &job,
+         const std::string &body,
+         TimePoint deadline,
+         const std::stop_token &stop,
+         const std::function<bool(const Upstream &)> &isAlive) -> ItemRunResult
+{
+    const UpstreamRequest request = requestFor(job, body, deadline);
+    if (!isStreamed(job, body)) {
+        const UpstreamResult result = callUpstream(upstream, request, {}, stop);
+        const auto *failure = std::get_if<UpstreamFailure>(&result);
+        return judge(result, upstream.name, failure == nullptr || !failure->isConnectionLost || isAlive(upstream));
+    }
+    StreamedAnswer streamed;
+    std::string plain;
+    bool isEventStream = false;
+    UpstreamHandlers handlers;
+    handlers.onHead = [&isEventStream](const UpstreamHead &head) {
+        for (const auto &[name, value] : head.headers) {
+            isEventStream = isEventStream || (absl::EqualsIgnoreCase(name, "content-type") && absl::StartsWith(value, "text/event-stream"));
+        }
+        return true;
+    };
+    handlers.onData = [&](std::string_view bytes) {
+        if (isEventStream) {
+            return streamed.add(bytes);
+        }
+        plain.append(bytes);
+        return plain.size() <= JobStore::MAXIMUM_RESULT_BYTES;
+    };
+    UpstreamResult result = callUpstream(upstream, request, handlers, stop);
+    if (streamed.isTooLarge() || plain.size() > JobStore::MAXIMUM_RESULT_BYTES) {
+        return tooLarge();
+    }
+    if (auto *answer = std::get_if<UpstreamAnswer>(&result)) {
+        answer->body = isEventStream ? streamed.toBody() : plain;
+    }
+    const auto *failure = std::get_if<UpstreamFailure>(&result);
+    return judge(result, upstream.name, failure == nullptr || !failure->isConnectionLost || isAlive(upstream));
+}
+
+auto probe(const Upstream &upstream) -> bool
+{
+    UpstreamRequest request;
+    request.method = "GET";
+    request.path = "/load";
+    request.deadline = Clock::now() + PROBE_LIMIT;
+    return std::holds_alternative<UpstreamAnswer>(callUpstream(upstream, request, {}, {}));
+}
+
+} // namespace BatchItemRun
+
+} // namespace poplardock
--- /dev/null
+++ b/Source/Request/ChunkTransition.cpp
@@ -0,0 +1,166 @@
+#include "Request/ChunkTransition.h"
+
+#include <algorithm>
+
+namespace poplardock::ChunkTransition {
+
+namespace {
+
+constexpr std::size_t MAXIMUM_REASON_BYTES = 200;
+
+auto endItem(BatchItem &item, ResultCode error, const std::string &reason) -> void
+{
+    item.state = ItemState::Failed;
+    item.error = error;
+    item.reason = reason.substr(0, MAXIMUM_REASON_BYTES);
+}
+
+auto endStartedItems(BatchChunk &chunk) -> void
+{
+    for (BatchItem &item : chunk.items) {
+        if (item.state == ItemState::Started) {
+            endItem(item, ResultCode::ItemMayHaveRun, "the item was sent and its holder was lost");
+        }
+    }
+}
+
+auto checkLease(const BatchChunk &chunk, const ChunkLease &lease) -> absl::Status
+{
+    if (chunk.cancelled) {
+        return absl::FailedPreconditionError("the chunk is cancelled");
+    }
+    if (chunk.holder != lease.holder || chunk.epoch != lease.epoch || chunk.holder.name.empty()) {
+        return absl::FailedPreconditionError("the chunk is held under another lease");
+    }
+    return absl::OkStatus();
+}
+
+/// Applies one outcome to an item that has not ended.
+struct OutcomeVisitor
+{
+    BatchItem &item;
+    bool repeatable;
+
+    auto operator()(const ItemCompleted &outcome) const -> void
+    {
+        item.state = ItemState::Done;
+        item.result = outcome.result;
+    }
+
+    auto operator()(const ItemEnded &outcome) const -> void
+    {
+        endItem(item, outcome.error, outcome.reason);
+    }
+
+    auto operator()(const AttemptFailed &outcome) const -> void
+    {
+        ++item.attempts;
+        item.deaths += outcome.isDeath ? 1 : 0;
+        if (outcome.mayHaveRun && !repeatable) {
+            endItem(item, ResultCode::ItemMayHaveRun, outcome.reason);
+        } else if (item.deaths >= MAXIMUM_DEATHS) {
+            endItem(item, ResultCode::RequestCrashesUpstreams, outcome.reason);
+        } else if (item.attempts >= MAXIMUM_ATTEMPTS) {
+            endItem(item, ResultCode::ItemAttemptsExhausted, outcome.reason);
+        } else {
+            item.state = ItemState::Waiting;
+            if (std::find(item.excluded.begin(), item.excluded.end(), outcome.upstream) == item.excluded.end()) {
+                item.excluded.push_back(outcome.upstream);
+            }
+        }
+    }
+
+    auto operator()(const ItemReturned &outcome) const -> void
+    {
+        if (outcome.mayHaveRun && !repeatable) {
+            endItem(item, ResultCode::ItemMayHaveRun, "the item was sent and dropped before its answer");
+            return;
+        }
+        item.state = ItemState::Waiting;
+    }
+};
+
+} // namespace
+
+auto lease(const BatchChunk &chunk, const ChunkHolder &holder) -> absl::StatusOr<BatchChunk>
+{
+    if (chunk.cancelled || chunk.hasEnded()) {
+        return absl::FailedPreconditionError("the chunk has ended");
+    }
+    if (holder.name.empty()) {
+        return absl::FailedPreconditionError("a lease needs a holder");
+    }
+    BatchChunk changed = chunk;
+    endStartedItems(changed);
+    changed.holder = holder;
+    ++changed.epoch;
+    ++changed.progress;
+    return changed;
+}
+
+auto start(const BatchChunk &chunk, const ChunkLease &lease, const std::vector<std::size_t> &items) -> absl::StatusOr<BatchChunk>
+{
+    if (absl::Status status = checkLease(chunk, lease); !status.ok()) {
+        return status;
+    }
+    BatchChunk changed = chunk;
+    for (const std::size_t index : items) {
+        if (index >= changed.items.size() || changed.items[index].state != ItemState::Waiting) {
+            return absl::FailedPreconditionError("only a waiting item can be started");
+        }
+        changed.items[index].state = ItemState::Started;
+    }
+    ++changed.progress;
+    return changed;
+}
+
+auto commit(const BatchChunk &chunk, const ChunkLease &lease, const ItemOutcomes &outcomes) -> absl::StatusOr<BatchChunk>
+{
+    if (absl::Status status = checkLease(chunk, lease); !status.ok()) {
+        return status;
+    }
+    BatchChunk changed = chunk;
+    for (const auto &[index, outcome] : outcomes) {
+        if (index >= changed.items.size() || changed.items[index].hasEnded()) {
+            return absl::FailedPreconditionError("the item has ended");
+        }
+        BatchItem &item = changed.items[index];
+        if (std::holds_alternative<ItemCompleted>(outcome) && !chunk.repeatable && item.state != ItemState::Started) {
+            return absl::FailedPreconditionError("the item may not be repeated and was not started");
+        }
+        std::visit(OutcomeVisitor { item, chunk.repeatable }, outcome);
+    }
+    ++changed.progress;
+    return changed;
+}
+
+auto renew(const BatchChunk &chunk, const ChunkLease &lease) -> absl::StatusOr<BatchChunk>
+{
+    return commit(chunk, lease, {});
+}
+
+auto giveBack(const BatchChunk &chunk, const ChunkLease &lease) -> absl::StatusOr<BatchChunk>
+{
+    if (absl::Status status = checkLease(chunk, lease); !status.ok()) {
+        return status;
+    }
+    BatchChunk changed = chunk;
+    endStartedItems(changed);
+    changed.holder = {};
+    ++changed.progress;
+    return changed;
+}
+
+auto cancel(const BatchChunk &chunk) -> absl::StatusOr<BatchChunk>
+{
+    if (chunk.cancelled || chunk.hasEnded()) {
+        return absl::FailedPreconditionError("the chunk has ended");
+    }
+    BatchChunk changed = chunk;
+    changed.cancelled = true;
+    changed.holder = {};
+    ++changed.progress;
+    return changed;
+}
+
+} // namespace poplardock::ChunkTransition
