--- a/Source/Process/Daemon.cpp
+++ b/Source/Process/Daemon.cpp
@@ -192,6 +192,16 @@
         section->set("suspended", store.isSuspended());
         return section;
     });
+    dump.add("peer_exchange", [this] {
+        const ExchangeCounts counts = exchange.counts();
+        JsonObject::Ptr section = new JsonObject;
+        section->set("messages_sent", counts.messagesSent);
+        section->set("messages_received", counts.messagesReceived);
+        section->set("bytes_sent", counts.bytesSent);
+        section->set("bytes_received", counts.bytesReceived);
+        section->set("failures", counts.failures);
+        return section;
+    });
     dump.add("metrics", [this] { return metrics.toJson(); });
 }
 
