Add the online path

Cause: callers could not reach the upstreams.

New parts: upstream table with polled and carried load reports, choice of two, admission control, retry budget, crash register, idempotency claims, relay to the home of a team, and a watch that ends exchanges of callers that are gone or whose key was withdrawn. StreamEnded (2005) is a new result code, because the codes for withdrawn keys say "not run" and a stream has run.

--- /dev/null
+++ b/Source/Connection/OnlineParts.h
@@ -0,0 +1,33 @@
+#pragma once
+
+#include "Process/ClaimStore.h"
+#include "Process/Clock.h"
+#include "Process/CrashRegister.h"
+#include "Process/FleetState.h"
+#include "Process/Metrics.h"
+#include "Process/RetryBudget.h"
+#include "Process/UpstreamTable.h"
+#include "Request/AllowanceDecision.h"
+
+#include <functional>
+#include <string>
+
+namespace poplardock {
+
+/// The parts of the process that the online path works with. All of them outlive it.
+struct OnlineParts
+{
+    const FleetState &state;
+    UpstreamTable &upstreams;
+    RetryBudget &retryBudget;
+    CrashRegister &crashes;
+    ClaimStore &claims;
+    Metrics &metrics;
+    /// Spends one token of the team's allowance.
+    std::function<AllowanceDecision(const std::string &team, TimePoint now)> acquireAllowance;
+    /// Called with the name of an upstream at which an online request has to wait, so that batch work yields
+    /// there. It must return at once and is called for each such request. May be empty.
+    std::function<void(const std::string &upstream)> yieldBatch;
+};
+
+} // namespace poplardock
--- /dev/null
+++ b/Source/Connection/RequestRun.h
@@ -0,0 +1,62 @@
+#pragma once
+
+#include "Connection/AnswerReceiver.h"
+#include "Connection/CallerReply.h"
+#include "Connection/CallerWatch.h"
+#include "Connection/OnlineParts.h"
+#include "Connection/UpstreamCall.h"
+#include "Request/OnlineRequest.h"
+
+#include <optional>
+#include <set>
+#include <string>
+
+namespace poplardock {
+
+/// The upstreams of a request in a version, leaving ones included. The pointers live as long as the version.
+auto upstreamsOf(const FleetVersion &version, const OnlineRequest &request) -> std::vector<const Upstream *>;
+
+/// Runs one admitted request: claims its idempotency key, sends it to upstreams by the rules for retries, and
+/// answers the caller. Not thread-safe; used once.
+class RequestRun
+{
+public:
+    RequestRun(const OnlineParts &parts, const OnlineRequest &request, CallerReply &reply, CallerWatch::Registration &watch);
+
+    /// Sends the answer or an error in every case.
+    auto run() -> void;
+
+private:
+    /// False when the caller was answered from the claim.
+    auto takeClaim() -> bool;
+    auto runAttempts() -> void;
+    /// One exchange with one upstream.
+    auto attempt(const Upstream &upstream) -> UpstreamResult;
+    auto learn(const Upstream &upstream,
+               const UpstreamResult &result,
+               const AnswerReceiver &receiver,
+               TimePoint startedAt,
+               UpstreamWork &work) -> void;
+    auto finish(const UpstreamAnswer &answer) -> void;
+    /// True when the request may go to another upstream after this failure.
+    auto mayGoOn(const Upstream &upstream, const UpstreamFailure &failure) -> bool;
+    /// Ends a run whose caller is gone or whose key is no longer valid.
+    auto sendStopped() -> void;
+    auto sendFailure() -> void;
+    auto recordDeathIfDead(const Upstream &upstream) -> void;
+
+    const OnlineParts &parts_;
+    const OnlineRequest &request_;
+    CallerReply &reply_;
+    CallerWatch::Registration &watch_;
+    const std::string fingerprint_;
+    std::optional<Claim> claim_;
+    std::set<std::string> tried_;
+    /// Attempts of which an upstream got at least one byte.
+    int sentAttempts_ = 0;
+    /// Unset while no attempt failed.
+    std::optional<UpstreamFailure> lastFailure_;
+    bool isStreamed_ = false;
+};
+
+} // namespace poplardock
--- /dev/null
+++ b/Source/Process/CrashRegister.cpp
@@ -0,0 +1,126 @@
+#include "Process/CrashRegister.h"
+
+#include <Poco/SHA2Engine.h>
+#include <absl/strings/str_cat.h>
+
+#include <algorithm>
+
+namespace poplardock {
+
+namespace {
+
+constexpr std::size_t DEATHS_FOR_REFUSAL = 2;
+constexpr std::chrono::minutes DEATH_TERM { 10 };
+/// Bounds the peer messages. A death of an upstream records up to a few hundred running requests at once.
+constexpr std::size_t MAXIMUM_FINGERPRINTS = 2048;
+constexpr std::size_t FINGERPRINT_LENGTH = 64;
+constexpr std::size_t MAXIMUM_ID_LENGTH = 256;
+
+auto isExpired(TimePoint at, TimePoint now) -> bool
+{
+    return now - at >= DEATH_TERM;
+}
+
+} // namespace
+
+auto crashFingerprint(const std::string &team, const std::string &path, const std::string &body) -> std::string
+{
+    Poco::SHA2Engine engine(Poco::SHA2Engine::SHA_256);
+    // The lengths keep different requests from having the same text.
+    engine.update(absl::StrCat(team.size(), ":", team, path.size(), ":", path));
+    engine.update(body);
+    return Poco::DigestEngine::digestToHex(engine.digest());
+}
+
+CrashRegister::CrashRegister(std::string origin)
+    : origin_(std::move(origin))
+{
+}
+
+auto CrashRegister::dropExpired(TimePoint now) -> void
+{
+    for (auto &[fingerprint, known] : deaths_) {
+        std::erase_if(known, [now](const auto &death) { return isExpired(death.second, now); });
+    }
+    std::erase_if(deaths_, [](const auto &entry) { return entry.second.empty(); });
+}
+
+auto CrashRegister::add(const std::string &fingerprint, const std::string &id, TimePoint at, TimePoint now) -> void
+{
+    if (isExpired(at, now)) {
+        return;
+    }
+    if (deaths_.size() >= MAXIMUM_FINGERPRINTS && !deaths_.contains(fingerprint)) {
+        return;
+    }
+    Deaths &known = deaths_[fingerprint];
+    if (known.contains(id)) {
+        return;
+    }
+    known.emplace(id, at);
+    if (known.size() > DEATHS_FOR_REFUSAL) {
+        // More deaths than refuse the request add nothing; the oldest one expires first.
+        known.erase(std::min_element(known.begin(), known.end(), [](const auto &a, const auto &b) { return a.second < b.second; }));
+    }
+}
+
+auto CrashRegister::recordDeath(const std::string &fingerprint, TimePoint now) -> void
+{
+    const std::lock_guard lock(mutex_);
+    dropExpired(now);
+    add(fingerprint, absl::StrCat(origin_, "/", ++lastId_), now, now);
+}
+
+auto CrashRegister::deaths(const std::string &fingerprint, TimePoint now) const -> int
+{
+    const std::lock_guard lock(mutex_);
+    const auto found = deaths_.find(fingerprint);
+    if (found == deaths_.end()) {
+        return 0;
+    }
+    return static_cast<int>(
+        std::count_if(found->second.begin(), found->second.end(), [now](const auto &death) { return !isExpired(death.second, now); }));
+}
+
+auto CrashRegister::isRefused(const std::string &fingerprint, TimePoint now) const -> bool
+{
+    return deaths(fingerprint, now) >= static_cast<int>(DEATHS_FOR_REFUSAL);
+}
+
+auto CrashRegister::toJson(TimePoint now) const -> JsonObject::Ptr
+{
+    JsonObject::Ptr whole = new JsonObject;
+    const std::lock_guard lock(mutex_);
+    for (const auto &[fingerprint, known] : deaths_) {
+        JsonObject::Ptr entry = new JsonObject;
+        for (const auto &[id, at] : known) {
+            if (!isExpired(at, now)) {
+                entry->set(id, std::chrono::duration_cast<Milliseconds>(now - at).count());
+            }
+        }
+        if (entry->size() > 0) {
+            whole->set(fingerprint, entry);
+        }
+    }
+    return whole;
+}
+
+auto CrashRegister::merge(const JsonObject &object, TimePoint now) -> void
+{
+    const std::lock_guard lock(mutex_);
+    dropExpired(now);
+    for (const std::string &fingerprint : object.getNames()) {
+        const auto entry = Json::requireObject(object, fingerprint);
+        if (!entry.ok() || fingerprint.size() != FINGERPRINT_LENGTH) {
+            continue;
+        }
+        for (const std::string &id : (*entry)->getNames()) {
+            const auto ageMs = Json::requireInteger(**entry, id);
+            if (ageMs.ok() && *ageMs >= 0 && *ageMs < Milliseconds(DEATH_TERM).count() && id.size() <= MAXIMUM_ID_LENGTH) {
+                add(fingerprint, id, now - Milliseconds(*ageMs), now);
+            }
+        }
+    }
+}
+
+} // namespace poplardock
--- /dev/null
+++ b/Source/Process/UpstreamTable.cpp
@@ -0,0 +1,306 @@
+#include "Process/UpstreamTable.h"
+
+#include "Process/Log.h"
+#include "Request/UpstreamChoice.h"
+
+#include <absl/strings/str_cat.h>
+
+#include <algorithm>
+
+namespace poplardock {
+
+namespace {
+
+constexpr Milliseconds POLL_INTERVAL { 1000 };
+/// Polls are spread over this share of the interval so that daemons do not ask in step.
+constexpr double POLL_JITTER = 0.2;
+constexpr Milliseconds POLL_TIMEOUT { 1000 };
+constexpr Milliseconds POLLER_TICK { 20 };
+/// Some upstreams may hang until the time-out while the others are still to be asked each second.
+constexpr int POLLER_COUNT = 4;
+constexpr int FAILED_POLLS_FOR_UNREACHABLE = 2;
+
+constexpr int FAILURES_FOR_EJECTION = 3;
+constexpr Milliseconds FIRST_EJECTION { 1000 };
+constexpr Milliseconds LONGEST_EJECTION { 30000 };
+constexpr int MAXIMUM_DOUBLINGS = 5;
+
+/// Weight of a new answer in the learned service time.
+constexpr double SERVICE_WEIGHT = 0.1;
+/// The time to the first token is learned fast downwards and slowly upwards, because a slow sample often
+/// includes a wait, which is predicted on its own.
+constexpr double FASTER_FIRST_TOKEN_WEIGHT = 0.3;
+constexpr double SLOWER_FIRST_TOKEN_WEIGHT = 0.05;
+constexpr double FEWER_SLOTS_WEIGHT = 0.1;
+
+auto average(const std::optional<double> &known, double sample, double weight) -> double
+{
+    return known ? *known + weight * (sample - *known) : sample;
+}
+
+/// While requests wait, the running ones fill the slots. A single report may be taken between the arrival of
+/// a request and its start, so a lower count is only followed slowly.
+auto learnSlots(UpstreamLoad &load) -> void
+{
+    const double running = std::max(1, load.report.running);
+    if (load.slots && running >= *load.slots) {
+        load.slots = running;
+    } else if (load.report.waiting > 0) {
+        load.slots = average(load.slots, running, FEWER_SLOTS_WEIGHT);
+    }
+}
+
+} // namespace
+
+UpstreamTable::UpstreamTable(const FleetState &state)
+    : state_(state)
+    , random_(std::random_device()())
+{
+}
+
+UpstreamTable::~UpstreamTable()
+{
+    stopPolling();
+}
+
+auto UpstreamTable::entryOf(const std::string &name) -> Entry &
+{
+    const auto [entry, isNew] = entries_.try_emplace(name);
+    if (isNew) {
+        entry->second.load.name = name;
+    }
+    return entry->second;
+}
+
+auto UpstreamTable::isUnreachable(const Entry &entry) -> bool
+{
+    return entry.failedPolls >= FAILED_POLLS_FOR_UNREACHABLE;
+}
+
+auto UpstreamTable::snapshotOf(const Entry &entry, const Upstream &upstream) -> UpstreamLoad
+{
+    UpstreamLoad load = entry.load;
+    load.isLeaving = upstream.leaving;
+    if (isUnreachable(entry)) {
+        load.ejectedUntil = TimePoint::max();
+    }
+    return load;
+}
+
+auto UpstreamTable::snapshot(const std::vector<const Upstream *> &upstreams) const -> std::vector<UpstreamLoad>
+{
+    std::vector<UpstreamLoad> loads;
+    loads.reserve(upstreams.size());
+    const std::lock_guard lock(mutex_);
+    for (const Upstream *upstream : upstreams) {
+        const auto found = entries_.find(upstream->name);
+        if (found != entries_.end()) {
+            loads.push_back(snapshotOf(found->second, *upstream));
+            continue;
+        }
+        UpstreamLoad unknown;
+        unknown.name = upstream->name;
+        unknown.isLeaving = upstream->leaving;
+        loads.push_back(std::move(unknown));
+    }
+    return loads;
+}
+
+auto UpstreamTable::choose(const std::vector<const Upstream *> &upstreams, const std::set<std::string> &excluded, TimePoint now)
+    -> const Upstream *
+{
+    std::uint64_t random = 0;
+    {
+        const std::lock_guard lock(mutex_);
+        random = random_();
+    }
+    const auto index = chooseUpstream(snapshot(upstreams), excluded, random, now);
+    return index ? upstreams[*index] : nullptr;
+}
+
+auto UpstreamTable::started(const std::string &upstream, WorkKind kind) -> void
+{
+    const std::lock_guard lock(mutex_);
+    UpstreamLoad &load = entryOf(upstream).load;
+    ++(kind == WorkKind::Online ? load.ownOnline : load.ownBatch);
+}
+
+auto UpstreamTable::finished(const std::string &upstream, WorkKind kind, const WorkOutcome &outcome, TimePoint now) -> void
+{
+    const std::lock_guard lock(mutex_);
+    Entry &entry = entryOf(upstream);
+    --(kind == WorkKind::Online ? entry.load.ownOnline : entry.load.ownBatch);
+    if (outcome.isFailure) {
+        if (++entry.failures >= FAILURES_FOR_EJECTION && entry.load.ejectedUntil <= now) {
+            const Milliseconds term = FIRST_EJECTION * (1 << std::min(entry.ejections, MAXIMUM_DOUBLINGS));
+            entry.load.ejectedUntil = now + std::min(term, LONGEST_EJECTION);
+            ++entry.ejections;
+        }
+        return;
+    }
+    if (outcome.serviceMs) {
+        entry.failures = 0;
+        entry.ejections = 0;
+        entry.load.ejectedUntil = {};
+        entry.load.serviceMs = average(entry.load.serviceMs, *outcome.serviceMs, SERVICE_WEIGHT);
+        entry.load.learnedAt = now;
+    }
+    if (outcome.firstTokenMs) {
+        const bool isFaster = entry.load.firstTokenMs && *outcome.firstTokenMs < *entry.load.firstTokenMs;
+        const double weight = isFaster ? FASTER_FIRST_TOKEN_WEIGHT : SLOWER_FIRST_TOKEN_WEIGHT;
+        entry.load.firstTokenMs = average(entry.load.firstTokenMs, *outcome.firstTokenMs, weight);
+    }
+}
+
+auto UpstreamTable::recordReport(const std::string &upstream, const LoadReport &report, TimePoint now) -> void
+{
+    const std::lock_guard lock(mutex_);
+    UpstreamLoad &load = entryOf(upstream).load;
+    load.report = report;
+    load.reportedAt = now;
+    load.ownAtReport = load.ownOnline + load.ownBatch;
+    learnSlots(load);
+}
+
+auto UpstreamTable::toJson(TimePoint now) const -> JsonObject::Ptr
+{
+    JsonObject::Ptr whole = new JsonObject;
+    const std::lock_guard lock(mutex_);
+    for (const auto &[name, entry] : entries_) {
+        JsonObject::Ptr object = new JsonObject;
+        object->set("online", entry.load.ownOnline);
+        object->set("batch", entry.load.ownBatch);
+        if (entry.load.reportedAt) {
+            object->set("running", entry.load.report.running);
+            object->set("waiting", entry.load.report.waiting);
+            object->set("report_age_ms", std::chrono::duration_cast<Milliseconds>(now - *entry.load.reportedAt).count());
+        }
+        if (entry.load.serviceMs) {
+            object->set("service_ms", *entry.load.serviceMs);
+        }
+        if (entry.load.firstTokenMs) {
+            object->set("first_token_ms", *entry.load.firstTokenMs);
+        }
+        object->set("failures", entry.failures);
+        object->set("ejected", entry.load.ejectedUntil > now);
+        object->set("unreachable", isUnreachable(entry));
+        whole->set(name, object);
+    }
+    return whole;
+}
+
+auto UpstreamTable::startPolling() -> void
+{
+    for (int index = 0; index < POLLER_COUNT; ++index) {
+        pollers_.emplace_back([this](const std::stop_token &stop) { runPoller(stop); });
+    }
+}
+
+auto UpstreamTable::stopPolling() -> void
+{
+    for (std::jthread &poller : pollers_) {
+        poller.request_stop();
+    }
+    pollers_.clear();
+}
+
+auto UpstreamTable::runPoller(const std::stop_token &stop) -> void
+{
+    while (!stop.stop_requested()) {
+        if (const auto due = takeDuePoll(Clock::now())) {
+            poll(*due);
+            continue;
+        }
+        std::unique_lock lock(mutex_);
+        stopping_.wait_for(lock, stop, POLLER_TICK, [] { return false; });
+    }
+}
+
+auto UpstreamTable::dropRemoved(const Configuration &configuration) -> void
+{
+    std::erase_if(entries_, [&configuration](const auto &item) {
+        const Entry &entry = item.second;
+        const bool isInUse = entry.isPolling || entry.load.ownOnline + entry.load.ownBatch > 0;
+        return !isInUse && configuration.findUpstream(item.first) == nullptr;
+    });
+}
+
+auto UpstreamTable::dropClients(const FleetVersion &version) -> void
+{
+    if (clientsRevision_.exchange(version.revision) == version.revision) {
+        return;
+    }
+    std::vector<std::string> addresses;
+    for (const Upstream &upstream : version.configuration.data().upstreams) {
+        addresses.push_back(upstream.address);
+    }
+    clients_.retain(addresses);
+}
+
+auto UpstreamTable::takeDuePoll(TimePoint now) -> std::optional<Poll>
+{
+    const FleetVersionPointer version = state_.current();
+    dropClients(*version);
+    const std::lock_guard lock(mutex_);
+    dropRemoved(version->configuration);
+    for (const Upstream &upstream : version->configuration.data().upstreams) {
+        Entry &entry = entryOf(upstream.name);
+        if (entry.isPolling || entry.nextPollAt > now) {
+            continue;
+        }
+        entry.isPolling = true;
+        std::uniform_real_distribution<double> spread(1 - POLL_JITTER, 1 + POLL_JITTER);
+        entry.nextPollAt = now + std::chrono::duration_cast<Duration>(POLL_INTERVAL * spread(random_));
+        return Poll { upstream.name, upstream.address, upstream.credential };
+    }
+    return std::nullopt;
+}
+
+auto UpstreamTable::poll(const Poll &due) -> void
+{
+    JsonClient::Call call { "GET", "/load", {}, {}, POLL_TIMEOUT };
+    if (!due.credential.empty()) {
+        call.headers["Authorization"] = absl::StrCat("Bearer ", due.credential);
+    }
+    const CallResult result = clients_.clientFor(due.address)->call(call);
+    const auto *answer = std::get_if<HttpAnswer>(&result);
+    const auto report = answer != nullptr && answer->status == 200 ? parseLoadReport(answer->body) : std::nullopt;
+    if (report) {
+        recordReport(due.name, *report, Clock::now());
+    }
+    bool wasUnreachable = false;
+    bool isNowUnreachable = false;
+    {
+        const std::lock_guard lock(mutex_);
+        Entry &entry = entryOf(due.name);
+        wasUnreachable = isUnreachable(entry);
+        entry.isPolling = false;
+        // An upstream that answers without a report is alive; it is only chosen with less knowledge.
+        entry.failedPolls = answer != nullptr ? 0 : entry.failedPolls + 1;
+        isNowUnreachable = isUnreachable(entry);
+    }
+    if (wasUnreachable != isNowUnreachable) {
+        const char *change = isNowUnreachable ? " cannot be reached" : " is reachable again";
+        Log::warning(Part::Upstream, absl::StrCat("upstream ", due.name, change));
+    }
+}
+
+UpstreamWork::UpstreamWork(UpstreamTable &table, std::string upstream, WorkKind kind)
+    : table_(table)
+    , upstream_(std::move(upstream))
+    , kind_(kind)
+{
+    table_.started(upstream_, kind_);
+}
+
+UpstreamWork::~UpstreamWork()
+{
+    table_.finished(upstream_, kind_, outcome_, Clock::now());
+}
+
+auto UpstreamWork::setOutcome(const WorkOutcome &outcome) -> void
+{
+    outcome_ = outcome;
+}
+
+} // namespace poplardock
--- /dev/null
+++ b/Source/Request/ChatBody.cpp
@@ -0,0 +1,47 @@
+#include "Request/ChatBody.h"
+
+#include "Process/Json.h"
+
+namespace poplardock {
+
+namespace {
+
+auto invalidField(const absl::Status &status) -> RequestError
+{
+    return { ResultCode::InvalidField, std::string(status.message()) };
+}
+
+} // namespace
+
+auto parseChatBody(const std::string &body) -> std::variant<ChatBody, RequestError>
+{
+    const auto object = Json::parseObject(body);
+    if (!object.ok()) {
+        return RequestError { ResultCode::MalformedJson, std::string(object.status().message()) };
+    }
+    const auto model = Json::requireString(**object, "model");
+    if (!model.ok()) {
+        return invalidField(model.status());
+    }
+    const auto messages = Json::optionalObjects(**object, "messages");
+    if (!messages.ok()) {
+        return invalidField(messages.status());
+    }
+    if (messages->empty()) {
+        return RequestError { ResultCode::InvalidField, "\"messages\" must be a list of at least one object" };
+    }
+    const auto isStream = Json::optionalBool(**object, "stream", false);
+    if (!isStream.ok()) {
+        return invalidField(isStream.status());
+    }
+    const auto maximumTokens = Json::optionalInteger(**object, "max_tokens", 1);
+    if (!maximumTokens.ok()) {
+        return invalidField(maximumTokens.status());
+    }
+    if (*maximumTokens < 1) {
+        return RequestError { ResultCode::InvalidField, "\"max_tokens\" must be at least 1" };
+    }
+    return ChatBody { *model, *isStream };
+}
+
+} // namespace poplardock
--- /dev/null
+++ b/Source/Request/OnlineRequest.h
@@ -0,0 +1,47 @@
+#pragma once
+
+#include "Process/Clock.h"
+#include "Version/ServiceClass.h"
+
+#include <string>
+
+namespace poplardock {
+
+/// What a caller sent, without its key.
+struct CallerMessage
+{
+    std::string method;
+    /// Path and query.
+    std::string uri;
+    std::string contentType;
+    std::string accept;
+    /// Empty when the caller names none.
+    std::string serviceClass;
+    /// Empty when the caller names none.
+    std::string idempotencyKey;
+    std::string body;
+
+    auto operator==(const CallerMessage &) const -> bool = default;
+};
+
+/// A request that passed the checks on its shape, key, class and target.
+struct OnlineRequest
+{
+    std::string id;
+    /// Empty on open routes.
+    std::string team;
+    CallerMessage message;
+    ServiceClass serviceClass;
+    /// Set for chat completions; the upstreams are those that serve the model.
+    std::string model;
+    /// Set for plain services; the upstreams are those of the group.
+    std::string group;
+    /// May be sent again after an attempt that may have run.
+    bool isRepeatable = false;
+    TimePoint receivedAt;
+    TimePoint deadline;
+
+    auto operator==(const OnlineRequest &) const -> bool = default;
+};
+
+} // namespace poplardock
--- a/Source/Request/ResultCode.h
+++ b/Source/Request/ResultCode.h
@@ -38,6 +38,7 @@
     KeyUnknown = 2002,
     KeyWithdrawn = 2003,
     ConfigurationStale = 2004,
+    StreamEnded = 2005,
     AllowanceExceeded = 2101,
     AllowanceUnavailable = 2102,
 
--- /dev/null
+++ b/Source/Request/UpstreamChoice.cpp
@@ -0,0 +1,55 @@
+#include "Request/UpstreamChoice.h"
+
+namespace poplardock {
+
+namespace {
+
+/// An upstream that was slow is chosen rarely and gives few answers to learn from. After this time without
+/// an answer its learned speed is no longer used, so that it is tried again.
+constexpr Milliseconds LEARNED_SPEED_TERM { 10000 };
+
+auto usableCandidates(const std::vector<UpstreamLoad> &candidates, const std::set<std::string> &excluded, TimePoint now)
+    -> std::vector<std::size_t>
+{
+    std::vector<std::size_t> usable;
+    std::vector<std::size_t> ejected;
+    for (std::size_t index = 0; index < candidates.size(); ++index) {
+        const UpstreamLoad &candidate = candidates[index];
+        if (candidate.isLeaving || excluded.contains(candidate.name)) {
+            continue;
+        }
+        (candidate.ejectedUntil > now ? ejected : usable).push_back(index);
+    }
+    return usable.empty() ? ejected : usable;
+}
+
+auto knownServiceMs(const UpstreamLoad &candidate, TimePoint now) -> std::optional<double>
+{
+    return now - candidate.learnedAt <= LEARNED_SPEED_TERM ? candidate.serviceMs : std::nullopt;
+}
+
+} // namespace
+
+auto chooseUpstream(const std::vector<UpstreamLoad> &candidates, const std::set<std::string> &excluded, std::uint64_t random, TimePoint now)
+    -> std::optional<std::size_t>
+{
+    const std::vector<std::size_t> usable = usableCandidates(candidates, excluded, now);
+    if (usable.empty()) {
+        return std::nullopt;
+    }
+    const std::size_t firstDraw = (random & 0xffffffffU) % usable.size();
+    if (usable.size() == 1) {
+        return usable[firstDraw];
+    }
+    const std::size_t secondDraw = (firstDraw + 1 + (random >> 32U) % (usable.size() - 1)) % usable.size();
+    const UpstreamLoad &first = candidates[usable[firstDraw]];
+    const UpstreamLoad &second = candidates[usable[secondDraw]];
+    const std::optional<double> firstMs = knownServiceMs(first, now);
+    const std::optional<double> secondMs = knownServiceMs(second, now);
+    // A candidate of unknown speed is taken to be as fast as the other.
+    const double firstScore = (estimateRequests(first, now) + 1) * firstMs.value_or(secondMs.value_or(1));
+    const double secondScore = (estimateRequests(second, now) + 1) * secondMs.value_or(firstMs.value_or(1));
+    return firstScore <= secondScore ? usable[firstDraw] : usable[secondDraw];
+}
+
+} // namespace poplardock
--- a/Tests/Connection/UpstreamCallTest.cpp
+++ b/Tests/Connection/UpstreamCallTest.cpp
@@ -1,10 +1,9 @@
 #include "Connection/UpstreamCall.h"
 
 #include "Fakes/FakeUpstream.h"
+#include "Support/RawServer.h"
 
 #include <Poco/Net/ServerSocket.h>
-#include <Poco/Net/StreamSocket.h>
-#include <absl/strings/str_cat.h>
 #include <boost/test/unit_test.hpp>
 
 #include <thread>
@@ -13,34 +12,6 @@
 
 namespace {
 
-/// Accepts one connection, reads until the request's body has arrived, sends the given bytes and closes.
-class OneAnswerServer
-{
-public:
-    OneAnswerServer(std::string answer, std::string requestEnd)
-        : thread_([this, answer = std::move(answer), requestEnd = std::move(requestEnd)] {
-            Poco::Net::StreamSocket connection = socket_.acceptConnection();
-            std::string received;
-            char buffer[4096];
-            while (received.find(requestEnd) == std::string::npos) {
-                received.append(buffer, static_cast<std::size_t>(connection.receiveBytes(buffer, sizeof buffer)));
-            }
-            connection.sendBytes(answer.data(), static_cast<int>(answer.size()));
-            connection.shutdownSend();
-        })
-    {
-    }
-
-    [[nodiscard]] auto upstream() const -> Upstream
-    {
-        return { "raw", socket_.address().toString(), "raw", UpstreamKind::Service, {}, "secret", {}, false };
-    }
-
-private:
-    Poco::Net::ServerSocket socket_ { Poco::Net::SocketAddress("127.0.0.1:0"), 4 };
-    std::jthread thread_;
-};
-
 auto makeRequest() -> UpstreamRequest
 {
     return {
@@ -50,8 +21,9 @@
 
 auto callOnce(const std::string &answer) -> UpstreamResult
 {
-    const OneAnswerServer server(answer, R"({"end":1})");
-    return callUpstream(server.upstream(), makeRequest(), {}, {});
+    const RawServer server(R"({"end":1})", answer);
+    const Upstream upstream { "raw", server.address(), "raw", UpstreamKind::Service, {}, "secret", {}, false };
+    return callUpstream(upstream, makeRequest(), {}, {});
 }
 
 struct AnswerCase
