Add team allowances: home buckets, loans, handover and their endpoints

A team's rate and burst must hold over the whole fleet. The home of a team keeps one token bucket with level + outstanding loans <= burst; other daemons borrow from it with POST /peers/loans, and a new home asks the earlier one with POST /peers/handover or starts empty after the takeover wait.

Tokens are counted in integer units of 1e-12, so that no rounding adds a token.

--- /dev/null
+++ b/Source/Process/AllowanceBucket.cpp
@@ -0,0 +1,153 @@
+#include "Process/AllowanceBucket.h"
+
+#include <algorithm>
+
+namespace poplardock {
+
+namespace {
+
+/// Limit of the answer when the rate is so low that a token is far away.
+constexpr std::chrono::seconds MAXIMUM_WAIT { 60 };
+
+} // namespace
+
+AllowanceBucket::AllowanceBucket(AllowanceLimit limit, std::int64_t level, TimePoint refillFrom)
+    : limit_(limit)
+    , level_(std::clamp<std::int64_t>(level, 0, limit.burst))
+    , refilledAt_(refillFrom)
+{
+}
+
+auto AllowanceBucket::refill(TimePoint until) -> void
+{
+    const auto elapsed = std::chrono::duration_cast<std::chrono::microseconds>(until - refilledAt_);
+    if (elapsed.count() <= 0) {
+        return;
+    }
+    const std::int64_t room = limit_.burst - level_ - outstanding_;
+    if (room <= 0 || limit_.rate == 0) {
+        refilledAt_ = until;
+        return;
+    }
+    if (elapsed.count() > room / limit_.rate) {
+        level_ += room;
+        refilledAt_ = until;
+        return;
+    }
+    level_ += limit_.rate * elapsed.count();
+    // The rest below a microsecond counts for the next refill.
+    refilledAt_ += elapsed;
+}
+
+auto AllowanceBucket::advance(TimePoint now) -> void
+{
+    while (!loans_.empty() && loans_.front().lapsesAt <= now) {
+        refill(loans_.front().lapsesAt);
+        outstanding_ -= loans_.front().tokens * TOKEN_UNITS;
+        loans_.erase(loans_.begin());
+    }
+    refill(now);
+}
+
+auto AllowanceBucket::setLimit(AllowanceLimit limit, TimePoint now) -> void
+{
+    if (limit == limit_) {
+        return;
+    }
+    advance(now);
+    limit_ = limit;
+    level_ = std::clamp<std::int64_t>(limit_.burst - outstanding_, 0, level_);
+}
+
+auto AllowanceBucket::spend(TimePoint now) -> bool
+{
+    advance(now);
+    if (level_ < TOKEN_UNITS) {
+        return false;
+    }
+    level_ -= TOKEN_UNITS;
+    return true;
+}
+
+auto AllowanceBucket::grant(const LoanId &id, std::int64_t want, TimePoint now) -> std::int64_t
+{
+    advance(now);
+    const std::int64_t tokens = std::min(want, level_ / TOKEN_UNITS);
+    if (tokens <= 0) {
+        return 0;
+    }
+    level_ -= tokens * TOKEN_UNITS;
+    restore({ id, tokens, std::max(now, refilledAt_) + LOAN_TERM + LOAN_DRIFT_MARGIN });
+    return tokens;
+}
+
+auto AllowanceBucket::restore(const Loan &loan) -> void
+{
+    outstanding_ += loan.tokens * TOKEN_UNITS;
+    const auto position = std::upper_bound(
+        loans_.begin(), loans_.end(), loan, [](const Loan &left, const Loan &right) { return left.lapsesAt < right.lapsesAt; });
+    loans_.insert(position, loan);
+}
+
+auto AllowanceBucket::settle(const LoanId &id, std::int64_t spent, std::int64_t returned, TimePoint now) -> bool
+{
+    advance(now);
+    const auto found = std::find_if(loans_.begin(), loans_.end(), [&id](const Loan &loan) { return loan.id == id; });
+    if (found == loans_.end() || spent < 0 || returned < 0 || returned > found->tokens - spent) {
+        return false;
+    }
+    outstanding_ -= found->tokens * TOKEN_UNITS;
+    // A limit that was lowered since the grant may leave no room for all of them.
+    const std::int64_t room = std::max<std::int64_t>(limit_.burst - level_ - outstanding_, 0);
+    level_ += std::min(returned * TOKEN_UNITS, room);
+    loans_.erase(found);
+    return true;
+}
+
+auto AllowanceBucket::nextTokenAt(TimePoint now) const -> TimePoint
+{
+    AllowanceBucket copy = *this;
+    copy.advance(now);
+    const TimePoint latest = now + MAXIMUM_WAIT;
+    for (;;) {
+        const std::int64_t missing = TOKEN_UNITS - copy.level_;
+        if (missing <= 0) {
+            return std::clamp(copy.refilledAt_, now, latest);
+        }
+        const bool hasRoom = copy.limit_.burst - copy.outstanding_ >= TOKEN_UNITS && copy.limit_.rate > 0;
+        const TimePoint lapse = copy.loans_.empty() ? latest : std::min(copy.loans_.front().lapsesAt, latest);
+        if (hasRoom) {
+            const std::chrono::microseconds wait((missing + copy.limit_.rate - 1) / copy.limit_.rate);
+            const TimePoint full = wait > MAXIMUM_WAIT ? latest : copy.refilledAt_ + wait;
+            if (full <= lapse) {
+                return full;
+            }
+        }
+        if (lapse >= latest) {
+            return latest;
+        }
+        copy.advance(lapse);
+    }
+}
+
+auto AllowanceBucket::limit() const -> const AllowanceLimit &
+{
+    return limit_;
+}
+
+auto AllowanceBucket::level() const -> std::int64_t
+{
+    return level_;
+}
+
+auto AllowanceBucket::outstanding() const -> std::int64_t
+{
+    return outstanding_;
+}
+
+auto AllowanceBucket::loans() const -> const std::vector<Loan> &
+{
+    return loans_;
+}
+
+} // namespace poplardock
--- /dev/null
+++ b/Source/Process/AllowanceClient.cpp
@@ -0,0 +1,276 @@
+#include "Process/AllowanceClient.h"
+
+#include <absl/strings/str_cat.h>
+
+#include <algorithm>
+#include <set>
+
+namespace poplardock {
+
+namespace {
+
+/// Unused tokens are returned this long before they lapse: one period of maintain() and a slow message.
+constexpr Milliseconds RETURN_LEAD { 250 };
+/// After a home could not be reached, requests of its teams are refused at once for this long, so that they
+/// do not all wait for a time-out.
+constexpr Milliseconds UNAVAILABLE_BACKOFF { 200 };
+/// Borrows that one request waits for. More than one happens when other requests took the tokens first.
+constexpr int MAXIMUM_ROUNDS = 8;
+
+auto retrySeconds(Milliseconds wait) -> int
+{
+    return std::max<int>(1, static_cast<int>(std::chrono::ceil<std::chrono::seconds>(wait).count()));
+}
+
+auto unavailable(std::string reason) -> AllowanceDecision
+{
+    return AllowanceUnavailable { std::move(reason) };
+}
+
+} // namespace
+
+AllowanceClient::AllowanceClient(FleetState &state, AllowanceHome &home, PeerClients &peers, Options options)
+    : state_(state)
+    , home_(home)
+    , peers_(peers)
+    , options_(std::move(options))
+{
+}
+
+auto AllowanceClient::locate(const std::string &team) const -> Location
+{
+    Location location;
+    location.self = home_.self();
+    location.version = state_.current();
+    location.team = location.version->configuration.findTeam(team);
+    location.home = location.version->members.homeOf(team, location.self.region);
+    location.isHere
+        = location.home != nullptr && location.home->name == location.self.name && location.home->incarnation == location.self.incarnation;
+    return location;
+}
+
+auto AllowanceClient::acquire(const std::string &team, TimePoint now) -> AllowanceDecision
+{
+    if (state_.current()->configuration.findTeam(team) == nullptr) {
+        return unavailable("the team is unknown");
+    }
+    {
+        const std::lock_guard lock(mutex_);
+        teams_[team].demand.record(now);
+    }
+    for (int round = 0; round < MAXIMUM_ROUNDS; ++round) {
+        const Location location = locate(team);
+        if (location.team == nullptr || location.home == nullptr) {
+            return unavailable("the team has no home in this region");
+        }
+        if (!location.isHere) {
+            const auto decision = acquireBorrowed(location);
+            if (decision) {
+                return *decision;
+            }
+            continue;
+        }
+        const HomeAnswer answer = home_.spend(team);
+        if (const auto *granted = std::get_if<LoanAnswer>(&answer)) {
+            return granted->granted > 0 ? AllowanceDecision(Admitted {}) : OverAllowance { retrySeconds(granted->retryAfter) };
+        }
+        if (const auto *notActing = std::get_if<HomeNotActing>(&answer)) {
+            return unavailable(notActing->reason);
+        }
+    }
+    return unavailable("the home of the team cannot be determined");
+}
+
+auto AllowanceClient::acquireBorrowed(const Location &location) -> std::optional<AllowanceDecision>
+{
+    std::unique_lock lock(mutex_);
+    TeamState &entry = teams_[location.team->name];
+    const TimePoint now = options_.clock();
+    if (entry.loan && entry.loan->remaining > 0 && now < entry.loan->deadline) {
+        --entry.loan->remaining;
+        lock.unlock();
+        if (options_.recorder) {
+            options_.recorder(location.team->name, now);
+        }
+        return Admitted {};
+    }
+    if (entry.refusal && now < entry.refusal->until) {
+        return entry.refusal->decision;
+    }
+    if (entry.isBorrowing) {
+        ++entry.waiting;
+        borrowEnded_.wait(lock, [&entry] { return !entry.isBorrowing; });
+        --entry.waiting;
+        return std::nullopt;
+    }
+    const AllowanceChoice choice = choose(location, entry, now);
+    const auto *loan = std::get_if<TakeLoan>(&choice);
+    if (loan == nullptr) {
+        return RelayToHome { *location.home };
+    }
+    entry.isBorrowing = true;
+    entry.refusal.reset();
+    lock.unlock();
+    borrow(location, loan->tokens);
+    lock.lock();
+    entry.isBorrowing = false;
+    borrowEnded_.notify_all();
+    return std::nullopt;
+}
+
+auto AllowanceClient::choose(const Location &location, const TeamState &entry, TimePoint now) const -> AllowanceChoice
+{
+    return chooseAllowance(
+        { entry.demand.perSecond(now), location.team->ratePerSecond, location.team->burst, location.version->members.members().size() });
+}
+
+auto AllowanceClient::borrow(const Location &location, std::int64_t want) -> void
+{
+    BorrowResult result = borrowOnce(location, want);
+    if (std::holds_alternative<NotHomeAnswer>(result) || std::holds_alternative<CallFailure>(result)) {
+        const Location current = locate(location.team->name);
+        if (current.isHere) {
+            return;
+        }
+        result = current.team != nullptr && current.home != nullptr ? borrowOnce(current, want) : result;
+    }
+    if (std::holds_alternative<LoanAnswer>(result)) {
+        return;
+    }
+    std::string reason = "the home of the team has changed";
+    if (const auto *failure = std::get_if<CallFailure>(&result)) {
+        reason = absl::StrCat("the home of the team cannot be reached: ", failure->reason);
+    } else if (const auto *notActing = std::get_if<HomeNotActing>(&result)) {
+        reason = notActing->reason;
+    }
+    const std::lock_guard lock(mutex_);
+    teams_[location.team->name].refusal = Refusal { unavailable(std::move(reason)), options_.clock() + UNAVAILABLE_BACKOFF };
+}
+
+auto AllowanceClient::borrowOnce(const Location &location, std::int64_t want) -> BorrowResult
+{
+    LoanRequest request;
+    TimePoint sentAt;
+    {
+        const std::lock_guard lock(mutex_);
+        TeamState &entry = teams_[location.team->name];
+        request = prepare(location, entry, std::max(want, entry.waiting + 1));
+        sentAt = options_.clock();
+    }
+    BorrowResult result = send(location.home->address, request);
+    if (const auto *answer = std::get_if<LoanAnswer>(&result)) {
+        applyAnswer(request, *answer, sentAt);
+    }
+    if (const auto *notHome = std::get_if<NotHomeAnswer>(&result)) {
+        state_.noteRevision(notHome->revision);
+    }
+    return result;
+}
+
+auto AllowanceClient::prepare(const Location &location, TeamState &entry, std::int64_t want) -> LoanRequest
+{
+    LoanRequest request;
+    request.team = location.team->name;
+    request.revision = location.version->revision;
+    request.want = want;
+    request.id = { location.self.name, location.self.incarnation, nextNumber_++ };
+    if (entry.loan) {
+        // Tokens that are being returned must not be spent, even when the message is lost.
+        entry.loan->returned += entry.loan->remaining;
+        entry.loan->remaining = 0;
+        request.settles = entry.loan->number;
+        request.returned = entry.loan->returned;
+        request.spent = entry.loan->granted - entry.loan->returned;
+    }
+    return request;
+}
+
+auto AllowanceClient::applyAnswer(const LoanRequest &request, const LoanAnswer &answer, TimePoint sentAt) -> void
+{
+    const std::lock_guard lock(mutex_);
+    TeamState &entry = teams_[request.team];
+    if (entry.loan && entry.loan->number == request.settles) {
+        entry.loan.reset();
+    }
+    const std::int64_t granted = std::min(answer.granted, request.want);
+    if (granted > 0) {
+        entry.loan = OpenLoan { request.id.number, granted, 0, granted, sentAt + LOAN_TERM };
+    }
+    if (answer.granted < request.want && answer.retryAfter > Milliseconds(0)) {
+        entry.refusal = Refusal { OverAllowance { retrySeconds(answer.retryAfter) }, options_.clock() + answer.retryAfter };
+    }
+}
+
+auto AllowanceClient::send(const std::string &address, const LoanRequest &request) -> BorrowResult
+{
+    const CallResult result
+        = peers_.clientFor(address)->call({ "POST", "/peers/loans", Json::toText(*toJson(request)), {}, options_.timeout });
+    if (const auto *failure = std::get_if<CallFailure>(&result)) {
+        return *failure;
+    }
+    const auto &answer = std::get<HttpAnswer>(result);
+    const auto body = Json::parseObject(answer.body);
+    if (!body.ok()) {
+        return CallFailure { true, std::string(body.status().message()) };
+    }
+    if (answer.status == 200) {
+        const auto granted = loanAnswerFromJson(**body);
+        return granted.ok() ? BorrowResult(*granted) : CallFailure { true, std::string(granted.status().message()) };
+    }
+    const auto revision = Json::optionalInteger(**body, "revision", -1);
+    if (revision.ok() && *revision >= 0) {
+        return NotHomeAnswer { static_cast<std::uint64_t>(*revision) };
+    }
+    return HomeNotActing { absl::StrCat("the home of the team answered with status ", answer.status), UNAVAILABLE_BACKOFF };
+}
+
+auto AllowanceClient::pendingReturns() -> std::vector<std::string>
+{
+    const std::lock_guard lock(mutex_);
+    const TimePoint now = options_.clock();
+    std::vector<std::string> teams;
+    for (auto &[team, entry] : teams_) {
+        if (!entry.loan || entry.isBorrowing) {
+            continue;
+        }
+        if (now >= entry.loan->deadline + LOAN_DRIFT_MARGIN) {
+            // Lapsed at the home as well: nothing is left to report.
+            entry.loan.reset();
+        } else if (entry.loan->remaining > 0 && now >= entry.loan->deadline - RETURN_LEAD) {
+            teams.push_back(team);
+        }
+    }
+    return teams;
+}
+
+auto AllowanceClient::maintain() -> void
+{
+    std::set<std::string> unreachable;
+    for (const std::string &team : pendingReturns()) {
+        const Location location = locate(team);
+        if (location.team == nullptr || location.home == nullptr || location.isHere || unreachable.contains(location.home->address)) {
+            continue;
+        }
+        const BorrowResult result = returnTokens(location);
+        if (std::holds_alternative<CallFailure>(result)) {
+            unreachable.insert(location.home->address);
+        }
+    }
+}
+
+auto AllowanceClient::returnTokens(const Location &location) -> BorrowResult
+{
+    LoanRequest request;
+    {
+        const std::lock_guard lock(mutex_);
+        TeamState &entry = teams_[location.team->name];
+        request = prepare(location, entry, 0);
+    }
+    BorrowResult result = send(location.home->address, request);
+    if (const auto *answer = std::get_if<LoanAnswer>(&result)) {
+        applyAnswer(request, *answer, {});
+    }
+    return result;
+}
+
+} // namespace poplardock
--- /dev/null
+++ b/Source/Process/AllowanceMessages.h
@@ -0,0 +1,87 @@
+#pragma once
+
+#include "Process/AllowanceBucket.h"
+#include "Process/Json.h"
+
+#include <absl/status/statusor.h>
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace poplardock {
+
+/// Body of POST /peers/loans: asks for a loan and ends an earlier one.
+struct LoanRequest
+{
+    std::string team;
+    /// Revision of the sender.
+    std::uint64_t revision = 0;
+    /// Tokens; 0 only ends the earlier loan.
+    std::int64_t want = 0;
+    /// Tokens of the earlier loan that were spent and that are returned.
+    std::int64_t spent = 0;
+    std::int64_t returned = 0;
+    /// Number of the request that took the earlier loan; 0 for none.
+    std::int64_t settles = 0;
+    /// The sender and the number of this request; the loan gets this name.
+    LoanId id;
+
+    auto operator==(const LoanRequest &) const -> bool = default;
+};
+
+/// Answer to a LoanRequest.
+struct LoanAnswer
+{
+    std::int64_t granted = 0;
+    /// Time after which it is sensible to ask again; 0 when the whole demand was granted.
+    Milliseconds retryAfter { 0 };
+
+    auto operator==(const LoanAnswer &) const -> bool = default;
+};
+
+/// Body of POST /peers/handover: a new home asks the earlier home for the bucket of a team.
+struct HandoverRequest
+{
+    std::string team;
+    /// Revision by which the sender is the home.
+    std::uint64_t revision = 0;
+    std::string successor;
+    /// Incarnation of the sender.
+    std::string incarnation;
+
+    auto operator==(const HandoverRequest &) const -> bool = default;
+};
+
+enum class HandoverOutcome
+{
+    HandedOver,
+    /// The earlier home does not have the sender's revision yet.
+    RevisionMissing,
+    /// The earlier home has no bucket for this successor.
+    NoBucket,
+};
+
+/// Answer to a HandoverRequest. The loans carry the remaining time, counted by the receiver from the receipt.
+struct HandoverAnswer
+{
+    HandoverOutcome outcome = HandoverOutcome::NoBucket;
+    /// Units.
+    std::int64_t level = 0;
+    std::vector<Loan> loans;
+
+    auto operator==(const HandoverAnswer &) const -> bool = default;
+};
+
+/// Codecs. Errors: InvalidArgument, naming the key.
+auto toJson(const LoanRequest &request) -> JsonObject::Ptr;
+auto loanRequestFromJson(const JsonObject &object) -> absl::StatusOr<LoanRequest>;
+auto toJson(const LoanAnswer &answer) -> JsonObject::Ptr;
+auto loanAnswerFromJson(const JsonObject &object) -> absl::StatusOr<LoanAnswer>;
+auto toJson(const HandoverRequest &request) -> JsonObject::Ptr;
+auto handoverRequestFromJson(const JsonObject &object) -> absl::StatusOr<HandoverRequest>;
+/// The remaining time of the loans is counted from the given time.
+auto toJson(const HandoverAnswer &answer, TimePoint now) -> JsonObject::Ptr;
+auto handoverAnswerFromJson(const JsonObject &object, TimePoint now) -> absl::StatusOr<HandoverAnswer>;
+
+} // namespace poplardock
--- /dev/null
+++ b/Source/Request/AllowanceLimit.cpp
@@ -0,0 +1,55 @@
+#include "Request/AllowanceLimit.h"
+
+#include "Version/MemberTable.h"
+
+#include <absl/strings/str_cat.h>
+
+#include <algorithm>
+#include <cmath>
+#include <utility>
+#include <vector>
+
+namespace poplardock {
+
+namespace {
+
+constexpr std::int64_t MILLIONTHS = 1'000'000;
+
+/// Rounds down to millionths. The factor keeps decimal fractions such as 0.3, whose product is a little
+/// below a whole number, at their value.
+auto toMillionths(double value) -> std::int64_t
+{
+    constexpr double REPRESENTATION_ERROR = 1e-14;
+    return static_cast<std::int64_t>(std::floor(value * MILLIONTHS * (1 + REPRESENTATION_ERROR)));
+}
+
+auto evenShare(std::int64_t total, std::int64_t count, std::int64_t position) -> std::int64_t
+{
+    return total / count + (position < total % count ? 1 : 0);
+}
+
+} // namespace
+
+auto regionShare(const Team &team, const std::set<std::string> &regions, const std::string &region) -> AllowanceLimit
+{
+    // Ordered by a hash with the team, so that the larger shares of different teams are in different regions.
+    std::vector<std::pair<std::uint64_t, std::string>> order;
+    order.reserve(regions.size());
+    for (const std::string &name : regions) {
+        order.emplace_back(stableHash(absl::StrCat(team.name, "/", name)), name);
+    }
+    std::sort(order.begin(), order.end());
+    const auto found = std::find_if(order.begin(), order.end(), [&region](const auto &entry) { return entry.second == region; });
+    const std::int64_t position = found - order.begin();
+    const std::int64_t burst = toMillionths(team.burst);
+    const std::int64_t wholeTokens = burst / MILLIONTHS;
+    const std::int64_t shareCount = std::min<std::int64_t>(static_cast<std::int64_t>(order.size()), wholeTokens);
+    if (position >= shareCount) {
+        return {};
+    }
+    const std::int64_t fraction = position == 0 ? burst % MILLIONTHS : 0;
+    return { evenShare(toMillionths(team.ratePerSecond), shareCount, position),
+             evenShare(wholeTokens, shareCount, position) * TOKEN_UNITS + fraction * (TOKEN_UNITS / MILLIONTHS) };
+}
+
+} // namespace poplardock
--- /dev/null
+++ b/Source/Request/AllowancePolicy.cpp
@@ -0,0 +1,43 @@
+#include "Request/AllowancePolicy.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace poplardock {
+
+namespace {
+
+/// Demand that one loan covers.
+constexpr double LOAN_HORIZON_SECONDS = 0.5;
+/// Up to this size the control messages of loans stay within 2 KB/s per daemon, and no request is relayed.
+constexpr std::size_t RELAY_FLEET_SIZE = 32;
+/// Demand below which a loan of one term (1 s) is seldom used twice.
+constexpr double RELAY_DEMAND_PER_SECOND = 2;
+constexpr double DECAY_SECONDS = 1;
+
+} // namespace
+
+auto chooseAllowance(const AllowanceDemand &demand) -> AllowanceChoice
+{
+    if (demand.memberCount > RELAY_FLEET_SIZE && demand.perSecond < RELAY_DEMAND_PER_SECOND) {
+        return RelayRequest {};
+    }
+    const double members = static_cast<double>(std::max<std::size_t>(demand.memberCount, 1));
+    const double bound = demand.burst / 2 / members;
+    const double horizon = std::min(demand.perSecond, demand.ratePerSecond) * LOAN_HORIZON_SECONDS;
+    return TakeLoan { std::max<std::int64_t>(static_cast<std::int64_t>(std::min(horizon, bound)), 1) };
+}
+
+auto DemandEstimate::record(TimePoint now) -> void
+{
+    perSecond_ = perSecond(now) + 1 / DECAY_SECONDS;
+    updatedAt_ = std::max(now, updatedAt_);
+}
+
+auto DemandEstimate::perSecond(TimePoint now) const -> double
+{
+    const double elapsed = std::chrono::duration<double>(now - updatedAt_).count();
+    return perSecond_ * std::exp(-std::max(elapsed, 0.0) / DECAY_SECONDS);
+}
+
+} // namespace poplardock
--- /dev/null
+++ b/Source/Request/AllowancePolicy.h
@@ -0,0 +1,58 @@
+#pragma once
+
+#include "Process/Clock.h"
+
+#include <cstddef>
+#include <cstdint>
+#include <variant>
+
+namespace poplardock {
+
+/// What is known about one team at one daemon that is not its home.
+struct AllowanceDemand
+{
+    /// Recent requests per second of the team at this daemon.
+    double perSecond = 0;
+    /// The team's rate and burst.
+    double ratePerSecond = 0;
+    double burst = 0;
+    std::size_t memberCount = 0;
+
+    auto operator==(const AllowanceDemand &) const -> bool = default;
+};
+
+/// Ask the home for a loan of this many tokens.
+struct TakeLoan
+{
+    std::int64_t tokens = 1;
+
+    auto operator==(const TakeLoan &) const -> bool = default;
+};
+
+/// Send the request itself to the home.
+struct RelayRequest
+{
+    auto operator==(const RelayRequest &) const -> bool = default;
+};
+
+using AllowanceChoice = std::variant<TakeLoan, RelayRequest>;
+
+/// Pure function. A loan covers the demand of a short horizon, within a bound that keeps the loans of all
+/// members together below half of the burst; at least one token. In a large fleet a request is relayed when a
+/// loan would seldom be used twice within its term.
+auto chooseAllowance(const AllowanceDemand &demand) -> AllowanceChoice;
+
+/// Estimate of a rate from the times of events, with exponential decay. Not thread-safe.
+class DemandEstimate
+{
+public:
+    auto record(TimePoint now) -> void;
+    /// Events per second.
+    [[nodiscard]] auto perSecond(TimePoint now) const -> double;
+
+private:
+    double perSecond_ = 0;
+    TimePoint updatedAt_;
+};
+
+} // namespace poplardock
--- /dev/null
+++ b/Tests/Support/AdmissionWindows.h
@@ -0,0 +1,30 @@
+#pragma once
+
+#include "Process/Clock.h"
+
+#include <map>
+#include <mutex>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace poplardock {
+
+/// Looks for a window that holds more admissions than burst + rate x t, over every pair of admissions and
+/// without rounding up to 18,000 of them. Returns a description of the worst such window. The times need not be sorted.
+auto findExcessWindow(std::vector<TimePoint> admissions, double ratePerSecond, double burst) -> std::optional<std::string>;
+
+/// Collects admissions from recorder callbacks. Thread-safe.
+class AdmissionLog
+{
+public:
+    auto record(const std::string &team, TimePoint at) -> void;
+    [[nodiscard]] auto admissions(const std::string &team) const -> std::vector<TimePoint>;
+    [[nodiscard]] auto findExcessWindow(const std::string &team, double ratePerSecond, double burst) const -> std::optional<std::string>;
+
+private:
+    mutable std::mutex mutex_;
+    std::map<std::string, std::vector<TimePoint>> admissions_;
+};
+
+} // namespace poplardock
--- /dev/null
+++ b/Tests/Support/AllowanceFleet.h
@@ -0,0 +1,89 @@
+#pragma once
+
+#include "Connection/HttpService.h"
+#include "Connection/Router.h"
+#include "Process/AllowanceClient.h"
+#include "Process/AllowanceHome.h"
+#include "Support/AdmissionWindows.h"
+
+#include <atomic>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace poplardock {
+
+/// A clock that only tests move. Thread-safe.
+class ManualClock
+{
+public:
+    [[nodiscard]] auto now() const -> TimePoint;
+    auto advance(Duration by) -> void;
+
+private:
+    std::atomic<Duration> sinceStart_ { std::chrono::hours(1) };
+};
+
+/// The allowance parts of several daemons in one process, over real HTTP on the loopback address, with one
+/// fleet version in force. By default time is a ManualClock.
+class AllowanceFleet
+{
+public:
+    struct Daemon
+    {
+        Member member;
+        FleetState state;
+        PeerClients peers;
+        AllowanceHome home;
+        AllowanceClient client;
+        Router router;
+        /// Answers to requests on the peers address are lost while positive; each lost one counts down.
+        std::atomic<int> answersToLose { 0 };
+        std::unique_ptr<HttpService> service;
+        /// A daemon that is paused gets no confirmations and no maintenance.
+        bool isPaused = false;
+
+        Daemon(Member record, const TimeSource &clock, const AdmissionRecorder &recorder);
+        [[nodiscard]] auto acquire(const std::string &team) -> AllowanceDecision;
+        /// True for Admitted.
+        [[nodiscard]] auto admits(const std::string &team) -> bool;
+    };
+
+    /// Starts daemons d0, d1, ... in the regions given, one each; all are members.
+    explicit AllowanceFleet(const std::vector<std::string> &regions, std::vector<Team> teams, bool useRealClock = false);
+    ~AllowanceFleet();
+    AllowanceFleet(const AllowanceFleet &) = delete;
+    auto operator=(const AllowanceFleet &) -> AllowanceFleet & = delete;
+    AllowanceFleet(AllowanceFleet &&) = delete;
+    auto operator=(AllowanceFleet &&) -> AllowanceFleet & = delete;
+
+    auto daemon(std::size_t index) -> Daemon &;
+    auto homeOf(const std::string &team, const std::string &region = "r") -> Daemon &;
+    auto size() const -> std::size_t;
+    /// Starts a daemon that is not a member yet.
+    auto addDaemon(const std::string &region = "r") -> Daemon &;
+    /// Commits a version with these teams and with the members that are kept, and installs it at every daemon
+    /// that is not paused.
+    auto commit(const std::vector<std::string> &withoutMembers = {}) -> void;
+    auto setTeams(std::vector<Team> teams) -> void;
+    /// Installs the newest version at one daemon, as after a pause.
+    auto install(Daemon &target) -> void;
+    /// Confirms the version and the hearing of all members at every daemon that is not paused.
+    auto confirm() -> void;
+    /// Moves the manual clock in steps of 100 ms with confirmation and maintenance at each step.
+    auto run(Duration time) -> void;
+    /// Runs until the takeover wait of the current table is over.
+    auto runTakeoverWait() -> void;
+    [[nodiscard]] auto now() const -> TimePoint;
+
+    ManualClock clock;
+    AdmissionLog log;
+
+private:
+    bool useRealClock_;
+    std::vector<Team> teams_;
+    std::vector<std::unique_ptr<Daemon>> daemons_;
+    FleetVersionPointer version_;
+};
+
+} // namespace poplardock
