--- a/Source/Process/BatchDispatcher.cpp
+++ b/Source/Process/BatchDispatcher.cpp
@@ -225,7 +225,7 @@
 {
     const TimePoint now = Clock::now();
     const Served served = serve(now);
-    std::map<std::string, UpstreamLoad> loads;
+    std::map<std::string, ObservedLoad> loads;
     for (const Upstream &upstream : served.upstreams) {
         loads.emplace(upstream.name, hooks_.loadOf(upstream.name));
     }
@@ -236,7 +236,7 @@
     }
 }
 
-auto BatchDispatcher::updateUpstreams(const Served &served, const std::map<std::string, UpstreamLoad> &loads, TimePoint now) -> void
+auto BatchDispatcher::updateUpstreams(const Served &served, const std::map<std::string, ObservedLoad> &loads, TimePoint now) -> void
 {
     for (auto &[name, work] : upstreams_) {
         work.isServed = false;
--- a/Source/Process/BatchDispatcher.h
+++ b/Source/Process/BatchDispatcher.h
@@ -37,7 +37,7 @@
     {
         /// Incarnation under which this process is a member.
         std::function<std::string()> incarnation;
-        std::function<UpstreamLoad(const std::string &upstream)> loadOf;
+        std::function<ObservedLoad(const std::string &upstream)> loadOf;
         /// True for a request that has killed upstreams.
         std::function<bool(const std::string &team, const std::string &path, const std::string &body)> isRefused;
         std::function<void(const std::string &team, const std::string &path, const std::string &body)> reportDeath;
@@ -144,7 +144,7 @@
     auto serve(TimePoint now) const -> Served;
     auto scheduleLoop(const std::stop_token &stop) -> void;
     auto schedule() -> void;
-    auto updateUpstreams(const Served &served, const std::map<std::string, UpstreamLoad> &loads, TimePoint now) -> void;
+    auto updateUpstreams(const Served &served, const std::map<std::string, ObservedLoad> &loads, TimePoint now) -> void;
     auto startRuns(const Served &served, TimePoint now) -> void;
     auto startNext(UpstreamWork &work, const Configuration &configuration, TimePoint now) -> bool;
     auto beginRun(UpstreamWork &work, const HeldPointer &held, std::size_t item, const JobPointer &job, TimePoint now) -> void;
--- a/Source/Process/BatchShare.cpp
+++ b/Source/Process/BatchShare.cpp
@@ -30,7 +30,7 @@
     return std::max(0, batchRunning - limit());
 }
 
-auto BatchShare::update(TimePoint now, const UpstreamLoad &load, int batchRunning, double targetMs) -> int
+auto BatchShare::update(TimePoint now, const ObservedLoad &load, int batchRunning, double targetMs) -> int
 {
     const bool isQueueing = load.waiting > 0;
     if (isQueueing && load.onlineInFlight > 0 && batchRunning > 0 && now >= nextCutAt_) {
--- a/Source/Process/BatchShare.h
+++ b/Source/Process/BatchShare.h
@@ -5,7 +5,7 @@
 namespace poplardock {
 
 /// What a daemon knows about the load of one upstream.
-struct UpstreamLoad
+struct ObservedLoad
 {
     /// From the last load report, which lags.
     int running = 0;
@@ -15,7 +15,7 @@
     /// 95th percentile of recent times to the first token of this daemon's online requests; 0 without any.
     double onlineFirstTokenP95Ms = 0;
 
-    auto operator==(const UpstreamLoad &) const -> bool = default;
+    auto operator==(const ObservedLoad &) const -> bool = default;
 };
 
 /// The number of batch items that may run at one upstream. It grows by a constant while online work meets its
@@ -46,7 +46,7 @@
 
     /// Takes a new view of the load. Returns the number of running items to drop now. The target is the class
     /// target for the time to the first token, in milliseconds. To be called several times in a second.
-    auto update(TimePoint now, const UpstreamLoad &load, int batchRunning, double targetMs) -> int;
+    auto update(TimePoint now, const ObservedLoad &load, int batchRunning, double targetMs) -> int;
     /// Online work waits at the upstream. Returns the number of running items to drop now.
     auto yieldNow(TimePoint now, int batchRunning) -> int;
     /// The number of items that may run.
--- a/Source/Process/Daemon.cpp
+++ b/Source/Process/Daemon.cpp
@@ -1,9 +1,16 @@
 #include "Process/Daemon.h"
 
+#include "Connection/AllowanceRoutes.h"
 #include "Connection/ControlRoutes.h"
 #include "Connection/HttpReply.h"
 #include "Connection/HttpService.h"
+#include "Connection/JobRoutes.h"
+#include "Connection/OnlinePath.h"
+#include "Connection/RequestRelay.h"
 #include "Connection/Router.h"
+#include "Process/AdmissionLog.h"
+#include "Process/AllowanceClient.h"
+#include "Process/BatchDispatcher.h"
 #include "Process/ConfigurationEditor.h"
 #include "Process/FleetState.h"
 #include "Process/Log.h"
@@ -11,6 +18,7 @@
 #include "Process/Metrics.h"
 #include "Process/PeerClients.h"
 #include "Process/PeerExchange.h"
+#include "Process/PeriodicTask.h"
 #include "Process/RequestCounter.h"
 #include "Process/RootCommitter.h"
 #include "Process/Signals.h"
@@ -18,6 +26,7 @@
 #include "Process/StoreClient.h"
 #include "Process/VersionLoader.h"
 #include "Process/VersionWatcher.h"
+#include "Process/YieldSender.h"
 
 #include <Poco/UUIDGenerator.h>
 #include <absl/strings/str_cat.h>
@@ -30,7 +39,13 @@
 
 namespace {
 
+constexpr const char *HEALTH_PATH = "/healthz";
 constexpr int PEER_THREADS = 64;
+constexpr Milliseconds ALLOWANCE_INTERVAL { 100 };
+/// Part of the daemon's store calls that jobs may use, for callers and for dispatch each.
+constexpr double JOB_SHARE = 0.4;
+/// Store calls that may be made at once after a pause, as a multiple of the calls per second.
+constexpr double BURST_SECONDS = 2;
 constexpr int OPERATOR_THREADS = 8;
 /// Time for the balancer to see the negative health check and to send no new connections.
 constexpr Milliseconds BALANCER_GRACE { 2000 };
@@ -40,6 +55,16 @@
 /// Longest time for running requests to end after SIGTERM; long streams are cut then.
 constexpr Milliseconds DRAIN_LIMIT { 120000 };
 
+auto storeLimits(const Settings &settings) -> StoreClient::Limits
+{
+    return { static_cast<double>(settings.storeCallsPerSecond), BURST_SECONDS * settings.storeCallsPerSecond };
+}
+
+auto jobLimits(const Settings &settings) -> JobStore::Limits
+{
+    return { JOB_SHARE * settings.storeCallsPerSecond, JOB_SHARE * settings.storeCallsPerSecond };
+}
+
 } // namespace
 
 struct Daemon::Parts
@@ -48,13 +73,17 @@
         : settings(std::move(given))
         , seed(std::random_device {}())
         , writer(absl::StrCat(settings.name, "-", Poco::UUIDGenerator::defaultGenerator().createRandom().toString()))
-        , store(settings.platformAddress, writer, {})
+        , store(settings.platformAddress, writer, storeLimits(settings))
         , state(settings.name)
         , loader(store, state, peers)
         , watcher(store, state, loader, peers, seed)
         , exchange(state, watcher, peers, seed + 1)
         , committer(store, state, loader, writer, seed + 2)
         , editor(state, committer, exchange, seed + 3)
+        , upstreams(state)
+        , crashes(writer)
+        , claims(store)
+        , jobStore(store, jobLimits(settings))
     {
     }
 
@@ -66,6 +95,7 @@
     StateDump dump;
     RequestCounter requests;
     std::atomic<bool> isDraining = false;
+    std::atomic<bool> isReady = false;
     StoreClient store;
     FleetState state;
     PeerClients peers;
@@ -78,11 +108,31 @@
     RootCommitter committer;
     ConfigurationEditor editor;
     std::unique_ptr<Membership> membership;
+    std::unique_ptr<AdmissionLog> admissionLog;
+    std::unique_ptr<AllowanceHome> allowanceHome;
+    std::unique_ptr<AllowanceClient> allowanceClient;
+    UpstreamTable upstreams;
+    RetryBudget retryBudget;
+    CrashRegister crashes;
+    ClaimStore claims;
+    JobStore jobStore;
+    std::unique_ptr<BatchDispatcher> dispatcher;
+    std::unique_ptr<YieldSender> yieldSender;
+    std::unique_ptr<OnlinePath> onlinePath;
+    std::unique_ptr<JobRoutes> jobRoutes;
+    std::vector<std::unique_ptr<PeriodicTask>> tasks;
     std::unique_ptr<HttpService> callersService;
     std::unique_ptr<HttpService> peersService;
     std::unique_ptr<HttpService> operatorsService;
 
     auto registerRoutes() -> void;
+    [[nodiscard]] auto ownRecord() const -> Member;
+    auto createAllowances() -> absl::Status;
+    auto createOnlinePath() -> void;
+    auto createBatch() -> void;
+    auto maintainAllowances() -> void;
+    auto acquire(const std::string &team, TimePoint now) -> AllowanceDecision;
+    auto loadOf(const std::string &upstream) const -> ObservedLoad;
     auto startServices() -> absl::Status;
     auto join() -> absl::Status;
     auto registerDumpSections() -> void;
@@ -92,6 +142,11 @@
 auto Daemon::Parts::handleCaller(Poco::Net::HTTPServerRequest &request, Poco::Net::HTTPServerResponse &response) -> void
 {
     const RequestCounter::Running running(requests);
+    if (!isReady && HttpReply::pathOf(request) != HEALTH_PATH) {
+        response.setKeepAlive(false);
+        HttpReply::sendError(response, { ResultCode::ShuttingDown, "the daemon is starting", 1 });
+        return;
+    }
     if (isDraining) {
         response.setKeepAlive(false);
     }
@@ -100,8 +155,8 @@
 
 auto Daemon::Parts::registerRoutes() -> void
 {
-    callersRouter.add("GET", "/healthz", [this](Poco::Net::HTTPServerRequest &, Poco::Net::HTTPServerResponse &response) {
-        const bool isHealthy = !isDraining && state.mayAct(Clock::now());
+    callersRouter.add("GET", HEALTH_PATH, [this](Poco::Net::HTTPServerRequest &, Poco::Net::HTTPServerResponse &response) {
+        const bool isHealthy = isReady && !isDraining && state.mayAct(Clock::now());
         HttpReply::sendJson(response, isHealthy ? 200 : 503, isHealthy ? R"({"healthy":true})" : R"({"healthy":false})");
     });
     operatorsRouter.add("GET", "/dump", [this](Poco::Net::HTTPServerRequest &, Poco::Net::HTTPServerResponse &response) {
@@ -109,6 +164,119 @@
     });
     ControlRoutes::addPeerRoutes(peersRouter, exchange, loader, state);
     ControlRoutes::addOperatorRoutes(operatorsRouter, editor, state);
+    exchange.addField(
+        "crashes",
+        [this] { return Poco::Dynamic::Var(crashes.toJson(Clock::now())); },
+        [this](const Poco::Dynamic::Var &value, const ExchangeSource &) {
+            if (value.type() == typeid(JsonObject::Ptr)) {
+                crashes.merge(*value.extract<JsonObject::Ptr>(), Clock::now());
+            }
+        });
+}
+
+auto Daemon::Parts::acquire(const std::string &team, TimePoint now) -> AllowanceDecision
+{
+    return allowanceClient->acquire(team, now);
+}
+
+auto Daemon::Parts::createAllowances() -> absl::Status
+{
+    AdmissionRecorder recorder;
+    if (!settings.admissionLog.empty()) {
+        auto log = AdmissionLog::open(settings.admissionLog);
+        if (!log.ok()) {
+            return log.status();
+        }
+        admissionLog = *std::move(log);
+        recorder = [this](const std::string &team, TimePoint spentAt) {
+            admissionLog->record(team, spentAt);
+        };
+    }
+    Member self = ownRecord();
+    allowanceHome = std::make_unique<AllowanceHome>(std::move(self), state, peers, AllowanceHome::Options { Clock::now, recorder });
+    allowanceClient = std::make_unique<AllowanceClient>(state, *allowanceHome, peers, AllowanceClient::Options { Clock::now, recorder });
+    addAllowanceRoutes(peersRouter, *allowanceHome);
+    return absl::OkStatus();
+}
+
+auto Daemon::Parts::maintainAllowances() -> void
+{
+    if (allowanceHome->self().incarnation != membership->incarnation()) {
+        Member self = ownRecord();
+        self.incarnation = membership->incarnation();
+        allowanceHome->joinAs(std::move(self));
+    }
+    allowanceHome->maintain();
+}
+
+auto Daemon::Parts::loadOf(const std::string &upstream) const -> ObservedLoad
+{
+    const FleetVersionPointer version = state.current();
+    const Upstream *found = version->configuration.findUpstream(upstream);
+    if (found == nullptr) {
+        return {};
+    }
+    const UpstreamLoad load = upstreams.snapshot({ found }).front();
+    return { load.report.running, load.report.waiting, load.ownOnline, load.firstTokenMs.value_or(0) };
+}
+
+auto Daemon::Parts::createBatch() -> void
+{
+    BatchDispatcher::Options options;
+    options.region = settings.region;
+    options.threads = settings.batchThreads;
+    BatchDispatcher::Hooks hooks;
+    hooks.incarnation = [this] {
+        return membership->incarnation();
+    };
+    hooks.loadOf = [this](const std::string &upstream) {
+        return loadOf(upstream);
+    };
+    hooks.isRefused = [this](const std::string &team, const std::string &path, const std::string &body) {
+        return crashes.isRefused(crashFingerprint(team, path, body), Clock::now());
+    };
+    hooks.reportDeath = [this](const std::string &team, const std::string &path, const std::string &body) {
+        crashes.recordDeath(crashFingerprint(team, path, body), Clock::now());
+    };
+    dispatcher = std::make_unique<BatchDispatcher>(jobStore, state, metrics, options, hooks);
+    yieldSender = std::make_unique<YieldSender>(
+        state, peers, settings.region, [this](const std::string &upstream) { dispatcher->onYield(upstream); });
+    jobRoutes = std::make_unique<JobRoutes>(
+        jobStore, state, [this](const std::string &team, TimePoint now) -> AllowanceDecision { return acquire(team, now); });
+    jobRoutes->addCallerRoutes(callersRouter);
+    JobRoutes::addPeerRoutes(peersRouter, *dispatcher);
+}
+
+auto Daemon::Parts::createOnlinePath() -> void
+{
+    OnlineParts parts { state,
+                        upstreams,
+                        retryBudget,
+                        crashes,
+                        claims,
+                        metrics,
+                        [this](const std::string &team, TimePoint now) { return acquire(team, now); },
+                        [this](const std::string &upstream) {
+                            yieldSender->send(upstream);
+                        } };
+    onlinePath = std::make_unique<OnlinePath>(std::move(parts));
+    onlinePath->registerRoutes(callersRouter);
+    peersRouter.add("POST", RelayHeader::PATH, [this](auto &request, auto &response) {
+        const RequestCounter::Running running(requests);
+        onlinePath->handleRelayed(request, response);
+    });
+}
+
+auto Daemon::Parts::ownRecord() const -> Member
+{
+    Member self;
+    self.name = settings.name;
+    self.address = peersService ? peersService->address() : settings.peersAddress;
+    self.dataCentre = settings.dataCentre;
+    self.region = settings.region;
+    self.size = settings.size;
+    self.vm = settings.vm;
+    return self;
 }
 
 auto Daemon::Parts::startServices() -> absl::Status
@@ -146,14 +314,7 @@
 
 auto Daemon::Parts::join() -> absl::Status
 {
-    Member self;
-    self.name = settings.name;
-    self.address = peersService->address();
-    self.dataCentre = settings.dataCentre;
-    self.region = settings.region;
-    self.size = settings.size;
-    self.vm = settings.vm;
-    membership = std::make_unique<Membership>(store, state, watcher, committer, exchange, self, seed + 4);
+    membership = std::make_unique<Membership>(store, state, watcher, committer, exchange, ownRecord(), seed + 4);
     return membership->join(Clock::now() + JOIN_LIMIT);
 }
 
@@ -192,6 +353,9 @@
         section->set("suspended", store.isSuspended());
         return section;
     });
+    dump.add("allowances", [this] { return allowanceHome->toJson(); });
+    dump.add("upstreams", [this] { return upstreams.toJson(Clock::now()); });
+    dump.add("batch", [this] { return dispatcher->toJson(); });
     dump.add("peer_exchange", [this] {
         const ExchangeCounts counts = exchange.counts();
         JsonObject::Ptr section = new JsonObject;
@@ -219,6 +383,11 @@
 {
     Parts &parts = *parts_;
     parts.registerRoutes();
+    if (absl::Status status = parts.createAllowances(); !status.ok()) {
+        return status;
+    }
+    parts.createBatch();
+    parts.createOnlinePath();
     parts.registerDumpSections();
     if (absl::Status status = parts.startServices(); !status.ok()) {
         return status;
@@ -230,12 +399,18 @@
     parts.exchange.start();
     parts.editor.start();
     parts.membership->start();
+    parts.upstreams.startPolling();
+    parts.tasks.push_back(std::make_unique<PeriodicTask>(ALLOWANCE_INTERVAL, [&parts] { parts.maintainAllowances(); }));
+    parts.tasks.push_back(std::make_unique<PeriodicTask>(ALLOWANCE_INTERVAL, [&parts] { parts.allowanceClient->maintain(); }));
+    parts.dispatcher->start();
+    parts.isReady = true;
     return absl::OkStatus();
 }
 
 auto Daemon::drain() -> void
 {
     parts_->isDraining = true;
+    parts_->dispatcher->stop();
     parts_->membership->stop();
     if (const absl::Status status = parts_->membership->leave(Clock::now() + LEAVE_LIMIT); !status.ok()) {
         Log::warning(Part::Member, absl::StrCat("The member record stays in the table: ", status.message()));
@@ -249,9 +424,16 @@
 
 auto Daemon::stop() -> void
 {
+    for (const auto &task : parts_->tasks) {
+        task->stop();
+    }
+    if (parts_->dispatcher) {
+        parts_->dispatcher->stop();
+    }
     if (parts_->membership) {
         parts_->membership->stop();
     }
+    parts_->upstreams.stopPolling();
     parts_->editor.stop();
     parts_->exchange.stop();
     parts_->watcher.stop();
--- a/Source/Process/Settings.cpp
+++ b/Source/Process/Settings.cpp
@@ -16,6 +16,8 @@
 
 constexpr std::int64_t MAXIMUM_SIZE = 1024;
 constexpr std::int64_t MAXIMUM_THREADS = 10000;
+/// The whole fleet's limit of the store.
+constexpr std::int64_t MAXIMUM_CALLS_PER_SECOND = 2000;
 
 /// Reads typed values out of one TOML document and collects every fault with its line.
 class SettingsReader
@@ -158,9 +160,11 @@
     reader.readAddress("listen", "peers", settings.peersAddress);
     reader.readAddress("listen", "operators", settings.operatorsAddress);
     reader.readAddress("platform", "address", settings.platformAddress);
+    reader.readInteger("platform", "calls_per_second", 2, MAXIMUM_CALLS_PER_SECOND, settings.storeCallsPerSecond);
     reader.readInteger("workers", "online", 1, MAXIMUM_THREADS, settings.onlineThreads);
     reader.readInteger("workers", "batch", 1, MAXIMUM_THREADS, settings.batchThreads);
     reader.readLevel("log", "level", settings.logLevel);
+    reader.readString("log", "admissions", false, settings.admissionLog);
     reader.reportUnknownKeys();
     if (!reader.faults().empty()) {
         return absl::InvalidArgumentError(absl::StrJoin(reader.faults(), "\n"));
--- a/Source/Process/Settings.h
+++ b/Source/Process/Settings.h
@@ -22,12 +22,16 @@
     std::string peersAddress;
     std::string operatorsAddress;
     std::string platformAddress;
+    /// This daemon's share of the calls that the store takes, per second.
+    int storeCallsPerSecond = 100;
 
     /// Open connections from callers, each with its own thread.
     int onlineThreads = 400;
     /// Batch items that run at the same time.
     int batchThreads = 64;
     std::string logLevel = "info";
+    /// File to which each spent token is appended, for tests and audits; empty for none.
+    std::string admissionLog;
 
     /// Reads and checks a file as a whole. Errors: NotFound when it cannot be read; InvalidArgument with one
     /// line for each fault: "FILE:LINE: KEY: what was expected". Unknown keys are faults.
--- /dev/null
+++ b/Source/Process/YieldSender.cpp
@@ -0,0 +1,71 @@
+#include "Process/YieldSender.h"
+
+#include "Process/Json.h"
+
+namespace poplardock {
+
+namespace {
+
+constexpr Milliseconds YIELD_INTERVAL { 100 };
+constexpr Milliseconds YIELD_TIMEOUT { 500 };
+
+} // namespace
+
+YieldSender::YieldSender(const FleetState &state, PeerClients &peers, std::string region, LocalYield localYield)
+    : state_(state)
+    , peers_(peers)
+    , region_(std::move(region))
+    , localYield_(std::move(localYield))
+    , thread_([this](const std::stop_token &stop) { sendLoop(stop); })
+{
+}
+
+YieldSender::~YieldSender() = default;
+
+auto YieldSender::send(const std::string &upstream) -> void
+{
+    const TimePoint now = Clock::now();
+    const std::lock_guard lock(mutex_);
+    TimePoint &nextAt = nextAt_[upstream];
+    if (now < nextAt) {
+        return;
+    }
+    nextAt = now + YIELD_INTERVAL;
+    queue_.push_back(upstream);
+    wanted_.notify_one();
+}
+
+auto YieldSender::sendLoop(const std::stop_token &stop) -> void
+{
+    while (true) {
+        std::string upstream;
+        {
+            std::unique_lock lock(mutex_);
+            if (!wanted_.wait(lock, stop, [this] { return !queue_.empty(); })) {
+                return;
+            }
+            upstream = std::move(queue_.front());
+            queue_.pop_front();
+        }
+        deliver(upstream);
+    }
+}
+
+auto YieldSender::deliver(const std::string &upstream) -> void
+{
+    const FleetVersionPointer version = state_.current();
+    const Member *home = version->members.homeOf("upstream/" + upstream, region_);
+    if (home == nullptr) {
+        return;
+    }
+    if (home->name == state_.memberName()) {
+        localYield_(upstream);
+        return;
+    }
+    JsonObject body;
+    body.set("upstream", upstream);
+    // A lost message costs some latency and nothing else; the next waiting request sends another one.
+    static_cast<void>(peers_.clientFor(home->address)->call({ "POST", "/peers/yield", Json::toText(body), {}, YIELD_TIMEOUT }));
+}
+
+} // namespace poplardock
--- /dev/null
+++ b/Source/Process/YieldSender.h
@@ -0,0 +1,50 @@
+#pragma once
+
+#include "Process/FleetState.h"
+#include "Process/PeerClients.h"
+
+#include <condition_variable>
+#include <deque>
+#include <functional>
+#include <map>
+#include <mutex>
+#include <string>
+#include <thread>
+
+namespace poplardock {
+
+/// Tells the home of an upstream's batch dispatch that an online request waits there. At most one message for
+/// each upstream and 100 ms, whatever the rate of requests.
+/// Thread-safe; send() never waits for the network.
+class YieldSender
+{
+public:
+    using LocalYield = std::function<void(const std::string &upstream)>;
+
+    /// Upstreams whose home this daemon is go to localYield. The references must outlive this object.
+    YieldSender(const FleetState &state, PeerClients &peers, std::string region, LocalYield localYield);
+    YieldSender(const YieldSender &) = delete;
+    auto operator=(const YieldSender &) -> YieldSender & = delete;
+    YieldSender(YieldSender &&) = delete;
+    auto operator=(YieldSender &&) -> YieldSender & = delete;
+    ~YieldSender();
+
+    auto send(const std::string &upstream) -> void;
+
+private:
+    auto sendLoop(const std::stop_token &stop) -> void;
+    auto deliver(const std::string &upstream) -> void;
+
+    const FleetState &state_;
+    PeerClients &peers_;
+    const std::string region_;
+    const LocalYield localYield_;
+    std::mutex mutex_;
+    std::condition_variable_any wanted_;
+    std::deque<std::string> queue_;
+    /// Earliest time of the next message for each upstream.
+    std::map<std::string, TimePoint> nextAt_;
+    std::jthread thread_;
+};
+
+} // namespace poplardock
--- a/Tests/Support/AllowanceFleet.cpp
+++ b/Tests/Support/AllowanceFleet.cpp
@@ -149,7 +149,7 @@
         entry->state.confirm(version_->revision, now(), true);
         for (const auto &other : daemons_) {
             if (!other->isPaused) {
-                entry->state.recordHeard(other->member.name, now());
+                entry->state.recordHeard(other->member.name, now(), entry->state.current()->revision);
             }
         }
     }
--- a/Tests/Support/BatchFleet.cpp
+++ b/Tests/Support/BatchFleet.cpp
@@ -86,7 +86,7 @@
         return "i";
     };
     hooks.loadOf = [](const std::string &) {
-        return UpstreamLoad {};
+        return ObservedLoad {};
     };
     hooks.isRefused = [](const std::string &, const std::string &, const std::string &) {
         return false;
