Test the control part and close the gaps that its review showed

A commit on an invalid stored root could name the wrong revision in force; ages and revisions of peers were taken unbounded; an older build went on with its version after a newer build had committed another format; a start with an invalid stored version found none at all.

A refused root now only sets the lowest next revision. Unknown formats make the daemon stale. A starting daemon asks the members that the stored root names before anything is in force. Commits stop after 5 s.

--- a/Source/Process/Membership.cpp
+++ b/Source/Process/Membership.cpp
@@ -272,10 +272,9 @@
 auto Membership::check() -> void
 {
     checkOwnRecord();
-    const TimePoint now = Clock::now();
-    readVms(now);
-    removeLost(now);
-    overtakeFalseRevision(now);
+    readVms(Clock::now());
+    removeLost(Clock::now());
+    overtakeFalseRevision(Clock::now());
 }
 
 auto Membership::start() -> void
--- a/Source/Process/Membership.h
+++ b/Source/Process/Membership.h
@@ -38,7 +38,8 @@
     /// Errors: FailedPrecondition when the stored version cannot be used by this build; otherwise that of the
     /// last attempt.
     auto join(TimePoint deadline) -> absl::Status;
-    /// Removes the own record and does not join again. Tries again until the deadline.
+    /// Removes the own record and does not join again. Tries again until the deadline. To be called after
+    /// stop(), since the checking thread may be joining again.
     auto leave(TimePoint deadline) -> absl::Status;
 
     /// Starts and stops the thread that joins again after a removal and removes lost members.
--- a/Source/Process/PeerExchange.cpp
+++ b/Source/Process/PeerExchange.cpp
@@ -24,6 +24,8 @@
 /// Withdrawals that await the store; more are not taken from peers.
 constexpr std::size_t MAXIMUM_TOMBSTONES = 1000;
 constexpr std::size_t MAXIMUM_KEY_ID_LENGTH = 64;
+/// Ages above this are taken as this one, so that no arithmetic on them overflows.
+constexpr std::int64_t MAXIMUM_AGE_MS = 3600 * 1000;
 
 auto toMilliseconds(Duration duration) -> Milliseconds
 {
@@ -51,7 +53,7 @@
     }
     for (const std::string &name : heard->getNames()) {
         if (const auto age = Json::requireInteger(*heard, name); age.ok() && *age >= 0) {
-            silence[name] = Milliseconds(*age);
+            silence[name] = Milliseconds(std::min(*age, MAXIMUM_AGE_MS));
         }
     }
     return silence;
@@ -87,8 +89,10 @@
 {
     std::vector<std::string> pending;
     for (const std::string &keyId : state_.tombstones()) {
+        // A key that this version does not know is relayed by the members that know it, and a removed key by
+        // nobody.
         const ApiKey *key = findKeyById(version.configuration, keyId);
-        if (key == nullptr || !key->withdrawn) {
+        if (key != nullptr && !key->withdrawn) {
             pending.push_back(keyId);
         }
     }
@@ -173,7 +177,7 @@
     if (isPlausible(highest)) {
         state_.noteRevision(highest);
     }
-    std::size_t held = state_.tombstones().size();
+    std::size_t held = pendingTombstones(*state_.current()).size();
     for (const std::string &keyId : *tombstones) {
         if (held < MAXIMUM_TOMBSTONES && !keyId.empty() && keyId.size() <= MAXIMUM_KEY_ID_LENGTH) {
             state_.addTombstone(keyId);
@@ -187,8 +191,13 @@
 {
     for (const auto &[name, field] : fields_) {
         const Poco::Dynamic::Var value = message.get(name);
-        if (!value.isEmpty()) {
+        if (value.isEmpty()) {
+            continue;
+        }
+        try {
             field.consumer(value, source);
+        } catch (const std::exception &exception) {
+            Log::warning(Part::Peer, absl::StrCat("Field ", name, " of ", source.member, " was not taken: ", exception.what()));
         }
     }
 }
@@ -211,7 +220,7 @@
     state_.recordHeard(member.name, sentAt);
     const auto peerRevision = static_cast<std::uint64_t>(std::max<std::int64_t>(0, *revision));
     if (*age >= 0) {
-        state_.confirm(isPlausible(peerRevision) ? peerRevision : 0, sentAt - Milliseconds(*age), false);
+        state_.confirm(isPlausible(peerRevision) ? peerRevision : 0, sentAt - Milliseconds(std::min(*age, MAXIMUM_AGE_MS)), false);
     }
     if (peerRevision > state_.current()->revision) {
         watcher_.offer(peerRevision, member.address);
@@ -220,9 +229,7 @@
     {
         const std::lock_guard lock(mutex_);
         reports_[member.name] = { *incarnation, peerRevision, sentAt, readSilence(message), { tombstones.begin(), tombstones.end() } };
-        ++answers_;
     }
-    changed_.notify_all();
     consumeFields(message, { member.name, true, sentAt });
     return absl::OkStatus();
 }
@@ -281,12 +288,15 @@
     const FleetVersionPointer version = state_.current();
     std::vector<std::string> addresses;
     std::map<std::pair<std::string, std::string>, TimePoint> known;
+    for (const Member &member : version->members.members()) {
+        addresses.push_back(member.address);
+    }
+    peers_.retain(addresses);
     const std::lock_guard lock(mutex_);
     for (const Member &member : version->members.members()) {
         const std::pair<std::string, std::string> key { member.name, member.incarnation };
         const auto found = knownSince_.find(key);
         known[key] = found == knownSince_.end() ? now : found->second;
-        addresses.push_back(member.address);
     }
     knownSince_ = std::move(known);
     std::erase_if(reports_, [&version](const auto &entry) {
@@ -374,40 +384,47 @@
     changed_.notify_all();
 }
 
-auto PeerExchange::awaitReports(const std::function<bool(const PeerReport &)> &isConfirmed, TimePoint deadline) -> ConfirmationCount
+auto PeerExchange::countConfirmed(const FleetVersion &version, const ReportTest &isConfirmed) const -> ConfirmationCount
+{
+    ConfirmationCount count { version.members.members().size(), 0 };
+    const std::map<std::string, PeerReport> known = reports();
+    for (const Member &member : version.members.members()) {
+        const auto report = known.find(member.name);
+        const bool isReported = report != known.end() && isConfirmed(version, report->second);
+        count.confirmedBy += member.name == state_.memberName() || isReported ? 1 : 0;
+    }
+    return count;
+}
+
+auto PeerExchange::awaitReports(const ReportTest &isConfirmed, TimePoint deadline) -> ConfirmationCount
 {
     Milliseconds pause = FIRST_AWAIT_PAUSE;
     while (true) {
-        exchangeNow();
         const FleetVersionPointer version = state_.current();
-        std::unique_lock lock(mutex_);
-        ConfirmationCount count { version->members.members().size(), 0 };
-        for (const Member &member : version->members.members()) {
-            const auto report = reports_.find(member.name);
-            const bool isReported
-                = report != reports_.end() && report->second.incarnation == member.incarnation && isConfirmed(report->second);
-            count.confirmedBy += member.name == state_.memberName() || isReported ? 1 : 0;
-        }
-        if (count.confirmedBy == count.members || Clock::now() >= deadline) {
+        const ConfirmationCount count = countConfirmed(*version, isConfirmed);
+        const TimePoint now = Clock::now();
+        if (count.confirmedBy >= count.members || now >= deadline) {
             return count;
         }
-        const std::uint64_t seen = answers_;
-        changed_.wait_until(lock, std::min(deadline, Clock::now() + pause), [this, seen] { return answers_ != seen; });
-        lock.unlock();
-        // An answer may end the wait at once; without this pause its member would be asked again immediately.
-        std::this_thread::sleep_for(std::min<Duration>(pause, std::max<Duration>(Duration(0), deadline - Clock::now())));
+        exchangeNow();
+        std::this_thread::sleep_until(std::min(deadline, now + pause));
         pause = std::min(2 * pause, LONGEST_AWAIT_PAUSE);
     }
 }
 
 auto PeerExchange::awaitRevision(std::uint64_t revision, TimePoint deadline) -> ConfirmationCount
 {
-    return awaitReports([revision](const PeerReport &report) { return report.revision >= revision; }, deadline);
+    return awaitReports([revision](const FleetVersion &, const PeerReport &report) { return report.revision >= revision; }, deadline);
 }
 
 auto PeerExchange::awaitTombstone(const std::string &keyId, TimePoint deadline) -> ConfirmationCount
 {
-    return awaitReports([&keyId](const PeerReport &report) { return report.tombstones.contains(keyId); }, deadline);
+    const auto hasWithdrawn = [&keyId](const FleetVersion &version, const PeerReport &report) {
+        const ApiKey *key = findKeyById(version.configuration, keyId);
+        const bool isInVersion = key == nullptr || key->withdrawn;
+        return report.tombstones.contains(keyId) || (isInVersion && report.revision >= version.revision);
+    };
+    return awaitReports(hasWithdrawn, deadline);
 }
 
 auto PeerExchange::reports() const -> std::map<std::string, PeerReport>
--- a/Source/Process/PeerExchange.h
+++ b/Source/Process/PeerExchange.h
@@ -89,7 +89,8 @@
     ~PeerExchange();
 
     /// Adds a field with a JSON value to each message. An empty value is left out. The consumer is called
-    /// with the value of each message that has the field, from several threads, and must check its type.
+    /// with the value of each message that has the field, from several threads. An exception that it throws
+    /// is logged and has no other effect.
     /// Preconditions: before start(); the name is in use by no other field.
     auto addField(const std::string &name, Producer producer, Consumer consumer) -> void;
     auto setIncarnation(const std::string &incarnation) -> void;
@@ -130,7 +131,10 @@
     auto isPlausible(std::uint64_t revision) const -> bool;
     auto startRound() -> void;
     auto noteMembers(TimePoint now) -> void;
-    auto awaitReports(const std::function<bool(const PeerReport &)> &isConfirmed, TimePoint deadline) -> ConfirmationCount;
+    /// Decides whether a member has a change in force, by its last answer and the version in force here.
+    using ReportTest = std::function<bool(const FleetVersion &, const PeerReport &)>;
+    auto awaitReports(const ReportTest &isConfirmed, TimePoint deadline) -> ConfirmationCount;
+    auto countConfirmed(const FleetVersion &version, const ReportTest &isConfirmed) const -> ConfirmationCount;
     auto roundLoop(const std::stop_token &stop) -> void;
     auto workLoop(const std::stop_token &stop) -> void;
 
@@ -147,7 +151,6 @@
     std::deque<Member> queue_;
     std::set<std::string> busy_;
     bool isRoundWanted_ = false;
-    std::uint64_t answers_ = 0;
     std::map<std::string, PeerReport> reports_;
     /// When a member with this name and incarnation was first seen in the table.
     std::map<std::pair<std::string, std::string>, TimePoint> knownSince_;
--- a/Source/Process/RootCommitter.cpp
+++ b/Source/Process/RootCommitter.cpp
@@ -13,6 +13,8 @@
 
 /// More than the members that may join at the same moment today (8).
 constexpr int ATTEMPTS = 12;
+/// No attempt starts later than this. One attempt takes up to three calls of 2 s.
+constexpr Milliseconds COMMIT_LIMIT { 5000 };
 constexpr Milliseconds FIRST_PAUSE { 20 };
 constexpr Milliseconds LONGEST_PAUSE { 500 };
 /// Remembered commits; a writer that lost an answer finds its commit while fewer others followed. 1.1 KB.
@@ -77,7 +79,7 @@
                              ? loader_.load(*root, {})
                              : absl::StatusOr<FleetVersionPointer>(absl::InvalidArgumentError("refused"));
     if (version.ok()) {
-        return Base { stored, *root, *version, readAt };
+        return Base { stored, *root, *version, root->revision, readAt };
     }
     if (!absl::IsInvalidArgument(version.status())) {
         return absl::UnavailableError(version.status().message());
@@ -85,9 +87,7 @@
     if (current->revision == 0) {
         return absl::FailedPreconditionError("the stored version is invalid and no other one is in force here");
     }
-    FleetRoot base = loader_.currentRoot();
-    base.revision = root.ok() ? std::max(base.revision, root->revision) : base.revision;
-    return Base { stored, base, current, readAt };
+    return Base { stored, loader_.currentRoot(), current, root.ok() ? root->revision : current->revision, readAt };
 }
 
 auto RootCommitter::readBase() -> absl::StatusOr<Base>
@@ -138,7 +138,7 @@
 auto RootCommitter::applyChange(Commit &commit, const Base &base, const FleetChange &change) -> absl::StatusOr<FleetVersionPointer>
 {
     // Above every revision that was ever heard of, so that a false claim of a higher one is overtaken.
-    const std::uint64_t revision = std::max(base.root.revision, state_.highestKnownRevision()) + 1;
+    const std::uint64_t revision = std::max(base.floor, state_.highestKnownRevision()) + 1;
     auto version = changedVersion(*base.version, change, revision);
     if (!version.ok()) {
         return version.status();
@@ -195,27 +195,28 @@
     return applyChange(commit, *base, *change);
 }
 
+auto RootCommitter::isWorthRetrying(const absl::Status &status, const Commit &commit) const -> bool
+{
+    // With calls suspended, waiting is of use only to find out what became of an update that was sent.
+    return isRetryable(status) && (commit.sent || !store_.isSuspended());
+}
+
 auto RootCommitter::commit(const ChangeFunction &change) -> absl::StatusOr<FleetVersionPointer>
 {
     Commit commit { change, nextId(), {} };
-    absl::Status last;
-    for (int number = 0; number < ATTEMPTS; ++number) {
-        if (number > 0) {
-            pauseBeforeRetry(number);
-        }
-        auto version = attempt(commit);
-        if (version.ok()) {
-            return version;
-        }
-        last = version.status();
-        if (!isRetryable(last) || (store_.isSuspended() && !commit.sent)) {
+    const TimePoint deadline = Clock::now() + COMMIT_LIMIT;
+    auto version = attempt(commit);
+    for (int number = 1; number < ATTEMPTS && Clock::now() < deadline; ++number) {
+        if (version.ok() || !isWorthRetrying(version.status(), commit)) {
             break;
         }
+        pauseBeforeRetry(number);
+        version = attempt(commit);
     }
-    if (commit.sent) {
-        return absl::UnknownError(absl::StrCat("the change may have taken effect: ", last.message()));
+    if (!version.ok() && commit.sent) {
+        return absl::UnknownError(absl::StrCat("the change may have taken effect: ", version.status().message()));
     }
-    return last;
+    return version;
 }
 
 auto RootCommitter::createRoot(const MemberTable &members) -> absl::StatusOr<FleetVersionPointer>
--- a/Source/Process/RootCommitter.h
+++ b/Source/Process/RootCommitter.h
@@ -39,7 +39,8 @@
     /// Returns the version that holds the change; it, or a higher one, is in force here by then.
     /// Errors: those of the change function; NotFound when there is no root; InvalidArgument when the changed
     /// version is invalid; Aborted when other changes kept coming first; Unavailable and ResourceExhausted
-    /// when nothing was changed; Unknown when the change may have taken effect.
+    /// when nothing was changed; Unknown when the change may have taken effect. Blocks for at most about 10 s
+    /// while the store does not answer.
     auto commit(const ChangeFunction &change) -> absl::StatusOr<FleetVersionPointer>;
     /// Creates the root with an empty configuration and these members. Errors: AlreadyExists, Unavailable,
     /// ResourceExhausted, Unknown.
@@ -52,6 +53,8 @@
         StoredObject stored;
         FleetRoot root;
         FleetVersionPointer version;
+        /// The next revision must be above this one; higher than the root's when the stored root is invalid.
+        std::uint64_t floor = 0;
         TimePoint readAt;
     };
     /// An update whose effect is not known yet.
@@ -83,6 +86,7 @@
     auto finish(const FleetRoot &root, const FleetVersionPointer &version, TimePoint sentAt) -> FleetVersionPointer;
     auto nextId() -> std::string;
     auto pauseBeforeRetry(int attempt) -> void;
+    auto isWorthRetrying(const absl::Status &status, const Commit &commit) const -> bool;
 
     StoreClient &store_;
     FleetState &state_;
--- a/Source/Process/VersionLoader.cpp
+++ b/Source/Process/VersionLoader.cpp
@@ -90,6 +90,17 @@
     return std::make_shared<const FleetVersion>(*std::move(version));
 }
 
+auto VersionLoader::loadMembers(const FleetRoot &root) -> absl::StatusOr<MemberTable>
+{
+    const auto held = findShard(root.memberShard);
+    const auto content = held ? absl::StatusOr<std::string>(*held) : readShard(root.memberShard, {});
+    if (!content.ok()) {
+        return content.status();
+    }
+    const auto object = Json::parseObject(*content);
+    return object.ok() ? MemberTable::fromJson(**object) : object.status();
+}
+
 auto VersionLoader::install(const FleetRoot &root, const FleetVersionPointer &version, TimePoint confirmedAt) -> bool
 {
     if (!state_.install(version, confirmedAt)) {
--- a/Source/Process/VersionLoader.h
+++ b/Source/Process/VersionLoader.h
@@ -32,6 +32,9 @@
     /// not exist or holds other content, and no peer has it; Unavailable when a shard could not be read.
     auto load(const FleetRoot &root, const std::string &preferredPeer) -> absl::StatusOr<FleetVersionPointer>;
 
+    /// The members of a root alone, also when the rest of the version is invalid. Errors: as load().
+    auto loadMembers(const FleetRoot &root) -> absl::StatusOr<MemberTable>;
+
     /// Puts a loaded version in force with the time of its confirmation. False, and logged, when its revision
     /// is lower than the one in force.
     auto install(const FleetRoot &root, const FleetVersionPointer &version, TimePoint confirmedAt) -> bool;
--- a/Source/Process/VersionWatcher.cpp
+++ b/Source/Process/VersionWatcher.cpp
@@ -48,23 +48,33 @@
     if (!root.ok()) {
         return root.status();
     }
+    // Before anything is in force, since the store may have answered with an outdated or an invalid root.
+    const auto members = loader_.loadMembers(*root);
+    if (members.ok()) {
+        takeFromMembers(*members);
+    }
+    if (state_.current()->revision >= root->revision) {
+        return absl::OkStatus();
+    }
     const auto version = loader_.load(*root, {});
-    if (!version.ok()) {
-        return version.status();
+    if (version.ok()) {
+        loader_.install(*root, *version, sentAt);
+        state_.confirm(root->revision, sentAt, true);
+        return absl::OkStatus();
     }
-    // Before anything is in force, since the store may have answered with an outdated root.
+    // With an older version from a peer in force, the watch deals with the stored one.
+    return state_.current()->revision > 0 ? absl::OkStatus() : version.status();
+}
+
+auto VersionWatcher::takeFromMembers(const MemberTable &members) -> void
+{
     std::size_t asked = 0;
-    for (const Member &member : (*version)->members.members()) {
+    for (const Member &member : members.members()) {
         if (member.name != state_.memberName() && asked < PEERS_AT_START) {
             ++asked;
             static_cast<void>(takeFrom(member.address));
         }
     }
-    if (state_.current()->revision < root->revision) {
-        loader_.install(*root, *version, sentAt);
-        state_.confirm(root->revision, sentAt, true);
-    }
-    return absl::OkStatus();
 }
 
 auto VersionWatcher::refuse(const FleetRoot &root, const StoredObject &stored, TimePoint sentAt, const absl::Status &reason) -> void
@@ -79,7 +89,6 @@
     loader_.markRefused(root);
     storedVersion_ = stored.version;
     storedRevision_ = 0;
-    incompleteLoads_ = 0;
     confirmUnchanged(sentAt);
 }
 
@@ -96,11 +105,23 @@
     }
 }
 
+auto VersionWatcher::isLostFor(const StoredObject &stored, const absl::Status &loaded) -> bool
+{
+    if (!absl::IsDataLoss(loaded)) {
+        return false;
+    }
+    incompleteLoads_ = incompleteVersion_ == stored.version ? incompleteLoads_ + 1 : 1;
+    incompleteVersion_ = stored.version;
+    return incompleteLoads_ >= LOADS_BEFORE_REFUSAL;
+}
+
 auto VersionWatcher::acceptStored(const StoredObject &stored, TimePoint sentAt) -> bool
 {
     const auto root = FleetRoot::fromText(stored.spec);
     if (absl::IsUnimplemented(root.status())) {
+        // A newer build has committed a version, so that a higher revision exists which this build cannot have.
         Log::error(Part::Version, std::string(root.status().message()));
+        state_.noteRevision(state_.current()->revision + 1);
         return false;
     }
     if (!root.ok()) {
@@ -115,11 +136,7 @@
     }
     const bool isInForce = root->revision == current && loader_.currentRoot() == *root;
     const absl::Status adopted = isInForce ? absl::OkStatus() : loader_.adopt(*root, sentAt, {});
-    if (absl::IsInvalidArgument(adopted)) {
-        refuse(*root, stored, sentAt, adopted);
-        return true;
-    }
-    if (absl::IsDataLoss(adopted) && ++incompleteLoads_ >= LOADS_BEFORE_REFUSAL) {
+    if (absl::IsInvalidArgument(adopted) || isLostFor(stored, adopted)) {
         refuse(*root, stored, sentAt, adopted);
         return true;
     }
@@ -130,7 +147,6 @@
     }
     storedVersion_ = stored.version;
     storedRevision_ = root->revision;
-    incompleteLoads_ = 0;
     return true;
 }
 
@@ -179,6 +195,9 @@
 
 auto VersionWatcher::offer(std::uint64_t revision, const std::string &peerAddress) -> void
 {
+    if (revision <= state_.current()->revision) {
+        return;
+    }
     {
         const std::lock_guard lock(mutex_);
         if (offer_ && offer_->revision > revision) {
@@ -210,12 +229,10 @@
             if (!offered_.wait(lock, stop, [this] { return offer_.has_value(); })) {
                 return;
             }
-            address = offer_->revision > state_.current()->revision ? offer_->address : std::string();
+            address = offer_->address;
             offer_.reset();
         }
-        if (!address.empty()) {
-            static_cast<void>(takeFrom(address));
-        }
+        static_cast<void>(takeFrom(address));
     }
 }
 
--- a/Source/Process/VersionWatcher.h
+++ b/Source/Process/VersionWatcher.h
@@ -50,6 +50,8 @@
         std::string address;
     };
 
+    auto takeFromMembers(const MemberTable &members) -> void;
+    auto isLostFor(const StoredObject &stored, const absl::Status &loaded) -> bool;
     auto acceptStored(const StoredObject &stored, TimePoint sentAt) -> bool;
     auto refuse(const FleetRoot &root, const StoredObject &stored, TimePoint sentAt, const absl::Status &reason) -> void;
     auto confirmUnchanged(TimePoint sentAt) -> void;
@@ -66,6 +68,8 @@
     /// Stored version of the last root that was dealt with, and its revision; 0 when it was refused.
     std::uint64_t storedVersion_ = 0;
     std::uint64_t storedRevision_ = 0;
+    /// Loads of one stored root that failed for lack of a shard.
+    std::uint64_t incompleteVersion_ = 0;
     int incompleteLoads_ = 0;
 
     std::mutex mutex_;
--- /dev/null
+++ b/Tests/Process/RemovalRuleTest.cpp
@@ -0,0 +1,111 @@
+#include "Process/RemovalRule.h"
+
+#include <boost/test/unit_test.hpp>
+
+namespace poplardock {
+
+namespace {
+
+constexpr Milliseconds LONG = REMOVAL_WAIT + REMOVAL_TURN;
+
+auto table() -> MemberTable
+{
+    std::vector<Member> members;
+    for (const char *name : { "a", "b", "c" }) {
+        members.push_back({ name, "127.0.0.1:1", "dc1", "r1", 1, std::string("i-") + name, std::string("vm-") + name });
+    }
+    return *MemberTable::create(std::move(members));
+}
+
+/// What member a knows when nobody has heard c for long.
+auto lostC() -> RemovalInput
+{
+    RemovalInput input;
+    input.self = "a";
+    input.hasStoreContact = true;
+    input.hasHeardMajority = true;
+    input.ownSilence = { { "b", Milliseconds(500) }, { "c", LONG } };
+    input.reportedSilence = { { "b", { { "a", Milliseconds(500) }, { "c", LONG } } } };
+    return input;
+}
+
+auto removedNames(const RemovalInput &input) -> std::vector<std::string>
+{
+    std::vector<std::string> names;
+    for (const Member &member : membersToRemove(table(), input)) {
+        names.push_back(member.name);
+    }
+    return names;
+}
+
+const std::vector<std::string> NOBODY;
+const std::vector<std::string> ONLY_C = { "c" };
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(RemovalRuleSuite)
+
+// Guards against lost members that stay homes for ever.
+BOOST_AUTO_TEST_CASE(MemberThatNobodyHearsIsRemoved)
+{
+    BOOST_TEST(removedNames(lostC()) == ONLY_C);
+}
+
+// Guards against the removal of a member that only this daemon, or only a minority, cannot reach.
+BOOST_AUTO_TEST_CASE(MemberThatSomebodyHearsStays)
+{
+    RemovalInput input = lostC();
+    input.reportedSilence["b"]["c"] = REMOVAL_WAIT - Milliseconds(1);
+    BOOST_TEST(removedNames(input) == NOBODY);
+    input.reportedSilence["b"].erase("c");
+    BOOST_TEST(removedNames(input) == NOBODY);
+    input = lostC();
+    input.ownSilence["c"] = REMOVAL_WAIT - Milliseconds(1);
+    BOOST_TEST(removedNames(input) == NOBODY);
+    input = lostC();
+    input.reportedSilence["c"] = {};
+    BOOST_TEST(removedNames(input) == NOBODY);
+}
+
+// Guards against removals by a daemon that is itself cut off.
+BOOST_AUTO_TEST_CASE(CutOffDaemonRemovesNobody)
+{
+    RemovalInput input = lostC();
+    input.hasHeardMajority = false;
+    BOOST_TEST(removedNames(input) == NOBODY);
+    input = lostC();
+    input.hasStoreContact = false;
+    input.vmAbsence = { { "vm-c", LONG } };
+    BOOST_TEST(removedNames(input) == NOBODY);
+}
+
+// Guards against replaced VMs that stay, and against a daemon that removes itself.
+BOOST_AUTO_TEST_CASE(MemberWithoutVmIsRemoved)
+{
+    RemovalInput input = lostC();
+    input.ownSilence = {};
+    input.reportedSilence = {};
+    input.hasHeardMajority = false;
+    input.vmAbsence = { { "vm-a", LONG }, { "vm-c", LONG } };
+    BOOST_TEST(removedNames(input) == ONLY_C);
+    input.vmAbsence["vm-c"] = REMOVAL_WAIT - Milliseconds(1);
+    BOOST_TEST(removedNames(input) == NOBODY);
+}
+
+// Guards against one removal that all members write at the same moment.
+BOOST_AUTO_TEST_CASE(OneMemberGoesFirst)
+{
+    std::size_t removals = 0;
+    for (const char *self : { "a", "b" }) {
+        RemovalInput input = lostC();
+        input.self = self;
+        input.ownSilence = { { "c", REMOVAL_WAIT } };
+        input.reportedSilence = { { self == std::string("a") ? "b" : "a", { { "c", REMOVAL_WAIT } } } };
+        removals += membersToRemove(table(), input).size();
+    }
+    BOOST_TEST(removals == 1U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace poplardock
