--- a/Source/Process/AllowanceClient.cpp
+++ b/Source/Process/AllowanceClient.cpp
@@ -9,19 +9,12 @@
 
 namespace {
 
-/// Unused tokens are returned this long before they lapse: one period of maintain() and a slow message.
-constexpr Milliseconds RETURN_LEAD { 250 };
 /// After a home could not be reached, requests of its teams are refused at once for this long, so that they
 /// do not all wait for a time-out.
 constexpr Milliseconds UNAVAILABLE_BACKOFF { 200 };
 /// Borrows that one request waits for. More than one happens when other requests took the tokens first.
 constexpr int MAXIMUM_ROUNDS = 8;
 
-auto retrySeconds(Milliseconds wait) -> int
-{
-    return std::max<int>(1, static_cast<int>(std::chrono::ceil<std::chrono::seconds>(wait).count()));
-}
-
 auto unavailable(std::string reason) -> AllowanceDecision
 {
     return AllowanceUnavailable { std::move(reason) };
@@ -56,7 +49,7 @@
     }
     {
         const std::lock_guard lock(mutex_);
-        teams_[team].demand.record(now);
+        teams_[team].tokens.recordDemand(now);
     }
     for (int round = 0; round < MAXIMUM_ROUNDS; ++round) {
         const Location location = locate(team);
@@ -86,16 +79,15 @@
     std::unique_lock lock(mutex_);
     TeamState &entry = teams_[location.team->name];
     const TimePoint now = options_.clock();
-    if (entry.loan && entry.loan->remaining > 0 && now < entry.loan->deadline) {
-        --entry.loan->remaining;
+    if (entry.tokens.take(now)) {
         lock.unlock();
         if (options_.recorder) {
             options_.recorder(location.team->name, now);
         }
         return Admitted {};
     }
-    if (entry.refusal && now < entry.refusal->until) {
-        return entry.refusal->decision;
+    if (auto refusal = entry.tokens.refusal(now)) {
+        return refusal;
     }
     if (entry.isBorrowing) {
         ++entry.waiting;
@@ -103,13 +95,12 @@
         --entry.waiting;
         return std::nullopt;
     }
-    const AllowanceChoice choice = choose(location, entry, now);
+    const AllowanceChoice choice = chooseAllowance(demandOf(location, entry, now));
     const auto *loan = std::get_if<TakeLoan>(&choice);
     if (loan == nullptr) {
         return RelayToHome { *location.home };
     }
     entry.isBorrowing = true;
-    entry.refusal.reset();
     lock.unlock();
     borrow(location, loan->tokens);
     lock.lock();
@@ -118,10 +109,11 @@
     return std::nullopt;
 }
 
-auto AllowanceClient::choose(const Location &location, const TeamState &entry, TimePoint now) const -> AllowanceChoice
+auto AllowanceClient::demandOf(const Location &location, const TeamState &entry, TimePoint now) -> AllowanceDemand
 {
-    return chooseAllowance(
-        { entry.demand.perSecond(now), location.team->ratePerSecond, location.team->burst, location.version->members.members().size() });
+    return {
+        entry.tokens.demandPerSecond(now), location.team->ratePerSecond, location.team->burst, location.version->members.members().size()
+    };
 }
 
 auto AllowanceClient::borrow(const Location &location, std::int64_t want) -> void
@@ -144,7 +136,7 @@
         reason = notActing->reason;
     }
     const std::lock_guard lock(mutex_);
-    teams_[location.team->name].refusal = Refusal { unavailable(std::move(reason)), options_.clock() + UNAVAILABLE_BACKOFF };
+    teams_[location.team->name].tokens.refuse(unavailable(std::move(reason)), options_.clock() + UNAVAILABLE_BACKOFF);
 }
 
 auto AllowanceClient::borrowOnce(const Location &location, std::int64_t want) -> BorrowResult
@@ -154,13 +146,12 @@
     {
         const std::lock_guard lock(mutex_);
         TeamState &entry = teams_[location.team->name];
-        request = prepare(location, entry, std::max(want, entry.waiting + 1));
+        // Requests that wait for this borrow need a token each.
+        request = prepare(location, entry, want == 0 ? 0 : std::max(want, entry.waiting + 1));
         sentAt = options_.clock();
     }
     BorrowResult result = send(location.home->address, request);
-    if (const auto *answer = std::get_if<LoanAnswer>(&result)) {
-        applyAnswer(request, *answer, sentAt);
-    }
+    apply(request, result, sentAt);
     if (const auto *notHome = std::get_if<NotHomeAnswer>(&result)) {
         state_.noteRevision(notHome->revision);
     }
@@ -174,37 +165,24 @@
     request.revision = location.version->revision;
     request.want = want;
     request.id = { location.self.name, location.self.incarnation, nextNumber_++ };
-    if (entry.loan) {
-        // Tokens that are being returned must not be spent, even when the message is lost.
-        entry.loan->returned += entry.loan->remaining;
-        entry.loan->remaining = 0;
-        request.settles = entry.loan->number;
-        request.returned = entry.loan->returned;
-        request.spent = entry.loan->granted - entry.loan->returned;
-    }
+    entry.tokens.settleWith(request);
     return request;
 }
 
-auto AllowanceClient::applyAnswer(const LoanRequest &request, const LoanAnswer &answer, TimePoint sentAt) -> void
+auto AllowanceClient::apply(const LoanRequest &request, const BorrowResult &result, TimePoint sentAt) -> void
 {
-    const std::lock_guard lock(mutex_);
-    TeamState &entry = teams_[request.team];
-    if (entry.loan && entry.loan->number == request.settles) {
-        entry.loan.reset();
-    }
-    const std::int64_t granted = std::min(answer.granted, request.want);
-    if (granted > 0) {
-        entry.loan = OpenLoan { request.id.number, granted, 0, granted, sentAt + LOAN_TERM };
-    }
-    if (answer.granted < request.want && answer.retryAfter > Milliseconds(0)) {
-        entry.refusal = Refusal { OverAllowance { retrySeconds(answer.retryAfter) }, options_.clock() + answer.retryAfter };
+    const auto *answer = std::get_if<LoanAnswer>(&result);
+    if (answer == nullptr) {
+        return;
     }
+    const std::lock_guard lock(mutex_);
+    teams_[request.team].tokens.apply(request, *answer, sentAt, options_.clock());
 }
 
 auto AllowanceClient::send(const std::string &address, const LoanRequest &request) -> BorrowResult
 {
     const CallResult result
-        = peers_.clientFor(address)->call({ "POST", "/peers/loans", Json::toText(*toJson(request)), {}, options_.timeout });
+        = peers_.clientFor(address)->call({ "POST", "/peers/loans", Json::toText(*poplardock::toJson(request)), {}, options_.timeout });
     if (const auto *failure = std::get_if<CallFailure>(&result)) {
         return *failure;
     }
@@ -224,19 +202,13 @@
     return HomeNotActing { absl::StrCat("the home of the team answered with status ", answer.status), UNAVAILABLE_BACKOFF };
 }
 
-auto AllowanceClient::pendingReturns() -> std::vector<std::string>
+auto AllowanceClient::dueRenewals() -> std::vector<std::string>
 {
     const std::lock_guard lock(mutex_);
     const TimePoint now = options_.clock();
     std::vector<std::string> teams;
     for (auto &[team, entry] : teams_) {
-        if (!entry.loan || entry.isBorrowing) {
-            continue;
-        }
-        if (now >= entry.loan->deadline + LOAN_DRIFT_MARGIN) {
-            // Lapsed at the home as well: nothing is left to report.
-            entry.loan.reset();
-        } else if (entry.loan->remaining > 0 && now >= entry.loan->deadline - RETURN_LEAD) {
+        if (entry.tokens.isReturnDue(now)) {
             teams.push_back(team);
         }
     }
@@ -246,31 +218,47 @@
 auto AllowanceClient::maintain() -> void
 {
     std::set<std::string> unreachable;
-    for (const std::string &team : pendingReturns()) {
+    for (const std::string &team : dueRenewals()) {
         const Location location = locate(team);
-        if (location.team == nullptr || location.home == nullptr || location.isHere || unreachable.contains(location.home->address)) {
-            continue;
-        }
-        const BorrowResult result = returnTokens(location);
-        if (std::holds_alternative<CallFailure>(result)) {
+        const bool canAsk = location.team != nullptr && location.home != nullptr && !location.isHere;
+        if (canAsk && !unreachable.contains(location.home->address) && !renew(location)) {
             unreachable.insert(location.home->address);
         }
     }
 }
 
-auto AllowanceClient::returnTokens(const Location &location) -> BorrowResult
+auto AllowanceClient::renew(const Location &location) -> bool
 {
-    LoanRequest request;
+    std::int64_t want = 0;
     {
         const std::lock_guard lock(mutex_);
         TeamState &entry = teams_[location.team->name];
-        request = prepare(location, entry, 0);
+        if (entry.isBorrowing) {
+            return true;
+        }
+        entry.isBorrowing = true;
+        want = chooseRenewal(demandOf(location, entry, options_.clock()));
     }
-    BorrowResult result = send(location.home->address, request);
-    if (const auto *answer = std::get_if<LoanAnswer>(&result)) {
-        applyAnswer(request, *answer, {});
+    const BorrowResult result = borrowOnce(location, want);
+    const std::lock_guard lock(mutex_);
+    teams_[location.team->name].isBorrowing = false;
+    borrowEnded_.notify_all();
+    return !std::holds_alternative<CallFailure>(result);
+}
+
+auto AllowanceClient::toJson() -> JsonObject::Ptr
+{
+    const std::lock_guard lock(mutex_);
+    const TimePoint now = options_.clock();
+    JsonObject::Ptr object = new JsonObject;
+    for (const auto &[team, entry] : teams_) {
+        JsonObject::Ptr item = new JsonObject;
+        item->set("demand_per_second", entry.tokens.demandPerSecond(now));
+        item->set("tokens", entry.tokens.remaining(now));
+        item->set("waiting", entry.waiting);
+        object->set(team, item);
     }
-    return result;
+    return object;
 }
 
 } // namespace poplardock
--- a/Source/Process/AllowanceClient.h
+++ b/Source/Process/AllowanceClient.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "Process/AllowanceHome.h"
+#include "Process/BorrowedTokens.h"
 #include "Request/AllowanceDecision.h"
 #include "Request/AllowancePolicy.h"
 
@@ -36,35 +37,20 @@
     /// Spends a token for one request. Blocks for at most two calls to the home and the borrows that are already
     /// in flight. "now" is the arrival; the instant of spending is read from the clock.
     auto acquire(const std::string &team, TimePoint now) -> AllowanceDecision;
-    /// Returns the unused tokens of loans that are about to lapse. To be called every 100 ms or so from one thread.
+    /// Returns the unused tokens of loans that are about to lapse, and takes a new loan with the same message
+    /// while demand goes on. To be called every 100 ms or so from one thread.
     auto maintain() -> void;
+    /// Demand, borrowed tokens and waiting requests of each team that has sent requests here, for the state dump.
+    [[nodiscard]] auto toJson() -> JsonObject::Ptr;
 
 private:
-    struct OpenLoan
-    {
-        std::int64_t number = 0;
-        std::int64_t granted = 0;
-        std::int64_t returned = 0;
-        std::int64_t remaining = 0;
-        TimePoint deadline;
-    };
-
-    /// The last result without a token, for all requests until the given time.
-    struct Refusal
-    {
-        AllowanceDecision decision;
-        TimePoint until;
-    };
-
     struct TeamState
     {
-        DemandEstimate demand;
-        /// The last loan until the home has settled it; its tokens may be spent before its deadline.
-        std::optional<OpenLoan> loan;
+        BorrowedTokens tokens;
+        /// A borrow or a return is in flight.
         bool isBorrowing = false;
         /// Requests that wait for the borrow in flight.
         std::int64_t waiting = 0;
-        std::optional<Refusal> refusal;
     };
 
     /// Where a team's home is by the version in force; pointers live as long as the version.
@@ -85,10 +71,10 @@
     auto borrowOnce(const Location &location, std::int64_t want) -> BorrowResult;
     auto send(const std::string &address, const LoanRequest &request) -> BorrowResult;
     auto prepare(const Location &location, TeamState &entry, std::int64_t want) -> LoanRequest;
-    auto applyAnswer(const LoanRequest &request, const LoanAnswer &answer, TimePoint sentAt) -> void;
-    auto choose(const Location &location, const TeamState &entry, TimePoint now) const -> AllowanceChoice;
-    auto pendingReturns() -> std::vector<std::string>;
-    auto returnTokens(const Location &location) -> BorrowResult;
+    auto apply(const LoanRequest &request, const BorrowResult &result, TimePoint sentAt) -> void;
+    static auto demandOf(const Location &location, const TeamState &entry, TimePoint now) -> AllowanceDemand;
+    auto dueRenewals() -> std::vector<std::string>;
+    auto renew(const Location &location) -> bool;
 
     FleetState &state_;
     AllowanceHome &home_;
--- a/Source/Process/AllowanceHome.cpp
+++ b/Source/Process/AllowanceHome.cpp
@@ -16,12 +16,8 @@
 /// Versions that were skipped within this time after a confirmation cannot have let another home act: it
 /// would have begun TAKEOVER_WAIT after the first of them and ended FRESHNESS_BOUND after the last.
 constexpr Milliseconds SKIPPED_VERSIONS_BOUND = TAKEOVER_WAIT - FRESHNESS_BOUND;
-constexpr Milliseconds HANDOVER_TIMEOUT { 500 };
 /// Hint for a request that meets a home before its wait has ended.
 constexpr Milliseconds NOT_ACTING_RETRY { 200 };
-/// Bounds of the time after which a refused borrower may ask again.
-constexpr Milliseconds MINIMUM_RETRY { 50 };
-constexpr Milliseconds MAXIMUM_RETRY { 1000 };
 
 auto regionsOf(const MemberTable &members) -> std::set<std::string>
 {
@@ -91,13 +87,9 @@
 auto AllowanceHome::spend(const std::string &team) -> HomeAnswer
 {
     TimePoint spentAt;
-    HomeAnswer answer = perform(team, [&spentAt](Acting &acting, TimePoint now) -> LoanAnswer {
-        if (acting.bucket.spend(now)) {
-            spentAt = now;
-            return { 1, Milliseconds(0) };
-        }
-        const auto wait = std::chrono::ceil<Milliseconds>(acting.bucket.nextTokenAt(now) - now);
-        return { 0, std::max(wait, Milliseconds(1)) };
+    HomeAnswer answer = perform(team, [&spentAt](AllowanceAccount &account, TimePoint now) {
+        spentAt = now;
+        return account.spend(now);
     });
     const auto *granted = std::get_if<LoanAnswer>(&answer);
     if (granted != nullptr && granted->granted == 1 && options_.recorder) {
@@ -111,27 +103,7 @@
     if (request.revision > state_.current()->revision) {
         state_.noteRevision(request.revision);
     }
-    return perform(request.team, [&request](Acting &acting, TimePoint now) -> LoanAnswer {
-        if (request.settles != 0) {
-            const LoanId earlier { request.id.borrower, request.id.incarnation, request.settles };
-            acting.bucket.settle(earlier, request.spent, request.returned, now);
-        }
-        std::int64_t &lastNumber = acting.lastNumbers[{ request.id.borrower, request.id.incarnation }];
-        if (request.want <= 0 || request.id.number <= lastNumber) {
-            return {};
-        }
-        lastNumber = request.id.number;
-        const std::int64_t granted = acting.bucket.grant(request.id, request.want, now);
-        if (granted == request.want) {
-            return { granted, Milliseconds(0) };
-        }
-        // Refused borrowers are sent back one token apart, so that they do not all come for the same token.
-        const std::int64_t rate = std::max<std::int64_t>(acting.bucket.limit().rate, 1);
-        const auto tokenInterval = std::chrono::microseconds(std::min<std::int64_t>(TOKEN_UNITS / rate, 1'000'000));
-        const TimePoint earliest = std::max(acting.bucket.nextTokenAt(now), acting.lastRetryAt + tokenInterval);
-        acting.lastRetryAt = std::clamp<TimePoint>(earliest, now + MINIMUM_RETRY, now + MAXIMUM_RETRY);
-        return { granted, std::chrono::ceil<Milliseconds>(acting.lastRetryAt - now) };
-    });
+    return perform(request.team, [&request](AllowanceAccount &account, TimePoint now) { return account.lend(request, now); });
 }
 
 auto AllowanceHome::perform(const std::string &team, const Action &action) -> HomeAnswer
@@ -162,12 +134,12 @@
         return HomeNotActing { "the team is unknown", NOT_ACTING_RETRY };
     }
     startIfDue(team, found->second, now);
-    auto *acting = std::get_if<Acting>(&found->second);
-    if (acting == nullptr) {
+    auto *account = std::get_if<AllowanceAccount>(&found->second);
+    if (account == nullptr) {
         return HomeNotActing { "the home of the team waits until its predecessor has ceased to act", NOT_ACTING_RETRY };
     }
-    acting->bucket.setLimit(limitOf(team, now), now);
-    return action(*acting, now);
+    account->bucket().setLimit(limitOf(team, now), now);
+    return action(*account, now);
 }
 
 auto AllowanceHome::observe(const Snapshot &snapshot) -> void
@@ -211,6 +183,18 @@
         moveEntries(members, snapshot.takenAt);
     }
     addEntries(*version_, previous.get());
+    applyLimits(snapshot.takenAt);
+}
+
+auto AllowanceHome::applyLimits(TimePoint now) -> void
+{
+    for (auto &[team, entry] : entries_) {
+        auto *account = std::get_if<AllowanceAccount>(&entry);
+        // A team that is not configured keeps its bucket until it is full, in case it is added again.
+        if (account != nullptr && version_->configuration.findTeam(team) != nullptr) {
+            account->bucket().setLimit(limitOf(team, now), now);
+        }
+    }
 }
 
 auto AllowanceHome::moveEntries(const MemberTable &members, TimePoint now) -> void
@@ -218,19 +202,19 @@
     for (auto entry = entries_.begin(); entry != entries_.end();) {
         const Member *home = members.homeOf(entry->first, self_.region);
         const auto *departed = std::get_if<Departed>(&entry->second);
-        auto *acting = std::get_if<Acting>(&entry->second);
+        auto *account = std::get_if<AllowanceAccount>(&entry->second);
         const bool isKept = departed != nullptr ? home != nullptr && isSameProcess(departed->successor, *home) : isSelf(home);
         if (isKept) {
             ++entry;
             continue;
         }
-        if (acting == nullptr || home == nullptr) {
+        if (account == nullptr || home == nullptr) {
             // After a second change of home the bucket may be outdated: the first successor may have acted.
             entry = entries_.erase(entry);
             continue;
         }
-        acting->bucket.advance(now);
-        entry->second = Entry(Departed { std::move(acting->bucket), *home, now + TAKEOVER_WAIT });
+        account->bucket().advance(now);
+        entry->second = Entry(Departed { std::move(account->bucket()), *home, now + TAKEOVER_WAIT });
         ++entry;
     }
 }
@@ -275,7 +259,7 @@
         return;
     }
     AllowanceBucket bucket(limitOf(team, now), 0, *waiting->startsAt);
-    entry = Acting { std::move(bucket), {}, {} };
+    entry = AllowanceAccount(std::move(bucket));
 }
 
 auto AllowanceHome::limitOf(const std::string &team, TimePoint now) const -> AllowanceLimit
@@ -337,30 +321,32 @@
     if (end && now >= *end) {
         earlierRegions_.clear();
     }
-    std::set<std::pair<std::string, std::string>> members;
+    applyLimits(now);
+    std::set<ProcessName> members;
     for (const Member &member : version_->members.members()) {
         members.emplace(member.name, member.incarnation);
     }
     for (auto entry = entries_.begin(); entry != entries_.end();) {
         startIfDue(entry->first, entry->second, now);
         const auto *departed = std::get_if<Departed>(&entry->second);
-        auto *acting = std::get_if<Acting>(&entry->second);
-        if (acting != nullptr) {
-            std::erase_if(acting->lastNumbers, [&members](const auto &item) { return !members.contains(item.first); });
+        auto *account = std::get_if<AllowanceAccount>(&entry->second);
+        if (account != nullptr) {
+            account->retainBorrowers(members);
         }
-        const bool isOver = (departed != nullptr && now >= departed->dropAt) || (acting != nullptr && isUnused(entry->first, *acting, now));
+        const bool isOver
+            = (departed != nullptr && now >= departed->dropAt) || (account != nullptr && isUnused(entry->first, *account, now));
         entry = isOver ? entries_.erase(entry) : std::next(entry);
     }
 }
 
-auto AllowanceHome::isUnused(const std::string &team, Acting &acting, TimePoint now) const -> bool
+auto AllowanceHome::isUnused(const std::string &team, AllowanceAccount &account, TimePoint now) const -> bool
 {
     if (version_->configuration.findTeam(team) != nullptr) {
         return false;
     }
     // A full bucket is what the team would start with if it were added again.
-    acting.bucket.advance(now);
-    return acting.bucket.level() == acting.bucket.limit().burst;
+    account.bucket().advance(now);
+    return account.bucket().level() == account.bucket().limit().burst;
 }
 
 auto AllowanceHome::pendingHandovers() const -> std::vector<PendingHandover>
@@ -378,8 +364,9 @@
 auto AllowanceHome::askForBucket(const PendingHandover &pending) -> bool
 {
     const HandoverRequest request { pending.team, pending.revision, pending.successor.name, pending.successor.incarnation };
-    const CallResult result = peers_.clientFor(pending.earlierHome.address)
-                                  ->call({ "POST", "/peers/handover", Json::toText(*poplardock::toJson(request)), {}, HANDOVER_TIMEOUT });
+    const CallResult result
+        = peers_.clientFor(pending.earlierHome.address)
+              ->call({ "POST", "/peers/handover", Json::toText(*poplardock::toJson(request)), {}, options_.handoverTimeout });
     const auto *http = std::get_if<HttpAnswer>(&result);
     if (http == nullptr || http->status != 200) {
         return false;
@@ -412,7 +399,7 @@
     for (const Loan &loan : answer.loans) {
         bucket.restore(loan);
     }
-    found->second = Acting { std::move(bucket), {}, {} };
+    found->second = AllowanceAccount(std::move(bucket));
 }
 
 auto AllowanceHome::toJson() const -> JsonObject::Ptr
@@ -421,11 +408,11 @@
     JsonObject::Ptr object = new JsonObject;
     for (const auto &[team, entry] : entries_) {
         JsonObject::Ptr item = new JsonObject;
-        const auto *acting = std::get_if<Acting>(&entry);
-        item->set("state", acting != nullptr ? "acting" : std::holds_alternative<Waiting>(entry) ? "waiting" : "departed");
-        if (acting != nullptr) {
-            item->set("level", static_cast<double>(acting->bucket.level()) / TOKEN_UNITS);
-            item->set("outstanding", static_cast<double>(acting->bucket.outstanding()) / TOKEN_UNITS);
+        const auto *account = std::get_if<AllowanceAccount>(&entry);
+        item->set("state", account != nullptr ? "acting" : std::holds_alternative<Waiting>(entry) ? "waiting" : "departed");
+        if (account != nullptr) {
+            item->set("level", static_cast<double>(account->bucket().level()) / TOKEN_UNITS);
+            item->set("outstanding", static_cast<double>(account->bucket().outstanding()) / TOKEN_UNITS);
         }
         object->set(team, item);
     }
--- a/Source/Process/AllowanceHome.h
+++ b/Source/Process/AllowanceHome.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "Process/AllowanceBucket.h"
+#include "Process/AllowanceAccount.h"
 #include "Process/AllowanceMessages.h"
 #include "Process/FleetState.h"
 #include "Process/PeerClients.h"
@@ -59,6 +59,8 @@
         TimeSource clock = Clock::now;
         /// May be empty.
         AdmissionRecorder recorder;
+        /// Limit for the connect and for each wait for an answer of an earlier home.
+        Milliseconds handoverTimeout { 500 };
     };
 
     /// Preconditions: "self" is this daemon's member record; either every member names a region or none does;
@@ -71,14 +73,14 @@
 
     /// Spends one token for a request that arrived here. LoanAnswer::granted is 1 or 0.
     auto spend(const std::string &team) -> HomeAnswer;
-    /// Ends the borrower's earlier loan and makes the new one. A request whose number is not above the
-    /// borrower's last is late or repeated and gets no loan.
+    /// See AllowanceAccount::lend().
     auto lend(const LoanRequest &request) -> HomeAnswer;
     /// Stops acting for the team by the revision of the request, and gives the bucket to the successor.
     /// Repeatable by the same successor.
     auto handOver(const HandoverRequest &request) -> HandoverAnswer;
     /// Takes note of a new version, asks earlier homes for their buckets, starts and drops buckets. To be called
-    /// every 100 ms or so from one thread; waits 0.5 s for each earlier home that does not answer.
+    /// every 100 ms or so from one thread; waits Options::handoverTimeout for each earlier
+    /// home that does not answer.
     auto maintain() -> void;
 
     /// Teams for which this daemon acts now or waits to act, with level and loans, for the state dump.
@@ -108,16 +110,7 @@
         std::uint64_t serial = 0;
     };
 
-    struct Acting
-    {
-        AllowanceBucket bucket;
-        /// Last request number of each borrower, by name and incarnation.
-        std::map<std::pair<std::string, std::string>, std::int64_t> lastNumbers;
-        /// The latest time that a refused request was told to come back at.
-        TimePoint lastRetryAt;
-    };
-
-    /// No longer the home; kept for the successor.
+    /// No longer the home; kept for the successor. (An AllowanceAccount as entry means that this daemon acts.)
     struct Departed
     {
         AllowanceBucket bucket;
@@ -125,8 +118,8 @@
         TimePoint dropAt;
     };
 
-    using Entry = std::variant<Waiting, Acting, Departed>;
-    using Action = std::function<LoanAnswer(Acting &, TimePoint)>;
+    using Entry = std::variant<Waiting, AllowanceAccount, Departed>;
+    using Action = std::function<LoanAnswer(AllowanceAccount &, TimePoint)>;
 
     struct PendingHandover
     {
@@ -143,6 +136,7 @@
     auto performLocked(const std::string &team, const Snapshot &snapshot, TimePoint now, const Action &action) -> HomeAnswer;
     auto observe(const Snapshot &snapshot) -> void;
     auto install(const Snapshot &snapshot) -> void;
+    auto applyLimits(TimePoint now) -> void;
     auto moveEntries(const MemberTable &members, TimePoint now) -> void;
     auto addEntries(const FleetVersion &version, const FleetVersion *previous) -> void;
     auto earlierHomeOf(const std::string &team, const MemberTable &members, const FleetVersion *previous) const -> std::optional<Member>;
@@ -150,7 +144,7 @@
     auto waitEndsAt() const -> std::optional<TimePoint>;
     auto limitOf(const std::string &team, TimePoint now) const -> AllowanceLimit;
     auto dropEntries(TimePoint now) -> void;
-    auto isUnused(const std::string &team, Acting &acting, TimePoint now) const -> bool;
+    auto isUnused(const std::string &team, AllowanceAccount &account, TimePoint now) const -> bool;
     auto pendingHandovers() const -> std::vector<PendingHandover>;
     auto askForBucket(const PendingHandover &pending) -> bool;
     auto acceptHandover(const PendingHandover &pending, const HandoverAnswer &answer) -> void;
--- /dev/null
+++ b/Source/Process/BorrowedTokens.cpp
@@ -0,0 +1,88 @@
+#include "Process/BorrowedTokens.h"
+
+#include <algorithm>
+
+namespace poplardock {
+
+namespace {
+
+/// Unused tokens are returned this long before they lapse: one period of AllowanceClient::maintain() and a
+/// slow message.
+constexpr Milliseconds RETURN_LEAD { 250 };
+
+} // namespace
+
+auto retrySeconds(Milliseconds wait) -> int
+{
+    return std::max<int>(1, static_cast<int>(std::chrono::ceil<std::chrono::seconds>(wait).count()));
+}
+
+auto BorrowedTokens::recordDemand(TimePoint now) -> void
+{
+    demand_.record(now);
+}
+
+auto BorrowedTokens::demandPerSecond(TimePoint now) const -> double
+{
+    return demand_.perSecond(now);
+}
+
+auto BorrowedTokens::take(TimePoint now) -> bool
+{
+    if (remaining(now) == 0) {
+        return false;
+    }
+    --loan_->remaining;
+    return true;
+}
+
+auto BorrowedTokens::remaining(TimePoint now) const -> std::int64_t
+{
+    return loan_ && now < loan_->deadline ? loan_->remaining : 0;
+}
+
+auto BorrowedTokens::refusal(TimePoint now) const -> std::optional<AllowanceDecision>
+{
+    return refusal_ && now < refusal_->until ? std::optional(refusal_->decision) : std::nullopt;
+}
+
+auto BorrowedTokens::settleWith(LoanRequest &request) -> void
+{
+    if (!loan_) {
+        return;
+    }
+    loan_->returned += loan_->remaining;
+    loan_->remaining = 0;
+    request.settles = loan_->number;
+    request.returned = loan_->returned;
+    request.spent = loan_->granted - loan_->returned;
+}
+
+auto BorrowedTokens::apply(const LoanRequest &request, const LoanAnswer &answer, TimePoint sentAt, TimePoint now) -> void
+{
+    if (loan_ && loan_->number == request.settles) {
+        loan_.reset();
+    }
+    const std::int64_t granted = std::min(answer.granted, request.want);
+    if (granted > 0) {
+        loan_ = OpenLoan { request.id.number, granted, 0, granted, sentAt + LOAN_TERM };
+    }
+    if (granted < request.want && answer.retryAfter > Milliseconds(0)) {
+        refuse(OverAllowance { retrySeconds(answer.retryAfter) }, now + answer.retryAfter);
+    }
+}
+
+auto BorrowedTokens::refuse(AllowanceDecision decision, TimePoint until) -> void
+{
+    refusal_ = Refusal { std::move(decision), until };
+}
+
+auto BorrowedTokens::isReturnDue(TimePoint now) -> bool
+{
+    if (loan_ && now >= loan_->deadline + LOAN_DRIFT_MARGIN) {
+        loan_.reset();
+    }
+    return loan_ && loan_->remaining > 0 && now >= loan_->deadline - RETURN_LEAD;
+}
+
+} // namespace poplardock
--- a/Source/Request/AllowancePolicy.cpp
+++ b/Source/Request/AllowancePolicy.cpp
@@ -7,27 +7,37 @@
 
 namespace {
 
-/// Demand that one loan covers.
-constexpr double LOAN_HORIZON_SECONDS = 0.5;
-/// Up to this size the control messages of loans stay within 2 KB/s per daemon, and no request is relayed.
+/// Demand that one loan covers, one term. Half of it costs 20% more messages (MeasureAllowances, seed 1, steady).
+constexpr double LOAN_HORIZON_SECONDS = 1;
+/// Up to this size no request is relayed: the home is asked instead, and the answer need not pass through it.
 constexpr std::size_t RELAY_FLEET_SIZE = 32;
 /// Demand below which a loan of one term (1 s) is seldom used twice.
-constexpr double RELAY_DEMAND_PER_SECOND = 2;
+constexpr double REUSE_DEMAND_PER_SECOND = 2;
 constexpr double DECAY_SECONDS = 1;
 
 } // namespace
 
 auto chooseAllowance(const AllowanceDemand &demand) -> AllowanceChoice
 {
-    if (demand.memberCount > RELAY_FLEET_SIZE && demand.perSecond < RELAY_DEMAND_PER_SECOND) {
+    if (demand.memberCount > RELAY_FLEET_SIZE && demand.perSecond < REUSE_DEMAND_PER_SECOND) {
         return RelayRequest {};
     }
     const double members = static_cast<double>(std::max<std::size_t>(demand.memberCount, 1));
-    const double bound = demand.burst / 2 / members;
+    const double bound = demand.burst / members;
     const double horizon = std::min(demand.perSecond, demand.ratePerSecond) * LOAN_HORIZON_SECONDS;
     return TakeLoan { std::max<std::int64_t>(static_cast<std::int64_t>(std::min(horizon, bound)), 1) };
 }
 
+auto chooseRenewal(const AllowanceDemand &demand) -> std::int64_t
+{
+    if (demand.perSecond < REUSE_DEMAND_PER_SECOND) {
+        return 0;
+    }
+    const AllowanceChoice choice = chooseAllowance(demand);
+    const auto *loan = std::get_if<TakeLoan>(&choice);
+    return loan == nullptr ? 0 : loan->tokens;
+}
+
 auto DemandEstimate::record(TimePoint now) -> void
 {
     perSecond_ = perSecond(now) + 1 / DECAY_SECONDS;
--- a/Source/Request/AllowancePolicy.h
+++ b/Source/Request/AllowancePolicy.h
@@ -37,11 +37,14 @@
 
 using AllowanceChoice = std::variant<TakeLoan, RelayRequest>;
 
-/// Pure function. A loan covers the demand of a short horizon, within a bound that keeps the loans of all
-/// members together below half of the burst; at least one token. In a large fleet a request is relayed when a
-/// loan would seldom be used twice within its term.
+/// Pure function. A loan covers the demand of its term, within the member's share of the burst; at least one
+/// token. In a large fleet a request is relayed when a loan would seldom be used twice within its term.
 auto chooseAllowance(const AllowanceDemand &demand) -> AllowanceChoice;
 
+/// Tokens to ask for when a loan is about to lapse with unused tokens; 0 when demand has ceased and the tokens
+/// are only to be returned. Pure function.
+auto chooseRenewal(const AllowanceDemand &demand) -> std::int64_t;
+
 /// Estimate of a rate from the times of events, with exponential decay. Not thread-safe.
 class DemandEstimate
 {
--- /dev/null
+++ b/Tests/Process/AllowanceHomeTest.cpp
@@ -0,0 +1,254 @@
+#include "Process/AllowanceHome.h"
+
+#include "Support/AllowanceFleet.h"
+
+#include <absl/strings/str_cat.h>
+#include <boost/test/unit_test.hpp>
+
+namespace poplardock {
+
+namespace {
+
+constexpr double RATE = 20;
+constexpr double BURST = 30;
+using Daemon = AllowanceFleet::Daemon;
+
+/// A team whose home is "before" among the members d0 to d2 and d3 once d3 has joined.
+auto teamMovingToD3(const std::string &before) -> std::string
+{
+    const auto member = [](const std::string &name) {
+        return Member { name, "a:1", {}, "r", 1, "1", {} };
+    };
+    const MemberTable three = MemberTable::create({ member("d0"), member("d1"), member("d2") }).value();
+    for (int index = 0;; ++index) {
+        std::string team = absl::StrCat("t", index);
+        if (three.homeOf(team, "r")->name == before && three.with(member("d3")).homeOf(team, "r")->name == "d3") {
+            return team;
+        }
+    }
+}
+
+/// Three daemons; d0 is the home of the team until d3 joins.
+struct ThreeDaemons
+{
+    std::string team = teamMovingToD3("d0");
+    AllowanceFleet fleet { { "r", "r", "r" }, { { team, RATE, BURST, {} } } };
+    std::mt19937_64 random { 1 };
+
+    ThreeDaemons()
+    {
+        fleet.runTakeoverWait();
+        fleet.run(Milliseconds(2000));
+    }
+
+    auto drainAt(Daemon &daemon) -> int
+    {
+        int admitted = 0;
+        while (daemon.admits(team)) {
+            ++admitted;
+        }
+        return admitted;
+    }
+
+    auto checkWindows() -> void
+    {
+        BOOST_TEST(fleet.log.findExcessWindow(team, RATE, BURST).value_or("") == "");
+    }
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(AllowanceHomeSuite, ThreeDaemons)
+
+// Guards against a bucket that starts full or that waits although the earlier home has handed it over.
+BOOST_AUTO_TEST_CASE(JoinHandsTheBalanceOver)
+{
+    BOOST_TEST(drainAt(fleet.daemon(0)) == 30);
+    Daemon &joined = fleet.addDaemon();
+    fleet.commit();
+    BOOST_TEST(!joined.admits(team));
+    fleet.run(Milliseconds(300));
+    BOOST_TEST(joined.home.toJson()->getObject(team)->getValue<std::string>("state") == "acting");
+    BOOST_TEST(drainAt(joined) <= 6);
+    BOOST_TEST(std::holds_alternative<NotHomeAnswer>(fleet.daemon(0).home.spend(team)));
+    checkWindows();
+}
+
+// Guards against loans that the successor does not know of, under load.
+BOOST_AUTO_TEST_CASE(HandoverUnderLoadKeepsTheLimit)
+{
+    fleet.load(team, 3 * RATE, std::chrono::seconds(3), random);
+    fleet.addDaemon();
+    fleet.commit();
+    fleet.load(team, 3 * RATE, std::chrono::seconds(3), random);
+    fleet.commit({ "d3" });
+    fleet.load(team, 3 * RATE, std::chrono::seconds(3), random);
+    checkWindows();
+    BOOST_TEST(fleet.log.admissions(team).size() > 0.9 * (BURST + 9 * RATE));
+}
+
+// Guards against a successor that acts while the earlier home or its loans may still be in use, or starts full.
+BOOST_AUTO_TEST_CASE(KilledHomeIsTakenOverEmptyAfterTheWait)
+{
+    fleet.load(team, 3 * RATE, std::chrono::seconds(2), random);
+    fleet.daemon(0).kill();
+    fleet.commit({ "d0" });
+    Daemon &successor = fleet.homeOf(team);
+    fleet.run(TAKEOVER_WAIT - Milliseconds(200));
+    BOOST_TEST(std::holds_alternative<AllowanceUnavailable>(successor.acquire(team)));
+    fleet.run(Milliseconds(400));
+    BOOST_TEST(drainAt(successor) <= 5);
+    fleet.load(team, 3 * RATE, std::chrono::seconds(3), random);
+    checkWindows();
+    BOOST_TEST(fleet.log.admissions(team).size() > BURST + 4 * RATE);
+}
+
+// Guards against a wait that begins without store contact or a majority.
+BOOST_AUTO_TEST_CASE(WaitBeginsWithStoreContactAndMajority)
+{
+    fleet.daemon(0).kill();
+    fleet.commit({ "d0" });
+    Daemon &successor = fleet.homeOf(team);
+    Daemon &other = fleet.daemon(successor.member.name == "d1" ? 2 : 1);
+    fleet.run(Milliseconds(-100));
+    other.isPaused = true;
+    fleet.clock.advance(FRESHNESS_BOUND + Milliseconds(100));
+    Daemon alone(successor.member, [this] { return fleet.now(); }, {});
+    fleet.install(alone);
+    for (int step = 0; step < 100; ++step) {
+        alone.state.confirm(alone.state.current()->revision, fleet.now(), true);
+        alone.home.maintain();
+        fleet.clock.advance(Milliseconds(100));
+    }
+    BOOST_TEST(std::holds_alternative<HomeNotActing>(alone.home.spend(team)));
+}
+
+// Guards against a home that resumes after a pause and admits beside its successor.
+BOOST_AUTO_TEST_CASE(PausedHomeDoesNotActAfterItsSuccessor)
+{
+    Daemon &paused = fleet.daemon(0);
+    BOOST_TEST(paused.admits(team));
+    paused.isPaused = true;
+    fleet.commit({ "d0" });
+    fleet.run(TAKEOVER_WAIT + std::chrono::seconds(3));
+    BOOST_TEST(drainAt(fleet.homeOf(team)) > 25);
+    BOOST_TEST(drainAt(paused) == 0);
+    BOOST_TEST(std::holds_alternative<HomeNotActing>(paused.home.lend({ team, 1, 5, 0, 0, 0, { "d1", "d1-1", 1 } })));
+    fleet.install(paused);
+    BOOST_TEST(std::holds_alternative<NotHomeAnswer>(paused.home.spend(team)));
+    checkWindows();
+}
+
+// Guards against an old bucket that comes back when the home moved away and back while this daemon was paused.
+BOOST_AUTO_TEST_CASE(BucketIsDroppedWhenVersionsWereMissed)
+{
+    Daemon &paused = fleet.daemon(0);
+    paused.isPaused = true;
+    fleet.commit({ "d0" });
+    fleet.run(TAKEOVER_WAIT + std::chrono::seconds(3));
+    BOOST_TEST(drainAt(fleet.homeOf(team)) > 25);
+    fleet.commit();
+    paused.isPaused = false;
+    fleet.install(paused);
+    fleet.confirm();
+    BOOST_TEST(drainAt(paused) == 0);
+    checkWindows();
+}
+
+// Guards against handing a bucket to a second successor after the first may have acted.
+BOOST_AUTO_TEST_CASE(OnlyTheFirstSuccessorGetsTheBucket)
+{
+    Daemon &old = fleet.daemon(0);
+    Daemon &joined = fleet.addDaemon();
+    joined.isPaused = true;
+    fleet.commit();
+    old.home.maintain();
+    fleet.commit({ "d3" });
+    old.home.maintain();
+    fleet.commit();
+    old.home.maintain();
+    const HandoverRequest request { team, old.state.current()->revision, "d3", "d3-1" };
+    BOOST_TEST((old.home.handOver(request).outcome == HandoverOutcome::NoBucket));
+}
+
+// Guards against a handover to a stranger, and against acting beside the successor whose request came first.
+BOOST_AUTO_TEST_CASE(HandoverStopsTheEarlierHomeFirst)
+{
+    Daemon &old = fleet.daemon(0);
+    const std::uint64_t revision = old.state.current()->revision;
+    const HandoverRequest request { team, revision + 1, "d3", "d3-1" };
+    BOOST_TEST((old.home.handOver(request).outcome == HandoverOutcome::RevisionMissing));
+    BOOST_TEST(!old.admits(team));
+    fleet.addDaemon().isPaused = true;
+    fleet.commit();
+    BOOST_TEST((old.home.handOver({ team, revision + 1, "d3", "d3-0" }).outcome == HandoverOutcome::NoBucket));
+    const HandoverAnswer first = old.home.handOver(request);
+    BOOST_TEST((first.outcome == HandoverOutcome::HandedOver));
+    BOOST_TEST(first.level == 30 * TOKEN_UNITS);
+    BOOST_TEST((old.home.handOver(request).outcome == HandoverOutcome::HandedOver));
+}
+
+// Guards against repeated and late requests that take a second loan.
+BOOST_AUTO_TEST_CASE(RepeatedBorrowGetsNoSecondLoan)
+{
+    AllowanceHome &home = fleet.daemon(0).home;
+    const LoanRequest request { team, 1, 2, 0, 0, 0, { "d1", "d1-1", 7 } };
+    BOOST_TEST(std::get<LoanAnswer>(home.lend(request)).granted == 2);
+    BOOST_TEST(std::get<LoanAnswer>(home.lend(request)).granted == 0);
+    LoanRequest late = request;
+    late.id.number = 6;
+    BOOST_TEST(std::get<LoanAnswer>(home.lend(late)).granted == 0);
+}
+
+// Guards against a team that is refused, or gets a second burst, when it is deleted and created again.
+BOOST_AUTO_TEST_CASE(RecreatedTeamKeepsItsBucket)
+{
+    BOOST_TEST(drainAt(fleet.daemon(0)) == 30);
+    fleet.setTeams({});
+    fleet.commit();
+    BOOST_TEST(drainAt(fleet.daemon(0)) == 0);
+    fleet.setTeams({ { team, RATE, BURST, {} }, { "new", RATE, BURST, {} } });
+    fleet.commit();
+    BOOST_TEST(drainAt(fleet.daemon(0)) == 0);
+    BOOST_TEST(fleet.homeOf("new").admits("new"));
+}
+
+// Guards against a restarted home that starts with a bucket while its earlier incarnation may still act.
+BOOST_AUTO_TEST_CASE(NewIncarnationWaits)
+{
+    Daemon &restarted = fleet.daemon(0);
+    restarted.member.incarnation = "d0-2";
+    restarted.home.joinAs(restarted.member);
+    fleet.commit();
+    fleet.run(TAKEOVER_WAIT - Milliseconds(200));
+    BOOST_TEST(drainAt(restarted) == 0);
+    fleet.run(Milliseconds(400));
+    BOOST_TEST(restarted.admits(team));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+// Guards against regions that together admit more than the team's limit, also while the regions change.
+BOOST_AUTO_TEST_CASE(RegionsShareTheLimit)
+{
+    AllowanceFleet fleet({ "a", "a" }, { { "t", RATE, BURST, {} } });
+    std::mt19937_64 random(1);
+    fleet.runTakeoverWait();
+    fleet.load("t", 3 * RATE, std::chrono::seconds(3), random);
+    Daemon &other = fleet.addDaemon("b");
+    fleet.commit();
+    fleet.load("t", 3 * RATE, std::chrono::seconds(9), random);
+    BOOST_TEST(other.home.toJson()->has("t"));
+    other.isPaused = true;
+    // The other region is cut off: it acts on its old table until its freshness has run out.
+    fleet.commit({ other.member.name });
+    for (int step = 0; step < 300; ++step) {
+        fleet.load("t", 3 * RATE, Milliseconds(20), random);
+        std::ignore = other.acquire("t");
+    }
+    fleet.load("t", 3 * RATE, std::chrono::seconds(4), random);
+    BOOST_TEST(fleet.log.findExcessWindow("t", RATE, BURST).value_or("") == "");
+    BOOST_TEST(fleet.log.admissions("t").size() > 15 * RATE);
+}
+
+} // namespace poplardock
--- /dev/null
+++ b/Tests/Request/AllowancePolicyTest.cpp
@@ -0,0 +1,64 @@
+#include "Request/AllowancePolicy.h"
+
+#include "Request/AllowanceLimit.h"
+
+#include <boost/test/unit_test.hpp>
+
+namespace poplardock {
+
+BOOST_AUTO_TEST_SUITE(AllowancePolicySuite)
+
+// Guards against relaying in the fleets of today, and against loans that leave nothing for the other members.
+BOOST_AUTO_TEST_CASE(SmallFleetTakesLoansWithinTheShareOfTheBurst)
+{
+    BOOST_TEST((chooseAllowance({ 10, 100, 200, 8 }) == AllowanceChoice(TakeLoan { 10 })));
+    BOOST_TEST((chooseAllowance({ 0.5, 100, 200, 8 }) == AllowanceChoice(TakeLoan { 1 })));
+    BOOST_TEST((chooseAllowance({ 1000, 100, 200, 8 }) == AllowanceChoice(TakeLoan { 25 })));
+    BOOST_TEST((chooseAllowance({ 10, 100, 1, 8 }) == AllowanceChoice(TakeLoan { 1 })));
+}
+
+// Guards against control messages for each request of a pair with little demand in a large fleet.
+BOOST_AUTO_TEST_CASE(LargeFleetRelaysWhereLoansAreSeldomReused)
+{
+    BOOST_TEST((chooseAllowance({ 0.5, 100, 2000, 400 }) == AllowanceChoice(RelayRequest {})));
+    BOOST_TEST((chooseAllowance({ 4, 1600, 3200, 400 }) == AllowanceChoice(TakeLoan { 4 })));
+    BOOST_TEST(chooseRenewal({ 0.5, 100, 200, 8 }) == 0);
+    BOOST_TEST(chooseRenewal({ 5, 100, 200, 8 }) == 5);
+}
+
+// Guards against shares whose sum differs from the team's allowance, and against bursts that no home can spend.
+BOOST_AUTO_TEST_CASE(RegionSharesAddUpExactly)
+{
+    const std::set<std::string> regions { "a", "b", "c" };
+    for (const auto &[rate, burst] : { std::pair(0.3, 1.0), std::pair(7.0, 2.5), std::pair(100.000001, 10.0), std::pair(1e6, 1e6) }) {
+        const Team team { "t", rate, burst, {} };
+        const AllowanceLimit whole = regionShare(team, { "a" }, "a");
+        BOOST_TEST(whole.rate == std::llround(rate * 1e6));
+        AllowanceLimit sum;
+        for (const std::string &region : regions) {
+            const AllowanceLimit share = regionShare(team, regions, region);
+            BOOST_TEST((share.burst == 0 || share.burst >= TOKEN_UNITS));
+            sum = { sum.rate + share.rate, sum.burst + share.burst };
+        }
+        BOOST_TEST((sum == whole));
+    }
+    BOOST_TEST((regionShare({ "t", 1, 1, {} }, regions, "d") == AllowanceLimit {}));
+}
+
+// Guards against an estimate that keeps growing or never decays.
+BOOST_AUTO_TEST_CASE(DemandFollowsTheRecentRate)
+{
+    DemandEstimate demand;
+    TimePoint now(std::chrono::hours(1));
+    for (int index = 0; index < 200; ++index) {
+        now += Milliseconds(50);
+        demand.record(now);
+    }
+    BOOST_TEST(demand.perSecond(now) > 18);
+    BOOST_TEST(demand.perSecond(now) < 22);
+    BOOST_TEST(demand.perSecond(now + std::chrono::seconds(5)) < 0.2);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace poplardock
--- a/Tests/Support/AllowanceFleet.cpp
+++ b/Tests/Support/AllowanceFleet.cpp
@@ -1,17 +1,22 @@
 #include "Support/AllowanceFleet.h"
 
 #include "Connection/AllowanceRoutes.h"
+#include "Connection/HttpReply.h"
 
 #include <absl/strings/str_cat.h>
 
 #include <algorithm>
 #include <stdexcept>
+#include <thread>
+#include <tuple>
 
 namespace poplardock {
 
 namespace {
 
 constexpr Milliseconds STEP { 100 };
+/// No test waits for this to pass.
+constexpr Milliseconds HANG_BOUND { 60'000 };
 
 } // namespace
 
@@ -28,23 +33,40 @@
 AllowanceFleet::Daemon::Daemon(Member record, const TimeSource &clock, const AdmissionRecorder &recorder)
     : member(std::move(record))
     , state(member.name)
-    , home(member, state, peers, { clock, recorder })
-    // The timeout only bounds a hang; no test waits for it to pass.
-    , client(state, home, peers, { clock, recorder, Milliseconds(5000) })
+    , home(member, state, peers, { clock, recorder, HANG_BOUND })
+    , client(state, home, peers, { clock, recorder, HANG_BOUND })
 {
     addAllowanceRoutes(router, home);
-    const auto handler = [this](Poco::Net::HTTPServerRequest &request, Poco::Net::HTTPServerResponse &response) {
-        if (answersToLose > 0) {
-            --answersToLose;
-            response.setKeepAlive(false);
-            response.setContentLength(1 << 20);
-        }
-        router.handle(request, response);
-    };
-    service = *HttpService::start("127.0.0.1:0", { 64, 64 }, handler);
+    service = *HttpService::start("127.0.0.1:0", { 64, 64 }, [this](auto &request, auto &response) { handle(request, response); });
     member.address = service->address();
 }
 
+auto AllowanceFleet::Daemon::handle(Poco::Net::HTTPServerRequest &request, Poco::Net::HTTPServerResponse &response) -> void
+{
+    while (isHeld) {
+        std::this_thread::yield();
+    }
+    const bool isLoan = request.getURI() == "/peers/loans";
+    loanRequests += isLoan ? 1 : 0;
+    if (!isLoan || answersToLose <= 0) {
+        router.handle(request, response);
+        return;
+    }
+    --answersToLose;
+    const auto body = Json::parseObject(std::get<std::string>(HttpReply::readBody(request, 1U << 16U)));
+    std::ignore = home.lend(*loanRequestFromJson(**body));
+    response.setKeepAlive(false);
+    response.setContentLength(100);
+    response.send() << "{";
+}
+
+auto AllowanceFleet::Daemon::kill() -> void
+{
+    isPaused = true;
+    // Closes the listening socket too, so that connections are refused.
+    service.reset();
+}
+
 auto AllowanceFleet::Daemon::acquire(const std::string &team) -> AllowanceDecision
 {
     return client.acquire(team, home.now());
@@ -55,9 +77,8 @@
     return std::holds_alternative<Admitted>(acquire(team));
 }
 
-AllowanceFleet::AllowanceFleet(const std::vector<std::string> &regions, std::vector<Team> teams, bool useRealClock)
-    : useRealClock_(useRealClock)
-    , teams_(std::move(teams))
+AllowanceFleet::AllowanceFleet(const std::vector<std::string> &regions, std::vector<Team> teams)
+    : teams_(std::move(teams))
     , version_(std::make_shared<const FleetVersion>())
 {
     for (const std::string &region : regions) {
@@ -68,8 +89,14 @@
 
 AllowanceFleet::~AllowanceFleet()
 {
+    // In parallel: each server takes a quarter of a second to stop.
+    std::vector<std::thread> threads;
+    threads.reserve(daemons_.size());
     for (const auto &entry : daemons_) {
-        entry->service->stop();
+        threads.emplace_back([&entry] { entry->service.reset(); });
+    }
+    for (std::thread &thread : threads) {
+        thread.join();
     }
 }
 
@@ -158,8 +185,8 @@
 auto AllowanceFleet::run(Duration time) -> void
 {
     const TimePoint end = now() + time;
-    while (now() < end) {
-        clock.advance(STEP);
+    do {
+        clock.advance(std::min<Duration>(STEP, end - now()));
         confirm();
         for (const auto &entry : daemons_) {
             if (!entry->isPaused) {
@@ -167,7 +194,39 @@
                 entry->client.maintain();
             }
         }
+    } while (now() < end);
+}
+
+auto AllowanceFleet::load(const std::string &team, double perSecond, Duration time, std::mt19937_64 &random) -> int
+{
+    constexpr Milliseconds LOAD_STEP { 5 };
+    std::poisson_distribution<int> count(perSecond * std::chrono::duration<double>(LOAD_STEP).count());
+    std::uniform_int_distribution<std::size_t> anyDaemon(0, daemons_.size() - 1);
+    int sent = 0;
+    for (TimePoint end = now() + time, next = now(); now() < end;) {
+        if (now() >= next) {
+            run(Duration(0));
+            next += STEP;
+        }
+        clock.advance(LOAD_STEP);
+        for (int remaining = count(random); remaining > 0; --remaining) {
+            Daemon &target = *daemons_[anyDaemon(random)];
+            if (!target.isPaused) {
+                std::ignore = target.acquire(team);
+                ++sent;
+            }
+        }
+    }
+    return sent;
+}
+
+auto AllowanceFleet::loanRequests() const -> int
+{
+    int count = 0;
+    for (const auto &entry : daemons_) {
+        count += entry->loanRequests;
     }
+    return count;
 }
 
 auto AllowanceFleet::runTakeoverWait() -> void
@@ -177,7 +236,7 @@
 
 auto AllowanceFleet::now() const -> TimePoint
 {
-    return useRealClock_ ? Clock::now() : clock.now();
+    return clock.now();
 }
 
 } // namespace poplardock
--- a/Tests/Support/AllowanceFleet.h
+++ b/Tests/Support/AllowanceFleet.h
@@ -8,6 +8,7 @@
 
 #include <atomic>
 #include <memory>
+#include <random>
 #include <string>
 #include <vector>
 
@@ -25,7 +26,7 @@
 };
 
 /// The allowance parts of several daemons in one process, over real HTTP on the loopback address, with one
-/// fleet version in force. By default time is a ManualClock.
+/// fleet version in force and a clock that the test moves.
 class AllowanceFleet
 {
 public:
@@ -37,8 +38,11 @@
         AllowanceHome home;
         AllowanceClient client;
         Router router;
-        /// Answers to requests on the peers address are lost while positive; each lost one counts down.
+        /// Requests for loans are handled but their answers are cut while this is positive; it counts down.
         std::atomic<int> answersToLose { 0 };
+        /// Requests on the peers address wait while this is true.
+        std::atomic<bool> isHeld { false };
+        std::atomic<int> loanRequests { 0 };
         std::unique_ptr<HttpService> service;
         /// A daemon that is paused gets no confirmations and no maintenance.
         bool isPaused = false;
@@ -47,10 +51,15 @@
         [[nodiscard]] auto acquire(const std::string &team) -> AllowanceDecision;
         /// True for Admitted.
         [[nodiscard]] auto admits(const std::string &team) -> bool;
+        /// Ends the process as far as others see it.
+        auto kill() -> void;
+
+    private:
+        auto handle(Poco::Net::HTTPServerRequest &request, Poco::Net::HTTPServerResponse &response) -> void;
     };
 
     /// Starts daemons d0, d1, ... in the regions given, one each; all are members.
-    explicit AllowanceFleet(const std::vector<std::string> &regions, std::vector<Team> teams, bool useRealClock = false);
+    explicit AllowanceFleet(const std::vector<std::string> &regions, std::vector<Team> teams);
     ~AllowanceFleet();
     AllowanceFleet(const AllowanceFleet &) = delete;
     auto operator=(const AllowanceFleet &) -> AllowanceFleet & = delete;
@@ -70,8 +79,13 @@
     auto install(Daemon &target) -> void;
     /// Confirms the version and the hearing of all members at every daemon that is not paused.
     auto confirm() -> void;
-    /// Moves the manual clock in steps of 100 ms with confirmation and maintenance at each step.
+    /// Moves the clock in steps of 100 ms with confirmation and maintenance at each step.
     auto run(Duration time) -> void;
+    /// As run(), with requests of the team at random times and at random daemons that are not paused.
+    /// Returns how many were sent.
+    auto load(const std::string &team, double perSecond, Duration time, std::mt19937_64 &random) -> int;
+    /// The number of requests for loans that all daemons got.
+    auto loanRequests() const -> int;
     /// Runs until the takeover wait of the current table is over.
     auto runTakeoverWait() -> void;
     [[nodiscard]] auto now() const -> TimePoint;
@@ -80,7 +94,6 @@
     AdmissionLog log;
 
 private:
-    bool useRealClock_;
     std::vector<Team> teams_;
     std::vector<std::unique_ptr<Daemon>> daemons_;
     FleetVersionPointer version_;
