--- a/Source/Connection/CallerWatch.h
+++ b/Source/Connection/CallerWatch.h
@@ -60,6 +60,8 @@
         std::optional<TimePoint> nextKeyCheckAt;
         std::stop_source stop;
         bool isDisconnected = false;
+        /// This process itself has stopped receiving, because it shuts down.
+        bool isReceiveShutDown = false;
         std::optional<RequestError> keyError;
     };
 
@@ -67,6 +69,7 @@
     auto findDisconnected() -> void;
     auto checkKeys(TimePoint now) -> void;
     auto setDisconnected(std::uint64_t id) -> void;
+    auto setReceiveShutDown(std::uint64_t id) -> void;
 
     const FleetState &state_;
     mutable std::mutex mutex_;
@@ -75,4 +78,8 @@
     std::jthread thread_;
 };
 
+/// The code of an error that ends a stream, for an error of recheckCaller(). Those of recheckCaller() say that
+/// the request was not run.
+auto codeInStream(const RequestError &keyError) -> ResultCode;
+
 } // namespace poplardock
--- a/Source/Connection/OnlinePath.cpp
+++ b/Source/Connection/OnlinePath.cpp
@@ -195,7 +195,7 @@
 {
     const TimePoint now = Clock::now();
     const FleetVersionPointer version = parts_.state.current();
-    const std::vector<UpstreamLoad> loads = parts_.upstreams.snapshot(upstreamsOf(*version, request));
+    const std::vector<UpstreamSnapshot> loads = parts_.upstreams.snapshot(upstreamsOf(*version, request));
     auto error = refuseIfOverloaded(loads, request.serviceClass, now);
     if (error && parts_.yieldBatch) {
         // Batch work of another daemon may be the reason; it yields so that later requests are admitted.
--- a/Source/Connection/RequestRelay.cpp
+++ b/Source/Connection/RequestRelay.cpp
@@ -47,10 +47,11 @@
 
 auto sendRelayFailure(const UpstreamFailure &failure, bool isTooLarge, CallerReply &reply, CallerWatch::Registration &watch) -> void
 {
+    const auto keyError = watch.keyError();
     if (isTooLarge) {
         reply.sendError({ ResultCode::UpstreamAnswerInvalid, "the answer is too large" });
-    } else if (failure.isStopped && watch.keyError() && reply.isStarted()) {
-        reply.sendError({ ResultCode::StreamEnded, {} });
+    } else if (failure.isStopped && keyError && reply.isStarted()) {
+        reply.sendError({ codeInStream(*keyError), {} });
     } else if (failure.isStopped) {
         reply.abandon();
     } else if (failure.run == RunState::NotRun) {
--- /dev/null
+++ b/Source/Process/Daemon.cpp
@@ -0,0 +1,289 @@
+#include "Process/Daemon.h"
+
+#include "Connection/ControlRoutes.h"
+#include "Connection/HttpReply.h"
+#include "Connection/HttpService.h"
+#include "Connection/Router.h"
+#include "Process/ConfigurationEditor.h"
+#include "Process/FleetState.h"
+#include "Process/Log.h"
+#include "Process/Membership.h"
+#include "Process/Metrics.h"
+#include "Process/PeerClients.h"
+#include "Process/PeerExchange.h"
+#include "Process/RequestCounter.h"
+#include "Process/RootCommitter.h"
+#include "Process/Signals.h"
+#include "Process/StateDump.h"
+#include "Process/StoreClient.h"
+#include "Process/VersionLoader.h"
+#include "Process/VersionWatcher.h"
+
+#include <Poco/UUIDGenerator.h>
+#include <absl/strings/str_cat.h>
+
+#include <atomic>
+#include <iostream>
+#include <random>
+
+namespace poplardock {
+
+namespace {
+
+constexpr int PEER_THREADS = 64;
+constexpr int OPERATOR_THREADS = 8;
+/// Time for the balancer to see the negative health check and to send no new connections.
+constexpr Milliseconds BALANCER_GRACE { 2000 };
+/// Time for the store to answer at the start; a supervisor starts the process again after that.
+constexpr Milliseconds JOIN_LIMIT { 60000 };
+constexpr Milliseconds LEAVE_LIMIT { 5000 };
+/// Longest time for running requests to end after SIGTERM; long streams are cut then.
+constexpr Milliseconds DRAIN_LIMIT { 120000 };
+
+} // namespace
+
+struct Daemon::Parts
+{
+    explicit Parts(Settings given)
+        : settings(std::move(given))
+        , seed(std::random_device {}())
+        , writer(absl::StrCat(settings.name, "-", Poco::UUIDGenerator::defaultGenerator().createRandom().toString()))
+        , store(settings.platformAddress, writer, {})
+        , state(settings.name)
+        , loader(store, state, peers)
+        , watcher(store, state, loader, peers, seed)
+        , exchange(state, watcher, peers, seed + 1)
+        , committer(store, state, loader, writer, seed + 2)
+        , editor(state, committer, exchange, seed + 3)
+    {
+    }
+
+    const Settings settings;
+    const std::uint64_t seed;
+    /// Unique for this process, so that its writer tokens are never those of an earlier one.
+    const std::string writer;
+    Metrics metrics;
+    StateDump dump;
+    RequestCounter requests;
+    std::atomic<bool> isDraining = false;
+    StoreClient store;
+    FleetState state;
+    PeerClients peers;
+    Router callersRouter;
+    Router peersRouter;
+    Router operatorsRouter;
+    VersionLoader loader;
+    VersionWatcher watcher;
+    PeerExchange exchange;
+    RootCommitter committer;
+    ConfigurationEditor editor;
+    std::unique_ptr<Membership> membership;
+    std::unique_ptr<HttpService> callersService;
+    std::unique_ptr<HttpService> peersService;
+    std::unique_ptr<HttpService> operatorsService;
+
+    auto registerRoutes() -> void;
+    auto startServices() -> absl::Status;
+    auto join() -> absl::Status;
+    auto registerDumpSections() -> void;
+    auto handleCaller(Poco::Net::HTTPServerRequest &request, Poco::Net::HTTPServerResponse &response) -> void;
+};
+
+auto Daemon::Parts::handleCaller(Poco::Net::HTTPServerRequest &request, Poco::Net::HTTPServerResponse &response) -> void
+{
+    const RequestCounter::Running running(requests);
+    if (isDraining) {
+        response.setKeepAlive(false);
+    }
+    callersRouter.handle(request, response);
+}
+
+auto Daemon::Parts::registerRoutes() -> void
+{
+    callersRouter.add("GET", "/healthz", [this](Poco::Net::HTTPServerRequest &, Poco::Net::HTTPServerResponse &response) {
+        const bool isHealthy = !isDraining && state.mayAct(Clock::now());
+        HttpReply::sendJson(response, isHealthy ? 200 : 503, isHealthy ? R"({"healthy":true})" : R"({"healthy":false})");
+    });
+    operatorsRouter.add("GET", "/dump", [this](Poco::Net::HTTPServerRequest &, Poco::Net::HTTPServerResponse &response) {
+        HttpReply::sendJson(response, 200, Json::toText(*dump.toJson()));
+    });
+    ControlRoutes::addPeerRoutes(peersRouter, exchange, loader, state);
+    ControlRoutes::addOperatorRoutes(operatorsRouter, editor, state);
+}
+
+auto Daemon::Parts::startServices() -> absl::Status
+{
+    struct Listener
+    {
+        const std::string &address;
+        int threads;
+        HttpService::Handler handler;
+        std::unique_ptr<HttpService> &service;
+    };
+    const Listener listeners[] = {
+        { settings.operatorsAddress,
+          OPERATOR_THREADS,
+          [this](auto &request, auto &response) { operatorsRouter.handle(request, response); },
+          operatorsService },
+        { settings.peersAddress,
+          PEER_THREADS,
+          [this](auto &request, auto &response) { peersRouter.handle(request, response); },
+          peersService },
+        { settings.callersAddress,
+          settings.onlineThreads,
+          [this](auto &request, auto &response) { handleCaller(request, response); },
+          callersService },
+    };
+    for (const Listener &listener : listeners) {
+        auto service = HttpService::start(listener.address, { listener.threads, listener.threads }, listener.handler);
+        if (!service.ok()) {
+            return service.status();
+        }
+        listener.service = *std::move(service);
+    }
+    return absl::OkStatus();
+}
+
+auto Daemon::Parts::join() -> absl::Status
+{
+    Member self;
+    self.name = settings.name;
+    self.address = peersService->address();
+    self.dataCentre = settings.dataCentre;
+    self.region = settings.region;
+    self.size = settings.size;
+    self.vm = settings.vm;
+    membership = std::make_unique<Membership>(store, state, watcher, committer, exchange, self, seed + 4);
+    return membership->join(Clock::now() + JOIN_LIMIT);
+}
+
+auto Daemon::Parts::registerDumpSections() -> void
+{
+    dump.add("daemon", [this] {
+        JsonObject::Ptr section = new JsonObject;
+        section->set("name", settings.name);
+        section->set("version", POPLARDOCK_VERSION);
+        section->set("data_centre", settings.dataCentre);
+        section->set("region", settings.region);
+        section->set("running_requests", requests.count());
+        section->set("draining", isDraining.load());
+        return section;
+    });
+    dump.add("fleet", [this] {
+        const TimePoint now = Clock::now();
+        const FleetVersionPointer version = state.current();
+        JsonObject::Ptr section = new JsonObject;
+        section->set("revision", version->revision);
+        section->set("configuration_revision", version->configurationRevision);
+        section->set("highest_known_revision", state.highestKnownRevision());
+        section->set("may_act", state.mayAct(now));
+        section->set("store_contact", state.hasStoreContact(now));
+        section->set("members", version->members.toJson()->getArray("members"));
+        section->set("tombstones", state.tombstones().size());
+        return section;
+    });
+    dump.add("store", [this] {
+        const StoreCallCounts counts = store.callCounts();
+        JsonObject::Ptr section = new JsonObject;
+        section->set("reads", counts.reads);
+        section->set("writes", counts.writes);
+        section->set("failures", counts.failures);
+        section->set("resolved_writes", counts.resolvedWrites);
+        section->set("suspended", store.isSuspended());
+        return section;
+    });
+    dump.add("metrics", [this] { return metrics.toJson(); });
+}
+
+Daemon::Daemon(Settings settings)
+    : parts_(std::make_unique<Parts>(std::move(settings)))
+{
+}
+
+Daemon::~Daemon()
+{
+    stop();
+}
+
+auto Daemon::start() -> absl::Status
+{
+    Parts &parts = *parts_;
+    parts.registerRoutes();
+    parts.registerDumpSections();
+    if (absl::Status status = parts.startServices(); !status.ok()) {
+        return status;
+    }
+    if (absl::Status status = parts.join(); !status.ok()) {
+        return status;
+    }
+    parts.watcher.start();
+    parts.exchange.start();
+    parts.editor.start();
+    parts.membership->start();
+    return absl::OkStatus();
+}
+
+auto Daemon::drain() -> void
+{
+    parts_->isDraining = true;
+    parts_->membership->stop();
+    if (const absl::Status status = parts_->membership->leave(Clock::now() + LEAVE_LIMIT); !status.ok()) {
+        Log::warning(Part::Member, absl::StrCat("The member record stays in the table: ", status.message()));
+    }
+    std::this_thread::sleep_for(BALANCER_GRACE);
+    parts_->callersService->drain();
+    if (!parts_->requests.waitUntilIdle(Clock::now() + DRAIN_LIMIT)) {
+        Log::warning(Part::Process, "Requests are still running at the drain limit and are cut.");
+    }
+}
+
+auto Daemon::stop() -> void
+{
+    if (parts_->membership) {
+        parts_->membership->stop();
+    }
+    parts_->editor.stop();
+    parts_->exchange.stop();
+    parts_->watcher.stop();
+    for (auto *service : { &parts_->callersService, &parts_->peersService, &parts_->operatorsService }) {
+        if (*service) {
+            (*service)->stop();
+        }
+    }
+}
+
+auto Daemon::addresses() const -> std::string
+{
+    return absl::StrCat("callers=",
+                        parts_->callersService->address(),
+                        " peers=",
+                        parts_->peersService->address(),
+                        " operators=",
+                        parts_->operatorsService->address());
+}
+
+auto Daemon::stateDump() const -> std::string
+{
+    return Json::toText(*parts_->dump.toJson());
+}
+
+auto runDaemon(const Settings &settings) -> int
+{
+    Daemon daemon(settings);
+    if (const absl::Status status = daemon.start(); !status.ok()) {
+        Log::error(Part::Process, std::string(status.message()));
+        return 1;
+    }
+    Log::info(Part::Process, absl::StrCat("Serving, ", daemon.addresses(), "."));
+    std::cout << "ready " << daemon.addresses() << std::endl;
+    while (waitForDaemonSignal() == DaemonSignal::Dump) {
+        Log::info(Part::Process, daemon.stateDump());
+    }
+    Log::info(Part::Process, "Shutting down.");
+    daemon.drain();
+    daemon.stop();
+    Log::info(Part::Process, "Stopped.");
+    return 0;
+}
+
+} // namespace poplardock
--- a/Source/Process/UpstreamTable.cpp
+++ b/Source/Process/UpstreamTable.cpp
@@ -32,6 +32,9 @@
 constexpr double FASTER_FIRST_TOKEN_WEIGHT = 0.3;
 constexpr double SLOWER_FIRST_TOKEN_WEIGHT = 0.05;
 constexpr double FEWER_SLOTS_WEIGHT = 0.1;
+/// Samples of the time to the first token that the 95th percentile covers.
+constexpr std::size_t KEPT_FIRST_TOKENS = 128;
+constexpr Milliseconds FIRST_TOKEN_TERM { 2000 };
 
 auto average(const std::optional<double> &known, double sample, double weight) -> double
 {
@@ -40,7 +43,7 @@
 
 /// While requests wait, the running ones fill the slots. A single report may be taken between the arrival of
 /// a request and its start, so a lower count is only followed slowly.
-auto learnSlots(UpstreamLoad &load) -> void
+auto learnSlots(UpstreamSnapshot &load) -> void
 {
     const double running = std::max(1, load.report.running);
     if (load.slots && running >= *load.slots) {
@@ -77,28 +80,58 @@
     return entry.failedPolls >= FAILED_POLLS_FOR_UNREACHABLE;
 }
 
-auto UpstreamTable::snapshotOf(const Entry &entry, const Upstream &upstream) -> UpstreamLoad
+auto UpstreamTable::firstTokenP95(const Entry &entry, TimePoint now) -> double
 {
-    UpstreamLoad load = entry.load;
-    load.isLeaving = upstream.leaving;
+    std::vector<double> recent;
+    for (const FirstToken &sample : entry.firstTokens) {
+        if (now - sample.at <= FIRST_TOKEN_TERM) {
+            recent.push_back(sample.milliseconds);
+        }
+    }
+    if (recent.empty()) {
+        return 0;
+    }
+    const auto rank = recent.begin() + static_cast<std::ptrdiff_t>(recent.size() * 95 / 100);
+    std::nth_element(recent.begin(), rank, recent.end());
+    return *rank;
+}
+
+auto UpstreamTable::snapshotOf(const std::string &upstream) const -> UpstreamSnapshot
+{
+    const std::lock_guard lock(mutex_);
+    const auto found = entries_.find(upstream);
+    if (found == entries_.end()) {
+        UpstreamSnapshot unknown;
+        unknown.name = upstream;
+        return unknown;
+    }
+    UpstreamSnapshot load = snapshotOfEntry(found->second, false);
+    load.firstTokenP95Ms = firstTokenP95(found->second, Clock::now());
+    return load;
+}
+
+auto UpstreamTable::snapshotOfEntry(const Entry &entry, bool isLeaving) -> UpstreamSnapshot
+{
+    UpstreamSnapshot load = entry.load;
+    load.isLeaving = isLeaving;
     if (isUnreachable(entry)) {
         load.ejectedUntil = TimePoint::max();
     }
     return load;
 }
 
-auto UpstreamTable::snapshot(const std::vector<const Upstream *> &upstreams) const -> std::vector<UpstreamLoad>
+auto UpstreamTable::snapshot(const std::vector<const Upstream *> &upstreams) const -> std::vector<UpstreamSnapshot>
 {
-    std::vector<UpstreamLoad> loads;
+    std::vector<UpstreamSnapshot> loads;
     loads.reserve(upstreams.size());
     const std::lock_guard lock(mutex_);
     for (const Upstream *upstream : upstreams) {
         const auto found = entries_.find(upstream->name);
         if (found != entries_.end()) {
-            loads.push_back(snapshotOf(found->second, *upstream));
+            loads.push_back(snapshotOfEntry(found->second, upstream->leaving));
             continue;
         }
-        UpstreamLoad unknown;
+        UpstreamSnapshot unknown;
         unknown.name = upstream->name;
         unknown.isLeaving = upstream->leaving;
         loads.push_back(std::move(unknown));
@@ -121,7 +154,7 @@
 auto UpstreamTable::started(const std::string &upstream, WorkKind kind) -> void
 {
     const std::lock_guard lock(mutex_);
-    UpstreamLoad &load = entryOf(upstream).load;
+    UpstreamSnapshot &load = entryOf(upstream).load;
     ++(kind == WorkKind::Online ? load.ownOnline : load.ownBatch);
 }
 
@@ -146,6 +179,10 @@
         entry.load.learnedAt = now;
     }
     if (outcome.firstTokenMs) {
+        entry.firstTokens.push_back({ now, *outcome.firstTokenMs + outcome.waitMs });
+        if (entry.firstTokens.size() > KEPT_FIRST_TOKENS) {
+            entry.firstTokens.pop_front();
+        }
         const bool isFaster = entry.load.firstTokenMs && *outcome.firstTokenMs < *entry.load.firstTokenMs;
         const double weight = isFaster ? FASTER_FIRST_TOKEN_WEIGHT : SLOWER_FIRST_TOKEN_WEIGHT;
         entry.load.firstTokenMs = average(entry.load.firstTokenMs, *outcome.firstTokenMs, weight);
@@ -155,7 +192,7 @@
 auto UpstreamTable::recordReport(const std::string &upstream, const LoadReport &report, TimePoint now) -> void
 {
     const std::lock_guard lock(mutex_);
-    UpstreamLoad &load = entryOf(upstream).load;
+    UpstreamSnapshot &load = entryOf(upstream).load;
     load.report = report;
     load.reportedAt = now;
     load.ownAtReport = load.ownOnline + load.ownBatch;
--- a/Source/Process/UpstreamTable.h
+++ b/Source/Process/UpstreamTable.h
@@ -2,10 +2,11 @@
 
 #include "Process/FleetState.h"
 #include "Process/PeerClients.h"
-#include "Request/UpstreamLoad.h"
+#include "Request/UpstreamSnapshot.h"
 
 #include <atomic>
 #include <condition_variable>
+#include <deque>
 #include <functional>
 #include <map>
 #include <mutex>
@@ -25,6 +26,8 @@
     /// Unset when nothing is to be learned from this work.
     std::optional<double> firstTokenMs;
     std::optional<double> serviceMs;
+    /// Part of the time to the first token that was a wait for a slot; not part of firstTokenMs.
+    double waitMs = 0;
 
     auto operator==(const WorkOutcome &) const -> bool = default;
 };
@@ -52,7 +55,10 @@
     /// force.
     auto choose(const std::vector<const Upstream *> &upstreams, const std::set<std::string> &excluded, TimePoint now) -> const Upstream *;
     /// In the order of the arguments.
-    [[nodiscard]] auto snapshot(const std::vector<const Upstream *> &upstreams) const -> std::vector<UpstreamLoad>;
+    [[nodiscard]] auto snapshot(const std::vector<const Upstream *> &upstreams) const -> std::vector<UpstreamSnapshot>;
+
+    /// What is known of one upstream; all zero for an unknown one.
+    [[nodiscard]] auto snapshotOf(const std::string &upstream) const -> UpstreamSnapshot;
 
     /// Counts work in flight. Each call of started() is followed by one call of finished().
     auto started(const std::string &upstream, WorkKind kind) -> void;
@@ -64,9 +70,16 @@
     [[nodiscard]] auto toJson(TimePoint now) const -> JsonObject::Ptr;
 
 private:
+    struct FirstToken
+    {
+        TimePoint at;
+        double milliseconds = 0;
+    };
     struct Entry
     {
-        UpstreamLoad load;
+        UpstreamSnapshot load;
+        /// Recent times to the first token, the oldest first.
+        std::deque<FirstToken> firstTokens;
         /// Failures of requests since the last success.
         int failures = 0;
         /// Ejections since the last success.
@@ -85,7 +98,8 @@
 
     auto entryOf(const std::string &name) -> Entry &;
     static auto isUnreachable(const Entry &entry) -> bool;
-    static auto snapshotOf(const Entry &entry, const Upstream &upstream) -> UpstreamLoad;
+    static auto snapshotOfEntry(const Entry &entry, bool isLeaving) -> UpstreamSnapshot;
+    static auto firstTokenP95(const Entry &entry, TimePoint now) -> double;
     auto runPoller(const std::stop_token &stop) -> void;
     /// The upstream whose poll is due, marked as polled; unset when none is due.
     auto takeDuePoll(TimePoint now) -> std::optional<Poll>;
--- a/Source/Request/AdmissionControl.cpp
+++ b/Source/Request/AdmissionControl.cpp
@@ -13,11 +13,11 @@
 
 } // namespace
 
-auto earliestCandidate(const std::vector<UpstreamLoad> &candidates, TimePoint now) -> const UpstreamLoad *
+auto earliestCandidate(const std::vector<UpstreamSnapshot> &candidates, TimePoint now) -> const UpstreamSnapshot *
 {
-    const UpstreamLoad *best = nullptr;
+    const UpstreamSnapshot *best = nullptr;
     double bestMs = 0;
-    for (const UpstreamLoad &candidate : candidates) {
+    for (const UpstreamSnapshot &candidate : candidates) {
         if (candidate.isLeaving || candidate.ejectedUntil > now) {
             continue;
         }
@@ -30,10 +30,10 @@
     return best;
 }
 
-auto refuseIfOverloaded(const std::vector<UpstreamLoad> &candidates, const ServiceClass &serviceClass, TimePoint now)
+auto refuseIfOverloaded(const std::vector<UpstreamSnapshot> &candidates, const ServiceClass &serviceClass, TimePoint now)
     -> std::optional<RequestError>
 {
-    const UpstreamLoad *best = earliestCandidate(candidates, now);
+    const UpstreamSnapshot *best = earliestCandidate(candidates, now);
     if (best == nullptr || serviceClass.firstTokenMs <= 0) {
         return std::nullopt;
     }
--- a/Source/Request/UpstreamChoice.h
+++ b/Source/Request/UpstreamChoice.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "Request/UpstreamLoad.h"
+#include "Request/UpstreamSnapshot.h"
 
 #include <cstdint>
 #include <set>
@@ -15,7 +15,9 @@
 /// Not usable are leaving and excluded candidates, and ejected ones unless all others are ejected too.
 /// Pure function of its arguments; "random" is uniform over all 64-bit values. Returns the index of the
 /// candidate, unset when none is usable.
-auto chooseUpstream(const std::vector<UpstreamLoad> &candidates, const std::set<std::string> &excluded, std::uint64_t random, TimePoint now)
-    -> std::optional<std::size_t>;
+auto chooseUpstream(const std::vector<UpstreamSnapshot> &candidates,
+                    const std::set<std::string> &excluded,
+                    std::uint64_t random,
+                    TimePoint now) -> std::optional<std::size_t>;
 
 } // namespace poplardock
--- a/Source/Request/UpstreamLoad.h
+++ b/Source/Request/UpstreamSnapshot.h
@@ -17,7 +17,7 @@
 };
 
 /// What this daemon knows about one upstream at one moment.
-struct UpstreamLoad
+struct UpstreamSnapshot
 {
     std::string name;
     /// Work of this daemon that is in flight there.
@@ -33,13 +33,15 @@
     /// Moving averages over online answers; unset before the first one.
     std::optional<double> serviceMs;
     std::optional<double> firstTokenMs;
+    /// 95th percentile of the times to the first token of recent online answers; 0 without any.
+    double firstTokenP95Ms = 0;
     /// Time of the last answer that the averages include.
     TimePoint learnedAt;
     /// Gets no work before this time unless all candidates are ejected.
     TimePoint ejectedUntil;
     bool isLeaving = false;
 
-    auto operator==(const UpstreamLoad &) const -> bool = default;
+    auto operator==(const UpstreamSnapshot &) const -> bool = default;
 };
 
 /// Reads {"running":n,"waiting":n}. Unset for anything else, and for counts out of range.
@@ -47,14 +49,14 @@
 
 /// Requests at the upstream: own work in flight plus the part of the report that is not own work, weighted
 /// by the age of the report.
-auto estimateRequests(const UpstreamLoad &load, TimePoint now) -> double;
+auto estimateRequests(const UpstreamSnapshot &load, TimePoint now) -> double;
 
 /// Time in milliseconds that a new online request waits for a slot. 0 when nothing is known. Batch work of
 /// this daemon is not counted, since it yields to online work.
-auto predictWaitMs(const UpstreamLoad &load, TimePoint now) -> double;
+auto predictWaitMs(const UpstreamSnapshot &load, TimePoint now) -> double;
 
 /// Predicted wait plus the learned time to the first token. 0 for an idle upstream: no other answer can be
 /// expected to be earlier, and a request is needed to learn the present speed.
-auto predictFirstTokenMs(const UpstreamLoad &load, TimePoint now) -> double;
+auto predictFirstTokenMs(const UpstreamSnapshot &load, TimePoint now) -> double;
 
 } // namespace poplardock
