--- a/Source/Connection/CallerWatch.cpp
+++ b/Source/Connection/CallerWatch.cpp
@@ -26,11 +26,6 @@
 
 } // namespace
 
-auto codeInStream(const RequestError &keyError) -> ResultCode
-{
-    return keyError.code == ResultCode::ConfigurationStale ? ResultCode::ConfigurationStaleInStream : ResultCode::KeyWithdrawnInStream;
-}
-
 CallerWatch::CallerWatch(const FleetState &state)
     : state_(state)
     , thread_([this](const std::stop_token &stop) { run(stop); })
@@ -105,15 +100,14 @@
     {
         const std::lock_guard lock(mutex_);
         for (auto &[id, entry] : entries_) {
-            if (entry.nextKeyCheckAt && *entry.nextKeyCheckAt <= now && !entry.keyError) {
+            if (entry.nextKeyCheckAt && *entry.nextKeyCheckAt <= now && !entry.isKeyInvalid) {
                 entry.nextKeyCheckAt = now + KEY_CHECK_INTERVAL;
                 due.emplace_back(id, *entry.caller);
             }
         }
     }
     for (const auto &[id, caller] : due) {
-        const auto error = recheckCaller(caller, state_, now);
-        if (!error) {
+        if (!recheckCaller(caller, state_, now)) {
             continue;
         }
         std::optional<std::stop_source> stop;
@@ -123,7 +117,7 @@
             if (found == entries_.end()) {
                 continue;
             }
-            found->second.keyError = error;
+            found->second.isKeyInvalid = true;
             stop = found->second.stop;
         }
         stop->request_stop();
@@ -164,10 +158,10 @@
     return watch_.entries_.at(id_).isDisconnected;
 }
 
-auto CallerWatch::Registration::keyError() const -> std::optional<RequestError>
+auto CallerWatch::Registration::isKeyInvalid() const -> bool
 {
     const std::lock_guard lock(watch_.mutex_);
-    return watch_.entries_.at(id_).keyError;
+    return watch_.entries_.at(id_).isKeyInvalid;
 }
 
 } // namespace poplardock
--- a/Source/Connection/CallerWatch.h
+++ b/Source/Connection/CallerWatch.h
@@ -42,8 +42,8 @@
         auto watchKey() -> void;
         [[nodiscard]] auto stopToken() const -> std::stop_token;
         [[nodiscard]] auto isDisconnected() const -> bool;
-        /// Set when the key is no longer valid or can no longer be confirmed.
-        [[nodiscard]] auto keyError() const -> std::optional<RequestError>;
+        /// True when the key is no longer valid or can no longer be confirmed.
+        [[nodiscard]] auto isKeyInvalid() const -> bool;
 
     private:
         CallerWatch &watch_;
@@ -62,7 +62,7 @@
         bool isDisconnected = false;
         /// This process itself has stopped receiving, because it shuts down.
         bool isReceiveShutDown = false;
-        std::optional<RequestError> keyError;
+        bool isKeyInvalid = false;
     };
 
     auto run(const std::stop_token &stop) -> void;
@@ -78,8 +78,4 @@
     std::jthread thread_;
 };
 
-/// The code of an error that ends a stream, for an error of recheckCaller(). Those of recheckCaller() say that
-/// the request was not run.
-auto codeInStream(const RequestError &keyError) -> ResultCode;
-
 } // namespace poplardock
--- a/Source/Connection/RequestRun.cpp
+++ b/Source/Connection/RequestRun.cpp
@@ -228,9 +228,8 @@
 
 auto RequestRun::sendStopped() -> void
 {
-    const auto keyError = watch_.keyError();
-    if (keyError && reply_.isStarted()) {
-        reply_.sendError({ codeInStream(*keyError), {} });
+    if (watch_.isKeyInvalid() && reply_.isStarted()) {
+        reply_.sendError({ ResultCode::StreamEnded, {} });
         return;
     }
     parts_.metrics.count("online_caller_gone");
--- a/Source/Process/UpstreamTable.cpp
+++ b/Source/Process/UpstreamTable.cpp
@@ -43,7 +43,7 @@
 
 /// While requests wait, the running ones fill the slots. A single report may be taken between the arrival of
 /// a request and its start, so a lower count is only followed slowly.
-auto learnSlots(UpstreamSnapshot &load) -> void
+auto learnSlots(UpstreamLoad &load) -> void
 {
     const double running = std::max(1, load.report.running);
     if (load.slots && running >= *load.slots) {
@@ -96,23 +96,23 @@
     return *rank;
 }
 
-auto UpstreamTable::snapshotOf(const std::string &upstream) const -> UpstreamSnapshot
+auto UpstreamTable::snapshotOf(const std::string &upstream) const -> UpstreamLoad
 {
     const std::lock_guard lock(mutex_);
     const auto found = entries_.find(upstream);
     if (found == entries_.end()) {
-        UpstreamSnapshot unknown;
+        UpstreamLoad unknown;
         unknown.name = upstream;
         return unknown;
     }
-    UpstreamSnapshot load = snapshotOfEntry(found->second, false);
+    UpstreamLoad load = snapshotOfEntry(found->second, false);
     load.firstTokenP95Ms = firstTokenP95(found->second, Clock::now());
     return load;
 }
 
-auto UpstreamTable::snapshotOfEntry(const Entry &entry, bool isLeaving) -> UpstreamSnapshot
+auto UpstreamTable::snapshotOfEntry(const Entry &entry, bool isLeaving) -> UpstreamLoad
 {
-    UpstreamSnapshot load = entry.load;
+    UpstreamLoad load = entry.load;
     load.isLeaving = isLeaving;
     if (isUnreachable(entry)) {
         load.ejectedUntil = TimePoint::max();
@@ -120,9 +120,9 @@
     return load;
 }
 
-auto UpstreamTable::snapshot(const std::vector<const Upstream *> &upstreams) const -> std::vector<UpstreamSnapshot>
+auto UpstreamTable::snapshot(const std::vector<const Upstream *> &upstreams) const -> std::vector<UpstreamLoad>
 {
-    std::vector<UpstreamSnapshot> loads;
+    std::vector<UpstreamLoad> loads;
     loads.reserve(upstreams.size());
     const std::lock_guard lock(mutex_);
     for (const Upstream *upstream : upstreams) {
@@ -131,7 +131,7 @@
             loads.push_back(snapshotOfEntry(found->second, upstream->leaving));
             continue;
         }
-        UpstreamSnapshot unknown;
+        UpstreamLoad unknown;
         unknown.name = upstream->name;
         unknown.isLeaving = upstream->leaving;
         loads.push_back(std::move(unknown));
@@ -154,7 +154,7 @@
 auto UpstreamTable::started(const std::string &upstream, WorkKind kind) -> void
 {
     const std::lock_guard lock(mutex_);
-    UpstreamSnapshot &load = entryOf(upstream).load;
+    UpstreamLoad &load = entryOf(upstream).load;
     ++(kind == WorkKind::Online ? load.ownOnline : load.ownBatch);
 }
 
@@ -192,7 +192,7 @@
 auto UpstreamTable::recordReport(const std::string &upstream, const LoadReport &report, TimePoint now) -> void
 {
     const std::lock_guard lock(mutex_);
-    UpstreamSnapshot &load = entryOf(upstream).load;
+    UpstreamLoad &load = entryOf(upstream).load;
     load.report = report;
     load.reportedAt = now;
     load.ownAtReport = load.ownOnline + load.ownBatch;
--- a/Source/Process/UpstreamTable.h
+++ b/Source/Process/UpstreamTable.h
@@ -2,7 +2,7 @@
 
 #include "Process/FleetState.h"
 #include "Process/PeerClients.h"
-#include "Request/UpstreamSnapshot.h"
+#include "Request/UpstreamLoad.h"
 
 #include <atomic>
 #include <condition_variable>
@@ -55,10 +55,10 @@
     /// force.
     auto choose(const std::vector<const Upstream *> &upstreams, const std::set<std::string> &excluded, TimePoint now) -> const Upstream *;
     /// In the order of the arguments.
-    [[nodiscard]] auto snapshot(const std::vector<const Upstream *> &upstreams) const -> std::vector<UpstreamSnapshot>;
+    [[nodiscard]] auto snapshot(const std::vector<const Upstream *> &upstreams) const -> std::vector<UpstreamLoad>;
 
     /// What is known of one upstream; all zero for an unknown one.
-    [[nodiscard]] auto snapshotOf(const std::string &upstream) const -> UpstreamSnapshot;
+    [[nodiscard]] auto snapshotOf(const std::string &upstream) const -> UpstreamLoad;
 
     /// Counts work in flight. Each call of started() is followed by one call of finished().
     auto started(const std::string &upstream, WorkKind kind) -> void;
@@ -77,7 +77,7 @@
     };
     struct Entry
     {
-        UpstreamSnapshot load;
+        UpstreamLoad load;
         /// Recent times to the first token, the oldest first.
         std::deque<FirstToken> firstTokens;
         /// Failures of requests since the last success.
@@ -98,7 +98,7 @@
 
     auto entryOf(const std::string &name) -> Entry &;
     static auto isUnreachable(const Entry &entry) -> bool;
-    static auto snapshotOfEntry(const Entry &entry, bool isLeaving) -> UpstreamSnapshot;
+    static auto snapshotOfEntry(const Entry &entry, bool isLeaving) -> UpstreamLoad;
     static auto firstTokenP95(const Entry &entry, TimePoint now) -> double;
     auto runPoller(const std::stop_token &stop) -> void;
     /// The upstream whose poll is due, marked as polled; unset when none is due.
--- a/Source/Request/AdmissionControl.cpp
+++ b/Source/Request/AdmissionControl.cpp
@@ -13,11 +13,11 @@
 
 } // namespace
 
-auto earliestCandidate(const std::vector<UpstreamSnapshot> &candidates, TimePoint now) -> const UpstreamSnapshot *
+auto earliestCandidate(const std::vector<UpstreamLoad> &candidates, TimePoint now) -> const UpstreamLoad *
 {
-    const UpstreamSnapshot *best = nullptr;
+    const UpstreamLoad *best = nullptr;
     double bestMs = 0;
-    for (const UpstreamSnapshot &candidate : candidates) {
+    for (const UpstreamLoad &candidate : candidates) {
         if (candidate.isLeaving || candidate.ejectedUntil > now) {
             continue;
         }
@@ -30,10 +30,10 @@
     return best;
 }
 
-auto refuseIfOverloaded(const std::vector<UpstreamSnapshot> &candidates, const ServiceClass &serviceClass, TimePoint now)
+auto refuseIfOverloaded(const std::vector<UpstreamLoad> &candidates, const ServiceClass &serviceClass, TimePoint now)
     -> std::optional<RequestError>
 {
-    const UpstreamSnapshot *best = earliestCandidate(candidates, now);
+    const UpstreamLoad *best = earliestCandidate(candidates, now);
     if (best == nullptr || serviceClass.firstTokenMs <= 0) {
         return std::nullopt;
     }
--- a/Source/Request/UpstreamChoice.cpp
+++ b/Source/Request/UpstreamChoice.cpp
@@ -8,13 +8,13 @@
 /// an answer its learned speed is no longer used, so that it is tried again.
 constexpr Milliseconds LEARNED_SPEED_TERM { 10000 };
 
-auto usableCandidates(const std::vector<UpstreamSnapshot> &candidates, const std::set<std::string> &excluded, TimePoint now)
+auto usableCandidates(const std::vector<UpstreamLoad> &candidates, const std::set<std::string> &excluded, TimePoint now)
     -> std::vector<std::size_t>
 {
     std::vector<std::size_t> usable;
     std::vector<std::size_t> ejected;
     for (std::size_t index = 0; index < candidates.size(); ++index) {
-        const UpstreamSnapshot &candidate = candidates[index];
+        const UpstreamLoad &candidate = candidates[index];
         if (candidate.isLeaving || excluded.contains(candidate.name)) {
             continue;
         }
@@ -23,17 +23,15 @@
     return usable.empty() ? ejected : usable;
 }
 
-auto knownServiceMs(const UpstreamSnapshot &candidate, TimePoint now) -> std::optional<double>
+auto knownServiceMs(const UpstreamLoad &candidate, TimePoint now) -> std::optional<double>
 {
     return now - candidate.learnedAt <= LEARNED_SPEED_TERM ? candidate.serviceMs : std::nullopt;
 }
 
 } // namespace
 
-auto chooseUpstream(const std::vector<UpstreamSnapshot> &candidates,
-                    const std::set<std::string> &excluded,
-                    std::uint64_t random,
-                    TimePoint now) -> std::optional<std::size_t>
+auto chooseUpstream(const std::vector<UpstreamLoad> &candidates, const std::set<std::string> &excluded, std::uint64_t random, TimePoint now)
+    -> std::optional<std::size_t>
 {
     const std::vector<std::size_t> usable = usableCandidates(candidates, excluded, now);
     if (usable.empty()) {
@@ -44,8 +42,8 @@
         return usable[firstDraw];
     }
     const std::size_t secondDraw = (firstDraw + 1 + (random >> 32U) % (usable.size() - 1)) % usable.size();
-    const UpstreamSnapshot &first = candidates[usable[firstDraw]];
-    const UpstreamSnapshot &second = candidates[usable[secondDraw]];
+    const UpstreamLoad &first = candidates[usable[firstDraw]];
+    const UpstreamLoad &second = candidates[usable[secondDraw]];
     const std::optional<double> firstMs = knownServiceMs(first, now);
     const std::optional<double> secondMs = knownServiceMs(second, now);
     // A candidate of unknown speed is taken to be as fast as the other.
--- a/Source/Request/UpstreamSnapshot.cpp
+++ b/Source/Request/UpstreamLoad.cpp
@@ -1,4 +1,4 @@
-#include "Request/UpstreamSnapshot.h"
+#include "Request/UpstreamLoad.h"
 
 #include "Process/Json.h"
 
@@ -18,7 +18,7 @@
     return std::chrono::duration<double, std::milli>(to - from).count();
 }
 
-auto reportWeight(const UpstreamSnapshot &load, TimePoint now) -> double
+auto reportWeight(const UpstreamLoad &load, TimePoint now) -> double
 {
     if (!load.reportedAt) {
         return 0;
@@ -26,7 +26,7 @@
     return std::exp2(-std::max(0.0, millisecondsBetween(*load.reportedAt, now)) / REPORT_HALF_LIFE_MS);
 }
 
-auto isIdle(const UpstreamSnapshot &load) -> bool
+auto isIdle(const UpstreamLoad &load) -> bool
 {
     return load.ownOnline + load.ownBatch == 0 && load.report.running + load.report.waiting <= load.ownAtReport;
 }
@@ -50,13 +50,13 @@
     return LoadReport { static_cast<int>(*running), static_cast<int>(*waiting) };
 }
 
-auto estimateRequests(const UpstreamSnapshot &load, TimePoint now) -> double
+auto estimateRequests(const UpstreamLoad &load, TimePoint now) -> double
 {
     const int others = std::max(0, load.report.running + load.report.waiting - load.ownAtReport);
     return load.ownOnline + load.ownBatch + others * reportWeight(load, now);
 }
 
-auto predictWaitMs(const UpstreamSnapshot &load, TimePoint now) -> double
+auto predictWaitMs(const UpstreamLoad &load, TimePoint now) -> double
 {
     if (!load.serviceMs) {
         return 0;
@@ -70,7 +70,7 @@
     return waiting * *load.serviceMs / running;
 }
 
-auto predictFirstTokenMs(const UpstreamSnapshot &load, TimePoint now) -> double
+auto predictFirstTokenMs(const UpstreamLoad &load, TimePoint now) -> double
 {
     if (isIdle(load)) {
         return 0;
