--- a/Source/Connection/CallerWatch.cpp
+++ b/Source/Connection/CallerWatch.cpp
@@ -1,6 +1,9 @@
 #include "Connection/CallerWatch.h"
 
+#include <netinet/in.h>
+#include <netinet/tcp.h>
 #include <poll.h>
+#include <sys/socket.h>
 #include <vector>
 
 namespace poplardock {
@@ -12,6 +15,15 @@
 /// With FRESHNESS_BOUND below 5 s, so that a withdrawn key stops a stream within 5 s.
 constexpr Milliseconds KEY_CHECK_INTERVAL { 900 };
 
+/// True when it is this process that has stopped receiving. A server that shuts down does so on connections
+/// that it takes to be idle, while a request that has arrived already is still answered.
+auto isOwnShutdown(int socket) -> bool
+{
+    tcp_info info {};
+    socklen_t length = sizeof info;
+    return ::getsockopt(socket, IPPROTO_TCP, TCP_INFO, &info, &length) == 0 && info.tcpi_state == TCP_ESTABLISHED;
+}
+
 } // namespace
 
 CallerWatch::CallerWatch(const FleetState &state)
@@ -38,7 +50,8 @@
         const std::lock_guard lock(mutex_);
         for (const auto &[id, entry] : entries_) {
             if (!entry.stop.stop_requested()) {
-                sockets.push_back({ entry.socket, POLLRDHUP, 0 });
+                const short events = entry.isReceiveShutDown ? 0 : POLLRDHUP;
+                sockets.push_back({ entry.socket, events, 0 });
                 ids.push_back(id);
             }
         }
@@ -48,12 +61,24 @@
         return;
     }
     for (std::size_t index = 0; index < sockets.size(); ++index) {
-        if ((sockets[index].revents & (POLLRDHUP | POLLHUP | POLLERR)) != 0) {
+        const short found = sockets[index].revents;
+        if ((found & (POLLHUP | POLLERR)) == 0 && (found & POLLRDHUP) != 0 && isOwnShutdown(sockets[index].fd)) {
+            setReceiveShutDown(ids[index]);
+        } else if ((found & (POLLRDHUP | POLLHUP | POLLERR)) != 0) {
             setDisconnected(ids[index]);
         }
     }
 }
 
+auto CallerWatch::setReceiveShutDown(std::uint64_t id) -> void
+{
+    const std::lock_guard lock(mutex_);
+    const auto found = entries_.find(id);
+    if (found != entries_.end()) {
+        found->second.isReceiveShutDown = true;
+    }
+}
+
 auto CallerWatch::setDisconnected(std::uint64_t id) -> void
 {
     std::optional<std::stop_source> stop;
@@ -75,15 +100,14 @@
     {
         const std::lock_guard lock(mutex_);
         for (auto &[id, entry] : entries_) {
-            if (entry.nextKeyCheckAt && *entry.nextKeyCheckAt <= now && !entry.keyError) {
+            if (entry.nextKeyCheckAt && *entry.nextKeyCheckAt <= now && !entry.isKeyInvalid) {
                 entry.nextKeyCheckAt = now + KEY_CHECK_INTERVAL;
                 due.emplace_back(id, *entry.caller);
             }
         }
     }
     for (const auto &[id, caller] : due) {
-        const auto error = recheckCaller(caller, state_, now);
-        if (!error) {
+        if (!recheckCaller(caller, state_, now)) {
             continue;
         }
         std::optional<std::stop_source> stop;
@@ -93,7 +117,7 @@
             if (found == entries_.end()) {
                 continue;
             }
-            found->second.keyError = error;
+            found->second.isKeyInvalid = true;
             stop = found->second.stop;
         }
         stop->request_stop();
@@ -134,10 +158,10 @@
     return watch_.entries_.at(id_).isDisconnected;
 }
 
-auto CallerWatch::Registration::keyError() const -> std::optional<RequestError>
+auto CallerWatch::Registration::isKeyInvalid() const -> bool
 {
     const std::lock_guard lock(watch_.mutex_);
-    return watch_.entries_.at(id_).keyError;
+    return watch_.entries_.at(id_).isKeyInvalid;
 }
 
 } // namespace poplardock
--- a/Source/Connection/RequestRun.cpp
+++ b/Source/Connection/RequestRun.cpp
@@ -138,7 +138,7 @@
 {
     const TimePoint startedAt = Clock::now();
     AnswerReceiver receiver(reply_, watch_, claim_.has_value());
-    if (parts_.yieldBatch && predictWaitMs(parts_.upstreams.snapshot({ &upstream }).front(), startedAt) > 0) {
+    if (parts_.yieldBatch && predictWaitMs(parts_.upstreams.snapshotOf(upstream.name), startedAt) > 0) {
         parts_.yieldBatch(upstream.name);
     }
     UpstreamWork work(parts_.upstreams, upstream.name, WorkKind::Online);
@@ -179,8 +179,9 @@
         parts_.metrics.recordLatency("online_upstream_first_byte", firstByteMs);
         // The first byte of a whole chat answer comes after its last token.
         if (receiver.isStream() || request_.model.empty()) {
-            const double waitMs = predictWaitMs(parts_.upstreams.snapshot({ &upstream }).front(), now);
+            const double waitMs = predictWaitMs(parts_.upstreams.snapshotOf(upstream.name), now);
             outcome.firstTokenMs = std::max(firstByteMs - waitMs, LEAST_PREFILL_SHARE * firstByteMs);
+            outcome.waitMs = firstByteMs - *outcome.firstTokenMs;
         }
     }
     work.setOutcome(outcome);
@@ -227,7 +228,7 @@
 
 auto RequestRun::sendStopped() -> void
 {
-    if (watch_.keyError() && reply_.isStarted()) {
+    if (watch_.isKeyInvalid() && reply_.isStarted()) {
         reply_.sendError({ ResultCode::StreamEnded, {} });
         return;
     }
