--- a/Tests/Process/BatchDispatcherTest.cpp
+++ b/Tests/Process/BatchDispatcherTest.cpp
@@ -5,6 +5,7 @@
 #include <absl/strings/str_cat.h>
 #include <boost/test/unit_test.hpp>
 
+#include <algorithm>
 #include <thread>
 
 namespace poplardock {
@@ -48,6 +49,16 @@
     readAll(fleet, submission);
 }
 
+/// Leases the first chunk for a holder that is no dispatcher of the test.
+auto leaseAs(BatchFleet &fleet, const JobSubmission &submission, const ChunkHolder &holder) -> StoredChunk
+{
+    const auto stored = fleet.store().readChunk(jobIdOf(submission.team, submission.jobKey), 0);
+    BOOST_REQUIRE(stored.ok());
+    const auto leased = fleet.store().change(*stored, [&](const BatchChunk &value) { return ChunkTransition::lease(value, holder); });
+    BOOST_REQUIRE(leased.ok());
+    return *leased;
+}
+
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(BatchDispatcherSuite)
@@ -65,6 +76,222 @@
     }
 }
 
+// Guards against items that are lost or run again because the answer to a lease, commit or end was lost.
+BOOST_AUTO_TEST_CASE(LostAnswersOfStoreWritesLoseNothing)
+{
+    BatchFleet fleet(2, 4);
+    const auto submission = BatchFleet::modelJob("job", 150);
+    accept(fleet, submission);
+    BOOST_REQUIRE(fleet.platform->setFaults(R"({"lose_write_answers":12})").ok());
+    fleet.startAll();
+    checkAllDone(fleet, submission);
+    for (const JobSubmission::Item &item : submission.items) {
+        BOOST_TEST(fleet.receivedCount(item.id) == 1);
+    }
+}
+
+// Guards against results that are lost in a store outage, and against new chunks taken in it.
+BOOST_AUTO_TEST_CASE(StoreOutageDelaysCommitsOnly)
+{
+    BatchFleet fleet(1, 2);
+    const auto submission = BatchFleet::modelJob("job", 100);
+    accept(fleet, submission);
+    fleet.startAll();
+    BOOST_REQUIRE(BatchFleet::await([&] { return fleet.receivedCount("item-") >= 5; }));
+    BOOST_REQUIRE(fleet.platform->setFaults(R"({"outage":true})").ok());
+    const auto leases = fleet.daemons[0]->metrics.counter("batch_leases");
+    std::this_thread::sleep_for(Milliseconds(1500));
+    BOOST_TEST(fleet.daemons[0]->metrics.counter("batch_leases") == leases);
+    BOOST_REQUIRE(fleet.platform->setFaults(R"({"outage":false})").ok());
+    checkAllDone(fleet, submission);
+    for (const JobSubmission::Item &item : submission.items) {
+        BOOST_TEST(fleet.receivedCount(item.id) == 1);
+    }
+}
+
+// Guards against chunks of a holder that vanished after its lease, and after its results but before its commit.
+BOOST_AUTO_TEST_CASE(ChunksOfAVanishedHolderAreTaken)
+{
+    for (const bool hasWrittenResults : { false, true }) {
+        BatchFleet fleet(1, 2);
+        const auto submission = BatchFleet::modelJob("job", 10);
+        accept(fleet, submission);
+        const StoredChunk held = leaseAs(fleet, submission, { "vanished", "1" });
+        const std::string late = JobStore::resultNameOf(held.chunk, held.chunk.epoch, 0);
+        if (hasWrittenResults) {
+            BOOST_REQUIRE(fleet.store().writeResults(late, { { 0, 200, "of the vanished holder" } }).ok());
+        }
+        fleet.startAll();
+        checkAllDone(fleet, submission);
+        const auto commit = [&](const BatchChunk &value) {
+            return ChunkTransition::commit(value, { { "vanished", "1" }, held.chunk.epoch }, { { 0, ItemCompleted { late } } });
+        };
+        BOOST_TEST(absl::IsAborted(fleet.store().change(held, commit).status()));
+    }
+}
+
+// Guards against a chunk that a member holds for ever without progress, for example because it is paused.
+BOOST_AUTO_TEST_CASE(HolderWithoutProgressIsReplaced)
+{
+    BatchFleet fleet(2, 4);
+    const auto submission = BatchFleet::modelJob("job", 10);
+    accept(fleet, submission);
+    leaseAs(fleet, submission, { "d1", "i" });
+    fleet.startDispatcher(0);
+    checkAllDone(fleet, submission);
+}
+
+// Guards against replacing a holder whose items take longer than the lease bound.
+BOOST_AUTO_TEST_CASE(LongItemsKeepTheirLease)
+{
+    FakeUpstream::Options slow;
+    slow.prefillMs = 5000;
+    BatchFleet fleet(2, 4, slow);
+    const auto submission = BatchFleet::modelJob("job", 2);
+    accept(fleet, submission);
+    fleet.startAll();
+    checkAllDone(fleet, submission);
+    BOOST_TEST(fleet.receivedCount("item-") == 2);
+    BOOST_TEST(fleet.daemons[0]->metrics.counter("batch_leases") + fleet.daemons[1]->metrics.counter("batch_leases") == 1U);
+}
+
+// Guards against running an item twice that may not be repeated, when its holder was lost or stops.
+BOOST_AUTO_TEST_CASE(ItemsThatMayNotBeRepeatedRunAtMostOnce)
+{
+    BatchFleet fleet(2, 4);
+    const auto submission = BatchFleet::pathJob("job", "/holds/a", false, 40);
+    accept(fleet, submission);
+    const StoredChunk held = leaseAs(fleet, submission, { "vanished", "1" });
+    const ChunkLease lease { { "vanished", "1" }, held.chunk.epoch };
+    BOOST_REQUIRE(fleet.store().change(held, [&](const BatchChunk &value) { return ChunkTransition::start(value, lease, { 3, 5 }); }).ok());
+    fleet.startAll();
+    BOOST_REQUIRE(BatchFleet::await([&] { return fleet.receivedCount("item-") >= 5; }));
+    fleet.daemons[1]->dispatcher->stop();
+    const BatchJob job = fleet.awaitEnd("t", "job");
+    BOOST_TEST((job.state == JobState::Done));
+    const auto items = readAll(fleet, submission);
+    for (std::size_t index = 0; index < items.size(); ++index) {
+        const bool wasLost = index == 3 || index == 5;
+        BOOST_TEST((items[index].error == (wasLost ? ResultCode::ItemMayHaveRun : ResultCode::Ok)));
+        BOOST_TEST(fleet.receivedCount(items[index].id) == (wasLost ? 0 : 1));
+    }
+}
+
+// Guards against non-repeatable items that are sent again after their answer was lost.
+BOOST_AUTO_TEST_CASE(LostAnswerEndsAnItemThatMayNotBeRepeated)
+{
+    BatchFleet fleet(1, 1);
+    BOOST_REQUIRE(fleet.upstreams[0]->setFaults(R"({"reset_requests":2})").ok());
+    const auto submission = BatchFleet::pathJob("job", "/holds/a", false, 6);
+    accept(fleet, submission);
+    fleet.startAll();
+    const BatchJob job = fleet.awaitEnd("t", "job");
+    BOOST_TEST(job.doneItems == 4);
+    BOOST_TEST(job.failedItems == 2);
+    for (const ItemReport &item : readAll(fleet, submission)) {
+        BOOST_TEST(fleet.receivedCount(item.id) == 1);
+        BOOST_TEST((item.error == ResultCode::Ok || item.error == ResultCode::ItemMayHaveRun));
+    }
+}
+
+// Guards against a cancelled job that goes on, and against items sent after the holders have seen the cancel.
+BOOST_AUTO_TEST_CASE(CancelStopsTheJob)
+{
+    FakeUpstream::Options slow;
+    slow.prefillMs = 300;
+    BatchFleet fleet(2, 4, slow);
+    const auto submission = BatchFleet::modelJob("job", 500);
+    accept(fleet, submission);
+    fleet.startAll();
+    BOOST_REQUIRE(BatchFleet::await([&] { return fleet.receivedCount("item-") >= 5; }));
+    BOOST_REQUIRE(std::holds_alternative<BatchJob>(fleet.store().cancel("t", "job")));
+    BOOST_TEST(BatchFleet::await([&] {
+        return std::all_of(fleet.daemons.begin(), fleet.daemons.end(), [](const auto &daemon) {
+            return Json::toText(*daemon->dispatcher->toJson()).find(R"("held_chunks":{})") != std::string::npos;
+        });
+    }));
+    const int received = fleet.receivedCount("item-");
+    std::this_thread::sleep_for(Milliseconds(1500));
+    BOOST_TEST(fleet.receivedCount("item-") == received);
+    BOOST_TEST((fleet.awaitEnd("t", "job").state == JobState::Cancelled));
+}
+
+// Guards against jobs that never end because the upstreams refuse or fail some items each time.
+BOOST_AUTO_TEST_CASE(ItemsThatCanNeverBeDoneEnd)
+{
+    const auto run = [](const std::string &faults, ResultCode expected, int received) {
+        BatchFleet fleet(1, 2);
+        for (const auto &upstream : fleet.upstreams) {
+            BOOST_REQUIRE(upstream->setFaults(faults).ok());
+        }
+        const auto submission = BatchFleet::modelJob("job", 4);
+        accept(fleet, submission);
+        fleet.startAll();
+        BOOST_TEST(fleet.awaitEnd("t", "job").failedItems == 4);
+        for (const ItemReport &item : readAll(fleet, submission)) {
+            BOOST_TEST((item.error == expected));
+            BOOST_TEST(fleet.receivedCount(item.id) == received);
+        }
+    };
+    run(R"({"refuse_status":422})", ResultCode::ItemRefused, 1);
+    run(R"({"refuse_status":500})", ResultCode::ItemAttemptsExhausted, 3);
+}
+
+// Guards against an item that kills one upstream after the other, and against blaming other items for it.
+BOOST_AUTO_TEST_CASE(ItemEndsAfterTwoUpstreamDeaths)
+{
+    BatchFleet fleet(1, 3);
+    fleet.areUpstreamsDead = true;
+    for (const auto &upstream : fleet.upstreams) {
+        upstream->setCrashHandler([] {});
+        BOOST_REQUIRE(upstream->setFaults(R"({"crash_on":"item-7."})").ok());
+    }
+    const auto submission = BatchFleet::modelJob("job", 20);
+    accept(fleet, submission);
+    fleet.startAll();
+    BOOST_TEST(fleet.awaitEnd("t", "job").doneItems == 19);
+    BOOST_TEST((readAll(fleet, submission)[7].error == ResultCode::RequestCrashesUpstreams));
+    BOOST_TEST(fleet.receivedCount("item-7.") == 2);
+    BOOST_TEST(fleet.reportedDeaths == 2);
+}
+
+// Guards against batch streams that go on when online work waits, and against losing the dropped items.
+BOOST_AUTO_TEST_CASE(YieldDropsStreamsAndTheItemsStillComplete)
+{
+    FakeUpstream::Options slow;
+    slow.tokenMs = 150;
+    BatchFleet fleet(1, 1, slow);
+    const auto submission = BatchFleet::modelJob("job", 12);
+    accept(fleet, submission);
+    fleet.startAll();
+    const auto &metrics = fleet.daemons[0]->metrics;
+    for (int yield = 1; yield <= 4; ++yield) {
+        BOOST_REQUIRE(BatchFleet::await([&] { return fleet.receivedCount("item-") >= 3 * yield; }));
+        fleet.daemons[0]->dispatcher->onYield("u0");
+    }
+    fleet.daemons[0]->dispatcher->onYield("unknown");
+    checkAllDone(fleet, submission);
+    BOOST_TEST(metrics.counter("batch_items_returned") > 0U);
+}
+
+// Guards against a shutdown after which others wait for the lease bound.
+BOOST_AUTO_TEST_CASE(StopGivesChunksBack)
+{
+    FakeUpstream::Options slow;
+    slow.prefillMs = 200;
+    BatchFleet fleet(2, 4, slow);
+    const auto submission = BatchFleet::modelJob("job", 30);
+    accept(fleet, submission);
+    fleet.startDispatcher(0);
+    BOOST_REQUIRE(BatchFleet::await([&] { return fleet.receivedCount("item-") >= 3; }));
+    fleet.daemons[0]->dispatcher->stop();
+    const auto chunk = fleet.store().readChunk(jobIdOf("t", "job"), 0);
+    BOOST_REQUIRE(chunk.ok());
+    BOOST_TEST(chunk->chunk.holder.name.empty());
+    fleet.startDispatcher(1);
+    checkAllDone(fleet, submission);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace poplardock
