Count a member as heard only under the incarnation of the table

Cause: modelling showed that a restarted daemon has forgotten the revisions it was told of, and that counting it lets a majority act on an old revision in a store outage. Change: the fleet state keeps the incarnation that answered and compares it with the member table. Peer exchange, freshness, allowance home and membership tests pass.

--- a/Source/Process/FleetState.cpp
+++ b/Source/Process/FleetState.cpp
@@ -48,10 +48,14 @@
     highestKnownRevision_ = std::max(highestKnownRevision_, revision);
 }
 
-auto FleetState::recordHeard(const std::string &member, TimePoint sentAt, std::uint64_t sentRevision) -> void
+auto FleetState::recordHeard(const Member &member, TimePoint sentAt, std::uint64_t sentRevision) -> void
 {
     const std::lock_guard lock(mutex_);
-    Heard &heard = heard_.try_emplace(member, Heard { sentAt, sentRevision }).first->second;
+    Heard &heard = heard_[member.name];
+    if (heard.incarnation != member.incarnation) {
+        heard = { member.incarnation, sentAt, sentRevision };
+        return;
+    }
     heard.sentAt = std::max(heard.sentAt, sentAt);
     heard.sentRevision = std::max(heard.sentRevision, sentRevision);
 }
@@ -61,8 +65,8 @@
     std::size_t count = 0;
     for (const Member &member : version_->members.members()) {
         const auto found = heard_.find(member.name);
-        const bool isHeard
-            = found != heard_.end() && now - found->second.sentAt <= FRESHNESS_BOUND && found->second.sentRevision >= lowestRevision;
+        const bool isHeard = found != heard_.end() && found->second.incarnation == member.incarnation
+                             && now - found->second.sentAt <= FRESHNESS_BOUND && found->second.sentRevision >= lowestRevision;
         count += member.name == memberName_ || isHeard ? 1 : 0;
     }
     return count;
--- a/Source/Process/FleetState.h
+++ b/Source/Process/FleetState.h
@@ -30,8 +30,10 @@
     auto confirm(std::uint64_t revision, TimePoint confirmedAt, bool isDirect) -> void;
     /// Records that a revision exists, without a confirmation.
     auto noteRevision(std::uint64_t revision) -> void;
-    /// Records that a member answered a request that was sent at that time and named that revision.
-    auto recordHeard(const std::string &member, TimePoint sentAt, std::uint64_t sentRevision) -> void;
+    /// Records that a member answered a request that was sent at that time and named that revision. It counts
+    /// as heard only while the version in force names this incarnation: a restarted process has forgotten what
+    /// its predecessor was told.
+    auto recordHeard(const Member &member, TimePoint sentAt, std::uint64_t sentRevision) -> void;
 
     [[nodiscard]] auto freshness(TimePoint now) const -> Freshness;
     /// True when keyed routes may be served and this daemon may act as a home.
@@ -61,6 +63,7 @@
 private:
     struct Heard
     {
+        std::string incarnation;
         TimePoint sentAt;
         std::uint64_t sentRevision = 0;
     };
--- a/Source/Process/PeerExchange.cpp
+++ b/Source/Process/PeerExchange.cpp
@@ -218,7 +218,7 @@
     if (*from != member.name || *incarnation != member.incarnation) {
         return absl::FailedPreconditionError(absl::StrCat(member.address, " is not ", member.name, " ", member.incarnation));
     }
-    state_.recordHeard(member.name, sentAt, sentRevision);
+    state_.recordHeard(member, sentAt, sentRevision);
     const auto peerRevision = static_cast<std::uint64_t>(std::max<std::int64_t>(0, *revision));
     if (*age >= 0) {
         state_.confirm(isPlausible(peerRevision) ? peerRevision : 0, sentAt - Milliseconds(std::min(*age, MAXIMUM_AGE_MS)), false);
--- a/Tests/Support/AllowanceFleet.cpp
+++ b/Tests/Support/AllowanceFleet.cpp
@@ -176,7 +176,7 @@
         entry->state.confirm(version_->revision, now(), true);
         for (const auto &other : daemons_) {
             if (!other->isPaused) {
-                entry->state.recordHeard(other->member.name, now(), entry->state.current()->revision);
+                entry->state.recordHeard(other->member, now(), entry->state.current()->revision);
             }
         }
     }
