Change one member per commit, with a majority that has the revision

Cause: majorities of member tables that differ in several names need not meet, so an old home cut off with others could act next to a new one (found by modelling). Change: a removal takes one member, from the very revision the majority was heard with; a new name joins only when a majority of the table answers; the wait of a new home needs answers to requests with the new revision. Operators can remove members by name.

--- a/Source/Connection/ControlRoutes.cpp
+++ b/Source/Connection/ControlRoutes.cpp
@@ -27,6 +27,8 @@
 constexpr const char *TEAMS_PREFIX = "/config/teams/";
 constexpr const char *CLASSES_PREFIX = "/config/classes/";
 constexpr const char *UPSTREAMS_PREFIX = "/config/upstreams/";
+constexpr const char *MEMBERS_PREFIX = "/members/";
+constexpr const char *REMOVE_SUFFIX = "/remove";
 constexpr const char *LEAVE_SUFFIX = "/leave";
 
 using ObjectResult = std::variant<JsonObject::Ptr, RequestError>;
@@ -292,4 +294,25 @@
     });
 }
 
+auto ControlRoutes::addMemberRoutes(Router &router, const std::function<absl::Status(const std::string &name)> &remove) -> void
+{
+    router.addPrefix("POST", MEMBERS_PREFIX, [remove](Poco::Net::HTTPServerRequest &request, Poco::Net::HTTPServerResponse &response) {
+        const std::string path(absl::StripPrefix(HttpReply::pathOf(request), MEMBERS_PREFIX));
+        const std::string name(absl::StripSuffix(path, REMOVE_SUFFIX));
+        if (name.empty() || name.size() == path.size()) {
+            HttpReply::sendError(response, { ResultCode::RouteUnknown, {} });
+            return;
+        }
+        const absl::Status status = remove(name);
+        if (status.ok()) {
+            HttpReply::sendJson(response, 200, "{}");
+            return;
+        }
+        const ResultCode code = absl::IsNotFound(status)  ? ResultCode::MemberUnknown
+                                : absl::IsUnknown(status) ? ResultCode::ConfigurationUncertain
+                                                          : ResultCode::StoreUnavailable;
+        HttpReply::sendError(response, { code, std::string(status.message()) });
+    });
+}
+
 } // namespace poplardock
--- a/Source/Connection/ControlRoutes.h
+++ b/Source/Connection/ControlRoutes.h
@@ -5,6 +5,9 @@
 #include "Process/PeerExchange.h"
 #include "Process/VersionLoader.h"
 
+#include <functional>
+#include <string>
+
 namespace poplardock {
 
 /// Registers the endpoints of the control part. The references must outlive the router.
@@ -25,6 +28,9 @@
 /// that the change was made against; it is required for a whole configuration.
 auto addOperatorRoutes(Router &router, ConfigurationEditor &editor, const FleetState &state) -> void;
 
+/// POST /members/NAME/remove, by which an operator removes a member whose process has ended.
+auto addMemberRoutes(Router &router, const std::function<absl::Status(const std::string &name)> &remove) -> void;
+
 } // namespace ControlRoutes
 
 } // namespace poplardock
--- a/Source/Process/AllowanceHome.cpp
+++ b/Source/Process/AllowanceHome.cpp
@@ -75,7 +75,7 @@
         taken.version = state_.current();
         taken.takenAt = now();
         taken.mayAct = state_.mayAct(taken.takenAt);
-        taken.mayStartWait = state_.hasStoreContact(taken.takenAt) && state_.hasHeardMajority(taken.takenAt);
+        taken.mayStartWait = state_.hasStoreContact(taken.takenAt) && state_.hasHeardMajorityWithCurrentRevision(taken.takenAt);
         taken.confirmedAt = state_.confirmedAt();
         // The answers must not belong to a newer version than the one that is acted on.
         if (state_.current()->revision == taken.version->revision) {
--- a/Source/Process/CommandLine.cpp
+++ b/Source/Process/CommandLine.cpp
@@ -186,6 +186,11 @@
     return toOperators(parsed, "POST", absl::StrCat("/config/upstreams/", encoded(text(parsed, "upstream")), "/leave"), {});
 }
 
+auto parseMemberRemove(const Parsed &parsed) -> Result
+{
+    return toOperators(parsed, "POST", absl::StrCat("/members/", encoded(text(parsed, "member")), "/remove"), {});
+}
+
 enum class Target
 {
     None,
@@ -319,6 +324,12 @@
           { required("upstream", "name of the upstream") },
           { "upstream" },
           parseUpstreamLeave },
+        { "member remove",
+          "remove a member whose process has ended",
+          Target::Operators,
+          { required("member", "name of the member") },
+          { "member" },
+          parseMemberRemove },
     };
 }
 
--- a/Source/Process/Daemon.cpp
+++ b/Source/Process/Daemon.cpp
@@ -164,6 +164,9 @@
     });
     ControlRoutes::addPeerRoutes(peersRouter, exchange, loader, state);
     ControlRoutes::addOperatorRoutes(operatorsRouter, editor, state);
+    ControlRoutes::addMemberRoutes(operatorsRouter, [this](const std::string &name) -> absl::Status {
+        return membership ? membership->removeByOperator(name) : absl::UnavailableError("the daemon is starting");
+    });
     exchange.addField(
         "crashes",
         [this] { return Poco::Dynamic::Var(crashes.toJson(Clock::now())); },
--- a/Source/Process/Membership.cpp
+++ b/Source/Process/Membership.cpp
@@ -59,13 +59,25 @@
     return record;
 }
 
+auto Membership::hasMajorityFor(const FleetVersion &base) -> bool
+{
+    for (const Member &member : base.members.members()) {
+        static_cast<void>(exchange_.exchangeWith(member));
+    }
+    return state_.current()->revision == base.revision && state_.hasHeardMajorityWithCurrentRevision(Clock::now());
+}
+
 auto Membership::commitJoin(const Member &record) -> absl::Status
 {
-    const auto version = committer_.commit([&record](const FleetVersion &base) -> absl::StatusOr<FleetChange> {
+    const auto version = committer_.commit([this, &record](const FleetVersion &base) -> absl::StatusOr<FleetChange> {
         const Member *known = base.members.find(record.name);
         if (known != nullptr && *known == record) {
             return FleetChange();
         }
+        // A new name needs a majority of the table that it joins, so that majorities of successive tables meet.
+        if (known == nullptr && !base.members.members().empty() && !hasMajorityFor(base)) {
+            return absl::UnavailableError("no majority of the members answers; an operator can remove lost members");
+        }
         return FleetChange { std::nullopt, base.members.with(record) };
     });
     return version.status();
@@ -73,12 +85,15 @@
 
 auto Membership::joinOnce() -> absl::Status
 {
-    const absl::Status loaded = state_.current()->revision == 0 ? watcher_.loadInitial() : absl::OkStatus();
     Member record;
+    bool isFirstJoin = false;
     {
         const std::lock_guard lock(mutex_);
         record = self_;
+        isFirstJoin = !hasJoined_;
     }
+    // Before the first join no thread watches the root, and other daemons may be joining meanwhile.
+    const absl::Status loaded = isFirstJoin ? watcher_.loadInitial() : absl::OkStatus();
     if (absl::IsNotFound(loaded)) {
         const auto table = MemberTable::create({ record });
         return table.ok() ? committer_.createRoot(*table).status() : table.status();
@@ -208,7 +223,7 @@
     RemovalInput input;
     input.self = state_.memberName();
     input.hasStoreContact = state_.hasStoreContact(now);
-    input.hasHeardMajority = state_.hasHeardMajority(now);
+    input.hasHeardMajority = state_.hasHeardMajorityWithCurrentRevision(now);
     input.ownSilence = exchange_.silence(now);
     for (const auto &[name, report] : exchange_.reports()) {
         if (now - report.sentAt <= FRESHNESS_BOUND) {
@@ -224,24 +239,36 @@
 
 auto Membership::removeLost(TimePoint now) -> void
 {
-    const std::vector<Member> lost = membersToRemove(state_.current()->members, removalInput(now));
+    const FleetVersionPointer version = state_.current();
+    const std::vector<Member> lost = membersToRemove(version->members, removalInput(now));
     if (lost.empty()) {
         return;
     }
-    const auto version = committer_.commit([&lost](const FleetVersion &base) -> absl::StatusOr<FleetChange> {
-        MemberTable table = base.members;
-        for (const Member &member : lost) {
-            const Member *known = table.find(member.name);
-            if (known != nullptr && known->incarnation == member.incarnation) {
-                table = table.without(member.name);
-            }
+    // One member for each commit, and only from the table that the majority was heard with: majorities of
+    // successive tables then always meet.
+    const Member &member = lost.front();
+    const auto committed = committer_.commit([&member, &version](const FleetVersion &base) -> absl::StatusOr<FleetChange> {
+        if (base.revision != version->revision) {
+            return absl::FailedPreconditionError("the version has changed meanwhile");
+        }
+        return FleetChange { std::nullopt, base.members.without(member.name) };
+    });
+    const std::string result = committed.ok() ? std::string("done") : std::string(committed.status().message());
+    Log::warning(Part::Member, absl::StrCat("Removal of ", member.name, ", incarnation ", member.incarnation, ": ", result, "."));
+}
+
+auto Membership::removeByOperator(const std::string &name) -> absl::Status
+{
+    const auto committed = committer_.commit([&name](const FleetVersion &base) -> absl::StatusOr<FleetChange> {
+        if (base.members.find(name) == nullptr) {
+            return absl::NotFoundError(absl::StrCat("there is no member ", name));
         }
-        return table == base.members ? FleetChange() : FleetChange { std::nullopt, std::move(table) };
+        return FleetChange { std::nullopt, base.members.without(name) };
     });
-    for (const Member &member : lost) {
-        const std::string result = version.ok() ? std::string("done") : std::string(version.status().message());
-        Log::warning(Part::Member, absl::StrCat("Removal of ", member.name, ", incarnation ", member.incarnation, ": ", result, "."));
+    if (committed.ok()) {
+        Log::warning(Part::Member, absl::StrCat("An operator removed ", name, "."));
     }
+    return committed.status();
 }
 
 auto Membership::overtakeFalseRevision(TimePoint now) -> void
--- a/Source/Process/Membership.h
+++ b/Source/Process/Membership.h
@@ -42,6 +42,10 @@
     /// stop(), since the checking thread may be joining again.
     auto leave(TimePoint deadline) -> absl::Status;
 
+    /// Removes a member at an operator's word, without a majority. Safe only when its process has ended.
+    /// Errors: NotFound, Unavailable, ResourceExhausted, Aborted, Unknown.
+    auto removeByOperator(const std::string &name) -> absl::Status;
+
     /// Starts and stops the thread that joins again after a removal and removes lost members.
     auto start() -> void;
     auto stop() -> void;
@@ -58,6 +62,7 @@
 private:
     auto joinOnce() -> absl::Status;
     auto commitJoin(const Member &record) -> absl::Status;
+    auto hasMajorityFor(const FleetVersion &base) -> bool;
     auto renewIncarnation() -> Member;
     auto checkOwnRecord() -> void;
     auto readVms(TimePoint now) -> void;
--- a/Source/Process/RemovalRule.h
+++ b/Source/Process/RemovalRule.h
@@ -22,7 +22,8 @@
 struct RemovalInput
 {
     std::string self;
-    /// Store contact and a majority of the members heard, both within the freshness bound.
+    /// Store contact, and a majority of the members heard with the revision in force, both within the
+    /// freshness bound.
     bool hasStoreContact = false;
     bool hasHeardMajority = false;
     SilenceByMember ownSilence;
@@ -35,7 +36,8 @@
 };
 
 /// The members that are to be removed now, never this one itself. A member that a report does not mention
-/// counts as heard. Pure function; see "Membership" in docs/design.md.
+/// counts as heard. The absence of a VM needs no majority: the platform shows a VM until it has ended, so its
+/// daemon cannot act any more. Pure function; see "Membership" in docs/design.md.
 auto membersToRemove(const MemberTable &table, const RemovalInput &input) -> std::vector<Member>;
 
 } // namespace poplardock
--- a/Source/Request/ResultCode.cpp
+++ b/Source/Request/ResultCode.cpp
@@ -95,6 +95,7 @@
           "The change may have taken effect; read the configuration." },
         { ResultCode::TeamUnknown, "team_unknown", 404, NotRun, "No such team or key." },
         { ResultCode::UpstreamUnknown, "upstream_unknown", 404, NotRun, "No such upstream." },
+        { ResultCode::MemberUnknown, "member_unknown", 404, NotRun, "No such member." },
         { ResultCode::StoreUnavailable, "store_unavailable", 503, NotRun, "The platform's store cannot be reached." },
         { ResultCode::StoreBudgetExhausted, "store_budget_exhausted", 503, NotRun, "The daemon's budget of store calls is used up." },
         { ResultCode::PeerUnreachable, "peer_unreachable", 503, NotRun, "A peer cannot be reached." },
--- a/Source/Request/ResultCode.h
+++ b/Source/Request/ResultCode.h
@@ -71,6 +71,7 @@
     ConfigurationUncertain = 5003,
     TeamUnknown = 5004,
     UpstreamUnknown = 5005,
+    MemberUnknown = 5006,
 
     StoreUnavailable = 6001,
     StoreBudgetExhausted = 6002,
