Hand over the regions whose share is still theirs

A home that took a team over in the same seconds in which a region vanished from the member table used the larger share at once, while the cut-off region could still act: 178 admissions in a window that allows 164. The handover answer now names the regions that the earlier home still leaves room for. RegionsShareTheLimit fails without the line in acceptHandover() that takes them over; HandoverIncludesTheLoans fails without restoring the loans.

--- a/Source/Process/AllowanceHome.cpp
+++ b/Source/Process/AllowanceHome.cpp
@@ -284,7 +284,7 @@
     if (taken.version->revision < request.revision) {
         // From now on this daemon does not act until it has that revision.
         state_.noteRevision(request.revision);
-        return { HandoverOutcome::RevisionMissing, 0, {} };
+        return { HandoverOutcome::RevisionMissing, 0, {}, {} };
     }
     const std::lock_guard lock(mutex_);
     observe(taken);
@@ -294,7 +294,9 @@
         return {};
     }
     departed->bucket.advance(options_.clock());
-    return { HandoverOutcome::HandedOver, departed->bucket.level(), departed->bucket.loans() };
+    return {
+        HandoverOutcome::HandedOver, departed->bucket.level(), departed->bucket.loans(), { earlierRegions_.begin(), earlierRegions_.end() }
+    };
 }
 
 auto AllowanceHome::maintain() -> void
@@ -395,6 +397,7 @@
         waiting->earlierHome.reset();
         return;
     }
+    earlierRegions_.insert(answer.earlierRegions.begin(), answer.earlierRegions.end());
     AllowanceBucket bucket(limitOf(pending.team, now), answer.level, now);
     for (const Loan &loan : answer.loans) {
         bucket.restore(loan);
--- a/Source/Process/AllowanceMessages.cpp
+++ b/Source/Process/AllowanceMessages.cpp
@@ -155,6 +155,7 @@
     object->set("outcome", toText(answer.outcome));
     object->set("level", answer.level);
     object->set("loans", loans);
+    object->set("earlier_regions", Json::fromStrings(answer.earlierRegions));
     return object;
 }
 
@@ -163,11 +164,12 @@
     const auto outcome = Json::requireString(object, "outcome");
     const auto level = Json::requireInteger(object, "level");
     const auto loans = Json::optionalObjects(object, "loans");
-    const absl::Status error = firstError({ outcome.status(), level.status(), loans.status() });
+    const auto regions = Json::optionalStrings(object, "earlier_regions");
+    const absl::Status error = firstError({ outcome.status(), level.status(), loans.status(), regions.status() });
     if (!error.ok()) {
         return error;
     }
-    HandoverAnswer answer { outcomeFromText(*outcome), *level, {} };
+    HandoverAnswer answer { outcomeFromText(*outcome), *level, {}, *regions };
     for (const JsonObject::Ptr &item : *loans) {
         auto loan = loanFromJson(*item, now);
         if (!loan.ok()) {
--- a/Source/Process/AllowanceMessages.h
+++ b/Source/Process/AllowanceMessages.h
@@ -71,6 +71,8 @@
     /// Units.
     std::int64_t level = 0;
     std::vector<Loan> loans;
+    /// Regions of earlier tables whose homes may still act; their share is still theirs.
+    std::vector<std::string> earlierRegions;
 
     auto operator==(const HandoverAnswer &) const -> bool = default;
 };
--- a/Tests/Process/AllowanceHomeTest.cpp
+++ b/Tests/Process/AllowanceHomeTest.cpp
@@ -74,7 +74,22 @@
     checkWindows();
 }
 
-// Guards against loans that the successor does not know of, under load.
+// Guards against a successor that refills in place of loans that it does not know of.
+BOOST_AUTO_TEST_CASE(HandoverIncludesTheLoans)
+{
+    const HomeAnswer answer = fleet.daemon(0).home.lend({ team, 1, 20, 20, 0, 0, 0, { "d1", "d1-1", 1 } });
+    BOOST_TEST(std::get<LoanAnswer>(answer).granted == 20);
+    Daemon &joined = fleet.addDaemon();
+    fleet.commit();
+    fleet.run(Milliseconds(900));
+    for (int token = 0; token < 20; ++token) {
+        fleet.log.record(team, fleet.now());
+    }
+    BOOST_TEST(drainAt(joined) == 10);
+    checkWindows();
+}
+
+// Guards against a handover under load that exceeds the limit or interrupts the admissions.
 BOOST_AUTO_TEST_CASE(HandoverUnderLoadKeepsTheLimit)
 {
     fleet.load(team, 3 * RATE, std::chrono::seconds(3), random);
@@ -244,24 +259,28 @@
 // Guards against regions that together admit more than the team's limit, also while the regions change.
 BOOST_AUTO_TEST_CASE(RegionsShareTheLimit)
 {
-    AllowanceFleet fleet({ "a", "a" }, { { "t", RATE, BURST, {} } });
+    const std::string team = teamMovingToD3("d0");
+    AllowanceFleet fleet({ "a", "a" }, { { team, RATE, BURST, {} } });
     std::mt19937_64 random(1);
     fleet.runTakeoverWait();
-    fleet.load("t", 3 * RATE, std::chrono::seconds(3), random);
+    fleet.load(team, 3 * RATE, std::chrono::seconds(3), random);
     Daemon &other = fleet.addDaemon("b");
     fleet.commit();
-    fleet.load("t", 3 * RATE, std::chrono::seconds(9), random);
-    BOOST_TEST(other.home.toJson()->has("t"));
+    fleet.load(team, 3 * RATE, std::chrono::seconds(9), random);
+    BOOST_TEST(other.home.toJson()->has(team));
     other.isPaused = true;
-    // The other region is cut off: it acts on its old table until its freshness has run out.
+    // The other region is cut off: it acts on its old table until its freshness has run out. At the same time
+    // the home in this region changes with a handover.
+    fleet.commit({ other.member.name });
+    fleet.addDaemon("a");
     fleet.commit({ other.member.name });
     for (int step = 0; step < 300; ++step) {
-        fleet.load("t", 3 * RATE, Milliseconds(20), random);
-        std::ignore = other.acquire("t");
+        fleet.load(team, 3 * RATE, Milliseconds(20), random);
+        std::ignore = other.acquire(team);
     }
-    fleet.load("t", 3 * RATE, std::chrono::seconds(4), random);
-    BOOST_TEST(fleet.log.findExcessWindow("t", RATE, BURST).value_or("") == "");
-    BOOST_TEST(fleet.log.admissions("t").size() > 15 * RATE);
+    fleet.load(team, 3 * RATE, std::chrono::seconds(4), random);
+    BOOST_TEST(fleet.log.findExcessWindow(team, RATE, BURST).value_or("") == "");
+    BOOST_TEST(fleet.log.admissions(team).size() > 15 * RATE);
 }
 
 } // namespace poplardock
