--- a/Source/Process/AllowanceMessages.h
+++ b/Source/Process/AllowanceMessages.h
@@ -19,6 +19,8 @@
     std::uint64_t revision = 0;
     /// Tokens; 0 only ends the earlier loan.
     std::int64_t want = 0;
+    /// Tokens of these for which requests wait now; the others are for demand that is expected.
+    std::int64_t need = 0;
     /// Tokens of the earlier loan that were spent and that are returned.
     std::int64_t spent = 0;
     std::int64_t returned = 0;
@@ -69,6 +71,8 @@
     /// Units.
     std::int64_t level = 0;
     std::vector<Loan> loans;
+    /// Regions of earlier tables whose homes may still act; their share is still theirs.
+    std::vector<std::string> earlierRegions;
 
     auto operator==(const HandoverAnswer &) const -> bool = default;
 };
