--- /dev/null
+++ b/Tests/Process/ClaimStoreTest.cpp
@@ -0,0 +1,100 @@
+#include "Process/ClaimStore.h"
+
+#include "Fakes/FakePlatform.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include <atomic>
+#include <thread>
+
+namespace poplardock {
+
+namespace {
+
+struct ClaimFixture
+{
+    std::unique_ptr<FakePlatform> platform = *FakePlatform::start("127.0.0.1:0");
+    StoreClient firstStore { platform->address(), "d1", { 1000, 1000 } };
+    StoreClient secondStore { platform->address(), "d2", { 1000, 1000 } };
+    ClaimStore first { firstStore };
+    ClaimStore second { secondStore };
+    const ClaimRequest request { "blue", "order-1", "POST", "/hold", "{}" };
+
+    static auto codeOf(const std::variant<Claim, RecordedAnswer, RequestError> &result) -> ResultCode
+    {
+        const auto *error = std::get_if<RequestError>(&result);
+        return error == nullptr ? ResultCode::Ok : error->code;
+    }
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(ClaimStoreSuite, ClaimFixture)
+
+// Guards against two daemons that both run a request which is sent to both at the same time.
+BOOST_AUTO_TEST_CASE(OneOfManyClaimsWins)
+{
+    std::atomic<int> claimed = 0;
+    {
+        std::vector<std::jthread> callers;
+        callers.reserve(8);
+        for (int caller = 0; caller < 8; ++caller) {
+            callers.emplace_back([this, caller, &claimed] {
+                claimed += std::holds_alternative<Claim>((caller % 2 == 0 ? first : second).claim(request)) ? 1 : 0;
+            });
+        }
+    }
+    BOOST_TEST(claimed == 1);
+}
+
+// Guards against an answer that changes on its way through the store, and against answers for other requests.
+BOOST_AUTO_TEST_CASE(RecordedAnswerComesBackUnchanged)
+{
+    const auto claim = first.claim(request);
+    BOOST_REQUIRE(std::holds_alternative<Claim>(claim));
+    BOOST_TEST((codeOf(second.claim(request)) == ResultCode::ClaimPending));
+    const RecordedAnswer answer { 201, "application/octet-stream", std::string("\0\xff\n{\"\r", 6) };
+    BOOST_TEST(first.record(std::get<Claim>(claim), answer).ok());
+    const auto again = second.claim(request);
+    BOOST_REQUIRE(std::holds_alternative<RecordedAnswer>(again));
+    BOOST_TEST((std::get<RecordedAnswer>(again) == answer));
+    ClaimRequest other = request;
+    other.body = "[]";
+    BOOST_TEST((codeOf(second.claim(other)) == ResultCode::ClaimConflict));
+    other = request;
+    other.path = "/look";
+    BOOST_TEST((codeOf(second.claim(other)) == ResultCode::ClaimConflict));
+    other = request;
+    other.team = "red";
+    BOOST_TEST(std::holds_alternative<Claim>(second.claim(other)));
+}
+
+// Guards against a key that is lost although its request was never sent.
+BOOST_AUTO_TEST_CASE(ReleasedKeyCanBeClaimedAgain)
+{
+    const auto claim = first.claim(request);
+    BOOST_REQUIRE(std::holds_alternative<Claim>(claim));
+    BOOST_TEST(first.release(std::get<Claim>(claim)).ok());
+    BOOST_TEST(std::holds_alternative<Claim>(second.claim(request)));
+}
+
+// Guards against a claim that is taken for lost because only the answer of the store was lost.
+BOOST_AUTO_TEST_CASE(LostStoreAnswerStillClaims)
+{
+    BOOST_REQUIRE(platform->setFaults(R"({"lose_write_answers":1})").ok());
+    BOOST_TEST(std::holds_alternative<Claim>(first.claim(request)));
+    BOOST_TEST((codeOf(second.claim(request)) == ResultCode::ClaimPending));
+}
+
+BOOST_AUTO_TEST_CASE(OversizedAnswerIsNotRecorded)
+{
+    const auto claim = first.claim(request);
+    BOOST_REQUIRE(std::holds_alternative<Claim>(claim));
+    BOOST_TEST(!first.record(std::get<Claim>(claim), { 200, "text/plain", std::string((256U << 10U) + 1, 'x') }).ok());
+    BOOST_TEST((codeOf(second.claim(request)) == ResultCode::ClaimPending));
+    BOOST_TEST(first.record(std::get<Claim>(claim), { 200, "text/plain", std::string(256U << 10U, 'x') }).ok());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace poplardock
--- /dev/null
+++ b/Tests/Process/RetryBudgetTest.cpp
@@ -0,0 +1,42 @@
+#include "Process/RetryBudget.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include <random>
+
+namespace poplardock {
+
+// Guards against more than one retry in ten requests, at any moment and for any order of requests and retries.
+BOOST_AUTO_TEST_CASE(RetriesNeverExceedATenthOfTheRequests)
+{
+    std::mt19937_64 random(11);
+    RetryBudget budget;
+    TimePoint now = TimePoint() + std::chrono::hours(1);
+    std::uint64_t requests = 0;
+    std::uint64_t retries = 0;
+    for (int step = 0; step < 20000; ++step) {
+        now += Milliseconds(random() % 40);
+        if (random() % 3 == 0) {
+            budget.recordRequest(now);
+            ++requests;
+        } else {
+            retries += budget.takeRetry(now) ? 1 : 0;
+        }
+        BOOST_REQUIRE(retries * 10 <= requests);
+    }
+    BOOST_TEST(retries * 11 > requests);
+}
+
+// Guards against a retry storm paid for by requests of long ago.
+BOOST_AUTO_TEST_CASE(OldRequestsGiveNoRetries)
+{
+    RetryBudget budget;
+    const TimePoint start = TimePoint() + std::chrono::hours(1);
+    for (int request = 0; request < 1000; ++request) {
+        budget.recordRequest(start);
+    }
+    BOOST_TEST(budget.takeRetry(start + std::chrono::seconds(29)));
+    BOOST_TEST(!budget.takeRetry(start + std::chrono::seconds(30)));
+}
+
+} // namespace poplardock
--- /dev/null
+++ b/Tests/Process/UpstreamTableTest.cpp
@@ -0,0 +1,136 @@
+#include "Process/UpstreamTable.h"
+
+#include "Fakes/FakeUpstream.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include <thread>
+
+namespace poplardock {
+
+namespace {
+
+const TimePoint NOW = TimePoint() + std::chrono::hours(1);
+
+auto makeUpstream(const std::string &name, const std::string &address) -> Upstream
+{
+    return { name, address, "models", UpstreamKind::Model, { "m" }, {}, "dc1", false };
+}
+
+auto install(FleetState &state, std::uint64_t revision, const std::vector<Upstream> &upstreams) -> void
+{
+    FleetVersion version;
+    version.revision = revision;
+    Configuration::Data data;
+    data.upstreams = upstreams;
+    version.configuration = *Configuration::create(std::move(data));
+    state.install(std::make_shared<const FleetVersion>(std::move(version)), Clock::now());
+}
+
+/// Waits for a poll. The limit only ends a test that has failed.
+template<typename Condition>
+auto waitUntil(Condition condition) -> bool
+{
+    const TimePoint limit = Clock::now() + std::chrono::seconds(60);
+    while (!condition()) {
+        if (Clock::now() > limit) {
+            return false;
+        }
+        std::this_thread::sleep_for(Milliseconds(5));
+    }
+    return true;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(UpstreamTableSuite)
+
+// Guards against an upstream that keeps getting work while it fails, and against one that stays ejected.
+BOOST_AUTO_TEST_CASE(RepeatedFailuresEjectForGrowingTimes)
+{
+    const FleetState state("d1");
+    UpstreamTable table(state);
+    const auto fail = [&table](int times, TimePoint at) {
+        for (int failure = 0; failure < times; ++failure) {
+            table.started("a", WorkKind::Online);
+            table.finished("a", WorkKind::Online, { true, {}, {} }, at);
+        }
+        return table.snapshotOf("a").ejectedUntil;
+    };
+    BOOST_TEST((fail(2, NOW) < NOW));
+    const TimePoint first = fail(1, NOW);
+    BOOST_TEST((first == NOW + std::chrono::seconds(1)));
+    // Failures of requests that were under way before the ejection do not lengthen it.
+    BOOST_TEST((fail(5, NOW) == first));
+    BOOST_TEST((fail(1, first) == first + std::chrono::seconds(2)));
+    table.started("a", WorkKind::Online);
+    table.finished("a", WorkKind::Online, { false, 5, 50 }, first);
+    BOOST_TEST((table.snapshotOf("a").ejectedUntil < NOW));
+    BOOST_TEST((fail(2, first) < NOW));
+}
+
+// Guards against online and batch work being mixed up, and against work that stays counted.
+BOOST_AUTO_TEST_CASE(WorkInFlightIsCountedApart)
+{
+    const FleetState state("d1");
+    UpstreamTable table(state);
+    {
+        const UpstreamWork online(table, "a", WorkKind::Online);
+        const UpstreamWork batch(table, "a", WorkKind::Batch);
+        const UpstreamWork secondBatch(table, "a", WorkKind::Batch);
+        BOOST_TEST(table.snapshotOf("a").ownOnline == 1);
+        BOOST_TEST(table.snapshotOf("a").ownBatch == 2);
+    }
+    BOOST_TEST(table.snapshotOf("a").ownOnline + table.snapshotOf("a").ownBatch == 0);
+}
+
+// Guards against one report, taken while a request was about to start, that makes an engine look tiny.
+BOOST_AUTO_TEST_CASE(SlotsAreLearnedFromReportsWithWaitingRequests)
+{
+    const FleetState state("d1");
+    UpstreamTable table(state);
+    table.recordReport("a", { 40, 0 }, NOW);
+    BOOST_TEST(!table.snapshotOf("a").slots.has_value());
+    table.recordReport("a", { 16, 9 }, NOW);
+    table.recordReport("a", { 0, 1 }, NOW);
+    BOOST_TEST(table.snapshotOf("a").slots.value() > 14);
+    table.recordReport("a", { 24, 0 }, NOW);
+    BOOST_TEST(table.snapshotOf("a").slots.value() == 24);
+}
+
+// Guards against an upstream that dies without a request to notice it, and one that returns without work.
+BOOST_AUTO_TEST_CASE(PollsNoticeDeathReturnAndRemoval)
+{
+    FleetState state("d1");
+    UpstreamTable table(state);
+    auto fake = *FakeUpstream::start("127.0.0.1:0", { .reportLagMs = 0 });
+    const std::string address = fake->address();
+    install(state, 1, { makeUpstream("a", address) });
+    table.startPolling();
+    BOOST_TEST(waitUntil([&] { return table.snapshotOf("a").reportedAt.has_value(); }));
+    fake.reset();
+    BOOST_TEST(waitUntil([&] { return table.snapshotOf("a").ejectedUntil == TimePoint::max(); }));
+    fake = *FakeUpstream::start(address, {});
+    BOOST_TEST(waitUntil([&] { return table.snapshotOf("a").ejectedUntil != TimePoint::max(); }));
+    install(state, 2, {});
+    BOOST_TEST(waitUntil([&] { return table.toJson(Clock::now())->size() == 0; }));
+}
+
+// Guards against one hanging upstream that keeps the others from being polled.
+BOOST_AUTO_TEST_CASE(HangingUpstreamDoesNotStopThePolls)
+{
+    FleetState state("d1");
+    UpstreamTable table(state);
+    // It accepts connections into its backlog and never answers.
+    const Poco::Net::ServerSocket hanging(Poco::Net::SocketAddress("127.0.0.1:0"), 16);
+    const auto fake = *FakeUpstream::start("127.0.0.1:0", {});
+    install(state, 1, { makeUpstream("a", hanging.address().toString()), makeUpstream("b", fake->address()) });
+    table.startPolling();
+    BOOST_TEST(waitUntil([&] { return table.snapshotOf("a").ejectedUntil == TimePoint::max(); }));
+    BOOST_TEST(table.snapshotOf("b").reportedAt.has_value());
+    BOOST_TEST((table.snapshotOf("b").ejectedUntil != TimePoint::max()));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace poplardock
