Let the batch share learn an upstream's places and follow online demand

Cause: the first BatchShare grew until reports showed a queue and halved then, on reports up to 1.2 s old. It saw only its own daemon's online requests. Change: a report with a queue shows how many requests the upstream runs at a time; the share stays below that by a reserve and by the online requests that are expected there over the fleet (this daemon's requests to the group, times the members, over the upstreams). A yield drops a part at once and holds off for a moment.

--- a/Source/Process/BatchDispatcher.cpp
+++ b/Source/Process/BatchDispatcher.cpp
@@ -211,6 +211,26 @@
     return served;
 }
 
+auto BatchDispatcher::loadsOf(const Served &served) const -> std::map<std::string, UpstreamLoad>
+{
+    std::map<std::string, UpstreamLoad> loads;
+    for (const Upstream &upstream : served.upstreams) {
+        loads.emplace(upstream.name, hooks_.loadOf(upstream.name));
+    }
+    // Callers are spread over the daemons, so this daemon's requests to a group show those of the whole fleet.
+    const auto memberCount = static_cast<double>(served.version->members.members().size());
+    for (const Upstream &upstream : served.upstreams) {
+        const auto group = served.version->configuration.upstreamsOfGroup(upstream.group);
+        double own = 0;
+        for (const Upstream *other : group) {
+            const auto known = loads.find(other->name);
+            own += known == loads.end() ? hooks_.loadOf(other->name).onlineInFlight : known->second.onlineInFlight;
+        }
+        loads.at(upstream.name).onlineExpected = own * memberCount / static_cast<double>(group.size());
+    }
+    return loads;
+}
+
 auto BatchDispatcher::scheduleLoop(const std::stop_token &stop) -> void
 {
     while (!stop.stop_requested()) {
@@ -225,10 +245,7 @@
 {
     const TimePoint now = Clock::now();
     const Served served = serve(now);
-    std::map<std::string, UpstreamLoad> loads;
-    for (const Upstream &upstream : served.upstreams) {
-        loads.emplace(upstream.name, hooks_.loadOf(upstream.name));
-    }
+    const std::map<std::string, UpstreamLoad> loads = loadsOf(served);
     const std::lock_guard lock(mutex_);
     updateUpstreams(served, loads, now);
     if (!isStopping_) {
--- a/Source/Process/BatchDispatcher.h
+++ b/Source/Process/BatchDispatcher.h
@@ -37,6 +37,7 @@
     {
         /// Incarnation under which this process is a member.
         std::function<std::string()> incarnation;
+        /// Load of any upstream of the configuration. The dispatcher sets "onlineExpected" itself.
         std::function<UpstreamLoad(const std::string &upstream)> loadOf;
         /// True for a request that has killed upstreams.
         std::function<bool(const std::string &team, const std::string &path, const std::string &body)> isRefused;
@@ -142,6 +143,7 @@
     };
 
     auto serve(TimePoint now) const -> Served;
+    auto loadsOf(const Served &served) const -> std::map<std::string, UpstreamLoad>;
     auto scheduleLoop(const std::stop_token &stop) -> void;
     auto schedule() -> void;
     auto updateUpstreams(const Served &served, const std::map<std::string, UpstreamLoad> &loads, TimePoint now) -> void;
--- a/Source/Process/BatchShare.cpp
+++ b/Source/Process/BatchShare.cpp
@@ -11,44 +11,51 @@
 
 auto BatchShare::limit() const -> int
 {
-    return static_cast<int>(limit_);
+    const double bound = std::min(limit_, ceiling_);
+    return static_cast<int>(isHeldOff_ ? std::min(bound, heldTo_) : bound);
 }
 
-auto BatchShare::cut(TimePoint now, int batchRunning) -> void
+auto BatchShare::yieldNow(TimePoint now, int batchRunning) -> int
 {
-    // Starting from what runs, not from an unused limit, so that each cut has an effect.
-    limit_ = std::max(1.0, std::min(limit_, static_cast<double>(batchRunning)) * tuning_.decrease);
-    nextCutAt_ = now + tuning_.reportLag;
-    nextIncreaseAt_ = std::max(nextIncreaseAt_, now + tuning_.reportLag);
+    if (!isHeldOff_) {
+        limit_ = std::max(1.0, limit_ * tuning_.decrease);
+    }
+    heldTo_ = batchRunning <= 1 ? 0 : batchRunning * tuning_.kept;
+    isHeldOff_ = true;
+    holdOffUntil_ = now + tuning_.holdOff;
+    nextYieldAt_ = now + tuning_.reportLag;
+    return std::max(0, batchRunning - limit());
 }
 
-auto BatchShare::yieldNow(TimePoint now, int batchRunning) -> int
+auto BatchShare::learnPlaces(TimePoint now, const UpstreamLoad &load) -> void
 {
-    cut(now, batchRunning);
-    limit_ = batchRunning <= 1 ? 0 : limit_;
-    nextIncreaseAt_ = now + tuning_.holdOff;
-    return std::max(0, batchRunning - limit());
+    if (load.waiting > 0 && load.running > 0) {
+        places_ = load.running;
+        nextProbeAt_ = now + tuning_.probeInterval;
+    } else if (places_ && now >= nextProbeAt_) {
+        places_ = std::min<double>(tuning_.maximum, *places_ + 1);
+        nextProbeAt_ = now + tuning_.probeInterval;
+    }
 }
 
 auto BatchShare::update(TimePoint now, const UpstreamLoad &load, int batchRunning, double targetMs) -> int
 {
-    const bool isQueueing = load.waiting > 0;
-    if (isQueueing && load.onlineInFlight > 0 && batchRunning > 0 && now >= nextCutAt_) {
-        return yieldNow(now, batchRunning);
-    }
+    learnPlaces(now, load);
+    isHeldOff_ = isHeldOff_ && now < holdOffUntil_;
+    const double online = std::max<double>(load.onlineInFlight, load.onlineExpected);
+    ceiling_ = places_ ? std::max(0.0, *places_ * (1 - tuning_.reserve) - online) : tuning_.maximum;
     const bool isLate = load.onlineFirstTokenP95Ms > targetMs * tuning_.targetFraction;
-    if (isQueueing || isLate) {
-        if (now >= nextCutAt_) {
-            cut(now, batchRunning);
-        }
-        return 0;
+    const bool isQueueing = load.waiting > 0 && load.onlineInFlight > 0;
+    if ((isLate || isQueueing) && now >= nextYieldAt_) {
+        return yieldNow(now, batchRunning);
     }
-    const bool isUsedUp = batchRunning >= limit();
-    if (isUsedUp && now >= nextIncreaseAt_) {
-        limit_ = std::min<double>(tuning_.maximum, limit_ + tuning_.increase);
+    if (!isHeldOff_ && batchRunning >= static_cast<int>(limit_) && now >= nextIncreaseAt_) {
+        limit_ = std::min(places_.value_or(tuning_.maximum), limit_ + tuning_.increase);
         nextIncreaseAt_ = now + tuning_.interval;
     }
-    return 0;
+    // Items above the ceiling end by themselves, but are dropped when they take the places of online requests.
+    const double excess = places_ ? batchRunning + online - *places_ : 0;
+    return std::clamp(static_cast<int>(excess), 0, batchRunning);
 }
 
 } // namespace poplardock
--- a/Source/Process/BatchShare.h
+++ b/Source/Process/BatchShare.h
@@ -2,6 +2,8 @@
 
 #include "Process/Clock.h"
 
+#include <optional>
+
 namespace poplardock {
 
 /// What a daemon knows about the load of one upstream.
@@ -12,6 +14,8 @@
     int waiting = 0;
     /// Online requests of this daemon that run or wait there now.
     int onlineInFlight = 0;
+    /// Online requests of all daemons that are expected there now, estimated from what this daemon sees.
+    double onlineExpected = 0;
     /// 95th percentile of recent times to the first token of this daemon's online requests; 0 without any.
     double onlineFirstTokenP95Ms = 0;
 
@@ -20,6 +24,10 @@
 
 /// The number of batch items that may run at one upstream. It grows by a constant while online work meets its
 /// target and is cut by a factor when it does not. Running items are dropped at once when online work waits.
+///
+/// A report of waiting requests also shows how many requests the upstream runs at a time. The share stays below
+/// that number by a reserve, so that single online requests find room and batch items seldom wait in the
+/// upstream's own queue, where they would hold up online requests.
 /// A state machine without a clock of its own. Not thread-safe.
 class BatchShare
 {
@@ -27,16 +35,22 @@
     struct Tuning
     {
         /// Items added in each interval in which the share was used up.
-        double increase = 1;
+        double increase = 2;
         Milliseconds interval { 100 };
-        /// Factor of the share that is left after a cut.
-        double decrease = 0.5;
-        /// Time after a yield in which the share does not grow.
-        Milliseconds holdOff { 1000 };
-        /// Time after a cut in which lagging load reports cause no further cut.
-        Milliseconds reportLag { 500 };
+        /// Part of the running items that a yield leaves, and part of the share that it leaves after the hold-off.
+        double kept = 0.75;
+        double decrease = 0.9;
+        /// Time after a yield for which only the kept items may run.
+        Milliseconds holdOff { 300 };
+        /// Time after a yield in which lagging load reports cause none: the age that a report may have.
+        Milliseconds reportLag { 1300 };
         /// Part of the class target above which the share is cut.
         double targetFraction = 0.8;
+        /// Part of the upstream's places that is kept free for online requests. 0.15 gave less batch throughput as
+        /// well as higher online latency, since more items were dropped (Meta/MeasureBatch).
+        double reserve = 0.25;
+        /// Time after which one more place is tried.
+        Milliseconds probeInterval { 10000 };
         int maximum = 256;
 
         auto operator==(const Tuning &) const -> bool = default;
@@ -53,12 +67,21 @@
     [[nodiscard]] auto limit() const -> int;
 
 private:
-    auto cut(TimePoint now, int batchRunning) -> void;
+    auto learnPlaces(TimePoint now, const UpstreamLoad &load) -> void;
 
     Tuning tuning_;
     double limit_ = 1;
+    /// Room that the online requests leave, as of the last view; bounds the limit without shrinking it.
+    double ceiling_ = 1;
+    /// Bound of the limit until the end of the hold-off.
+    double heldTo_ = 0;
+    bool isHeldOff_ = false;
+    TimePoint holdOffUntil_;
+    /// Requests that the upstream runs at a time; unset until it was seen full.
+    std::optional<double> places_;
+    TimePoint nextProbeAt_;
     TimePoint nextIncreaseAt_;
-    TimePoint nextCutAt_;
+    TimePoint nextYieldAt_;
 };
 
 } // namespace poplardock
