Give chunks back when none of the home's upstreams can be reached

Cause: a daemon kept and renewed chunks while all its upstreams for them refused connections, so that healthy upstreams of other daemons could not run them. Change: an upstream with three failures in a row does not keep chunks. Commits are due after 3 s in place of 2 s, since 9 held chunks with two writes each would exceed the pace of store calls. Result: with the change removed, ChunksLeaveAHomeWhoseUpstreamsAreDown ends with 136 of 200 items after a minute; with it, all 200 are done.

--- a/Source/Process/BatchDispatcher.cpp
+++ b/Source/Process/BatchDispatcher.cpp
@@ -21,6 +21,8 @@
 constexpr int HELD_PER_UPSTREAM = 3;
 constexpr int READS_PER_LEASE = 4;
 constexpr int GIVE_BACK_TRIES = 5;
+/// Failures in a row after which an upstream does not keep chunks from other daemons.
+constexpr int FAILURES_TO_GIVE_BACK = 3;
 constexpr double DEFAULT_TARGET_MS = 1000;
 constexpr double FIRST_ITEM_SECONDS = 1;
 constexpr double SMOOTHING = 0.1;
@@ -674,7 +676,9 @@
                 std::vector<std::string> others = able;
                 std::erase(others, upstream.name);
                 const bool isOpen = !held->stored().chunk.repeatable || held->nextRunnable(upstream.name, others, true, TimePoint::max());
-                return contains(able, upstream.name) && isOpen;
+                const auto work = upstreams_.find(upstream.name);
+                const bool isFailing = work != upstreams_.end() && work->second.failures >= FAILURES_TO_GIVE_BACK;
+                return contains(able, upstream.name) && isOpen && !isFailing;
             });
             if (!canRun) {
                 blocked.push_back(held);
--- a/Source/Process/HeldChunk.h
+++ b/Source/Process/HeldChunk.h
@@ -30,7 +30,8 @@
     /// When a write is due.
     struct Pace
     {
-        Milliseconds commitAfter { 2000 };
+        /// With 9 held chunks and two writes each, 3 s make 6 writes/s, below the pace of JobStore.
+        Milliseconds commitAfter { 3000 };
         Milliseconds renewAfter { 10000 };
     };
 
--- a/Tests/Process/BatchDispatcherTest.cpp
+++ b/Tests/Process/BatchDispatcherTest.cpp
@@ -292,6 +292,24 @@
     checkAllDone(fleet, submission);
 }
 
+// Guards against chunks that a daemon keeps although none of its upstreams can be reached.
+BOOST_AUTO_TEST_CASE(ChunksLeaveAHomeWhoseUpstreamsAreDown)
+{
+    BatchFleet fleet(2, 4);
+    const auto submission = BatchFleet::modelJob("job", 200);
+    accept(fleet, submission);
+    for (std::size_t index = 0; index < fleet.upstreams.size(); ++index) {
+        const auto &members = fleet.daemons[0]->fleet.current()->members;
+        if (members.homeOf(absl::StrCat("upstream/u", index), "r")->name == "d0") {
+            fleet.upstreams[index].reset();
+        }
+    }
+    fleet.startDispatcher(0);
+    BOOST_REQUIRE(BatchFleet::await([&] { return fleet.daemons[0]->metrics.counter("batch_items_returned") > 0; }));
+    fleet.startDispatcher(1);
+    checkAllDone(fleet, submission);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace poplardock
--- a/Tests/Process/JobStoreTest.cpp
+++ b/Tests/Process/JobStoreTest.cpp
@@ -5,6 +5,8 @@
 #include <absl/strings/str_cat.h>
 #include <boost/test/unit_test.hpp>
 
+#include <thread>
+
 namespace poplardock {
 
 namespace {
@@ -103,6 +105,28 @@
     BOOST_TEST(platform->callCount("POST jobs") == 1U);
 }
 
+// Guards against a job that two daemons accept at the same time and that then exists twice or is refused.
+BOOST_AUTO_TEST_CASE(SameJobAtTwoDaemonsIsOneJob)
+{
+    const auto submission = BatchFleet::modelJob("job", 300);
+    std::vector<ResultCode> codes(4, ResultCode::Internal);
+    std::vector<std::thread> clients;
+    clients.reserve(codes.size());
+    for (std::size_t index = 0; index < codes.size(); ++index) {
+        clients.emplace_back([&, index] {
+            StoreClient own(platform->address(), absl::StrCat("daemon-", index), { 1000, 1000 });
+            codes[index] = codeOf(JobStore(own, { 1000, 1000 }).accept(submission));
+        });
+    }
+    for (std::thread &client : clients) {
+        client.join();
+    }
+    for (const ResultCode code : codes) {
+        BOOST_TEST((code == ResultCode::Ok));
+    }
+    BOOST_TEST(store.openJobs()->size() == 1U);
+}
+
 // Guards against one team reading or cancelling another team's job.
 BOOST_AUTO_TEST_CASE(TeamsSeeOnlyTheirOwnJobs)
 {
--- a/Tests/Support/BatchFleet.cpp
+++ b/Tests/Support/BatchFleet.cpp
@@ -123,6 +123,9 @@
 {
     int count = 0;
     for (const auto &upstream : upstreams) {
+        if (!upstream) {
+            continue;
+        }
         for (const FakeUpstream::Received &entry : upstream->received()) {
             count += entry.body.find(text) == std::string::npos ? 0 : 1;
         }
