--- a/Source/Process/BatchDispatcher.cpp
+++ b/Source/Process/BatchDispatcher.cpp
@@ -21,6 +21,8 @@
 constexpr int HELD_PER_UPSTREAM = 3;
 constexpr int READS_PER_LEASE = 4;
 constexpr int GIVE_BACK_TRIES = 5;
+/// Failures in a row after which an upstream does not keep chunks from other daemons.
+constexpr int FAILURES_TO_GIVE_BACK = 3;
 constexpr double DEFAULT_TARGET_MS = 1000;
 constexpr double FIRST_ITEM_SECONDS = 1;
 constexpr double SMOOTHING = 0.1;
@@ -211,6 +213,26 @@
     return served;
 }
 
+auto BatchDispatcher::loadsOf(const Served &served) const -> std::map<std::string, ObservedLoad>
+{
+    std::map<std::string, ObservedLoad> loads;
+    for (const Upstream &upstream : served.upstreams) {
+        loads.emplace(upstream.name, hooks_.loadOf(upstream.name));
+    }
+    // Callers are spread over the daemons, so this daemon's requests to a group show those of the whole fleet.
+    const auto memberCount = static_cast<double>(served.version->members.members().size());
+    for (const Upstream &upstream : served.upstreams) {
+        const auto group = served.version->configuration.upstreamsOfGroup(upstream.group);
+        double own = 0;
+        for (const Upstream *other : group) {
+            const auto known = loads.find(other->name);
+            own += known == loads.end() ? hooks_.loadOf(other->name).onlineInFlight : known->second.onlineInFlight;
+        }
+        loads.at(upstream.name).onlineExpected = own * memberCount / static_cast<double>(group.size());
+    }
+    return loads;
+}
+
 auto BatchDispatcher::scheduleLoop(const std::stop_token &stop) -> void
 {
     while (!stop.stop_requested()) {
@@ -225,10 +247,7 @@
 {
     const TimePoint now = Clock::now();
     const Served served = serve(now);
-    std::map<std::string, ObservedLoad> loads;
-    for (const Upstream &upstream : served.upstreams) {
-        loads.emplace(upstream.name, hooks_.loadOf(upstream.name));
-    }
+    const std::map<std::string, ObservedLoad> loads = loadsOf(served);
     const std::lock_guard lock(mutex_);
     updateUpstreams(served, loads, now);
     if (!isStopping_) {
@@ -657,7 +676,9 @@
                 std::vector<std::string> others = able;
                 std::erase(others, upstream.name);
                 const bool isOpen = !held->stored().chunk.repeatable || held->nextRunnable(upstream.name, others, true, TimePoint::max());
-                return contains(able, upstream.name) && isOpen;
+                const auto work = upstreams_.find(upstream.name);
+                const bool isFailing = work != upstreams_.end() && work->second.failures >= FAILURES_TO_GIVE_BACK;
+                return contains(able, upstream.name) && isOpen && !isFailing;
             });
             if (!canRun) {
                 blocked.push_back(held);
