--- a/Tests/Support/ProcessFleet.cpp
+++ b/Tests/Support/ProcessFleet.cpp
@@ -8,6 +8,7 @@
 #include <absl/strings/str_cat.h>
 #include <absl/strings/str_split.h>
 
+#include <algorithm>
 #include <cstdlib>
 #include <filesystem>
 #include <fstream>
@@ -90,10 +91,8 @@
     return object.ok() ? *object : JsonObject::Ptr(new JsonObject);
 }
 
-auto callAddress(const std::string &address, const JsonClient::Call &request) -> FleetAnswer
+auto readAnswer(const CallResult &result) -> FleetAnswer
 {
-    JsonClient client(address);
-    const CallResult result = client.call(request);
     if (const auto *failure = std::get_if<CallFailure>(&result)) {
         return failed(failure->reason);
     }
@@ -106,6 +105,12 @@
     return read;
 }
 
+auto callAddress(const std::string &address, const JsonClient::Call &request) -> FleetAnswer
+{
+    JsonClient client(address);
+    return readAnswer(client.call(request));
+}
+
 auto testSeed() -> std::uint64_t
 {
     const std::string given = environmentVariable("POPLARDOCK_SEED", "");
@@ -401,6 +406,47 @@
     return found.isNull() ? JsonObject::Ptr(new JsonObject) : found;
 }
 
+auto ProcessFleet::members(std::size_t daemon) const -> MemberTable
+{
+    const auto table = MemberTable::fromJson(*dump(daemon, "fleet"));
+    if (!table.ok()) {
+        throw std::runtime_error(std::string(table.status().message()));
+    }
+    return *table;
+}
+
+auto ProcessFleet::indexOf(const std::string &name) const -> std::size_t
+{
+    const auto found = std::find_if(daemons_.begin(), daemons_.end(), [&name](const Daemon &daemon) { return daemon.name == name; });
+    return static_cast<std::size_t>(found - daemons_.begin());
+}
+
+auto ProcessFleet::homeOf(const std::string &key, std::size_t daemon) const -> std::size_t
+{
+    const MemberTable table = members(daemon);
+    const Member *home = table.homeOf(key, {});
+    if (home == nullptr) {
+        throw std::runtime_error("the member table is empty");
+    }
+    return indexOf(home->name);
+}
+
+auto ProcessFleet::setVms(const std::vector<std::string> &names) const -> void
+{
+    JsonArray::Ptr items = new JsonArray;
+    for (const std::string &name : names) {
+        JsonObject::Ptr item = new JsonObject;
+        item->set("name", name);
+        item->set("state", "live");
+        items->add(item);
+    }
+    JsonObject whole;
+    whole.set("items", items);
+    if (!callAddress(platformAddress_, { "PUT", "/apis/platform/v1/vms", Json::toText(whole), {}, CONTROL_TIMEOUT }).isOk()) {
+        throw std::runtime_error("the platform does not take its VM list");
+    }
+}
+
 auto ProcessFleet::setPlatformFaults(const std::string &json) const -> void
 {
     if (!callAddress(platformAddress_, { "POST", "/faults", json, {}, CONTROL_TIMEOUT }).isOk()) {
--- a/Tests/Support/ProcessFleet.h
+++ b/Tests/Support/ProcessFleet.h
@@ -4,6 +4,7 @@
 #include "Process/JsonClient.h"
 #include "Support/ChildProcess.h"
 #include "Version/Configuration.h"
+#include "Version/MemberTable.h"
 
 #include <functional>
 #include <map>
@@ -106,6 +107,14 @@
     auto streamChat(std::size_t daemon, const std::string &key, const std::string &text, int tokens) const -> StreamRecord;
     auto submitJob(std::size_t daemon, const std::string &key, const std::string &document) const -> FleetAnswer;
     auto job(std::size_t daemon, const std::string &key, const std::string &jobKey) const -> FleetAnswer;
+    /// The member table that a daemon has in force.
+    [[nodiscard]] auto members(std::size_t daemon) const -> MemberTable;
+    /// Index of the daemon of that name. Precondition: there is one.
+    [[nodiscard]] auto indexOf(const std::string &name) const -> std::size_t;
+    /// The daemon that is the home of a key by the table that the given daemon has.
+    [[nodiscard]] auto homeOf(const std::string &key, std::size_t daemon) const -> std::size_t;
+    /// Sets the platform's list of live VMs.
+    auto setVms(const std::vector<std::string> &names) const -> void;
     /// A section of the state dump; an empty object when there is none.
     auto dump(std::size_t daemon, const std::string &section) const -> JsonObject::Ptr;
     auto setPlatformFaults(const std::string &json) const -> void;
@@ -152,6 +161,8 @@
 constexpr const char *KEY_ANNA = "anna-caller-key-1";
 constexpr const char *KEY_BERT = "bert-caller-key-1";
 
+/// Reads the result of a call as a caller would.
+auto readAnswer(const CallResult &result) -> FleetAnswer;
 /// One request to "IP:port".
 auto callAddress(const std::string &address, const JsonClient::Call &request) -> FleetAnswer;
 /// Seed of a test, from POPLARDOCK_SEED or drawn; it is printed.
