--- a/Source/Connection/CallerWatch.h
+++ b/Source/Connection/CallerWatch.h
@@ -42,8 +42,8 @@
         auto watchKey() -> void;
         [[nodiscard]] auto stopToken() const -> std::stop_token;
         [[nodiscard]] auto isDisconnected() const -> bool;
-        /// Set when the key is no longer valid or can no longer be confirmed.
-        [[nodiscard]] auto keyError() const -> std::optional<RequestError>;
+        /// True when the key is no longer valid or can no longer be confirmed.
+        [[nodiscard]] auto isKeyInvalid() const -> bool;
 
     private:
         CallerWatch &watch_;
@@ -60,13 +60,16 @@
         std::optional<TimePoint> nextKeyCheckAt;
         std::stop_source stop;
         bool isDisconnected = false;
-        std::optional<RequestError> keyError;
+        /// This process itself has stopped receiving, because it shuts down.
+        bool isReceiveShutDown = false;
+        bool isKeyInvalid = false;
     };
 
     auto run(const std::stop_token &stop) -> void;
     auto findDisconnected() -> void;
     auto checkKeys(TimePoint now) -> void;
     auto setDisconnected(std::uint64_t id) -> void;
+    auto setReceiveShutDown(std::uint64_t id) -> void;
 
     const FleetState &state_;
     mutable std::mutex mutex_;
--- a/Source/Connection/RequestRelay.cpp
+++ b/Source/Connection/RequestRelay.cpp
@@ -49,7 +49,7 @@
 {
     if (isTooLarge) {
         reply.sendError({ ResultCode::UpstreamAnswerInvalid, "the answer is too large" });
-    } else if (failure.isStopped && watch.keyError() && reply.isStarted()) {
+    } else if (failure.isStopped && watch.isKeyInvalid() && reply.isStarted()) {
         reply.sendError({ ResultCode::StreamEnded, {} });
     } else if (failure.isStopped) {
         reply.abandon();
--- a/Source/Request/UpstreamLoad.h
+++ b/Source/Request/UpstreamLoad.h
@@ -33,6 +33,8 @@
     /// Moving averages over online answers; unset before the first one.
     std::optional<double> serviceMs;
     std::optional<double> firstTokenMs;
+    /// 95th percentile of the times to the first token of recent online answers; 0 without any.
+    double firstTokenP95Ms = 0;
     /// Time of the last answer that the averages include.
     TimePoint learnedAt;
     /// Gets no work before this time unless all candidates are ejected.
