--- /dev/null
+++ b/Tests/Failure/ShutdownFailureTest.cpp
@@ -0,0 +1,177 @@
+#include "Request/ResultCode.h"
+#include "Support/CallerLoad.h"
+#include "Support/ProcessFleet.h"
+
+#include <absl/strings/match.h>
+#include <absl/strings/str_cat.h>
+#include <boost/test/unit_test.hpp>
+
+#include <atomic>
+#include <csignal>
+#include <sys/wait.h>
+#include <thread>
+
+namespace poplardock {
+
+namespace {
+
+constexpr std::size_t DAEMONS = 4;
+/// Sentence 11 of the design.
+constexpr Milliseconds LEAVE_LIMIT { 3000 };
+/// Share of the store calls of a daemon (section 10 of the design).
+constexpr double CALLS_PER_SECOND = 20;
+constexpr double CALL_BURST = 100;
+
+struct ShutdownFixture
+{
+    ShutdownFixture()
+    {
+        for (int upstream = 0; upstream < 3; ++upstream) {
+            fleet.addUpstream({ false, { "--token-ms", "10" } });
+        }
+        fleet.addUpstream({ true, {} });
+        for (std::size_t daemon = 0; daemon < DAEMONS; ++daemon) {
+            fleet.addDaemon({});
+        }
+        fleet.apply(0, fleet.configuration());
+        BOOST_REQUIRE(fleet.awaitServing());
+    }
+
+    auto startLoad(std::size_t daemon, double perSecond) const -> std::unique_ptr<CallerLoad>
+    {
+        return std::make_unique<CallerLoad>(
+            fleet.callersAddress(daemon),
+            CallerLoad::Options {
+                KEY_ANNA, "/v1/chat/completions", absl::StrCat("load-", daemon), perSecond, 8, 10, false, Milliseconds(10000) });
+    }
+
+    auto storeCalls() const -> std::uint64_t
+    {
+        const JsonObject::Ptr stats = fleet.platformStats();
+        std::uint64_t sum = 0;
+        for (const std::string &name : stats->getNames()) {
+            sum += stats->getValue<std::uint64_t>(name);
+        }
+        return sum;
+    }
+
+    ProcessFleet fleet;
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(ShutdownFailureSuite, ShutdownFixture)
+
+// Guards against new work for an upstream that an operator has marked as leaving.
+BOOST_AUTO_TEST_CASE(LeavingUpstreamGetsNoNewWork)
+{
+    std::vector<std::unique_ptr<CallerLoad>> loads;
+    for (std::size_t daemon = 0; daemon < DAEMONS; ++daemon) {
+        loads.push_back(startLoad(daemon, 20));
+    }
+    BOOST_REQUIRE(ProcessFleet::await([this] { return fleet.received(0).size() > 20; }));
+    const FleetAnswer answer = fleet.operate(1, { "POST", "/config/upstreams/u0/leave", {}, {}, Milliseconds(10000) });
+    BOOST_TEST(answer.isOk(), answer.body);
+    std::this_thread::sleep_for(LEAVE_LIMIT);
+    const std::size_t received = fleet.received(0).size();
+    const std::size_t others = fleet.received(1).size() + fleet.received(2).size();
+    std::this_thread::sleep_for(Milliseconds(3000));
+    BOOST_TEST(fleet.received(0).size() == received);
+    BOOST_TEST(fleet.received(1).size() + fleet.received(2).size() > others + 100);
+    for (const auto &load : loads) {
+        load->stop();
+        BOOST_TEST_MESSAGE("outcomes: " << describeCounts(load->countsByCode()));
+        BOOST_TEST(load->countsByCode().size() == 1U);
+    }
+}
+
+// Guards against requests and streams that a graceful shutdown cuts, and duties that nobody takes over.
+BOOST_AUTO_TEST_CASE(GracefulShutdownCutsNoRequest)
+{
+    // The daemon with most duties: the home of both the team and an upstream, if there is one.
+    const std::size_t leaving = fleet.homeOf("anna", 0);
+    const std::size_t other = (leaving + 1) % DAEMONS;
+    std::vector<StreamRecord> streams(6);
+    std::vector<std::jthread> threads;
+    threads.reserve(streams.size());
+    for (StreamRecord &stream : streams) {
+        threads.emplace_back([&] { stream = fleet.streamChat(leaving, KEY_ANNA, "long", 400); });
+    }
+    const auto load = startLoad(leaving, 40);
+    const auto otherLoad = startLoad(other, 20);
+    BOOST_REQUIRE(ProcessFleet::await([&] { return load->outcomes().size() > 40; }));
+    fleet.daemonProcess(leaving).signal(SIGTERM);
+    const TimePoint termAt = Clock::now();
+    // The balancer stops sending once the health check turns negative.
+    BOOST_TEST(ProcessFleet::await(
+        [&] {
+            return fleet.call(leaving, { "GET", "/healthz", {}, {}, Milliseconds(1000) }).status != 200;
+        },
+        Milliseconds(2000)));
+    load->stop();
+    threads.clear();
+    const auto status = fleet.daemonProcess(leaving).awaitExit(Milliseconds(30000));
+    BOOST_REQUIRE(status.has_value());
+    BOOST_TEST((WIFEXITED(*status) && WEXITSTATUS(*status) == 0));
+    BOOST_TEST_MESSAGE("the process ended " << std::chrono::duration<double>(Clock::now() - termAt).count() << " s after SIGTERM");
+    for (const StreamRecord &stream : streams) {
+        BOOST_TEST(stream.isComplete);
+    }
+    for (const CallOutcome &outcome : load->outcomes()) {
+        BOOST_TEST(outcome.answer.isOk(), absl::StrCat(outcome.id, ": ", outcome.answer.status, " ", outcome.answer.body));
+    }
+    // The allowance was handed over, so that the team is served elsewhere without a wait.
+    BOOST_TEST(fleet.chat(other, KEY_ANNA, "after").status == 200);
+    otherLoad->stop();
+    BOOST_TEST_MESSAGE("at another daemon: " << describeCounts(otherLoad->countsByCode()));
+    for (const CallOutcome &outcome : otherLoad->outcomes()) {
+        BOOST_TEST(outcome.answer.isOk(), absl::StrCat(outcome.id, ": ", outcome.answer.status, " ", outcome.answer.body));
+    }
+    BOOST_TEST(fleet.members(other).find(absl::StrCat("d", leaving)) == nullptr);
+}
+
+// Guards against online work that stops with the store, calls without a limit, and a herd when it returns.
+BOOST_AUTO_TEST_CASE(StoreOutageLeavesOnlineWorkAlone)
+{
+    std::vector<std::unique_ptr<CallerLoad>> loads;
+    for (std::size_t daemon = 0; daemon < DAEMONS; ++daemon) {
+        loads.push_back(startLoad(daemon, 15));
+    }
+    std::this_thread::sleep_for(Milliseconds(2000));
+    const std::uint64_t callsBefore = storeCalls();
+    const TimePoint outageAt = Clock::now();
+    fleet.setPlatformFaults(R"({"outage":true})");
+    std::this_thread::sleep_for(Milliseconds(9000));
+    const std::uint64_t callsInOutage = storeCalls() - callsBefore;
+    const double outageSeconds = std::chrono::duration<double>(Clock::now() - outageAt).count();
+    BOOST_TEST_MESSAGE("calls in the outage: " << callsInOutage << " in " << outageSeconds << " s from " << DAEMONS << " daemons");
+    BOOST_TEST(static_cast<double>(callsInOutage) < DAEMONS * (CALLS_PER_SECOND * outageSeconds + CALL_BURST));
+    const FleetAnswer refused = fleet.submitJob(0,
+                                                KEY_ANNA,
+                                                R"({"job_key":"j","class":"sheets","model":"tiny","due":"2036-01-01T00:00:00Z",)"
+                                                R"("repeatable":true,"items":[{"id":"1","body":{"messages":[]}}]})");
+    BOOST_TEST(refused.status == 503, refused.body);
+    fleet.setPlatformFaults(R"({"outage":false})");
+    // Calls in each 100 ms after the return; the breakers try again at times of their own.
+    std::uint64_t most = 0;
+    std::uint64_t last = storeCalls();
+    for (int slot = 0; slot < 20; ++slot) {
+        std::this_thread::sleep_for(Milliseconds(100));
+        const std::uint64_t now = storeCalls();
+        most = std::max(most, now - last);
+        last = now;
+    }
+    BOOST_TEST_MESSAGE("most calls within 100 ms after the return: " << most);
+    BOOST_TEST(static_cast<double>(most) < DAEMONS * CALLS_PER_SECOND);
+    for (const auto &load : loads) {
+        load->stop();
+        BOOST_TEST_MESSAGE("outcomes: " << describeCounts(load->countsByCode()));
+        BOOST_TEST(load->countsByCode().size() == 1U);
+        BOOST_TEST(load->countsByCode().contains(0));
+        BOOST_TEST(load->crossedAnswers().empty());
+    }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace poplardock
--- a/Tests/Support/ProcessFleet.cpp
+++ b/Tests/Support/ProcessFleet.cpp
@@ -150,7 +150,6 @@
     ChildProcess::Command command;
     command.program = absl::StrCat(binaries_, "/", program);
     command.arguments = std::move(arguments);
-    command.environment["POPLARDOCK_ADMISSION_LOG"] = absl::StrCat(folder_, "/", name, ".admissions");
     command.outputFile = absl::StrCat(folder_, "/", name, ".log");
     auto process = ChildProcess::start(command);
     if (!process.ok()) {
@@ -201,7 +200,8 @@
         settings << "vm = " << quoted(options.vm) << "\n";
     }
     settings << "[listen]\ncallers = \"127.0.0.1:0\"\npeers = \"127.0.0.1:0\"\noperators = \"127.0.0.1:0\"\n"
-             << "[platform]\naddress = " << quoted(options.platformAddress.empty() ? platformAddress_ : options.platformAddress) << "\n";
+             << "[platform]\naddress = " << quoted(options.platformAddress.empty() ? platformAddress_ : options.platformAddress) << "\n"
+             << "[log]\nadmissions = " << quoted(absl::StrCat(folder_, "/", name, ".admissions")) << "\n";
     settings.close();
     daemons_.push_back({ name, {}, {}, nullptr });
     launchDaemon(daemons_.back());
@@ -343,6 +343,28 @@
     return await([this] { return isSettled(); });
 }
 
+auto ProcessFleet::awaitServing() -> bool
+{
+    const bool hasModel
+        = std::any_of(upstreams_.begin(), upstreams_.end(), [](const Upstream &upstream) { return !upstream.options.isService; });
+    const auto isServed = [&](std::size_t daemon, const char *key) {
+        const FleetAnswer answer = hasModel ? chat(daemon, key, "warm-up")
+                                            : call(daemon, { "POST", "/lookups/warm-up", "{}", authorization(key), CONTROL_TIMEOUT });
+        return answer.isOk();
+    };
+    if (!awaitSettled()) {
+        return false;
+    }
+    for (std::size_t daemon = 0; daemon < daemons_.size(); ++daemon) {
+        for (const char *key : { KEY_ANNA, KEY_BERT }) {
+            if (!await([&] { return isServed(daemon, key); })) {
+                return false;
+            }
+        }
+    }
+    return true;
+}
+
 auto ProcessFleet::call(std::size_t daemon, const JsonClient::Call &request) const -> FleetAnswer
 {
     return callAddress(daemons_[daemon].callers, request);
--- a/Tests/Support/ProcessFleet.h
+++ b/Tests/Support/ProcessFleet.h
@@ -98,6 +98,9 @@
     auto tryApply(std::size_t daemon, const std::string &document, std::uint64_t expected) -> FleetAnswer;
     /// Waits until all daemons have the same revision, act, and list each other.
     auto awaitSettled() -> bool;
+    /// Settles, and then waits until both teams get answers at all daemons: the home of a new team starts after its
+    /// wait of 6 s.
+    auto awaitServing() -> bool;
 
     auto call(std::size_t daemon, const JsonClient::Call &request) const -> FleetAnswer;
     auto operate(std::size_t daemon, const JsonClient::Call &request) const -> FleetAnswer;
