Refuse malformed chunked requests and spread deaths at once

Cause: POCO's reader takes a malformed chunk of a caller's body for the end of the body, so a service call with a cut body ran. A caller that sent a crashing request again within a second reached daemons that did not know of it yet.

Change: chunked bodies of callers are read with BodyDecoder. OnlineParts has a hook that is called after each recorded death; the daemon is to set it to PeerExchange::exchangeNow().

--- a/Source/Connection/BodyDecoder.cpp
+++ b/Source/Connection/BodyDecoder.cpp
@@ -44,6 +44,11 @@
     remaining_ = static_cast<std::uint64_t>(std::max<Poco::Int64>(0, head.getContentLength64()));
 }
 
+BodyDecoder::BodyDecoder(Framing framing)
+    : framing_(framing)
+{
+}
+
 auto BodyDecoder::framing() const -> Framing
 {
     return framing_;
--- a/Source/Connection/BodyDecoder.h
+++ b/Source/Connection/BodyDecoder.h
@@ -8,7 +8,7 @@
 
 namespace poplardock {
 
-/// Takes the body out of the bytes that follow the head of an HTTP answer, and knows whether it is whole.
+/// Takes the body out of the bytes that follow the head of an HTTP message, and knows whether it is whole.
 /// POCO's chunked reader is not used because it reports a premature end of the body as a clean end and does
 /// not return before its buffer is full. Not thread-safe.
 class BodyDecoder
@@ -24,6 +24,8 @@
     };
 
     explicit BodyDecoder(const Poco::Net::HTTPResponse &head);
+    /// For a body whose framing is known and that gives no length.
+    explicit BodyDecoder(Framing framing);
 
     /// Appends the body bytes among the received ones. False when the framing is malformed; the decoder is
     /// of no further use then.
--- a/Source/Connection/CallerMessageReader.cpp
+++ b/Source/Connection/CallerMessageReader.cpp
@@ -1,21 +1,23 @@
 #include "Connection/CallerMessageReader.h"
 
+#include "Connection/BodyDecoder.h"
 #include "Connection/HttpReply.h"
 
+#include <Poco/Buffer.h>
 #include <Poco/Net/HTTPServerRequestImpl.h>
+#include <Poco/Net/HTTPServerSession.h>
 #include <Poco/Net/StreamSocket.h>
 #include <absl/strings/match.h>
 #include <absl/strings/str_cat.h>
 
 #include <algorithm>
 #include <optional>
-#include <sys/socket.h>
-
 namespace poplardock {
 
 namespace {
 
 constexpr std::size_t MAXIMUM_BODY_BYTES = 1U << 20U;
+constexpr int READ_BYTES = 16384;
 constexpr std::size_t MAXIMUM_HEADER_BYTES = 16U << 10U;
 constexpr std::size_t MAXIMUM_URI_BYTES = 4096;
 constexpr std::size_t MAXIMUM_IDEMPOTENCY_KEY_BYTES = 256;
@@ -60,13 +62,44 @@
     return std::nullopt;
 }
 
-/// POCO reads a chunked body that breaks off as one that has ended. Since it stops reading early only at the
-/// end of the connection, that end is then visible.
-auto isAtEnd(Poco::Net::HTTPServerRequest &request) -> bool
+/// Reads a chunked body from the connection. POCO's reader takes a chunked body that breaks off, or has a
+/// malformed chunk, for one that has ended.
+auto readChunkedBody(Poco::Net::HTTPServerRequestImpl &request) -> std::variant<std::string, RequestError>
 {
-    auto *implementation = dynamic_cast<Poco::Net::HTTPServerRequestImpl *>(&request);
-    char byte = 0;
-    return implementation != nullptr && ::recv(implementation->socket().impl()->sockfd(), &byte, sizeof byte, MSG_PEEK | MSG_DONTWAIT) == 0;
+    // What follows a malformed chunk must not be read as the next request.
+    request.response().setKeepAlive(false);
+    BodyDecoder decoder(BodyDecoder::Framing::Chunked);
+    std::string body;
+    // The bytes that came with the head.
+    Poco::Buffer<char> received(0);
+    request.session().drainBuffer(received);
+    try {
+        while (decoder.push({ received.begin(), received.size() }, body)) {
+            if (body.size() > MAXIMUM_BODY_BYTES) {
+                return RequestError { ResultCode::BodyTooLarge, absl::StrCat("the body may have at most ", MAXIMUM_BODY_BYTES, " bytes") };
+            }
+            if (decoder.isComplete()) {
+                return body;
+            }
+            received.resize(READ_BYTES, false);
+            const int count = request.socket().receiveBytes(received.begin(), READ_BYTES);
+            if (count <= 0) {
+                return RequestError { ResultCode::BodyTruncated, "the body ended before its last chunk" };
+            }
+            received.resize(static_cast<std::size_t>(count), true);
+        }
+    } catch (const Poco::Exception &) {
+        return RequestError { ResultCode::BodyTruncated, "the body ended before its last chunk" };
+    }
+    return RequestError { ResultCode::BodyTruncated, "a chunk is malformed" };
+}
+
+auto readBody(Poco::Net::HTTPServerRequest &request) -> std::variant<std::string, RequestError>
+{
+    if (request.getChunkedTransferEncoding()) {
+        return readChunkedBody(dynamic_cast<Poco::Net::HTTPServerRequestImpl &>(request));
+    }
+    return request.hasContentLength() ? HttpReply::readBody(request, MAXIMUM_BODY_BYTES) : std::string();
 }
 
 } // namespace
@@ -86,20 +119,10 @@
     if (message.idempotencyKey.size() > MAXIMUM_IDEMPOTENCY_KEY_BYTES) {
         return invalid(request, absl::StrCat("Idempotency-Key may have at most ", MAXIMUM_IDEMPOTENCY_KEY_BYTES, " bytes"));
     }
-    if (!request.hasContentLength() && !request.getChunkedTransferEncoding()) {
-        return message;
-    }
-    auto body = HttpReply::readBody(request, MAXIMUM_BODY_BYTES);
+    auto body = readBody(request);
     if (auto *error = std::get_if<RequestError>(&body)) {
         return std::move(*error);
     }
-    if (request.getChunkedTransferEncoding()) {
-        // What follows a malformed chunk must not be read as the next request.
-        request.response().setKeepAlive(false);
-        if (isAtEnd(request)) {
-            return RequestError { ResultCode::BodyTruncated, "the connection ended with the body" };
-        }
-    }
     message.body = std::get<std::string>(std::move(body));
     return message;
 }
--- a/Source/Connection/OnlineParts.h
+++ b/Source/Connection/OnlineParts.h
@@ -28,6 +28,9 @@
     /// Called with the name of an upstream at which an online request has to wait, so that batch work yields
     /// there. It must return at once and is called for each such request. May be empty.
     std::function<void(const std::string &upstream)> yieldBatch;
+    /// Called after an upstream died during a request, so that the peers learn of the request before its
+    /// caller sends it to one of them. It must return at once. May be empty.
+    std::function<void()> spreadDeath = {};
 };
 
 } // namespace poplardock
--- a/Source/Connection/RequestRun.cpp
+++ b/Source/Connection/RequestRun.cpp
@@ -223,6 +223,9 @@
     if (refusesConnections(upstream)) {
         parts_.metrics.count("online_upstream_deaths");
         parts_.crashes.recordDeath(fingerprint_, Clock::now());
+        if (parts_.spreadDeath) {
+            parts_.spreadDeath();
+        }
     }
 }
 
--- a/Tests/Connection/OnlinePathTest.cpp
+++ b/Tests/Connection/OnlinePathTest.cpp
@@ -237,6 +237,10 @@
         { "truncated body", absl::StrCat(noLength, "Content-Length: 500\r\n\r\n", good), 1009, true },
         { "truncated chunk", absl::StrCat(hold, "Transfer-Encoding: chunked\r\n\r\n5\r\nab"), 1009, true },
         { "no last chunk", absl::StrCat(hold, "Transfer-Encoding: chunked\r\n\r\n2\r\n{}\r\n"), 1009, true },
+        { "chunked body too large",
+          absl::StrCat(hold, "Transfer-Encoding: chunked\r\n\r\n100001\r\n", std::string(1048577, 'x'), "\r\n0\r\n\r\n"),
+          1003 },
+        { "malformed chunk size", absl::StrCat(hold, "Transfer-Encoding: chunked\r\n\r\n2\r\n{}\r\nzz\r\n{}\r\n0\r\n\r\n"), 1009 },
         { "no key", chat("", good), 2001 },
         { "empty key", chat("Authorization: Bearer \r\n", good), 1004 },
         { "wrong key", chat(authorization("other"), good), 2002 },
@@ -251,6 +255,8 @@
     BOOST_TEST(receivedCount() == 0U);
     BOOST_TEST(send(CHAT, good).status == 200);
     BOOST_TEST(contains(exchangeRaw(daemon.address(), rawRequest("GET", "/open/x?q=1", "", ""), false), "200 OK"));
+    const std::string chunked = absl::StrCat(hold, "Transfer-Encoding: chunked\r\n\r\n2\r\n{}\r\n1;x=y\r\n!\r\n0\r\nT: v\r\n\r\n");
+    BOOST_TEST(contains(exchangeRaw(daemon.address(), chunked, false), "\"body\":\"{}!\""));
 }
 
 // Guards against an upstream that learns the caller's key or other headers of the caller.
