Mark few items started ahead of their runs

Cause: while an upstream could not be reached, each store step marked further items started that may not be repeated. All of them would end as "may have run" when the daemon is lost. The room for them was also computed with the lock of the fleet state taken inside the dispatcher's, against the lock order. Change: items that are marked and not sent count against the room, three are marked ahead so that one write serves several, and the version is read before the lock.

--- a/Source/Process/BatchDispatcher.cpp
+++ b/Source/Process/BatchDispatcher.cpp
@@ -23,6 +23,9 @@
 constexpr int GIVE_BACK_TRIES = 5;
 /// Failures in a row after which an upstream does not keep chunks from other daemons.
 constexpr int FAILURES_TO_GIVE_BACK = 3;
+/// Items marked started beyond those that can start now, so that one write serves several items. All of them end
+/// as ItemMayHaveRun when this daemon is lost, so they are few.
+constexpr int STARTS_AHEAD = 3;
 constexpr double DEFAULT_TARGET_MS = 1000;
 constexpr double FIRST_ITEM_SECONDS = 1;
 constexpr double SMOOTHING = 0.1;
@@ -561,19 +564,22 @@
     }
 }
 
-auto BatchDispatcher::startGroupFor(const HeldChunk &held) const -> int
+auto BatchDispatcher::startGroupFor(const HeldChunk &held, const Configuration &configuration) const -> int
 {
     const JobPointer job = findJob(held);
     if (isStopping_ || !job) {
         return 0;
     }
-    const std::vector<std::string> able = upstreamsFor(job->job, fleet_.current()->configuration);
+    const std::vector<std::string> able = upstreamsFor(job->job, configuration);
     int room = 0;
     for (const auto &[name, work] : upstreams_) {
         const int free = work.share.limit() - static_cast<int>(work.runs.size());
         room += work.isServed && contains(able, name) ? std::max(0, free) : 0;
     }
-    return room;
+    for (const auto &[name, other] : held_) {
+        room -= other->clearedCount();
+    }
+    return room > 0 ? room + STARTS_AHEAD : 0;
 }
 
 auto BatchDispatcher::writeHeld(const HeldPointer &held, bool atOnce) -> bool
@@ -581,9 +587,11 @@
     HeldChunk::Write write;
     StoredChunk stored;
     ChunkLease lease;
+    const FleetVersionPointer version = fleet_.current();
     {
         const std::lock_guard lock(mutex_);
-        const HeldChunk::Write *due = held->dueWrite(options_.pace, startGroupFor(*held), atOnce, Clock::now());
+        const int startGroup = startGroupFor(*held, version->configuration);
+        const HeldChunk::Write *due = held->dueWrite(options_.pace, startGroup, atOnce, Clock::now());
         if (due == nullptr) {
             return true;
         }
--- a/Source/Process/BatchDispatcher.h
+++ b/Source/Process/BatchDispatcher.h
@@ -165,7 +165,7 @@
     auto listJobs() -> bool;
     auto dropCancelled(const std::string &id) -> bool;
     auto writeHeld(const HeldPointer &held, bool atOnce) -> bool;
-    auto startGroupFor(const HeldChunk &held) const -> int;
+    auto startGroupFor(const HeldChunk &held, const Configuration &configuration) const -> int;
     auto forget(const HeldPointer &held) -> void;
     auto giveBack(const HeldPointer &held) -> bool;
     auto giveBackBlocked(const Served &served) -> bool;
--- a/Source/Process/HeldChunk.cpp
+++ b/Source/Process/HeldChunk.cpp
@@ -84,6 +84,11 @@
     return static_cast<int>(std::count_if(slots_.begin(), slots_.end(), [](const Slot &slot) { return slot.state == SlotState::Running; }));
 }
 
+auto HeldChunk::clearedCount() const -> int
+{
+    return static_cast<int>(std::count_if(slots_.begin(), slots_.end(), [](const Slot &slot) { return slot.isCleared; }));
+}
+
 auto HeldChunk::beginRun(std::size_t item) -> void
 {
     slots_[item].state = SlotState::Running;
--- a/Source/Process/HeldChunk.h
+++ b/Source/Process/HeldChunk.h
@@ -50,6 +50,8 @@
     /// Items that wait for a run, at whichever upstream.
     [[nodiscard]] auto waitingCount() const -> int;
     [[nodiscard]] auto runningCount() const -> int;
+    /// Items that are marked started in the store and not sent yet.
+    [[nodiscard]] auto clearedCount() const -> int;
     [[nodiscard]] auto isSuspect(std::size_t item) const -> bool;
 
     auto beginRun(std::size_t item) -> void;
--- a/Tests/Process/BatchDispatcherTest.cpp
+++ b/Tests/Process/BatchDispatcherTest.cpp
@@ -177,6 +177,24 @@
     }
 }
 
+// Guards against marking more and more items started while their upstream cannot be reached: items that are
+// marked and not sent would be lost with their holder.
+BOOST_AUTO_TEST_CASE(FewItemsAreMarkedStartedAheadOfTheirRuns)
+{
+    BatchFleet fleet(1, 1);
+    const auto submission = BatchFleet::pathJob("job", "/holds/a", false, 60);
+    accept(fleet, submission);
+    fleet.upstreams[0].reset();
+    fleet.startAll();
+    // The share is one and grows by two at most once for each failure; three items are marked ahead.
+    BOOST_REQUIRE(BatchFleet::await([&] {
+        const auto chunk = fleet.store().readChunk(jobIdOf("t", "job"), 0);
+        BOOST_REQUIRE(chunk.ok());
+        BOOST_REQUIRE(chunk->chunk.count(ItemState::Started) <= 12);
+        return fleet.daemons[0]->metrics.counter("batch_items_returned") >= 3;
+    }));
+}
+
 // Guards against non-repeatable items that are sent again after their answer was lost.
 BOOST_AUTO_TEST_CASE(LostAnswerEndsAnItemThatMayNotBeRepeated)
 {
