Forget old borrowers only when the member table changes

Building the set of members in each maintain() took most of its time. The test fleet closes its client connections before it stops its servers.

--- a/Source/Process/AllowanceHome.cpp
+++ b/Source/Process/AllowanceHome.cpp
@@ -199,12 +199,19 @@
 
 auto AllowanceHome::moveEntries(const MemberTable &members, TimePoint now) -> void
 {
+    std::set<ProcessName> borrowers;
+    for (const Member &member : members.members()) {
+        borrowers.emplace(member.name, member.incarnation);
+    }
     for (auto entry = entries_.begin(); entry != entries_.end();) {
         const Member *home = members.homeOf(entry->first, self_.region);
         const auto *departed = std::get_if<Departed>(&entry->second);
         auto *account = std::get_if<AllowanceAccount>(&entry->second);
         const bool isKept = departed != nullptr ? home != nullptr && isSameProcess(departed->successor, *home) : isSelf(home);
         if (isKept) {
+            if (account != nullptr) {
+                account->retainBorrowers(borrowers);
+            }
             ++entry;
             continue;
         }
@@ -324,17 +331,10 @@
         earlierRegions_.clear();
     }
     applyLimits(now);
-    std::set<ProcessName> members;
-    for (const Member &member : version_->members.members()) {
-        members.emplace(member.name, member.incarnation);
-    }
     for (auto entry = entries_.begin(); entry != entries_.end();) {
         startIfDue(entry->first, entry->second, now);
         const auto *departed = std::get_if<Departed>(&entry->second);
         auto *account = std::get_if<AllowanceAccount>(&entry->second);
-        if (account != nullptr) {
-            account->retainBorrowers(members);
-        }
         const bool isOver
             = (departed != nullptr && now >= departed->dropAt) || (account != nullptr && isUnused(entry->first, *account, now));
         entry = isOver ? entries_.erase(entry) : std::next(entry);
--- a/Tests/Support/AllowanceFleet.cpp
+++ b/Tests/Support/AllowanceFleet.cpp
@@ -89,6 +89,9 @@
 
 AllowanceFleet::~AllowanceFleet()
 {
+    for (const auto &entry : daemons_) {
+        entry->peers.retain({});
+    }
     // In parallel: each server takes a quarter of a second to stop.
     std::vector<std::thread> threads;
     threads.reserve(daemons_.size());
