Tell the operator whether a change is in force, and pass on known revisions

Change: answers to operators have "in_force". Exchange messages give the highest known revision as "revision" and the revision that the confirmation belongs to as "in_force".

--- a/Source/Process/ConfigurationEditor.cpp
+++ b/Source/Process/ConfigurationEditor.cpp
@@ -110,6 +110,11 @@
 
 } // namespace
 
+auto ChangeAnswer::isInForce() const -> bool
+{
+    return 2 * confirmedBy > members;
+}
+
 auto ChangeAnswer::toJson() const -> std::string
 {
     JsonObject object;
@@ -117,6 +122,7 @@
     object.set("configuration_revision", configurationRevision);
     object.set("members", static_cast<std::uint64_t>(members));
     object.set("confirmed_by", static_cast<std::uint64_t>(confirmedBy));
+    object.set("in_force", isInForce());
     object.set("tombstone", isTombstone);
     return Json::toText(object);
 }
--- a/Source/Process/ConfigurationEditor.h
+++ b/Source/Process/ConfigurationEditor.h
@@ -26,7 +26,10 @@
     /// store later.
     bool isTombstone = false;
 
-    /// {"revision","configuration_revision","members","confirmed_by","tombstone"}.
+    /// True when a majority of the members has confirmed. Without it, members that are cut off from the store
+    /// may be a majority among themselves and still act on the old revision.
+    [[nodiscard]] auto isInForce() const -> bool;
+    /// {"revision","configuration_revision","members","confirmed_by","in_force","tombstone"}.
     [[nodiscard]] auto toJson() const -> std::string;
     auto operator==(const ChangeAnswer &) const -> bool = default;
 };
--- a/Source/Process/PeerExchange.cpp
+++ b/Source/Process/PeerExchange.cpp
@@ -118,8 +118,10 @@
         const std::lock_guard lock(mutex_);
         message.set("incarnation", incarnation_);
     }
-    message.set("revision", version->revision);
-    message.set("known_revision", state_.highestKnownRevision());
+    // A member that heard of a revision and has not read it yet must pass it on; otherwise a daemon under the
+    // majority rule would go on acting on the old one.
+    message.set("revision", std::max(version->revision, state_.highestKnownRevision()));
+    message.set("in_force", version->revision);
     if (confirmedAt) {
         message.set("confirmed_age_ms",
                     static_cast<std::int64_t>(std::max(Milliseconds(0), toMilliseconds(now - *confirmedAt)).count()) + 1);
@@ -175,14 +177,13 @@
 auto PeerExchange::raiseMonotone(const JsonObject &message) -> absl::Status
 {
     const auto revision = Json::requireInteger(message, "revision");
-    const auto known = Json::optionalInteger(message, "known_revision", 0);
     const auto tombstones = Json::optionalStrings(message, "tombstones");
-    for (const absl::Status &status : { revision.status(), known.status(), tombstones.status() }) {
+    for (const absl::Status &status : { revision.status(), tombstones.status() }) {
         if (!status.ok()) {
             return status;
         }
     }
-    const auto highest = static_cast<std::uint64_t>(std::max<std::int64_t>({ *revision, *known, 0 }));
+    const auto highest = static_cast<std::uint64_t>(std::max<std::int64_t>(0, *revision));
     if (isPlausible(highest)) {
         state_.noteRevision(highest);
     }
@@ -216,7 +217,7 @@
 {
     const auto from = Json::requireString(message, "from");
     const auto incarnation = Json::requireString(message, "incarnation");
-    const auto revision = Json::requireInteger(message, "revision");
+    const auto revision = Json::requireInteger(message, "in_force");
     const auto age = Json::optionalInteger(message, "confirmed_age_ms", -1);
     const absl::Status raised = raiseMonotone(message);
     for (const absl::Status &status : { from.status(), incarnation.status(), revision.status(), age.status(), raised }) {
@@ -282,7 +283,7 @@
     consumeFields(**message, { *from, false, Clock::now() });
     const FleetVersionPointer version = state_.current();
     const Member *sender = version->members.find(*from);
-    const std::int64_t revision = Json::requireInteger(**message, "revision").value_or(0);
+    const std::int64_t revision = Json::requireInteger(**message, "in_force").value_or(0);
     if (sender != nullptr && revision > static_cast<std::int64_t>(version->revision)) {
         watcher_.offer(static_cast<std::uint64_t>(revision), sender->address);
     }
--- a/Source/Version/FleetCodec.cpp
+++ b/Source/Version/FleetCodec.cpp
@@ -157,7 +157,7 @@
             continue;
         }
         std::vector<Team> entries;
-        const absl::Status status = readEntries(contents, name, "teams", teamFromJson, entries);
+        absl::Status status = readEntries(contents, name, "teams", teamFromJson, entries);
         if (!status.ok()) {
             return status;
         }
--- a/Tests/Process/ConfigurationEditorTest.cpp
+++ b/Tests/Process/ConfigurationEditorTest.cpp
@@ -50,6 +50,7 @@
     const ChangeAnswer answer = answerOf(a.editor.apply(*document(), 0));
     BOOST_TEST(answer.members == 2U);
     BOOST_TEST(answer.confirmedBy == 2U);
+    BOOST_TEST(answer.isInForce());
     BOOST_TEST(answer.configurationRevision == answer.revision);
     BOOST_TEST(b.revision() >= answer.revision);
     BOOST_TEST(b.state.current()->configuration.findTeam("bench") != nullptr);
@@ -57,6 +58,7 @@
     const ChangeAnswer second = answerOf(a.editor.setTeam("bench", 1, 1, std::nullopt));
     BOOST_TEST(second.members == 2U);
     BOOST_TEST(second.confirmedBy == 1U);
+    BOOST_TEST(!second.isInForce());
 }
 
 // Guards against an operator's change that silently overwrites another one.
