--- a/Tests/Failure/RequestFailureTest.cpp
+++ b/Tests/Failure/RequestFailureTest.cpp
@@ -1,5 +1,5 @@
 #include "Request/ResultCode.h"
-#include "Support/CallerLoad.h"
+#include "Support/FleetChecks.h"
 #include "Support/ProcessFleet.h"
 
 #include <absl/strings/match.h>
@@ -7,55 +7,12 @@
 #include <boost/test/unit_test.hpp>
 
 #include <map>
-#include <set>
 #include <thread>
 
 namespace poplardock {
 
 namespace {
 
-constexpr const char *RUN_NOT_RUN = "not_run";
-
-/// What all upstreams have received, by the id in the body. Ids end in a dot.
-class Deliveries
-{
-public:
-    explicit Deliveries(const ProcessFleet &fleet)
-    {
-        for (std::size_t upstream = 0; upstream < fleet.upstreamCount(); ++upstream) {
-            for (const JsonObject::Ptr &item : fleet.received(upstream)) {
-                add(item->optValue<std::string>("body", ""));
-                headers_.push_back(item->optValue<std::string>("headers", ""));
-            }
-        }
-    }
-
-    [[nodiscard]] auto countOf(const std::string &id) const -> int
-    {
-        const auto found = counts_.find(id);
-        return found == counts_.end() ? 0 : found->second;
-    }
-
-    [[nodiscard]] auto headers() const -> const std::vector<std::string> &
-    {
-        return headers_;
-    }
-
-private:
-    auto add(const std::string &body) -> void
-    {
-        // The id is the text between the last quote before the dot and the dot.
-        const std::size_t end = body.find(".\"");
-        const std::size_t start = end == std::string::npos ? std::string::npos : body.rfind('"', end);
-        if (start != std::string::npos) {
-            ++counts_[body.substr(start + 1, end - start)];
-        }
-    }
-
-    std::map<std::string, int> counts_;
-    std::vector<std::string> headers_;
-};
-
 struct RequestFixture
 {
     RequestFixture()
@@ -143,16 +100,14 @@
     const Deliveries deliveries(fleet);
     int holds = 0;
     for (const CallOutcome &outcome : outcomes) {
-        const int delivered = deliveries.countOf(outcome.id);
         const bool isHold = !absl::StartsWith(outcome.id, "chat-");
-        holds += isHold ? delivered : 0;
-        BOOST_TEST((!isHold || delivered <= 1), absl::StrCat(outcome.id, " ran ", delivered, " times"));
+        holds += isHold ? deliveries.countOf(outcome.id) : 0;
         // A keyed request that was refused as not run may have run when it was sent again.
-        const bool mayRunLater = absl::StartsWith(outcome.id, "keyed-");
-        const bool isNotRun = outcome.answer.run == RUN_NOT_RUN;
-        BOOST_TEST((!isNotRun || mayRunLater || delivered == 0),
-                   absl::StrCat(outcome.id, " was refused as not run (", outcome.answer.code, ") and ran"));
-        BOOST_TEST((!outcome.answer.isOk() || delivered >= 1), absl::StrCat(outcome.id, " was answered and never ran"));
+        const bool mayRunLater = absl::StartsWith(outcome.id, "keyed-") && outcome.answer.run == "not_run";
+        for (const std::string &fault : findRequestFaults({ outcome }, deliveries, !isHold)) {
+            BOOST_TEST((mayRunLater && deliveries.countOf(outcome.id) == 1), fault);
+        }
+        BOOST_TEST((!outcome.answer.isOk() || deliveries.countOf(outcome.id) >= 1), outcome.id << " was answered and never ran");
     }
     BOOST_TEST(holds > 100);
 }
