--- a/Source/Process/AllowanceHome.cpp
+++ b/Source/Process/AllowanceHome.cpp
@@ -75,7 +75,7 @@
         taken.version = state_.current();
         taken.takenAt = now();
         taken.mayAct = state_.mayAct(taken.takenAt);
-        taken.mayStartWait = state_.hasStoreContact(taken.takenAt) && state_.hasHeardMajority(taken.takenAt);
+        taken.mayStartWait = state_.hasStoreContact(taken.takenAt) && state_.hasHeardMajorityWithCurrentRevision(taken.takenAt);
         taken.confirmedAt = state_.confirmedAt();
         // The answers must not belong to a newer version than the one that is acted on.
         if (state_.current()->revision == taken.version->revision) {
@@ -284,7 +284,7 @@
     if (taken.version->revision < request.revision) {
         // From now on this daemon does not act until it has that revision.
         state_.noteRevision(request.revision);
-        return { HandoverOutcome::RevisionMissing, 0, {} };
+        return { HandoverOutcome::RevisionMissing, 0, {}, {} };
     }
     const std::lock_guard lock(mutex_);
     observe(taken);
@@ -294,7 +294,9 @@
         return {};
     }
     departed->bucket.advance(options_.clock());
-    return { HandoverOutcome::HandedOver, departed->bucket.level(), departed->bucket.loans() };
+    return {
+        HandoverOutcome::HandedOver, departed->bucket.level(), departed->bucket.loans(), { earlierRegions_.begin(), earlierRegions_.end() }
+    };
 }
 
 auto AllowanceHome::maintain() -> void
@@ -395,6 +397,7 @@
         waiting->earlierHome.reset();
         return;
     }
+    earlierRegions_.insert(answer.earlierRegions.begin(), answer.earlierRegions.end());
     AllowanceBucket bucket(limitOf(pending.team, now), answer.level, now);
     for (const Loan &loan : answer.loans) {
         bucket.restore(loan);
