Never relay job submissions; shut down a daemon whose name was taken

A submission is stored by whichever daemon got it, so its token is borrowed in a fleet of any size. A daemon that another process replaced under its name drains instead of staying outside the member table.

--- a/Source/Process/AllowanceClient.cpp
+++ b/Source/Process/AllowanceClient.cpp
@@ -42,7 +42,7 @@
     return location;
 }
 
-auto AllowanceClient::acquire(const std::string &team, TimePoint now) -> AllowanceDecision
+auto AllowanceClient::acquire(const std::string &team, TimePoint now, Relaying relaying) -> AllowanceDecision
 {
     if (state_.current()->configuration.findTeam(team) == nullptr) {
         return unavailable("the team is unknown");
@@ -57,7 +57,7 @@
             return unavailable("the team has no home in this region");
         }
         if (!location.isHere) {
-            const auto decision = acquireBorrowed(location);
+            const auto decision = acquireBorrowed(location, relaying);
             if (decision) {
                 return *decision;
             }
@@ -74,7 +74,7 @@
     return unavailable("the home of the team cannot be determined");
 }
 
-auto AllowanceClient::acquireBorrowed(const Location &location) -> std::optional<AllowanceDecision>
+auto AllowanceClient::acquireBorrowed(const Location &location, Relaying relaying) -> std::optional<AllowanceDecision>
 {
     std::unique_lock lock(mutex_);
     TeamState &entry = teams_[location.team->name];
@@ -97,12 +97,13 @@
     }
     const AllowanceChoice choice = chooseAllowance(demandOf(location, entry, now));
     const auto *loan = std::get_if<TakeLoan>(&choice);
-    if (loan == nullptr) {
+    if (loan == nullptr && relaying == Relaying::Allowed) {
         return RelayToHome { *location.home };
     }
+    const std::int64_t tokens = loan == nullptr ? 1 : loan->tokens;
     entry.isBorrowing = true;
     lock.unlock();
-    borrow(location, loan->tokens);
+    borrow(location, tokens);
     lock.lock();
     entry.isBorrowing = false;
     borrowEnded_.notify_all();
--- a/Source/Process/AllowanceClient.h
+++ b/Source/Process/AllowanceClient.h
@@ -23,6 +23,13 @@
 class AllowanceClient
 {
 public:
+    /// Whether RelayToHome is an acceptable decision. It is not for a job submission, which any daemon can store.
+    enum class Relaying
+    {
+        Allowed,
+        Never,
+    };
+
     struct Options
     {
         TimeSource clock = Clock::now;
@@ -36,7 +43,7 @@
 
     /// Spends a token for one request. Blocks for at most two calls to the home and the borrows that are already
     /// in flight. "now" is the arrival; the instant of spending is read from the clock.
-    auto acquire(const std::string &team, TimePoint now) -> AllowanceDecision;
+    auto acquire(const std::string &team, TimePoint now, Relaying relaying = Relaying::Allowed) -> AllowanceDecision;
     /// Returns the unused tokens of loans that are about to lapse, and takes a new loan with the same message
     /// while demand goes on. To be called every 100 ms or so from one thread.
     auto maintain() -> void;
@@ -66,7 +73,7 @@
     using BorrowResult = std::variant<LoanAnswer, NotHomeAnswer, HomeNotActing, CallFailure>;
 
     auto locate(const std::string &team) const -> Location;
-    auto acquireBorrowed(const Location &location) -> std::optional<AllowanceDecision>;
+    auto acquireBorrowed(const Location &location, Relaying relaying) -> std::optional<AllowanceDecision>;
     /// Borrows for a request that waits, with one retry. Leaves a loan or a refusal, or neither when the home is here now.
     auto borrow(const Location &location, std::int64_t want) -> void;
     /// Borrows "want" tokens, or as many as requests wait; "own" is 1 when the caller is one of them.
--- a/Source/Process/Daemon.cpp
+++ b/Source/Process/Daemon.cpp
@@ -32,8 +32,10 @@
 #include <absl/strings/str_cat.h>
 
 #include <atomic>
+#include <csignal>
 #include <iostream>
 #include <random>
+#include <unistd.h>
 
 namespace poplardock {
 
@@ -131,7 +133,6 @@
     auto createOnlinePath() -> void;
     auto createBatch() -> void;
     auto maintainAllowances() -> void;
-    auto acquire(const std::string &team, TimePoint now) -> AllowanceDecision;
     auto loadOf(const std::string &upstream) const -> ObservedLoad;
     auto startServices() -> absl::Status;
     auto join() -> absl::Status;
@@ -177,11 +178,6 @@
         });
 }
 
-auto Daemon::Parts::acquire(const std::string &team, TimePoint now) -> AllowanceDecision
-{
-    return allowanceClient->acquire(team, now);
-}
-
 auto Daemon::Parts::createAllowances() -> absl::Status
 {
     AdmissionRecorder recorder;
@@ -204,6 +200,11 @@
 
 auto Daemon::Parts::maintainAllowances() -> void
 {
+    if (membership->isReplaced() && !isDraining.exchange(true)) {
+        Log::error(Part::Process, "Another process has taken this daemon's name; this one shuts down.");
+        ::kill(::getpid(), SIGTERM);
+        return;
+    }
     if (allowanceHome->self().incarnation != membership->incarnation()) {
         Member self = ownRecord();
         self.incarnation = membership->incarnation();
@@ -244,8 +245,9 @@
     dispatcher = std::make_unique<BatchDispatcher>(jobStore, state, metrics, options, hooks);
     yieldSender = std::make_unique<YieldSender>(
         state, peers, settings.region, [this](const std::string &upstream) { dispatcher->onYield(upstream); });
-    jobRoutes = std::make_unique<JobRoutes>(
-        jobStore, state, [this](const std::string &team, TimePoint now) -> AllowanceDecision { return acquire(team, now); });
+    jobRoutes = std::make_unique<JobRoutes>(jobStore, state, [this](const std::string &team, TimePoint now) -> AllowanceDecision {
+        return allowanceClient->acquire(team, now, AllowanceClient::Relaying::Never);
+    });
     jobRoutes->addCallerRoutes(callersRouter);
     JobRoutes::addPeerRoutes(peersRouter, *dispatcher);
 }
@@ -258,7 +260,7 @@
                         crashes,
                         claims,
                         metrics,
-                        [this](const std::string &team, TimePoint now) { return acquire(team, now); },
+                        [this](const std::string &team, TimePoint now) { return allowanceClient->acquire(team, now); },
                         [this](const std::string &upstream) {
                             yieldSender->send(upstream);
                         } };
--- a/Tests/Process/JobStoreTest.cpp
+++ b/Tests/Process/JobStoreTest.cpp
@@ -118,8 +118,8 @@
             codes[index] = codeOf(JobStore(own, { 1000, 1000 }).accept(submission));
         });
     }
-    for (std::thread &client : clients) {
-        client.join();
+    for (std::thread &thread : clients) {
+        thread.join();
     }
     for (const ResultCode code : codes) {
         BOOST_TEST((code == ResultCode::Ok));
