--- a/Source/Process/BatchShare.cpp
+++ b/Source/Process/BatchShare.cpp
@@ -27,34 +27,34 @@
     return std::max(0, batchRunning - limit());
 }
 
-auto BatchShare::learnPlaces(TimePoint now, const ObservedLoad &load) -> void
+auto BatchShare::learnSlots(TimePoint now, const ObservedLoad &load) -> void
 {
     if (load.waiting > 0 && load.running > 0) {
-        places_ = load.running;
+        slots_ = load.running;
         nextProbeAt_ = now + tuning_.probeInterval;
-    } else if (places_ && now >= nextProbeAt_) {
-        places_ = std::min<double>(tuning_.maximum, *places_ + 1);
+    } else if (slots_ && now >= nextProbeAt_) {
+        slots_ = std::min<double>(tuning_.maximum, *slots_ + 1);
         nextProbeAt_ = now + tuning_.probeInterval;
     }
 }
 
 auto BatchShare::update(TimePoint now, const ObservedLoad &load, int batchRunning, double targetMs) -> int
 {
-    learnPlaces(now, load);
+    learnSlots(now, load);
     isHeldOff_ = isHeldOff_ && now < holdOffUntil_;
     const double online = std::max<double>(load.onlineInFlight, load.onlineExpected);
-    ceiling_ = places_ ? std::max(0.0, *places_ * (1 - tuning_.reserve) - online) : tuning_.maximum;
+    ceiling_ = slots_ ? std::max(0.0, *slots_ * (1 - tuning_.reserve) - online) : tuning_.maximum;
     const bool isLate = load.onlineFirstTokenP95Ms > targetMs * tuning_.targetFraction;
     const bool isQueueing = load.waiting > 0 && load.onlineInFlight > 0;
     if ((isLate || isQueueing) && now >= nextYieldAt_) {
         return yieldNow(now, batchRunning);
     }
     if (!isHeldOff_ && batchRunning >= static_cast<int>(limit_) && now >= nextIncreaseAt_) {
-        limit_ = std::min(places_.value_or(tuning_.maximum), limit_ + tuning_.increase);
+        limit_ = std::min(slots_.value_or(tuning_.maximum), limit_ + tuning_.increase);
         nextIncreaseAt_ = now + tuning_.interval;
     }
-    // Items above the ceiling end by themselves, but are dropped when they take the places of online requests.
-    const double excess = places_ ? batchRunning + online - *places_ : 0;
+    // Items above the ceiling end by themselves, but are dropped when they take the slots of online requests.
+    const double excess = slots_ ? batchRunning + online - *slots_ : 0;
     return std::clamp(static_cast<int>(excess), 0, batchRunning);
 }
 
--- a/Source/Process/BatchShare.h
+++ b/Source/Process/BatchShare.h
@@ -46,10 +46,10 @@
         Milliseconds reportLag { 1300 };
         /// Part of the class target above which the share is cut.
         double targetFraction = 0.8;
-        /// Part of the upstream's places that is kept free for online requests. 0.15 gave less batch throughput as
+        /// Part of the upstream's slots that is kept free for online requests. 0.15 gave less batch throughput as
         /// well as higher online latency, since more items were dropped (Meta/MeasureBatch).
         double reserve = 0.25;
-        /// Time after which one more place is tried.
+        /// Time after which one more slot is tried.
         Milliseconds probeInterval { 10000 };
         int maximum = 256;
 
@@ -67,7 +67,7 @@
     [[nodiscard]] auto limit() const -> int;
 
 private:
-    auto learnPlaces(TimePoint now, const ObservedLoad &load) -> void;
+    auto learnSlots(TimePoint now, const ObservedLoad &load) -> void;
 
     Tuning tuning_;
     double limit_ = 1;
@@ -78,7 +78,7 @@
     bool isHeldOff_ = false;
     TimePoint holdOffUntil_;
     /// Requests that the upstream runs at a time; unset until it was seen full.
-    std::optional<double> places_;
+    std::optional<double> slots_;
     TimePoint nextProbeAt_;
     TimePoint nextIncreaseAt_;
     TimePoint nextYieldAt_;
--- a/Tests/Connection/OnlinePathTest.cpp
+++ b/Tests/Connection/OnlinePathTest.cpp
@@ -417,6 +417,18 @@
     BOOST_TEST(receivedCount() * 10 <= CALLS * 11);
 }
 
+// Guards against a caller that names a team in the headers by which daemons relay requests to each other.
+BOOST_AUTO_TEST_CASE(RelayHeadersOfACallerGrantNothing)
+{
+    installUsual();
+    const std::string forged = absl::StrCat("Relay-Team: red\r\nRelay-Key-Sha256: ", sha256Hex("key-of-red"), "\r\n");
+    for (const char *path : { CHAT, "/hold", "/peers/relay" }) {
+        const std::string answer = exchangeRaw(daemon.address(), rawRequest("POST", path, forged, chatBody("forged", false, 2)), false);
+        BOOST_TEST(contains(answer, "key_missing"), path << " gave " << answer);
+    }
+    BOOST_TEST(receivedCount() == 0U);
+}
+
 // Guards against a second run of a request whose answer was lost on the way to the caller.
 BOOST_AUTO_TEST_CASE(SameIdempotencyKeyGetsTheRecordedAnswer)
 {
--- a/Tests/Process/BatchShareTest.cpp
+++ b/Tests/Process/BatchShareTest.cpp
@@ -43,8 +43,8 @@
     BOOST_TEST(share.limit() == 1);
 }
 
-// Guards against batch items that fill the queue of an upstream whose places are known.
-BOOST_AUTO_TEST_CASE(ShareStaysBelowThePlacesOfTheUpstream)
+// Guards against batch items that fill the queue of an upstream whose slots are known.
+BOOST_AUTO_TEST_CASE(ShareStaysBelowTheSlotsOfTheUpstream)
 {
     runFor(Milliseconds(3000), { 16, 5, 0, 0, 0 });
     runFor(Milliseconds(1000), { 12, 0, 0, 0, 0 });
@@ -55,7 +55,7 @@
 }
 
 // Guards against a burst of online requests that waits until batch items end by themselves.
-BOOST_AUTO_TEST_CASE(BurstDropsTheItemsInItsPlaces)
+BOOST_AUTO_TEST_CASE(BurstDropsTheItemsInItsSlots)
 {
     runFor(Milliseconds(3000), { 16, 5, 0, 0, 0 });
     BOOST_TEST(share.update(now, { 16, 0, 3, 12, 0 }, 13, TARGET_MS) == 13 + 12 - 16);
