--- a/Source/Process/Batch/JobRunner.cpp
+++ b/Source/Process/Batch/JobRunner.cpp
@@ -101,6 +101,12 @@
 {
     std::vector<std::pair<ItemKey, bool>> stalled;
     for (const auto &[key, run] : active_) {
+        OwnedJob *job = book_.find(key.job);
+        const ItemProgress *item = job == nullptr ? nullptr : job->findItem(key.item);
+        if (item == nullptr || item->state != ItemState::Running) {
+            stalled.emplace_back(key, false);
+            continue;
+        }
         const bool hasFirst = run.run->hasFirst();
         if ((!hasFirst && now - run.startedAt > FIRST_EVENT_TIME) || (hasFirst && now - run.lastEventAt > EVENT_GAP)) {
             stalled.emplace_back(key, hasFirst);
@@ -251,6 +257,11 @@
         return;
     }
     ItemProgress *item = job->findItem(key.item);
+    if (item->state != ItemState::Running) {
+        // Another daemon's result of the item stands in the log; this one must not be listed beside it.
+        active_.erase(active);
+        return;
+    }
     if (end == RunEnd::NotRun) {
         putBack(key, DECLINED_PAUSE, "declined");
         return;
