--- a/Source/Connection/JobService.cpp
+++ b/Source/Connection/JobService.cpp
@@ -3,6 +3,7 @@
 #include "Connection/Refusal.h"
 #include "Process/EventLog.h"
 
+#include <absl/strings/match.h>
 #include <absl/strings/numbers.h>
 #include <absl/strings/str_cat.h>
 #include <absl/strings/str_split.h>
@@ -147,9 +148,13 @@
         answerAsOwner(query, reply);
         return;
     }
+    if (const Peer *owner = parts_.peers.ownerOf(query.call.jobId, BootClock::now())) {
+        askOwner(query, owner->address, reply);
+        return;
+    }
     const auto known = elsewhere_.find(query.call.jobId);
-    if (known != elsewhere_.end() && known->second.team == query.team) {
-        askOwner(query, known->second, reply);
+    if (known != elsewhere_.end() && known->second.team == query.team && isOwnerAlive(known->second)) {
+        askOwner(query, known->second.ownerAddress, reply);
         return;
     }
     findOwner(query, reply);
@@ -213,7 +218,7 @@
         }
         elsewhere_[record->id] = *record;
         if (isOwnerAlive(*record)) {
-            askOwner(query, *record, reply);
+            askOwner(query, record->ownerAddress, reply);
         } else {
             answerFromStore(query, *record, reply);
         }
@@ -223,20 +228,15 @@
 auto JobService::isOwnerAlive(const JobRecord &record) const -> bool
 {
     const Peer *owner = parts_.peers.find(record.owner);
-    return owner != nullptr && owner->report.incarnation == record.ownerIncarnation && parts_.peers.isAlive(*owner, BootClock::now()) && owner->report.hasStore;
+    return owner != nullptr && owner->report.incarnation == record.ownerIncarnation && parts_.peers.isAlive(*owner, BootClock::now()) && owner->report.hasStore && !owner->report.isLeaving;
 }
 
-auto JobService::askOwner(const Query &query, const JobRecord &record, const ReplyHandler &reply) -> void
+auto JobService::askOwner(const Query &query, const std::string &address, const ReplyHandler &reply) -> void
 {
-    if (!isOwnerAlive(record)) {
-        elsewhere_.erase(query.call.jobId);
-        findOwner(query, reply);
-        return;
-    }
     const BootTime now = BootClock::now();
     const auto wait = std::max(Milliseconds(0), std::chrono::duration_cast<Milliseconds>(query.deadline - now));
     const HttpCall call { "GET", peerTarget(query.call, query.team, wait), {}, {} };
-    peerClient_.call(record.ownerAddress, call, now + wait + OWNER_SLACK, [this, query, record, reply](const CallOutcome &outcome) {
+    peerClient_.call(address, call, now + wait + OWNER_SLACK, [this, query, reply](const CallOutcome &outcome) {
         const auto *result = std::get_if<HttpResult>(&outcome);
         if (result != nullptr && result->status == OK) {
             HttpResult answer { OK, {}, result->body };
@@ -250,6 +250,10 @@
                 reply(absl::IsNotFound(found.status()) ? unknown() : unsure("the store does not answer"));
                 return;
             }
+            if (found->team != query.team) {
+                reply(unknown());
+                return;
+            }
             answerFromStore(query, *found, reply);
         });
     });
@@ -327,6 +331,11 @@
 
 auto JobService::handlePeer(const std::shared_ptr<CallerExchange> &exchange) -> void
 {
+    if (absl::StartsWith(exchange->head().target, HAND_OVER_PATH)) {
+        const std::string progress = adoption_.handOver(exchange->head().target.substr(std::string_view(HAND_OVER_PATH).size()));
+        exchange->reply(progress.empty() ? refusalOf(parts_.dialect, ResultCode::JobUnknown, "", std::nullopt) : jsonResult(OK, progress));
+        return;
+    }
     const std::vector<std::string> words = absl::StrSplit(exchange->head().target, '/');
     constexpr std::size_t WORDS = 8;
     int kind = 0;
--- a/Source/Connection/JobService.h
+++ b/Source/Connection/JobService.h
@@ -37,7 +37,7 @@
     auto answerAsOwner(const Query &query, const ReplyHandler &reply) -> void;
     auto replyOwned(const Query &query, const ReplyHandler &reply) -> void;
     auto findOwner(const Query &query, const ReplyHandler &reply) -> void;
-    auto askOwner(const Query &query, const JobRecord &record, const ReplyHandler &reply) -> void;
+    auto askOwner(const Query &query, const std::string &address, const ReplyHandler &reply) -> void;
     auto answerFromStore(const Query &query, const JobRecord &record, const ReplyHandler &reply) -> void;
     auto cancelInStore(const JobRecord &record, const ReplyHandler &reply) -> void;
     auto readItemFromStore(const Query &query, const JobRecord &record, const JobLedger::Log &log, const ReplyHandler &reply) -> void;
--- a/Source/Connection/OnlineRun.cpp
+++ b/Source/Connection/OnlineRun.cpp
@@ -13,7 +13,7 @@
 constexpr Milliseconds USUAL_PATIENCE { 30000 };
 /// Part of a target after which a silent upstream is left for another one: early enough for the other one to answer
 /// within the target.
-constexpr double STALL_PART = 0.6;
+constexpr double STALL_PART = 0.7;
 /// A gap between events is judged against its own target; going on elsewhere takes a connection and a prompt.
 constexpr double GAP_PART = 0.7;
 constexpr double SHORTEST_STALL_MS = 50;
--- a/Source/Connection/UpstreamRun.cpp
+++ b/Source/Connection/UpstreamRun.cpp
@@ -139,8 +139,12 @@
     const bool isCut = end == ExchangeEnd::Complete && splitter_.hasPartial();
     if (end == ExchangeEnd::Complete && !isCut) {
         parts_.directory.recordSuccess(order_.upstream);
-        recordFirst();
-        if (order_.work == Work::Online && order_.isTimed) {
+        // An answer that is no success says nothing about the time that a request takes.
+        const bool isSuccess = status_ >= SUCCESS_BEGIN && status_ < SUCCESS_END;
+        if (isSuccess) {
+            recordFirst();
+        }
+        if (isSuccess && order_.work == Work::Online && order_.isTimed) {
             parts_.directory.recordService(order_.upstream, millisecondsBetween(sentAt_, now));
         }
         finish(RunEnd::Complete);
--- a/Source/Process/Batch/JobAdoption.cpp
+++ b/Source/Process/Batch/JobAdoption.cpp
@@ -10,9 +10,12 @@
 
 /// Stale lists cost a tenth of a call; jobs are due in many seconds.
 constexpr Milliseconds REVIEW_PERIOD { 2000 };
-constexpr Milliseconds SOON { 150 };
 /// Time after the start in which owners that were not heard yet count as alive.
 constexpr Milliseconds SETTLE_TIME { 2500 };
+/// Time in which a former owner has to hand over; the items start again without it.
+constexpr Milliseconds HAND_OVER_TIME { 500 };
+constexpr ClientPool::Options PEER_POOL { { 1000, 1000 }, Milliseconds(250), Milliseconds(5000) };
+constexpr int OK = 200;
 constexpr Milliseconds STORE_SILENCE { 1000 };
 /// Time after the end of a job's readable time before it is removed; clocks of VMs differ a little.
 constexpr std::chrono::seconds REMOVAL_MARGIN { 60 };
@@ -25,6 +28,8 @@
     , book_(book)
     , runner_(runner)
     , startedAt_(BootClock::now())
+    , peerPool_(parts.loop, PEER_POOL)
+    , peerClient_(parts.loop, peerPool_)
 {
 }
 
@@ -39,11 +44,35 @@
     isDraining_ = true;
 }
 
-auto JobAdoption::reviewSoon() -> void
+auto JobAdoption::reviewPeers() -> void
 {
-    if (!soon_.isPending()) {
-        soon_ = parts_.loop.at(BootClock::now() + SOON, [this] { review(false); });
+    const BootTime now = BootClock::now();
+    if (isDraining_ || !hasStore(now)) {
+        return;
+    }
+    std::erase_if(retryAt_, [now](const auto &each) { return each.second <= now; });
+    for (const auto &[name, peer] : parts_.peers.peers()) {
+        const bool isSound = parts_.peers.isAlive(peer, now) && !peer.report.isLeaving && peer.report.hasStore;
+        for (const std::string &id : isSound ? std::vector<std::string>() : peer.report.jobs) {
+            const bool isMine = parts_.peers.homeOf(id, now) == parts_.settings.name;
+            if (isMine && book_.find(id) == nullptr && retryAt_.emplace(id, now + REVIEW_PERIOD).second) {
+                takeOver(id);
+            }
+        }
+    }
+}
+
+auto JobAdoption::handOver(const std::string &id) -> std::string
+{
+    OwnedJob *job = book_.find(id);
+    if (job == nullptr) {
+        return {};
     }
+    runner_.stopJob(id);
+    std::string progress = job->progressText();
+    EventLog::write("job_handed_over", { { "job", id }, { "bytes", static_cast<std::uint64_t>(progress.size()) } });
+    book_.drop(id);
+    return progress;
 }
 
 auto JobAdoption::hasStore(BootTime now) const -> bool
@@ -54,7 +83,8 @@
 
 auto JobAdoption::isSureOf(const std::string &id) const -> bool
 {
-    return !doubted_.contains(id) && hasStore(BootClock::now());
+    // A daemon that shuts down has told the others to take its jobs over.
+    return !isDraining_ && !doubted_.contains(id) && hasStore(BootClock::now());
 }
 
 auto JobAdoption::doubtOwnership() -> void
@@ -169,25 +199,46 @@
     record.ownerIncarnation = parts_.peerLink.incarnation();
     record.ownerAddress = parts_.settings.peersAddress;
     EventLog::write("job_take_over", { { "job", found.id }, { "from", found.owner }, { "revision", found.version } });
-    ledger_.replace(record, [this, id = found.id](const absl::StatusOr<JobRecord> &claimed) {
+    ledger_.replace(record, [this, id = found.id, former = found.owner](const absl::StatusOr<JobRecord> &claimed) {
         if (!claimed.ok()) {
             endTakeOver(id, "claim", claimed.status());
             return;
         }
-        load(*claimed);
+        fetchProgress(*claimed, former);
+    });
+}
+
+auto JobAdoption::fetchProgress(const JobRecord &record, const std::string &formerOwner) -> void
+{
+    const Peer *former = parts_.peers.find(formerOwner);
+    const BootTime now = BootClock::now();
+    if (former == nullptr || !parts_.peers.isAlive(*former, now)) {
+        load(record, {});
+        return;
+    }
+    const HttpCall call { "POST", std::string(HAND_OVER_PATH) + record.id, {}, {} };
+    peerClient_.call(former->address, call, now + HAND_OVER_TIME, [this, record](const CallOutcome &outcome) {
+        const auto *result = std::get_if<HttpResult>(&outcome);
+        load(record, result != nullptr && result->status == OK ? result->body : std::string());
     });
 }
 
-auto JobAdoption::load(const JobRecord &record) -> void
+auto JobAdoption::load(const JobRecord &record, const std::string &progress) -> void
 {
-    ledger_.readItems(record, [this, record](const absl::StatusOr<std::vector<JobItem>> &items) {
+    ledger_.readItems(record, [this, record, progress](const absl::StatusOr<std::vector<JobItem>> &items) {
         if (!items.ok()) {
             endTakeOver(record.id, "items", items.status());
             return;
         }
-        ledger_.readLog(record.id, [this, record, items = *items](const absl::StatusOr<JobLedger::Log> &log) {
+        ledger_.readLog(record.id, [this, record, progress, items = *items](const absl::StatusOr<JobLedger::Log> &log) {
             if (log.ok()) {
-                book_.add(OwnedJob(record, items, *log));
+                OwnedJob job(record, items, *log);
+                if (!progress.empty()) {
+                    const absl::Status status = job.applyProgress(progress);
+                    EventLog::write("job_progress_taken", { { "job", record.id }, { "ok", status.ok() }, { "reason", status.message() } });
+                }
+                book_.add(std::move(job));
+                book_.resultReady(record.id);
                 parts_.metrics.count("jobs_taken_over");
             }
             endTakeOver(record.id, "log", log.status());
--- a/Source/Process/Batch/JobAdoption.h
+++ b/Source/Process/Batch/JobAdoption.h
@@ -1,12 +1,17 @@
 #pragma once
 
+#include "Connection/HttpClient.h"
 #include "Process/Batch/JobBook.h"
 #include "Process/Batch/JobRunner.h"
 
+#include <map>
 #include <set>
 
 namespace poplardock {
 
+/// Path of the daemons' own call by which a former owner hands over a job; the job's id follows.
+inline constexpr const char *HAND_OVER_PATH = "/handover/";
+
 /// Keeps each open job with a living owner: takes over the jobs of daemons that are gone, leaving or without the
 /// store, gives up those that another daemon owns now, and removes old ones from the store.
 /// Thread safety: the loop's thread only.
@@ -18,8 +23,11 @@
     auto start() -> void;
     /// Takes over no more jobs.
     auto drain() -> void;
-    /// Looks at all jobs soon, because a peer was lost.
-    auto reviewSoon() -> void;
+    /// Looks at the jobs of daemons that are gone, leaving or without the store, as far as their reports named them.
+    auto reviewPeers() -> void;
+    /// Ends this daemon's ownership of a job and gives out the progress of its items, for the daemon that has taken
+    /// it over. Empty when the job is not owned.
+    auto handOver(const std::string &id) -> std::string;
     /// The daemon may have missed that its jobs were taken over: reads their records again. Until then they are not
     /// answered for.
     auto doubtOwnership() -> void;
@@ -36,7 +44,9 @@
     [[nodiscard]] auto needsOwner(const JobRecord &record, BootTime now) const -> bool;
     auto takeOver(const std::string &id) -> void;
     auto claim(const JobRecord &found) -> void;
-    auto load(const JobRecord &record) -> void;
+    /// Asks the owner before for the progress of the items, then loads the job.
+    auto fetchProgress(const JobRecord &record, const std::string &formerOwner) -> void;
+    auto load(const JobRecord &record, const std::string &progress) -> void;
     auto verify(const std::string &id) -> void;
     auto release(const std::string &id) -> void;
     auto endTakeOver(const std::string &id, const char *step, const absl::Status &status) -> void;
@@ -48,9 +58,12 @@
     BootTime startedAt_;
     std::set<std::string> takingOver_;
     std::set<std::string> doubted_;
+    /// Jobs for which a take-over was tried lately, and when it may be tried again.
+    std::map<std::string, BootTime> retryAt_;
+    ClientPool peerPool_;
+    HttpClient peerClient_;
     bool isDraining_ = false;
     Timer next_;
-    Timer soon_;
 };
 
 } // namespace poplardock
--- a/Source/Process/Batch/JobBook.cpp
+++ b/Source/Process/Batch/JobBook.cpp
@@ -75,7 +75,7 @@
 auto JobBook::resultReady(const std::string &id) -> void
 {
     const auto found = entries_.find(id);
-    if (found == entries_.end() || found->second->isCommitting || found->second->commit.isPending()) {
+    if (found == entries_.end() || found->second->isCommitting || found->second->commit.isPending() || found->second->job.unlisted().empty()) {
         return;
     }
     const JobRecord &record = found->second->job.record();
--- a/Source/Process/Batch/OwnedJob.cpp
+++ b/Source/Process/Batch/OwnedJob.cpp
@@ -1,5 +1,7 @@
 #include "Process/Batch/OwnedJob.h"
 
+#include "Process/Json.h"
+
 #include <algorithm>
 
 namespace poplardock {
@@ -87,6 +89,69 @@
     ++nextNumber_;
 }
 
+auto OwnedJob::progressText() const -> std::string
+{
+    JsonArray::Ptr entries = new JsonArray;
+    const auto add = [&entries](const std::string &id, const std::string &text) {
+        JsonObject::Ptr entry = new JsonObject;
+        entry->set("id", id);
+        entry->set("text", text);
+        entries->add(entry);
+        return entry;
+    };
+    for (const ItemProgress &item : items_) {
+        if (item.state == ItemState::Waiting && (item.lastEventId || item.failures > 0)) {
+            JsonObject::Ptr entry = add(item.item.id, item.text);
+            entry->set("events", item.eventCount);
+            entry->set("failures", item.failures);
+            if (item.lastEventId) {
+                entry->set("last_event", *item.lastEventId);
+            }
+        }
+    }
+    for (const JobResult &result : unlisted_) {
+        add(result.itemId, result.text)->set("completed", result.isCompleted);
+    }
+    JsonObject object;
+    object.set("items", entries);
+    return Json::toText(object);
+}
+
+auto OwnedJob::applyProgress(const std::string &text) -> absl::Status
+{
+    const auto object = Json::parseObject(text);
+    const auto entries = object.ok() ? Json::optionalObjects(**object, "items") : object.status();
+    if (!entries.ok()) {
+        return entries.status();
+    }
+    for (const JsonObject::Ptr &entry : *entries) {
+        const auto id = Json::requireString(*entry, "id");
+        const auto itemText = Json::requireString(*entry, "text");
+        const auto events = Json::optionalInteger(*entry, "events", 0);
+        const auto failures = Json::optionalInteger(*entry, "failures", 0);
+        const auto lastEvent = Json::optionalInteger(*entry, "last_event", 0);
+        for (const absl::Status &status : { id.status(), itemText.status(), events.status(), failures.status(), lastEvent.status() }) {
+            if (!status.ok()) {
+                return status;
+            }
+        }
+        ItemProgress *item = findItem(*id);
+        if (item == nullptr || item->state != ItemState::Waiting) {
+            continue;
+        }
+        item->text = *itemText;
+        item->eventCount = static_cast<int>(*events);
+        item->failures = static_cast<int>(*failures);
+        if (entry->has("last_event")) {
+            item->lastEventId = *lastEvent;
+        }
+        if (entry->has("completed")) {
+            finishItem(*item, Json::optionalBool(*entry, "completed", false).value_or(false));
+        }
+    }
+    return absl::OkStatus();
+}
+
 auto OwnedJob::replaceLog(const JobLedger::Log &log) -> void
 {
     listed_.clear();
--- a/Source/Process/Batch/OwnedJob.h
+++ b/Source/Process/Batch/OwnedJob.h
@@ -63,6 +63,11 @@
     /// Takes the log as another daemon has continued it; waiting results of items that it lists are dropped.
     auto replaceLog(const JobLedger::Log &log) -> void;
 
+    /// The progress of items that have begun and are not listed, for the next owner. JSON text.
+    [[nodiscard]] auto progressText() const -> std::string;
+    /// Takes the progress that another owner gave out. Errors: InvalidArgument; items before the fault are taken.
+    auto applyProgress(const std::string &text) -> absl::Status;
+
 private:
     auto list(const JobResult &result) -> void;
 
--- a/Source/Process/FrontDaemon.cpp
+++ b/Source/Process/FrontDaemon.cpp
@@ -31,6 +31,10 @@
 /// Part of the leave bound in which an upstream without entry may still be used.
 constexpr double LEAVE_PART = 0.7;
 constexpr ClientPool::Options UPSTREAM_POOL { { 1500, 1000 }, Milliseconds(400), Milliseconds(20000) };
+/// Jobs that a report names, so that a read at another daemon needs no call to the store: those that callers may
+/// still read often, as many as fit into a datagram.
+constexpr std::chrono::seconds JOB_HINT_TIME { 20 };
+constexpr std::size_t JOB_HINTS = 40;
 constexpr const char *CONFIGURATION_NAME = "main";
 constexpr int OK = 200;
 constexpr int UNAVAILABLE = 503;
@@ -236,6 +240,12 @@
     report.work = directory_.ownWork();
     report.demand = allowances_.demand(now);
     report.crashes = crashes_.deaths(now);
+    for (const std::string &id : book_.ids()) {
+        const bool isRecent = WallClock::now() < book_.find(id)->record().dueAt + JOB_HINT_TIME;
+        if (isRecent && report.jobs.size() < JOB_HINTS && (isStopping_ || adoption_.isSureOf(id))) {
+            report.jobs.push_back(id);
+        }
+    }
     return report;
 }
 
@@ -244,6 +254,7 @@
     const BootTime now = BootClock::now();
     directory_.setPeerWork(peers_.work(now));
     allowances_.update(peers_, now);
+    adoption_.reviewPeers();
 }
 
 auto FrontDaemon::checkPauses() -> void
--- a/Source/Process/Peers/PeerDirectory.cpp
+++ b/Source/Process/Peers/PeerDirectory.cpp
@@ -2,6 +2,8 @@
 
 #include "Version/MemberTable.h"
 
+#include <algorithm>
+
 namespace poplardock {
 
 namespace {
@@ -127,6 +129,19 @@
     return holders.empty() ? nullptr : holders[random % holders.size()];
 }
 
+auto PeerDirectory::ownerOf(const std::string &job, BootTime now) const -> const Peer *
+{
+    const Peer *owner = nullptr;
+    for (const auto &[name, peer] : peers_) {
+        const auto &jobs = peer.report.jobs;
+        const bool claims = isAlive(peer, now) && peer.report.hasStore && !peer.report.isLeaving && std::find(jobs.begin(), jobs.end(), job) != jobs.end();
+        if (claims && (owner == nullptr || peer.heardAt > owner->heardAt)) {
+            owner = &peer;
+        }
+    }
+    return owner;
+}
+
 auto PeerDirectory::homeOf(const std::string &key, BootTime now) const -> std::string
 {
     std::string best = ownName_;
--- a/Source/Process/Peers/PeerDirectory.h
+++ b/Source/Process/Peers/PeerDirectory.h
@@ -47,6 +47,8 @@
     [[nodiscard]] auto crashes(const std::string &fingerprint) const -> int;
     /// A living daemon with batch work at an upstream; "random" chooses among several.
     [[nodiscard]] auto batchHolder(const std::string &upstream, BootTime now, std::uint64_t random) const -> const Peer *;
+    /// The living daemon that says it owns a job, or null. The last report decides between two.
+    [[nodiscard]] auto ownerOf(const std::string &job, BootTime now) const -> const Peer *;
     /// The owner that a key falls to: among this daemon and all living ones that may take work, by rendezvous hashing.
     [[nodiscard]] auto homeOf(const std::string &key, BootTime now) const -> std::string;
 
--- a/Source/Process/Peers/PeerReport.cpp
+++ b/Source/Process/Peers/PeerReport.cpp
@@ -26,6 +26,9 @@
         for (const auto &[team, demand] : report.demand) {
             absl::StrAppendFormat(&text, "\nd %s %.2f", team, demand);
         }
+        for (const std::string &job : report.jobs) {
+            absl::StrAppend(&text, "\nj ", job);
+        }
         for (const auto &[fingerprint, deaths] : report.crashes) {
             absl::StrAppend(&text, "\nc ", fingerprint, " ", deaths);
         }
@@ -52,6 +55,10 @@
     if (words.size() == 3 && words[0] == "d") {
         return absl::SimpleAtod(words[2], &report.demand[std::string(words[1])]);
     }
+    if (words.size() == 2 && words[0] == "j") {
+        report.jobs.emplace_back(words[1]);
+        return true;
+    }
     return words.size() == 3 && words[0] == "c" && absl::SimpleAtoi(words[2], &report.crashes[std::string(words[1])]);
 }
 
--- a/Source/Process/Peers/PeerReport.h
+++ b/Source/Process/Peers/PeerReport.h
@@ -29,6 +29,8 @@
     WorkCounts work;
     /// Its demand in requests per second, by team.
     std::map<std::string, double> demand;
+    /// Jobs that it owns and answers for.
+    std::vector<std::string> jobs;
     /// Requests at whose run an upstream died, with the number of deaths that the daemon saw itself.
     std::map<std::string, int> crashes;
 
--- a/Source/Request/BatchPlan.cpp
+++ b/Source/Request/BatchPlan.cpp
@@ -10,7 +10,7 @@
 /// Slots of an upstream that batch runs leave free.
 constexpr int RESERVED_SLOTS = 1;
 /// What a near upstream counts more, as a part of its slots: bytes between data centres are priced.
-constexpr double NEAR_BONUS = 0.1;
+constexpr double NEAR_BONUS = 0.4;
 constexpr double RANDOM_PART = 0.15;
 
 } // namespace
--- a/Source/Request/OnlineAdmission.cpp
+++ b/Source/Request/OnlineAdmission.cpp
@@ -26,7 +26,9 @@
     if (left) {
         bound = std::min(bound, static_cast<double>(left->count()));
     }
-    if (choice->expectedMs <= bound) {
+    // Only a queue is a reason to refuse: another moment would not make an upstream faster.
+    const double waitMs = expectedWaitMs(candidates[choice->index]);
+    if (choice->expectedMs <= bound || waitMs <= 0) {
         return { true, choice->expectedMs, std::nullopt };
     }
     const double retry = std::clamp(choice->expectedMs - bound / 2, SHORTEST_RETRY_MS, LONGEST_RETRY_MS);
--- a/Source/Request/OnlineChoice.cpp
+++ b/Source/Request/OnlineChoice.cpp
@@ -9,18 +9,18 @@
 
 /// A peer learns of a yield and the upstream of the end of the batch run within this time.
 constexpr double YIELD_MS = 15;
-/// Part of the service time that each running request adds to the cost of an upstream. Engines slow down little
-/// as they fill, but beliefs about free slots lag, and a full upstream leaves no room for that error.
-constexpr double LOAD_WEIGHT = 0.05;
+/// Cost of an upstream all of whose slots but one are taken. Engines slow down little as they fill, but beliefs about
+/// free slots lag, and a full upstream leaves no room for that error.
+constexpr double FULL_MS = 30;
 /// Cost of another data centre: bytes between data centres are priced, and each way takes about a millisecond.
-constexpr double REMOTE_MS = 3;
+constexpr double REMOTE_MS = 8;
 /// Costs closer than this are equal, since beliefs are about 100 ms old.
 constexpr double RANDOM_MS = 4;
 
 auto costOf(const UpstreamView &view, double random) -> double
 {
     const double load = static_cast<double>(view.online + view.batch) / view.slots;
-    return expectedWaitMs(view) + view.firstMs + LOAD_WEIGHT * view.serviceMs * (1 + load) + (view.isNear ? 0 : REMOTE_MS) + RANDOM_MS * random;
+    return expectedWaitMs(view) + view.firstMs + FULL_MS * load * load + (view.isNear ? 0 : REMOTE_MS) + RANDOM_MS * random;
 }
 
 } // namespace
