--- a/Source/Connection/CallerExchange.cpp
+++ b/Source/Connection/CallerExchange.cpp
@@ -106,6 +106,11 @@
     return isAnswered_;
 }
 
+auto CallerExchange::isGone() const -> bool
+{
+    return isGone_;
+}
+
 auto CallerExchange::queuedBytes() const -> std::size_t
 {
     const auto session = session_.lock();
--- a/Source/Connection/CallerExchange.h
+++ b/Source/Connection/CallerExchange.h
@@ -35,6 +35,8 @@
     auto breakOff() -> void;
     [[nodiscard]] auto hasBegun() const -> bool;
     [[nodiscard]] auto isAnswered() const -> bool;
+    /// The caller has closed its connection.
+    [[nodiscard]] auto isGone() const -> bool;
     /// Bytes of the answer that the caller's connection has not taken yet.
     [[nodiscard]] auto queuedBytes() const -> std::size_t;
 
@@ -54,6 +56,7 @@
     std::function<void()> onDrained_;
     bool hasBegun_ = false;
     bool isAnswered_ = false;
+    bool isGone_ = false;
 };
 
 } // namespace poplardock
--- a/Source/Connection/CallerSession.cpp
+++ b/Source/Connection/CallerSession.cpp
@@ -85,6 +85,9 @@
 {
     const auto self = shared_from_this();
     const auto exchange = std::move(exchange_);
+    if (exchange != nullptr) {
+        exchange->isGone_ = true;
+    }
     if (exchange != nullptr && exchange->onGone_) {
         const auto onGone = std::exchange(exchange->onGone_, nullptr);
         onGone();
--- a/Source/Connection/FrontService.cpp
+++ b/Source/Connection/FrontService.cpp
@@ -94,13 +94,20 @@
         onJob_({ caller, *job, terms, team, isOnJobRoute ? route : nullptr, version });
         return;
     }
-    if (identity.team != nullptr) {
-        if (const auto wait = allowances_.take(identity.team->team, BootClock::now())) {
-            refuse(caller, terms, ResultCode::AllowanceExceeded, "team " + team, wait);
+    if (identity.team == nullptr) {
+        admit(caller, version, *route, terms, team);
+        return;
+    }
+    allowances_.take(identity.team->team, [this, caller, version, route, terms, team](std::optional<Milliseconds> wait) {
+        if (caller->isGone()) {
             return;
         }
-    }
-    admit(caller, version, *route, terms, team);
+        if (wait) {
+            refuse(caller, terms, ResultCode::AllowanceExceeded, "team " + team, wait);
+        } else {
+            admit(caller, version, *route, terms, team);
+        }
+    });
 }
 
 auto FrontService::admit(const std::shared_ptr<CallerExchange> &caller,
--- a/Source/Process/Batch/JobBook.cpp
+++ b/Source/Process/Batch/JobBook.cpp
@@ -9,9 +9,9 @@
 namespace {
 
 /// Results that come within this time share one write, as long as the job is not about to be due.
-constexpr Milliseconds COMMIT_WINDOW { 400 };
+constexpr Milliseconds COMMIT_WINDOW { 1000 };
 /// Readers come about twice a second, so results this close to the due time are written at once.
-constexpr Milliseconds DUE_MARGIN { 1500 };
+constexpr Milliseconds DUE_MARGIN { 2500 };
 constexpr Milliseconds RETRY_PAUSE { 200 };
 /// Bytes of text in one log entry; escapes may double them, and the store's objects have 1 MB.
 constexpr std::size_t ENTRY_BYTES = 400U << 10U;
--- a/Source/Process/FrontDaemon.cpp
+++ b/Source/Process/FrontDaemon.cpp
@@ -3,6 +3,7 @@
 #include "Process/EventLog.h"
 #include "Process/MetricsText.h"
 
+#include <absl/strings/numbers.h>
 #include <absl/strings/str_cat.h>
 
 #include <csignal>
@@ -11,12 +12,11 @@
 
 namespace {
 
-/// A confirmation of the configuration counts from the send of a watch, and requests with a key need one that is
-/// younger than the withdrawal bound (5 s): two watches fit into it.
-constexpr Milliseconds CONFIGURATION_WAIT { 2000 };
-constexpr Milliseconds UPSTREAM_WAIT { 2500 };
-/// Upstreams register one after the other at a start; changes of this time share one watch.
-constexpr Milliseconds UPSTREAM_PAUSE { 250 };
+/// Longest time of the first watches; the freshness relay sets that of the following ones.
+constexpr Milliseconds FIRST_WAIT { 1200 };
+/// Upstreams register one after the other at a start; changes of this time share one watch. It adds to the time after
+/// which an upstream that leaves gets nothing more (2 s).
+constexpr Milliseconds UPSTREAM_PAUSE { 500 };
 constexpr Milliseconds LOG_PERIOD { 200 };
 constexpr Milliseconds CHECK_PERIOD { 200 };
 /// A check that comes this much late shows that the process or the VM stood still.
@@ -35,6 +35,10 @@
 /// still read often, as many as fit into a datagram.
 constexpr std::chrono::seconds JOB_HINT_TIME { 20 };
 constexpr std::size_t JOB_HINTS = 40;
+/// Path of the daemons' own call that gives out the configuration in force.
+constexpr const char *CONFIGURATION_PATH = "/configuration";
+constexpr Milliseconds FETCH_TIME { 400 };
+constexpr ClientPool::Options PEER_POOL { { 1000, 1000 }, Milliseconds(250), Milliseconds(5000) };
 constexpr const char *CONFIGURATION_NAME = "main";
 constexpr int OK = 200;
 constexpr int UNAVAILABLE = 503;
@@ -61,10 +65,11 @@
                 peers_,
                 settings_.name,
                 settings_.peersAddress,
-                { [this] { return ownReport(); }, [this] { takePeerReports(); }, [this](const YieldRequest &request) { runner_.yieldAt(request.upstream); } })
+                { [this] { return ownReport(); }, [this] { takePeerReports(); }, [this](const std::string &sender, const PeerMessage &message) { takePeerMessage(sender, message); } })
+    , allowances_(loop_, peers_, settings_.name, [this](const std::string &address, const PeerMessage &message) { peerLink_.send(address, message); })
     , configurationWatch_(loop_,
                           store_,
-                          { dialect_.configurationKind, CONFIGURATION_WAIT, Milliseconds(0) },
+                          { dialect_.configurationKind, FIRST_WAIT, Milliseconds(0) },
                           { [this](const StoreList &list) { takeConfiguration(list.objects); },
                             [this](const StoreEvents &events) {
                                 std::vector<StoredObject> objects;
@@ -78,8 +83,19 @@
                             [](BootTime) {} })
     , upstreamWatch_(loop_,
                      store_,
-                     { dialect_.upstreamKind, UPSTREAM_WAIT, UPSTREAM_PAUSE },
+                     { dialect_.upstreamKind, FIRST_WAIT, UPSTREAM_PAUSE },
                      { [this](const StoreList &list) { takeUpstreams(list); }, [this](const StoreEvents &events) { takeUpstreamEvents(events); }, [](BootTime) {} })
+    , freshness_(loop_,
+                 peers_,
+                 settings_.name,
+                 configurationWatch_,
+                 upstreamWatch_,
+                 { [this](const std::string &address, const PeerMessage &message) { peerLink_.send(address, message); },
+                   [this] { return version_ == nullptr ? 0 : version_->data().revision; },
+                   [this] { return upstreamRevision_; },
+                   [this](const std::string &address) { fetchConfiguration(address); } })
+    , peerPool_(loop_, PEER_POOL)
+    , peerClient_(loop_, peerPool_)
     , parts_ { loop_,
                dialect_,
                settings_,
@@ -93,7 +109,7 @@
                metrics_,
                random_,
                [this] { return version_; },
-               [this] { return configurationWatch_.confirmedAt(); },
+               [this] { return freshness_.confirmedAt(); },
                [this](const std::string &upstream) { return runner_.yieldAt(upstream); } }
     , ledger_(loop_, store_, dialect_, settings_.storeValueBytes)
     , book_(parts_, ledger_)
@@ -120,7 +136,7 @@
             front_.handle(exchange);
         });
     auto ready = CallerServer::open(loop_, settings_.readyAddress, internalLimits, [this](const auto &exchange) { answerReady(exchange); });
-    auto peers = CallerServer::open(loop_, settings_.peersAddress, internalLimits, [this](const auto &exchange) { jobs_.handlePeer(exchange); });
+    auto peers = CallerServer::open(loop_, settings_.peersAddress, internalLimits, [this](const auto &exchange) { answerPeer(exchange); });
     auto operators = CallerServer::open(loop_, settings_.operatorsAddress, internalLimits, [this](const auto &exchange) { answerOperator(exchange); });
     for (const absl::Status &status : { callers.status(), ready.status(), peers.status(), operators.status(), peerLink_.start() }) {
         if (!status.ok()) {
@@ -133,6 +149,7 @@
     operators_ = *std::move(operators);
     configurationWatch_.start();
     upstreamWatch_.start();
+    freshness_.start();
     runner_.start();
     adoption_.start();
     startTimers();
@@ -156,7 +173,14 @@
     loop_.onSignal(SIGINT, [this] { beginShutdown(); });
     loop_.onSignal(SIGHUP, [] { EventLog::write("reload", { { "effect", "settings of the platform are read at the start; nothing changes" } }); });
     loop_.run();
-    EventLog::write("stop", { { "vm", settings_.name }, { "busy", static_cast<std::uint64_t>(callers_->busyCount()) } });
+    const ObjectStore::Counts &counts = store_.counts();
+    EventLog::write("stop",
+                    { { "vm", settings_.name },
+                      { "busy", static_cast<std::uint64_t>(callers_->busyCount()) },
+                      { "store_reads", counts.reads },
+                      { "store_watches", counts.watches },
+                      { "store_stale_reads", counts.staleReads },
+                      { "store_writes", counts.writes } });
     EventLog::flush();
 }
 
@@ -177,6 +201,7 @@
             continue;
         }
         version_ = std::make_shared<const ServingVersion>(*std::move(data));
+        configuration_ = object;
         EventLog::write("configuration_in_force", { { "config", version_->data().number }, { "revision", object.version } });
     }
 }
@@ -191,6 +216,7 @@
 {
     std::vector<Upstream> upstreams;
     for (const StoredObject &object : list.objects) {
+        upstreamRevision_ = std::max(upstreamRevision_, object.version);
         auto upstream = dialect_.decodeUpstream(object);
         if (upstream.ok()) {
             upstreams.push_back(*std::move(upstream));
@@ -222,6 +248,7 @@
 auto FrontDaemon::takeUpstreamEvents(const StoreEvents &events) -> void
 {
     for (const StoreEvent &event : events.events) {
+        upstreamRevision_ = std::max(upstreamRevision_, event.object.version);
         if (event.isRemoved) {
             EventLog::write("upstream_missed", { { "upstream", event.object.name }, { "revision", event.object.version } });
             directory_.miss(event.object.name, missedUsableUntil(BootClock::now()));
@@ -253,10 +280,82 @@
 {
     const BootTime now = BootClock::now();
     directory_.setPeerWork(peers_.work(now));
-    allowances_.update(peers_, now);
+    allowances_.update(now);
     adoption_.reviewPeers();
 }
 
+namespace {
+
+/// Hands a message between daemons to the part that it is for.
+struct PeerMessageVisitor
+{
+    const std::string &sender;
+    JobRunner &runner;
+    AllowanceTable &allowances;
+    FreshnessRelay &freshness;
+    const ServingVersionPointer &version;
+
+    auto operator()(const PeerReport & /*report*/) const -> void
+    {
+    }
+    auto operator()(const YieldRequest &request) const -> void
+    {
+        runner.yieldAt(request.upstream);
+    }
+    auto operator()(const TokenRequest &request) const -> void
+    {
+        const ServedTeam *team = version == nullptr ? nullptr : version->findTeam(request.team);
+        allowances.answer(team == nullptr ? nullptr : &team->team, request, sender);
+    }
+    auto operator()(const TokenAnswer &answer) const -> void
+    {
+        allowances.takeAnswer(answer);
+    }
+    auto operator()(const FreshnessRequest &request) const -> void
+    {
+        freshness.answer(request, sender);
+    }
+    auto operator()(const FreshnessAnswer &answer) const -> void
+    {
+        freshness.takeAnswer(answer, sender);
+    }
+};
+
+} // namespace
+
+auto FrontDaemon::takePeerMessage(const std::string &sender, const PeerMessage &message) -> void
+{
+    std::visit(PeerMessageVisitor { sender, runner_, allowances_, freshness_, version_ }, message);
+}
+
+auto FrontDaemon::answerPeer(const std::shared_ptr<CallerExchange> &exchange) -> void
+{
+    if (exchange->head().target != CONFIGURATION_PATH) {
+        jobs_.handlePeer(exchange);
+        return;
+    }
+    const bool hasConfiguration = version_ != nullptr;
+    exchange->reply({ hasConfiguration ? OK : NOT_FOUND, {}, hasConfiguration ? absl::StrCat(configuration_.version, "\n", configuration_.spec) : "" });
+}
+
+auto FrontDaemon::fetchConfiguration(const std::string &address) -> void
+{
+    const HttpCall call { "GET", CONFIGURATION_PATH, {}, {} };
+    peerClient_.call(address, call, BootClock::now() + FETCH_TIME, [this, address](const CallOutcome &outcome) {
+        const auto *result = std::get_if<HttpResult>(&outcome);
+        const std::size_t end = result == nullptr ? std::string::npos : result->body.find('\n');
+        StoredObject object;
+        object.kind = dialect_.configurationKind;
+        object.name = CONFIGURATION_NAME;
+        const bool isRead = end != std::string::npos && absl::SimpleAtoi(result->body.substr(0, end), &object.version);
+        EventLog::write("configuration_fetched", { { "peer", address }, { "ok", isRead }, { "revision", object.version } });
+        if (isRead) {
+            object.spec = result->body.substr(end + 1);
+            takeConfiguration({ object });
+        }
+    });
+}
+
 auto FrontDaemon::checkPauses() -> void
 {
     const BootTime now = BootClock::now();
@@ -265,13 +364,7 @@
     if (store_.lostSince()) {
         storeReturnedAt_ = now;
     }
-    bool hasPeers = false;
-    bool isAlone = true;
-    for (const auto &[name, peer] : peers_.peers()) {
-        hasPeers = hasPeers || !peer.report.incarnation.empty();
-        isAlone = isAlone && !peers_.isAlive(peer, now);
-    }
-    isAlone = isAlone && hasPeers;
+    const bool isAlone = peers_.isAlone(now);
     if (wasPaused || (isAlone && !wasAlone_)) {
         EventLog::write("ownership_doubted", { { "paused", wasPaused }, { "alone", isAlone } });
         adoption_.doubtOwnership();
--- a/Source/Process/FrontDaemon.h
+++ b/Source/Process/FrontDaemon.h
@@ -2,6 +2,7 @@
 
 #include "Connection/CallerServer.h"
 #include "Connection/JobService.h"
+#include "Process/Peers/FreshnessRelay.h"
 #include "Process/Store/KindWatch.h"
 
 namespace poplardock {
@@ -39,6 +40,9 @@
     [[nodiscard]] auto missedUsableUntil(BootTime now) const -> BootTime;
     [[nodiscard]] auto ownReport() -> PeerReport;
     auto takePeerReports() -> void;
+    auto takePeerMessage(const std::string &sender, const PeerMessage &message) -> void;
+    auto answerPeer(const std::shared_ptr<CallerExchange> &exchange) -> void;
+    auto fetchConfiguration(const std::string &address) -> void;
     auto checkPauses() -> void;
     [[nodiscard]] auto isReady() const -> bool;
     auto answerReady(const std::shared_ptr<CallerExchange> &exchange) -> void;
@@ -60,8 +64,15 @@
     PeerLink peerLink_;
     AllowanceTable allowances_;
     ServingVersionPointer version_;
+    /// The object that holds the configuration in force.
+    StoredObject configuration_;
+    /// Highest revision of an upstream's entry that was seen.
+    std::uint64_t upstreamRevision_ = 0;
     KindWatch configurationWatch_;
     KindWatch upstreamWatch_;
+    FreshnessRelay freshness_;
+    ClientPool peerPool_;
+    HttpClient peerClient_;
     FrontParts parts_;
     JobLedger ledger_;
     JobBook book_;
--- a/Source/Process/Load/AllowanceTable.cpp
+++ b/Source/Process/Load/AllowanceTable.cpp
@@ -1,5 +1,7 @@
 #include "Process/Load/AllowanceTable.h"
 
+#include "Process/EventLog.h"
+
 namespace poplardock {
 
 namespace {
@@ -9,17 +11,96 @@
 constexpr double GRAIN = 10;
 /// Demand below this is not worth a line in each report.
 constexpr double SMALLEST_DEMAND = 0.01;
+/// A home answers within a few milliseconds; a request must not lose more of its target to a silent one.
+constexpr Milliseconds ANSWER_TIME { 40 };
 
 } // namespace
 
-auto AllowanceTable::take(const Team &team, BootTime now) -> std::optional<Milliseconds>
+AllowanceTable::AllowanceTable(EventLoop &loop, const PeerDirectory &peers, std::string ownName, Sender send)
+    : loop_(loop)
+    , peers_(peers)
+    , ownName_(std::move(ownName))
+    , send_(std::move(send))
+{
+}
+
+auto AllowanceTable::takeFrom(std::map<std::string, AllowanceShare> &buckets, const Team &team, bool startsEmpty, BootTime now)
+    -> std::optional<Milliseconds>
 {
     const AllowanceLimits limits { team.ratePerSecond, team.burst };
-    const auto [entry, isNew] = shares_.try_emplace(team.name, limits, GRAIN, now);
+    const auto [entry, isNew] = buckets.try_emplace(team.name, limits, GRAIN, now);
+    if (isNew && startsEmpty) {
+        entry->second.startEmpty();
+    }
     entry->second.setLimits(limits, now);
     return entry->second.take(now);
 }
 
+auto AllowanceTable::isHome(const std::string &team, BootTime now) const -> bool
+{
+    return peers_.allowanceHomeOf(team, now) == ownName_ && !peers_.isAlone(now);
+}
+
+auto AllowanceTable::take(const Team &team, Handler handler) -> void
+{
+    const BootTime now = BootClock::now();
+    const std::optional<Milliseconds> ownDecision = takeFrom(shares_, team, false, now);
+    if (team.ratePerSecond <= 0) {
+        handler(std::nullopt);
+        return;
+    }
+    if (isHome(team.name, now)) {
+        handler(takeFrom(homes_, team, true, now));
+        return;
+    }
+    const Peer *home = peers_.find(peers_.allowanceHomeOf(team.name, now));
+    if (home == nullptr || !peers_.isAlive(*home, now)) {
+        handler(ownDecision);
+        return;
+    }
+    const std::uint64_t number = ++lastNumber_;
+    Pending pending { std::move(handler), ownDecision, loop_.at(now + ANSWER_TIME, [this, number, team = team.name] {
+                         EventLog::write("allowance_home_silent", { { "team", team } });
+                         takeAnswer({ number, TokenAnswer::Outcome::NotHome });
+                     }) };
+    pending_.emplace(number, std::move(pending));
+    send_(home->address, TokenRequest { team.name, number });
+}
+
+auto AllowanceTable::answer(const Team *team, const TokenRequest &request, const std::string &sender) -> void
+{
+    const BootTime now = BootClock::now();
+    TokenAnswer answer { request.number, TokenAnswer::Outcome::NotHome };
+    if (team != nullptr && isHome(request.team, now)) {
+        const auto wait = takeFrom(homes_, *team, true, now);
+        answer.outcome = wait ? TokenAnswer::Outcome::Refused : TokenAnswer::Outcome::Granted;
+        answer.retryAfter = wait.value_or(Milliseconds(0));
+    }
+    send_(sender, answer);
+}
+
+auto AllowanceTable::takeAnswer(const TokenAnswer &answer) -> void
+{
+    const auto found = pending_.find(answer.number);
+    if (found == pending_.end()) {
+        return;
+    }
+    Pending pending = std::move(found->second);
+    pending_.erase(found);
+    pending.timeout.cancel();
+    switch (answer.outcome) {
+    case TokenAnswer::Outcome::Granted:
+        pending.handler(std::nullopt);
+        return;
+    case TokenAnswer::Outcome::Refused:
+        pending.handler(answer.retryAfter);
+        return;
+    case TokenAnswer::Outcome::NotHome:
+        pending.handler(pending.ownDecision);
+        return;
+    }
+}
+
 auto AllowanceTable::demand(BootTime now) -> std::map<std::string, double>
 {
     std::map<std::string, double> result;
@@ -32,11 +113,11 @@
     return result;
 }
 
-auto AllowanceTable::update(const PeerDirectory &peers, BootTime now) -> void
+auto AllowanceTable::update(BootTime now) -> void
 {
-    const int daemons = peers.daemonCount(now);
+    const int daemons = peers_.daemonCount(now);
     for (auto &[team, share] : shares_) {
-        share.setOthers(peers.demand(team, now), daemons, now);
+        share.setOthers(peers_.demand(team, now), daemons, now);
     }
 }
 
--- a/Source/Process/Peers/PeerDirectory.cpp
+++ b/Source/Process/Peers/PeerDirectory.cpp
@@ -142,6 +142,32 @@
     return owner;
 }
 
+auto PeerDirectory::allowanceHomeOf(const std::string &team, BootTime now) const -> std::string
+{
+    std::string best = ownName_;
+    std::uint64_t bestScore = rendezvousScore(ownName_, team);
+    for (const auto &[name, peer] : peers_) {
+        const std::uint64_t score = rendezvousScore(name, team);
+        if (countsForDemand(peer, now) && score > bestScore) {
+            best = name;
+            bestScore = score;
+        }
+    }
+    return best;
+}
+
+auto PeerDirectory::isAlone(BootTime now) const -> bool
+{
+    bool hasPeers = false;
+    for (const auto &[name, peer] : peers_) {
+        if (isAlive(peer, now)) {
+            return false;
+        }
+        hasPeers = hasPeers || !peer.report.incarnation.empty();
+    }
+    return hasPeers;
+}
+
 auto PeerDirectory::homeOf(const std::string &key, BootTime now) const -> std::string
 {
     std::string best = ownName_;
--- a/Source/Process/Peers/PeerDirectory.h
+++ b/Source/Process/Peers/PeerDirectory.h
@@ -49,6 +49,11 @@
     [[nodiscard]] auto batchHolder(const std::string &upstream, BootTime now, std::uint64_t random) const -> const Peer *;
     /// The living daemon that says it owns a job, or null. The last report decides between two.
     [[nodiscard]] auto ownerOf(const std::string &job, BootTime now) const -> const Peer *;
+    /// The daemon that keeps a team's bucket, by rendezvous hashing over all daemons heard lately: a short silence moves
+    /// no bucket, since the silent daemon may still give out tokens.
+    [[nodiscard]] auto allowanceHomeOf(const std::string &team, BootTime now) const -> std::string;
+    /// Other daemons are known and none is heard.
+    [[nodiscard]] auto isAlone(BootTime now) const -> bool;
     /// The owner that a key falls to: among this daemon and all living ones that may take work, by rendezvous hashing.
     [[nodiscard]] auto homeOf(const std::string &key, BootTime now) const -> std::string;
 
--- a/Source/Process/Peers/PeerLink.cpp
+++ b/Source/Process/Peers/PeerLink.cpp
@@ -14,10 +14,10 @@
 constexpr const char *MEMBER_KIND = "members";
 constexpr const char *ADDRESS_FIELD = "peers";
 
-/// Reports are as fresh as a daemon's share of datagrams allows: about 80 a second each way whatever the number of
-/// daemons, which takes 1% of the smallest VM's processor.
+/// Reports are as fresh as a daemon's share of datagrams allows: about 160 a second each way whatever the number of
+/// daemons.
 constexpr Milliseconds SHORTEST_PERIOD { 100 };
-constexpr Milliseconds PERIOD_PER_PEER { 12 };
+constexpr Milliseconds PERIOD_PER_PEER { 6 };
 constexpr Milliseconds REGISTER_PAUSE { 500 };
 /// Daemons start within a third of a second of each other and find all others with the first listings; later ones
 /// only find VMs that could reach nobody.
@@ -25,7 +25,7 @@
 constexpr Milliseconds LIST_PAUSE { 5000 };
 constexpr int FIRST_LISTINGS = 3;
 /// Reports that come together are counted once.
-constexpr Milliseconds NEWS_DELAY { 10 };
+constexpr Milliseconds NEWS_DELAY { 40 };
 
 auto newIncarnation() -> std::string
 {
@@ -111,11 +111,14 @@
     });
 }
 
+auto PeerLink::reportPeriod() const -> Milliseconds
+{
+    return std::max(SHORTEST_PERIOD, PERIOD_PER_PEER * static_cast<std::int64_t>(directory_.peers().size()));
+}
+
 auto PeerLink::scheduleReport() -> void
 {
-    const auto count = static_cast<std::int64_t>(directory_.peers().size());
-    const Milliseconds period = std::max(SHORTEST_PERIOD, PERIOD_PER_PEER * count);
-    reportTimer_ = loop_.at(BootClock::now() + period, [this] {
+    reportTimer_ = loop_.at(BootClock::now() + reportPeriod(), [this] {
         sendReports();
         scheduleReport();
     });
@@ -133,9 +136,9 @@
     }
 }
 
-auto PeerLink::sendYield(const Peer &peer, const std::string &upstream) -> void
+auto PeerLink::send(const std::string &address, const PeerMessage &message) -> void
 {
-    socket_->sendTo(peer.address, encodePeerMessage(YieldRequest { upstream }));
+    socket_->sendTo(address, encodePeerMessage(message));
 }
 
 auto PeerLink::incarnation() const -> const std::string &
@@ -150,8 +153,8 @@
         EventLog::write("peer_message_unreadable", { { "sender", sender }, { "reason", message.status().message() } });
         return;
     }
-    if (const auto *yield = std::get_if<YieldRequest>(&*message)) {
-        handlers_.onYield(*yield);
+    if (!std::holds_alternative<PeerReport>(*message)) {
+        handlers_.onMessage(sender, *message);
         return;
     }
     const auto &report = std::get<PeerReport>(*message);
--- a/Source/Process/Peers/PeerLink.h
+++ b/Source/Process/Peers/PeerLink.h
@@ -20,16 +20,19 @@
         std::function<PeerReport()> report;
         /// Reports were taken since the last call.
         std::function<void()> onReports;
-        std::function<void(const YieldRequest &)> onYield;
+        /// Any other message, with the address to which an answer goes.
+        std::function<void(const std::string &sender, const PeerMessage &)> onMessage;
     };
 
     PeerLink(EventLoop &loop, ObjectStore &store, PeerDirectory &directory, std::string name, std::string address, Handlers handlers);
 
     /// Errors: as DatagramSocket::open().
     auto start() -> absl::Status;
-    auto sendYield(const Peer &peer, const std::string &upstream) -> void;
+    auto send(const std::string &address, const PeerMessage &message) -> void;
     /// Sends a report now, for a change that should not wait.
     auto sendReports() -> void;
+    /// Time between two reports of a daemon; grows with the number of daemons.
+    [[nodiscard]] auto reportPeriod() const -> Milliseconds;
     [[nodiscard]] auto incarnation() const -> const std::string &;
 
 private:
--- a/Source/Process/Peers/PeerReport.cpp
+++ b/Source/Process/Peers/PeerReport.cpp
@@ -11,6 +11,10 @@
 
 constexpr const char *REPORT_TAG = "report1";
 constexpr const char *YIELD_TAG = "yield1";
+constexpr const char *TOKEN_TAG = "token1";
+constexpr const char *TOKEN_ANSWER_TAG = "tokenanswer1";
+constexpr const char *FRESHNESS_TAG = "fresh1";
+constexpr const char *FRESHNESS_ANSWER_TAG = "freshanswer1";
 
 using Words = std::vector<absl::string_view>;
 
@@ -39,6 +43,26 @@
     {
         return absl::StrCat(YIELD_TAG, " ", request.upstream);
     }
+
+    auto operator()(const TokenRequest &request) const -> std::string
+    {
+        return absl::StrCat(TOKEN_TAG, " ", request.team, " ", request.number);
+    }
+
+    auto operator()(const TokenAnswer &answer) const -> std::string
+    {
+        return absl::StrCat(TOKEN_ANSWER_TAG, " ", answer.number, " ", static_cast<int>(answer.outcome), " ", answer.retryAfter.count());
+    }
+
+    auto operator()(const FreshnessRequest &request) const -> std::string
+    {
+        return absl::StrCat(FRESHNESS_TAG, " ", request.number);
+    }
+
+    auto operator()(const FreshnessAnswer &answer) const -> std::string
+    {
+        return absl::StrCat(FRESHNESS_ANSWER_TAG, " ", answer.number, " ", answer.configurationRevision, " ", answer.age.count(), " ", answer.upstreamRevision);
+    }
 };
 
 auto malformed(absl::string_view line) -> absl::Status
@@ -62,6 +86,40 @@
     return words.size() == 3 && words[0] == "c" && absl::SimpleAtoi(words[2], &report.crashes[std::string(words[1])]);
 }
 
+/// Messages of one line.
+auto decodeShort(const Words &words) -> absl::StatusOr<PeerMessage>
+{
+    if (words.size() == 2 && words[0] == YIELD_TAG) {
+        return YieldRequest { std::string(words[1]) };
+    }
+    TokenRequest token;
+    if (words.size() == 3 && words[0] == TOKEN_TAG && absl::SimpleAtoi(words[2], &token.number)) {
+        token.team = std::string(words[1]);
+        return token;
+    }
+    TokenAnswer tokenAnswer;
+    int outcome = 0;
+    std::int64_t milliseconds = 0;
+    if (words.size() == 4 && words[0] == TOKEN_ANSWER_TAG && absl::SimpleAtoi(words[1], &tokenAnswer.number) && absl::SimpleAtoi(words[2], &outcome)
+        && absl::SimpleAtoi(words[3], &milliseconds) && outcome >= 0 && outcome <= static_cast<int>(TokenAnswer::Outcome::NotHome)) {
+        tokenAnswer.outcome = static_cast<TokenAnswer::Outcome>(outcome);
+        tokenAnswer.retryAfter = Milliseconds(milliseconds);
+        return tokenAnswer;
+    }
+    FreshnessRequest freshness;
+    if (words.size() == 2 && words[0] == FRESHNESS_TAG && absl::SimpleAtoi(words[1], &freshness.number)) {
+        return freshness;
+    }
+    FreshnessAnswer answer;
+    if (words.size() == 5 && words[0] == FRESHNESS_ANSWER_TAG && absl::SimpleAtoi(words[1], &answer.number)
+        && absl::SimpleAtoi(words[2], &answer.configurationRevision) && absl::SimpleAtoi(words[3], &milliseconds)
+        && absl::SimpleAtoi(words[4], &answer.upstreamRevision) && milliseconds >= 0) {
+        answer.age = Milliseconds(milliseconds);
+        return answer;
+    }
+    return malformed(words.front());
+}
+
 } // namespace
 
 auto encodePeerMessage(const PeerMessage &message) -> std::string
@@ -73,8 +131,8 @@
 {
     const std::vector<absl::string_view> lines = absl::StrSplit(absl::string_view(text.data(), text.size()), '\n');
     const Words head = absl::StrSplit(lines.front(), ' ');
-    if (head.size() == 2 && head[0] == YIELD_TAG) {
-        return YieldRequest { std::string(head[1]) };
+    if (lines.size() == 1 && head[0] != REPORT_TAG) {
+        return decodeShort(head);
     }
     constexpr std::size_t HEAD_WORDS = 6;
     PeerReport report;
--- a/Source/Process/Peers/PeerReport.h
+++ b/Source/Process/Peers/PeerReport.h
@@ -45,7 +45,56 @@
     auto operator==(const YieldRequest &) const -> bool = default;
 };
 
-using PeerMessage = std::variant<PeerReport, YieldRequest>;
+/// Asks the home of a team's allowance for one token.
+struct TokenRequest
+{
+    std::string team;
+    /// Chosen by the asker; the answer carries it.
+    std::uint64_t number = 0;
+
+    auto operator==(const TokenRequest &) const -> bool = default;
+};
+
+struct TokenAnswer
+{
+    enum class Outcome
+    {
+        Granted,
+        Refused,
+        /// The asked daemon does not take itself for the home.
+        NotHome,
+    };
+
+    std::uint64_t number = 0;
+    Outcome outcome = Outcome::NotHome;
+    /// Refused only: time until the next token.
+    Milliseconds retryAfter { 0 };
+
+    auto operator==(const TokenAnswer &) const -> bool = default;
+};
+
+/// Asks a daemon how old its belief of the configuration is.
+struct FreshnessRequest
+{
+    std::uint64_t number = 0;
+
+    auto operator==(const FreshnessRequest &) const -> bool = default;
+};
+
+struct FreshnessAnswer
+{
+    std::uint64_t number = 0;
+    /// Revision of the configuration in force at the answering daemon.
+    std::uint64_t configurationRevision = 0;
+    /// Time since the call was sent by which the store confirmed it.
+    Milliseconds age { 0 };
+    /// Highest revision of an upstream's entry that the daemon has seen.
+    std::uint64_t upstreamRevision = 0;
+
+    auto operator==(const FreshnessAnswer &) const -> bool = default;
+};
+
+using PeerMessage = std::variant<PeerReport, YieldRequest, TokenRequest, TokenAnswer, FreshnessRequest, FreshnessAnswer>;
 
 /// One datagram's text. Precondition: names hold no blanks.
 auto encodePeerMessage(const PeerMessage &message) -> std::string;
--- a/Source/Process/Store/KindWatch.cpp
+++ b/Source/Process/Store/KindWatch.cpp
@@ -21,6 +21,7 @@
     , store_(store)
     , options_(std::move(options))
     , handlers_(std::move(handlers))
+    , wait_(options_.wait)
     , random_(static_cast<unsigned>(BootClock::now().time_since_epoch().count()))
 {
 }
@@ -30,6 +31,23 @@
     list();
 }
 
+auto KindWatch::refresh() -> void
+{
+    ++generation_;
+    next_.cancel();
+    list();
+}
+
+auto KindWatch::setWait(Milliseconds wait) -> void
+{
+    wait_ = wait;
+}
+
+auto KindWatch::isFailing() const -> bool
+{
+    return failures_ > 0;
+}
+
 auto KindWatch::confirmedAt() const -> BootTime
 {
     return confirmedAt_;
@@ -38,7 +56,10 @@
 auto KindWatch::list() -> void
 {
     const BootTime sentAt = BootClock::now();
-    store_.listAll(options_.kind, false, [this, sentAt](const absl::StatusOr<StoreList> &list) {
+    store_.listAll(options_.kind, false, [this, sentAt, generation = generation_](const absl::StatusOr<StoreList> &list) {
+        if (generation != generation_) {
+            return;
+        }
         if (!list.ok()) {
             retry(list.status());
             return;
@@ -54,7 +75,10 @@
 auto KindWatch::watch() -> void
 {
     const BootTime sentAt = BootClock::now();
-    store_.watch(options_.kind, revision_, options_.wait, [this, sentAt](const absl::StatusOr<StoreEvents> &events) {
+    store_.watch(options_.kind, revision_, wait_, [this, sentAt, generation = generation_](const absl::StatusOr<StoreEvents> &events) {
+        if (generation != generation_) {
+            return;
+        }
         if (!events.ok()) {
             hasList_ = hasList_ && !absl::IsOutOfRange(events.status());
             retry(events.status());
--- a/Source/Process/Store/KindWatch.h
+++ b/Source/Process/Store/KindWatch.h
@@ -33,6 +33,12 @@
     KindWatch(EventLoop &loop, ObjectStore &store, Options options, Handlers handlers);
 
     auto start() -> void;
+    /// Reads the whole kind again and watches from there; a call under way is not waited for.
+    auto refresh() -> void;
+    /// Sets the longest time of the watches from the next one on.
+    auto setWait(Milliseconds wait) -> void;
+    /// Whether the last call failed; it is tried again after a pause.
+    [[nodiscard]] auto isFailing() const -> bool;
     /// When the last confirmed call was sent; the epoch before the first one.
     [[nodiscard]] auto confirmedAt() const -> BootTime;
 
@@ -46,7 +52,10 @@
     ObjectStore &store_;
     const Options options_;
     Handlers handlers_;
+    Milliseconds wait_;
     std::uint64_t revision_ = 0;
+    /// Answers to calls of an earlier generation are ignored.
+    std::uint64_t generation_ = 0;
     bool hasList_ = false;
     int failures_ = 0;
     BootTime confirmedAt_;
--- a/Source/Request/AllowanceShare.cpp
+++ b/Source/Request/AllowanceShare.cpp
@@ -29,6 +29,11 @@
     tokens_ = bound();
 }
 
+auto AllowanceShare::startEmpty() -> void
+{
+    tokens_ = std::min(tokens_, grain_ / daemons_);
+}
+
 auto AllowanceShare::setLimits(AllowanceLimits limits, BootTime now) -> void
 {
     if (limits == limits_) {
--- a/Source/Request/BatchPlan.cpp
+++ b/Source/Request/BatchPlan.cpp
@@ -24,13 +24,14 @@
     return std::max(0, view.slots - reserve - view.online - view.batch);
 }
 
-auto startsPerRound(const std::vector<UpstreamView> &views, int daemons, BootTime now) -> int
+auto startsPerRound(const std::vector<UpstreamView> &views, int daemons, double roundPart, double random, BootTime now) -> int
 {
     int room = 0;
     for (const UpstreamView &view : views) {
         room += roomAt(view, false, now);
     }
-    return std::max(1, static_cast<int>(std::lround(static_cast<double>(room) / std::max(1, daemons))));
+    const double part = static_cast<double>(room) / std::max(1, daemons) * std::min(1.0, roundPart);
+    return static_cast<int>(std::floor(part + random));
 }
 
 auto chooseForBatch(const std::vector<UpstreamView> &views, bool isUrgent, BootTime now, std::uint64_t random) -> std::optional<std::size_t>
--- a/Source/Request/OnlineChoice.cpp
+++ b/Source/Request/OnlineChoice.cpp
@@ -17,12 +17,72 @@
 /// Costs closer than this are equal, since beliefs are about 100 ms old.
 constexpr double RANDOM_MS = 4;
 
+/// Upstreams of each kind, near and remote, that a request compares. Daemons with the same old belief would all send
+/// to the one that looks emptiest; a few drawn at random are nearly as good and spread the requests.
+constexpr std::size_t SAMPLE_SIZE = 4;
+
+struct Candidate
+{
+    std::size_t index = 0;
+    /// A sound candidate beats an ejected one, and an ejected one beats one whose entry is gone.
+    int rank = 0;
+    double noise = 0;
+};
+
+auto rankOf(const UpstreamView &view, BootTime now) -> int
+{
+    constexpr int DOUBTFUL_RANK = 2;
+    return view.isDoubtful ? DOUBTFUL_RANK : view.ejectedUntil > now ? 1 : 0;
+}
+
+/// A number from 0 to 1 for each candidate, from one random number by a multiplicative sequence.
+auto noiseOf(std::uint64_t random, std::size_t index) -> double
+{
+    constexpr std::uint64_t MULTIPLIER = 0x9E3779B97F4A7C15ULL;
+    std::uint64_t mixed = (random + index + 1) * MULTIPLIER;
+    mixed = (mixed ^ (mixed >> 32U)) * MULTIPLIER;
+    return std::ldexp(static_cast<double>(mixed ^ (mixed >> 29U)), -64);
+}
+
 auto costOf(const UpstreamView &view, double random) -> double
 {
     const double load = static_cast<double>(view.online + view.batch) / view.slots;
     return expectedWaitMs(view) + view.firstMs + FULL_MS * load * load + (view.isNear ? 0 : REMOTE_MS) + RANDOM_MS * random;
 }
 
+auto sampleOf(std::vector<Candidate> candidates) -> std::vector<Candidate>
+{
+    if (candidates.size() > SAMPLE_SIZE) {
+        const auto end = candidates.begin() + SAMPLE_SIZE;
+        std::nth_element(candidates.begin(), end, candidates.end(), [](const Candidate &a, const Candidate &b) { return a.noise < b.noise; });
+        candidates.erase(end, candidates.end());
+    }
+    return candidates;
+}
+
+auto bestOf(const std::vector<UpstreamView> &views, const std::vector<Candidate> &near, const std::vector<Candidate> &remote) -> std::optional<Candidate>
+{
+    std::optional<Candidate> best;
+    double bestCost = 0;
+    for (const std::vector<Candidate> *each : { &near, &remote }) {
+        for (const Candidate &candidate : *each) {
+            const double cost = costOf(views[candidate.index], candidate.noise);
+            if (!best || candidate.rank < best->rank || (candidate.rank == best->rank && cost < bestCost)) {
+                best = candidate;
+                bestCost = cost;
+            }
+        }
+    }
+    return best;
+}
+
+auto choiceOf(const std::vector<UpstreamView> &views, const Candidate &candidate) -> OnlineChoice
+{
+    const UpstreamView &view = views[candidate.index];
+    const bool isFull = view.online + view.batch >= view.slots;
+    return { candidate.index, expectedWaitMs(view) + view.firstMs, isFull && view.online < view.slots };
+}
+
 } // namespace
 
 auto expectedWaitMs(const UpstreamView &view) -> double
@@ -39,28 +99,21 @@
 auto chooseForOnline(const std::vector<UpstreamView> &candidates, const std::set<std::string> &excluded, BootTime now, std::uint64_t random)
     -> std::optional<OnlineChoice>
 {
-    // A sound candidate beats an ejected one, and an ejected one beats one whose entry is gone.
-    constexpr int DOUBTFUL_RANK = 2;
-    std::optional<OnlineChoice> best;
-    int bestRank = 0;
-    double bestCost = 0;
+    std::vector<Candidate> near;
+    std::vector<Candidate> remote;
     for (std::size_t index = 0; index < candidates.size(); ++index) {
         const UpstreamView &view = candidates[index];
-        if (excluded.contains(view.name)) {
-            continue;
-        }
-        const int rank = view.isDoubtful ? DOUBTFUL_RANK : view.ejectedUntil > now ? 1 : 0;
-        // A multiplicative sequence turns one random number into one for each candidate.
-        constexpr std::uint64_t MULTIPLIER = 0x9E3779B97F4A7C15ULL;
-        const double noise = std::ldexp(static_cast<double>(random * MULTIPLIER * (2 * index + 1)), -64);
-        const double cost = costOf(view, noise);
-        if (!best || rank < bestRank || (rank == bestRank && cost < bestCost)) {
-            best = OnlineChoice { index, expectedWaitMs(view) + view.firstMs, view.online + view.batch >= view.slots && view.online < view.slots };
-            bestRank = rank;
-            bestCost = cost;
+        if (!excluded.contains(view.name)) {
+            (view.isNear ? near : remote).push_back({ index, rankOf(view, now), noiseOf(random, index) });
         }
     }
-    return best;
+    // Most requests find a free slot in the sample; only a full one is a reason to look at all upstreams.
+    const auto sampled = bestOf(candidates, sampleOf(near), sampleOf(remote));
+    if (sampled && sampled->rank == 0 && expectedWaitMs(candidates[sampled->index]) <= 0) {
+        return choiceOf(candidates, *sampled);
+    }
+    const auto best = bestOf(candidates, near, remote);
+    return best ? std::optional(choiceOf(candidates, *best)) : std::nullopt;
 }
 
 } // namespace poplardock
--- /dev/null
+++ b/Tests/Connection/MessageReaderTest.cpp
@@ -0,0 +1,76 @@
+#include "Connection/Io/MessageReader.h"
+
+#include <boost/test/unit_test.hpp>
+
+namespace poplardock {
+
+namespace {
+
+constexpr MessageReader::Limits LIMITS { 1024, 4096 };
+
+auto readAnswer(const std::string &bytes) -> MessageReader
+{
+    MessageReader reader(MessageReader::Kind::Answer, LIMITS);
+    reader.feed(bytes);
+    return reader;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(MessageReaderSuite)
+
+// Guards against bytes that are lost when a message comes in pieces of any size.
+BOOST_AUTO_TEST_CASE(PiecesOfAnySizeGiveTheSameMessage)
+{
+    const std::string text = "POST /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n6;x=y\r\n world\r\n0\r\n\r\nNEXT";
+    for (std::size_t step = 1; step <= text.size(); ++step) {
+        MessageReader reader(MessageReader::Kind::Request, LIMITS);
+        for (std::size_t at = 0; at < text.size(); at += step) {
+            reader.feed(std::string_view(text).substr(at, step));
+        }
+        BOOST_TEST((reader.state() == ReadState::Done), "step " << step);
+        BOOST_TEST(reader.head().target == "/a");
+        BOOST_TEST(reader.takeBody() == "hello world");
+        BOOST_TEST(reader.takeRest() == "NEXT");
+        BOOST_TEST(reader.keepsConnection());
+    }
+}
+
+// Guards against an answer that ended early and looks complete.
+BOOST_AUTO_TEST_CASE(AnEarlyEndIsNoAnswer)
+{
+    MessageReader withLength = readAnswer("HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nhalf");
+    BOOST_TEST((withLength.feedEnd() == ReadState::Malformed));
+    MessageReader chunked = readAnswer("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\n");
+    BOOST_TEST((chunked.feedEnd() == ReadState::Malformed));
+    MessageReader inHead = readAnswer("HTTP/1.1 200 OK\r\nContent-");
+    BOOST_TEST((inHead.feedEnd() == ReadState::Malformed));
+    MessageReader withoutLength = readAnswer("HTTP/1.1 200 OK\r\nServer: x\r\n\r\nwhole");
+    BOOST_TEST(withoutLength.endsWithConnection());
+    BOOST_TEST((withoutLength.feedEnd() == ReadState::Done));
+    BOOST_TEST(withoutLength.takeBody() == "whole");
+}
+
+// Guards against garbage that is taken for an answer, and against unbounded heads and bodies.
+BOOST_AUTO_TEST_CASE(GarbageAndOversizeAreFound)
+{
+    BOOST_TEST((readAnswer("these are no HTTP bytes\r\n\r\n").state() == ReadState::Malformed));
+    MessageReader head(MessageReader::Kind::Request, LIMITS);
+    BOOST_TEST((head.feed("GET / HTTP/1.1\r\nX: " + std::string(2000, 'a')) == ReadState::HeadTooLarge));
+    MessageReader body(MessageReader::Kind::Request, LIMITS);
+    BOOST_TEST((body.feed("POST / HTTP/1.1\r\nContent-Length: 5000\r\n\r\n") == ReadState::BodyTooLarge));
+    MessageReader chunks(MessageReader::Kind::Request, LIMITS);
+    const std::string chunk = "800\r\n" + std::string(2048, 'a') + "\r\n";
+    BOOST_TEST((chunks.feed("POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n" + chunk + chunk + chunk) == ReadState::BodyTooLarge));
+}
+
+// Guards against a connection that is kept although the peer closes it.
+BOOST_AUTO_TEST_CASE(ConnectionCloseIsSeen)
+{
+    BOOST_TEST(!readAnswer("HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 0\r\n\r\n").keepsConnection());
+    BOOST_TEST(readAnswer("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n").keepsConnection());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace poplardock
--- /dev/null
+++ b/Tests/Platform/JobFormatTest.cpp
@@ -0,0 +1,106 @@
+#include "platform/JobFormat.h"
+
+#include <boost/test/unit_test.hpp>
+
+namespace poplardock::platform {
+
+namespace {
+
+auto headOf(const std::string &method, const std::string &target) -> MessageHead
+{
+    MessageHead head;
+    head.method = method;
+    head.target = target;
+    return head;
+}
+
+auto termsOf(const std::string &requestId) -> RequestTerms
+{
+    RequestTerms terms;
+    terms.requestId = requestId;
+    return terms;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(JobFormatSuite)
+
+// Guards against a call that is taken for another one, or for a request of the route beside it.
+BOOST_AUTO_TEST_CASE(CallsAreRecognised)
+{
+    const auto submit = jobCall(headOf("POST", "/p/j1"), termsOf("j1"), true);
+    BOOST_REQUIRE(submit.has_value());
+    BOOST_TEST((submit->kind == JobCall::Kind::Submit));
+    BOOST_TEST(submit->jobId == "j1");
+    const auto read = jobCall(headOf("GET", "/-/lots/j1?after=12"), {}, false);
+    BOOST_REQUIRE(read.has_value());
+    BOOST_TEST((read->kind == JobCall::Kind::ReadResults));
+    BOOST_TEST(read->from == 12);
+    BOOST_TEST(jobCall(headOf("GET", "/-/lots/j1"), {}, false)->from == 0);
+    BOOST_TEST((jobCall(headOf("DELETE", "/-/lots/j1"), {}, false)->kind == JobCall::Kind::Cancel));
+    const auto item = jobCall(headOf("GET", "/-/items/j1?id=i7"), {}, false);
+    BOOST_REQUIRE(item.has_value());
+    BOOST_TEST(item->itemId == "i7");
+    for (const std::string target : { "/-/lots/", "/-/lots/a/b", "/-/lots/j1?after=x", "/-/items/..%2f", "/other" }) {
+        BOOST_TEST(!jobCall(headOf("GET", target), {}, false).has_value(), target);
+    }
+    // The id becomes a name in the store, so it must be one.
+    BOOST_TEST(!jobCall(headOf("POST", "/p/x"), termsOf("a/b"), true).has_value());
+    BOOST_TEST(!jobCall(headOf("POST", "/p/x"), termsOf(""), true).has_value());
+}
+
+// Guards against bodies or headers of items that change on their way through the store.
+BOOST_AUTO_TEST_CASE(ItemsComeBackAsTheyWere)
+{
+    JobItem item;
+    item.id = "i1";
+    item.path = "/p/1";
+    item.body = std::string("\x00\xff\"bytes\n", 9);
+    item.tokens = 940;
+    item.headers.add("Model", "m");
+    const auto items = decodeItems(encodeItems({ item }));
+    BOOST_REQUIRE(items.ok());
+    BOOST_TEST((items->front() == item));
+    BOOST_TEST(itemHeaders(item, "h").valueOf("Request-Id") == "i1");
+    BOOST_TEST(itemHeaders(item, "h").valueOf("Host") == "h");
+}
+
+// Guards against a submission that is accepted in part.
+BOOST_AUTO_TEST_CASE(FaultySubmissionsAreErrors)
+{
+    for (const std::string body : { "", "{}", R"({"items":[]})", R"({"items":[{"id":"a"}]})", R"({"items":[{"id":"a","path":"/","body":"***"}]})" }) {
+        BOOST_TEST(!decodeItems(body).ok(), body);
+    }
+    std::vector<JobItem> tooMany(201);
+    for (JobItem &item : tooMany) {
+        item.id = "x";
+        item.path = "/";
+    }
+    BOOST_TEST(!decodeItems(encodeItems(tooMany)).ok());
+}
+
+// Guards against results that are skipped or come twice when a reader goes on, and against answers over a megabyte.
+BOOST_AUTO_TEST_CASE(ResultsAreGivenInPages)
+{
+    std::vector<JobResult> all;
+    for (int index = 0; index < 6; ++index) {
+        all.push_back({ "i" + std::to_string(index), index % 2 == 0, std::string(300000, 'a') });
+    }
+    std::vector<JobResult> read;
+    int pages = 0;
+    while (read.size() < all.size() && pages < 10) {
+        const std::string page = encodeResults(all.size(), read.size(), all);
+        BOOST_TEST(page.size() < 1000000);
+        const auto part = decodeResults(page);
+        BOOST_REQUIRE(part.ok());
+        BOOST_REQUIRE(!part->empty());
+        read.insert(read.end(), part->begin(), part->end());
+        ++pages;
+    }
+    BOOST_TEST((read == all));
+    BOOST_TEST(encodeResults(6, 9, all) == R"({"nextToken":9,"results":[],"total":6})");
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace poplardock::platform
--- /dev/null
+++ b/Tests/Platform/StoreFormatTest.cpp
@@ -0,0 +1,132 @@
+#include "platform/ConfigurationFormat.h"
+#include "platform/StoreFormat.h"
+
+#include <boost/test/unit_test.hpp>
+
+namespace poplardock::platform {
+
+namespace {
+
+const std::string CONFIGURATION = R"({"version":7,"routes":[
+{"name":"r1","host":"h","pathPrefix":"/a/","kind":"streaming","timeoutMs":5000,"targetLatencyMs":300,"priority":0,"service":"m","maxAttempts":2,"public":false,"sticky":true,"resumable":true,"targetGapMs":300},
+{"name":"r2","host":"h","pathPrefix":"/a/b/","kind":"non_idempotent","timeoutMs":5000,"split":[{"service":"m","weight":90},{"service":"n","weight":10}],"maxAttempts":1,"public":true},
+{"name":"r3","host":"h","pathPrefix":"/j/","kind":"batch","service":"m","maxAttempts":3,"targetCompletionMs":18000,"retentionS":60.5}],
+"services":[{"name":"m","maxConnections":300,"engine":{"slots":8,"stride":7}},{"name":"n"}],
+"limits":{"maxHeaderBytes":1000,"maxBodyBytes":2000,"headerTimeoutMs":3,"idleTimeoutMs":4},
+"tenants":[{"name":"t","apiKeys":["k1","k2"],"priority":1,"ratePerS":60,"burst":30}]})";
+
+auto entry(const std::string &spec) -> StoredObject
+{
+    return { "servers", "i-1", 3, {}, spec };
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(StoreFormatSuite)
+
+// Guards against a list that fails as a whole because another writer's entry cannot be read.
+BOOST_AUTO_TEST_CASE(ListsSkipWhatCannotBeRead)
+{
+    const auto list = decodeList("servers", R"({"items":["text",{"metadata":{"name":"a","revision":4},"spec":{"x":1},"status":null},{"metadata":{}}],"hasMore":true,"at":9})");
+    BOOST_REQUIRE(list.ok());
+    BOOST_REQUIRE(list->objects.size() == 1);
+    BOOST_TEST(list->objects[0].name == "a");
+    BOOST_TEST(list->objects[0].version == 4);
+    BOOST_TEST(list->objects[0].spec == R"({"x":1})");
+    BOOST_TEST(list->hasMore);
+    BOOST_TEST(list->revision == 9);
+    BOOST_TEST(!decodeList("servers", "not json").ok());
+    BOOST_TEST(!decodeList("servers", "{}").ok());
+}
+
+// Guards against a removal that is taken for a change.
+BOOST_AUTO_TEST_CASE(EventsTellRemovals)
+{
+    const auto events = decodeEvents("servers", R"({"events":[{"deleted":true,"object":{"metadata":{"name":"a","revision":5},"spec":{}}},{"deleted":false,"object":"x"}],"at":6})");
+    BOOST_REQUIRE(events.ok());
+    BOOST_REQUIRE(events->events.size() == 1);
+    BOOST_TEST(events->events[0].isRemoved);
+    BOOST_TEST(events->revision == 6);
+}
+
+// Guards against an unconditional write where a condition is meant, and the other way round.
+BOOST_AUTO_TEST_CASE(CallsCarryTheirConditions)
+{
+    const StoredObject object { "jobs", "j1", 12, {}, R"({"a":1})" };
+    BOOST_TEST(replaceCall(object).target == "/-/objects/jobs/j1");
+    BOOST_TEST(replaceCall(object).body == R"({"metadata":{"name":"j1","revision":12},"spec":{"a":1}})");
+    BOOST_TEST(createCall(object).target == "/-/objects/jobs");
+    BOOST_TEST(createCall(object).body == R"({"metadata":{"name":"j1"},"spec":{"a":1}})");
+    StoreQuery query;
+    query.watchRevision = 5;
+    query.wait = Milliseconds(2000);
+    BOOST_TEST(listCall("servers", query).target == "/-/objects/servers?watch=5&waitMs=2000");
+    StoreQuery stale;
+    stale.allowsStale = true;
+    stale.after = "b";
+    BOOST_TEST(listCall("jobs", stale).target == "/-/objects/jobs?after=b&allowStale=1");
+}
+
+// Guards against what may be repeated, the limits and the keys being read from the wrong fields.
+BOOST_AUTO_TEST_CASE(AConfigurationIsDecoded)
+{
+    const auto data = decodeConfiguration({ "config", "main", 44, {}, CONFIGURATION });
+    BOOST_REQUIRE_MESSAGE(data.ok(), data.status().message());
+    const ServingVersion version(*data);
+    BOOST_TEST(version.data().revision == 44);
+    BOOST_TEST(version.data().number == 7);
+    const ServiceRoute *stream = version.findRoute("h", "/a/x?y=/a/b/");
+    BOOST_REQUIRE(stream != nullptr);
+    BOOST_TEST(stream->name == "r1");
+    BOOST_TEST(stream->mayRepeat);
+    BOOST_TEST(stream->mayResume);
+    BOOST_TEST(stream->gapTarget.count() == 300);
+    const ServiceRoute *longest = version.findRoute("h", "/a/b/c");
+    BOOST_REQUIRE(longest != nullptr);
+    BOOST_TEST(longest->name == "r2");
+    BOOST_TEST(!longest->mayRepeat);
+    BOOST_TEST(longest->isOpen);
+    BOOST_TEST(longest->shares.size() == 2);
+    const ServiceRoute *batch = version.findRouteByName("r3");
+    BOOST_TEST((batch->kind == RouteKind::Batch));
+    BOOST_TEST(batch->jobTarget.count() == 18000);
+    BOOST_TEST(batch->jobRetention.count() == 60500);
+    BOOST_TEST(version.findRoute("other", "/a/") == nullptr);
+    BOOST_TEST(version.findRoute("h", "/a") == nullptr);
+    BOOST_REQUIRE(version.findTeamOfKey("k2") != nullptr);
+    BOOST_TEST(version.findTeamOfKey("k2")->team.ratePerSecond == 60);
+    BOOST_TEST(version.findTeamOfKey("k3") == nullptr);
+    BOOST_TEST(version.groupLimits("m").slots == 8);
+    BOOST_TEST(version.data().callerLimits.headBytes == 1000);
+}
+
+// Guards against a configuration that is taken in part.
+BOOST_AUTO_TEST_CASE(AFaultyConfigurationIsRefused)
+{
+    for (const std::string spec : { "[]", R"({"routes":[{"name":"r"}]})", R"({"tenants":[{"name":5}]})", R"({"routes":"none"})" }) {
+        BOOST_TEST(!decodeConfiguration({ "config", "main", 1, {}, spec }).ok(), spec);
+    }
+}
+
+// Guards against work for an address that another writer's entry names.
+BOOST_AUTO_TEST_CASE(OnlyProperEntriesNameUpstreams)
+{
+    const auto upstream = decodeUpstream(entry(R"({"service":"m","address":"10.0.0.1:80","zone":"a","slots":8,"state":"draining","sequence":4})"));
+    BOOST_REQUIRE(upstream.ok());
+    BOOST_TEST(upstream->name == "i-1");
+    BOOST_TEST(upstream->leaving);
+    BOOST_TEST(upstream->slots == 8);
+    for (const std::string spec : { R"("bytes")",
+                                    "null",
+                                    R"({"service":"m","address":"10.0.0.1:80","zone":"a","slots":8,"state":"dreaming"})",
+                                    R"({"service":"m","address":7,"zone":"a","slots":8,"state":"ready"})",
+                                    R"({"service":"m","address":"10.0.0.1","zone":"a","slots":8,"state":"ready"})",
+                                    R"({"address":"10.0.0.1:80","zone":"a","slots":8,"state":"ready"})",
+                                    R"({"service":"m","address":"10.0.0.1:80","zone":"a","slots":"8","state":"ready"})" }) {
+        BOOST_TEST(!decodeUpstream(entry(spec)).ok(), spec);
+    }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace poplardock::platform
--- /dev/null
+++ b/Tests/Process/OwnedJobTest.cpp
@@ -0,0 +1,102 @@
+#include "Process/Batch/OwnedJob.h"
+
+#include <boost/test/unit_test.hpp>
+
+namespace poplardock {
+
+namespace {
+
+auto makeJob() -> OwnedJob
+{
+    JobRecord record;
+    record.id = "job";
+    record.team = "team";
+    std::vector<JobItem> items(3);
+    items[0].id = "a";
+    items[1].id = "b";
+    items[2].id = "c";
+    return OwnedJob(record, items, {});
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(OwnedJobSuite)
+
+// Guards against readers that see a result before the store has it.
+BOOST_AUTO_TEST_CASE(ResultsAreShownOnceTheyAreInTheLog)
+{
+    OwnedJob job = makeJob();
+    job.findItem("b")->text = "text";
+    job.finishItem(*job.findItem("b"), true);
+    BOOST_TEST(job.listed().empty());
+    BOOST_REQUIRE(job.unlisted().size() == 1);
+    job.markListed(1);
+    BOOST_REQUIRE(job.listed().size() == 1);
+    BOOST_TEST((job.listed()[0] == JobResult { "b", true, "text" }));
+    BOOST_TEST(job.nextNumber() == 1);
+    BOOST_TEST(!job.isComplete());
+}
+
+// Guards against an item at two positions after another owner has listed it.
+BOOST_AUTO_TEST_CASE(ResultsThatAnotherOwnerListedAreDropped)
+{
+    OwnedJob job = makeJob();
+    job.finishItem(*job.findItem("a"), true);
+    job.finishItem(*job.findItem("b"), true);
+    job.replaceLog({ { { "a", true, "other" } }, 1 });
+    BOOST_REQUIRE(job.unlisted().size() == 1);
+    BOOST_TEST(job.unlisted()[0].itemId == "b");
+    BOOST_TEST(job.listed()[0].text == "other");
+    job.finishItem(*job.findItem("a"), true);
+    BOOST_TEST(job.unlisted().size() == 1);
+}
+
+// Guards against runs that start again, or results that are lost, when a daemon that shuts down hands a job over.
+BOOST_AUTO_TEST_CASE(ProgressIsHandedOver)
+{
+    OwnedJob former = makeJob();
+    ItemProgress *begun = former.findItem("a");
+    begun->text = "one\ntwo";
+    begun->eventCount = 2;
+    begun->lastEventId = 1;
+    begun->failures = 1;
+    former.findItem("b")->text = "done";
+    former.finishItem(*former.findItem("b"), true);
+    OwnedJob next = makeJob();
+    BOOST_REQUIRE(next.applyProgress(former.progressText()).ok());
+    BOOST_TEST(next.findItem("a")->text == "one\ntwo");
+    BOOST_TEST(next.findItem("a")->lastEventId.value_or(-1) == 1);
+    BOOST_TEST(next.findItem("a")->failures == 1);
+    BOOST_REQUIRE(next.unlisted().size() == 1);
+    BOOST_TEST((next.unlisted()[0] == JobResult { "b", true, "done" }));
+    BOOST_TEST(next.findItem("c")->lastEventId.has_value() == false);
+    BOOST_TEST(!next.applyProgress("nonsense").ok());
+}
+
+// Guards against a record that is read back as another one.
+BOOST_AUTO_TEST_CASE(RecordsComeBackAsTheyWere)
+{
+    JobRecord record;
+    record.id = "job";
+    record.team = "team";
+    record.host = "host";
+    record.prefix = "/p/";
+    record.owner = "a";
+    record.ownerIncarnation = "i";
+    record.ownerAddress = "1.2.3.4:5";
+    record.itemCount = 10;
+    record.payloadCount = 2;
+    record.submittedAt = WallClock::time_point(Milliseconds(1000));
+    record.dueAt = WallClock::time_point(Milliseconds(19000));
+    record.giveUpAt = WallClock::time_point(Milliseconds(61000));
+    record.isCancelled = true;
+    record.version = 9;
+    const auto read = jobRecordFrom(toStored(record));
+    BOOST_REQUIRE(read.ok());
+    BOOST_TEST((*read == record));
+    BOOST_TEST(!jobRecordFrom({ "jobs", "x", 1, {}, "{}" }).ok());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace poplardock
--- /dev/null
+++ b/Tests/Request/AllowanceShareTest.cpp
@@ -0,0 +1,138 @@
+#include "Request/AllowanceShare.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include <random>
+#include <vector>
+
+namespace poplardock {
+
+namespace {
+
+const BootTime START = BootTime() + std::chrono::hours(1);
+constexpr double GRAIN = 10;
+
+struct Outcome
+{
+    /// Most admitted requests in any window of five seconds.
+    int worstWindow = 0;
+    int admitted = 0;
+    int refused = 0;
+    /// What one exact bucket for all daemons would have refused.
+    int refusedByOneBucket = 0;
+};
+
+/// Requests of one team, at random times, over daemons with unequal parts. Daemons tell each other their demand each
+/// 100 ms; "silent" ones neither tell nor hear.
+auto play(AllowanceLimits limits, double requestsPerSecond, const std::vector<double> &weights, std::size_t silent) -> Outcome
+{
+    constexpr int TICKS_PER_SECOND = 1000;
+    constexpr int SECONDS = 30;
+    constexpr int EXCHANGE_TICKS = 100;
+    constexpr int WINDOW_TICKS = 5 * TICKS_PER_SECOND;
+    std::mt19937 random(5);
+    std::uniform_real_distribution<double> uniform;
+    std::vector<AllowanceShare> shares(weights.size(), AllowanceShare(limits, GRAIN, START));
+    AllowanceShare oneBucket(limits, 0, START);
+    std::vector<int> admittedAt(SECONDS * TICKS_PER_SECOND, 0);
+    Outcome outcome;
+    for (int tick = 0; tick < SECONDS * TICKS_PER_SECOND; ++tick) {
+        const BootTime now = START + Milliseconds(tick);
+        if (tick % EXCHANGE_TICKS == 0) {
+            for (std::size_t self = silent; self < shares.size(); ++self) {
+                double others = 0;
+                for (std::size_t other = 0; other < shares.size(); ++other) {
+                    others += other == self ? 0 : shares[other].demand(now);
+                }
+                shares[self].setOthers(others, static_cast<int>(shares.size()), now);
+            }
+        }
+        for (std::size_t daemon = 0; daemon < shares.size(); ++daemon) {
+            if (uniform(random) < requestsPerSecond * weights[daemon] / TICKS_PER_SECOND) {
+                const bool isAdmitted = !shares[daemon].take(now).has_value();
+                admittedAt[static_cast<std::size_t>(tick)] += isAdmitted ? 1 : 0;
+                (isAdmitted ? outcome.admitted : outcome.refused) += 1;
+                outcome.refusedByOneBucket += oneBucket.take(now) ? 1 : 0;
+            }
+        }
+    }
+    int window = 0;
+    for (std::size_t tick = 0; tick < admittedAt.size(); ++tick) {
+        window += admittedAt[tick] - (tick >= WINDOW_TICKS ? admittedAt[tick - WINDOW_TICKS] : 0);
+        outcome.worstWindow = std::max(outcome.worstWindow, window);
+    }
+    return outcome;
+}
+
+const std::vector<double> UNEQUAL = { 0.3, 0.2, 0.15, 0.1, 0.1, 0.08, 0.05, 0.02 };
+
+/// What the platform allows in a window: a tenth more than rate and burst, and 20 requests.
+auto windowBound(AllowanceLimits limits) -> double
+{
+    return (limits.ratePerSecond * 5 + limits.burst) * 1.1 + 20;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(AllowanceShareSuite)
+
+// Load pattern: one team sends several times its rate. Guards against daemons that together admit more than the rate
+// and burst, which each of them alone cannot see.
+BOOST_AUTO_TEST_CASE(AHotTeamStaysWithinItsAllowance)
+{
+    for (const double rate : { 5.0, 20.0, 60.0 }) {
+        const AllowanceLimits limits { rate, rate };
+        const Outcome outcome = play(limits, 7.5 * rate, UNEQUAL, 0);
+        BOOST_TEST(outcome.worstWindow <= windowBound(limits), "rate " << rate << ": " << outcome.worstWindow);
+        // What is admitted must not fall far below the allowance either.
+        BOOST_TEST(outcome.admitted >= 0.8 * rate * 30, "rate " << rate << ": " << outcome.admitted);
+    }
+}
+
+// Load pattern: every team at its usual rate, 1 / 1.6 of its limit, unequally spread over the daemons. Guards against
+// refusals that come only from the split: one exact bucket for all daemons would refuse as many.
+BOOST_AUTO_TEST_CASE(AUsualTeamIsHardlyRefused)
+{
+    for (const double rate : { 2.0, 10.0, 60.0 }) {
+        const Outcome outcome = play({ rate, rate }, rate / 1.6, UNEQUAL, 0);
+        const double bound = outcome.refusedByOneBucket + 0.01 * (outcome.admitted + outcome.refused);
+        BOOST_TEST(outcome.refused <= bound, "rate " << rate << ": " << outcome.refused << ", bound " << bound);
+    }
+}
+
+// Guards against a daemon that is cut off from the others and admits as if it were alone.
+BOOST_AUTO_TEST_CASE(ASilentDaemonKeepsItsLastPart)
+{
+    AllowanceShare share({ 80, 80 }, GRAIN, START);
+    for (int tick = 0; tick < 2000; tick += 50) {
+        static_cast<void>(share.take(START + Milliseconds(tick)));
+    }
+    share.setOthers(60, 8, START + Milliseconds(2000));
+    const double part = share.part();
+    BOOST_TEST(part < 0.5);
+    int admitted = 0;
+    for (int tick = 2000; tick < 12000; tick += 10) {
+        admitted += share.take(START + Milliseconds(tick)) ? 0 : 1;
+    }
+    // Its demand has grown fivefold, so its part has grown as far as its own demand alone can make it.
+    BOOST_TEST(admitted < 0.8 * 80 * 10);
+}
+
+// Guards against limits that are lowered but not kept, and against a team without a limit being refused.
+BOOST_AUTO_TEST_CASE(ChangedLimitsHoldAtOnce)
+{
+    AllowanceShare share({ 100, 100 }, GRAIN, START);
+    share.setLimits({ 1, 1 }, START);
+    int admitted = 0;
+    for (int index = 0; index < 100; ++index) {
+        admitted += share.take(START) ? 0 : 1;
+    }
+    BOOST_TEST(admitted <= 1 + GRAIN);
+    BOOST_TEST(share.take(START).has_value());
+    share.setLimits({ 0, 0 }, START);
+    BOOST_TEST(!share.take(START).has_value());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace poplardock
