--- a/Source/Connection/CallerServer.cpp
+++ b/Source/Connection/CallerServer.cpp
@@ -19,8 +19,12 @@
     server->environment_ = std::make_shared<SessionEnvironment>();
     server->environment_->onRequest = std::move(onRequest);
     server->environment_->limits = std::move(limits);
-    server->environment_->isDraining = [self] { return self->isDraining_; };
-    server->environment_->onEnd = [self](const CallerSession *session) { self->sessions_.erase(session); };
+    server->environment_->isDraining = [self] {
+        return self->isDraining_;
+    };
+    server->environment_->onEnd = [self](const CallerSession *session) {
+        self->sessions_.erase(session);
+    };
     auto listener = Listener::open(loop, address, [self](std::shared_ptr<Channel> channel) {
         auto session = std::make_shared<CallerSession>(std::move(channel), self->environment_);
         self->sessions_.emplace(session.get(), session);
@@ -67,7 +71,8 @@
 
 auto CallerServer::busyCount() const -> std::size_t
 {
-    return static_cast<std::size_t>(std::count_if(sessions_.begin(), sessions_.end(), [](const auto &entry) { return entry.second->isBusy(); }));
+    return static_cast<std::size_t>(
+        std::count_if(sessions_.begin(), sessions_.end(), [](const auto &entry) { return entry.second->isBusy(); }));
 }
 
 auto CallerServer::connectionCount() const -> std::size_t
--- a/Source/Connection/ClientChannel.cpp
+++ b/Source/Connection/ClientChannel.cpp
@@ -176,7 +176,8 @@
     handlers_ = {};
     isRunning_ = false;
     idleSince_ = BootClock::now();
-    const bool isClean = end == ExchangeEnd::Complete && reader_->keepsConnection() && reader_->takeRest().empty() && channel_->queuedBytes() == 0;
+    const bool isClean
+        = end == ExchangeEnd::Complete && reader_->keepsConnection() && reader_->takeRest().empty() && channel_->queuedBytes() == 0;
     if (!isClean) {
         channel_->abort();
     }
--- a/Source/Connection/FrontService.cpp
+++ b/Source/Connection/FrontService.cpp
@@ -124,7 +124,8 @@
     const std::string group = groupOf(route, parts_.random());
     const BootTime now = BootClock::now();
     const auto views = parts_.directory.candidates(group);
-    const auto left = terms.patience ? std::optional(*terms.patience - std::chrono::duration_cast<Milliseconds>(now - caller->receivedAt())) : std::nullopt;
+    const auto left = terms.patience ? std::optional(*terms.patience - std::chrono::duration_cast<Milliseconds>(now - caller->receivedAt()))
+                                     : std::nullopt;
     const Admission admission = admitOnline(views, route.target, left, now);
     if (!admission.isAdmitted) {
         refuse(caller,
--- a/Source/Connection/HttpClient.cpp
+++ b/Source/Connection/HttpClient.cpp
@@ -31,12 +31,16 @@
         }
         channel = opened;
         ExchangeHandlers handlers;
-        handlers.accepts = [](const MessageHead &) { return true; };
+        handlers.accepts = [](const MessageHead &) {
+            return true;
+        };
         handlers.onHead = [self = shared_from_this()](const MessageHead &head) {
             self->result.status = head.status;
             self->result.headers = head.headers;
         };
-        handlers.onBody = [self = shared_from_this()](std::string_view bytes) { self->result.body.append(bytes); };
+        handlers.onBody = [self = shared_from_this()](std::string_view bytes) {
+            self->result.body.append(bytes);
+        };
         handlers.onEnd = [self = shared_from_this()](ExchangeEnd end) {
             self->pool.release(self->address, self->channel);
             self->channel = nullptr;
--- a/Source/Connection/Io/Channel.cpp
+++ b/Source/Connection/Io/Channel.cpp
@@ -5,9 +5,9 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/post.hpp>
-#include <netinet/tcp.h>
 
 #include <array>
+#include <netinet/tcp.h>
 
 namespace poplardock {
 
@@ -104,7 +104,9 @@
 {
     constexpr int MS_PER_SECOND = 1000;
     const int handle = socket_->tcp.native_handle();
-    const auto set = [handle](int level, int option, int value) { setsockopt(handle, level, option, &value, sizeof(value)); };
+    const auto set = [handle](int level, int option, int value) {
+        setsockopt(handle, level, option, &value, sizeof(value));
+    };
     set(IPPROTO_TCP, TCP_USER_TIMEOUT, patience.silenceMs);
     if (patience.probeAfterMs > 0) {
         set(SOL_SOCKET, SO_KEEPALIVE, 1);
--- a/Source/Connection/Io/DatagramSocket.cpp
+++ b/Source/Connection/Io/DatagramSocket.cpp
@@ -26,16 +26,17 @@
 
     auto receive() -> void
     {
-        udp.async_receive_from(asio::buffer(buffer), sender, [self = shared_from_this()](const boost::system::error_code &error, std::size_t size) {
-            if (!self->udp.is_open()) {
-                return;
-            }
-            // An error here is the answer of a peer without a listener; the socket stays usable.
-            if (!error) {
-                self->onDatagram(textOf(self->sender), std::string_view(self->buffer.data(), size));
-            }
-            self->receive();
-        });
+        udp.async_receive_from(
+            asio::buffer(buffer), sender, [self = shared_from_this()](const boost::system::error_code &error, std::size_t size) {
+                if (!self->udp.is_open()) {
+                    return;
+                }
+                // An error here is the answer of a peer without a listener; the socket stays usable.
+                if (!error) {
+                    self->onDatagram(textOf(self->sender), std::string_view(self->buffer.data(), size));
+                }
+                self->receive();
+            });
     }
 
     Udp::socket udp;
@@ -45,7 +46,8 @@
     std::unordered_map<std::string, Udp::endpoint> endpoints;
 };
 
-auto DatagramSocket::open(EventLoop &loop, const std::string &address, Handler onDatagram) -> absl::StatusOr<std::unique_ptr<DatagramSocket>>
+auto DatagramSocket::open(EventLoop &loop, const std::string &address, Handler onDatagram)
+    -> absl::StatusOr<std::unique_ptr<DatagramSocket>>
 {
     const auto endpoint = endpointOf<Udp>(address);
     if (!endpoint.ok()) {
--- a/Source/Connection/Io/HttpMessage.cpp
+++ b/Source/Connection/Io/HttpMessage.cpp
@@ -12,8 +12,9 @@
 
 namespace {
 
-constexpr std::array<std::string_view, 9> HOP_BY_HOP_HEADERS = { "Connection", "Keep-Alive",        "Proxy-Connection", "Transfer-Encoding", "TE",
-                                                                 "Trailer",    "Content-Length",    "Upgrade",          "Proxy-Authorization" };
+constexpr std::array<std::string_view, 9> HOP_BY_HOP_HEADERS
+    = { "Connection", "Keep-Alive",     "Proxy-Connection", "Transfer-Encoding",  "TE",
+        "Trailer",    "Content-Length", "Upgrade",          "Proxy-Authorization" };
 
 auto isSameName(std::string_view a, std::string_view b) -> bool
 {
@@ -40,7 +41,8 @@
 
 auto HeaderList::find(std::string_view name) const -> const std::string *
 {
-    const auto found = std::find_if(fields_.begin(), fields_.end(), [name](const HeaderField &field) { return isSameName(field.name, name); });
+    const auto found
+        = std::find_if(fields_.begin(), fields_.end(), [name](const HeaderField &field) { return isSameName(field.name, name); });
     return found == fields_.end() ? nullptr : &found->value;
 }
 
@@ -66,8 +68,11 @@
         }
     }
     const auto isHopByHop = [&named](const HeaderField &field) {
-        const auto isField = [&field](const auto &name) { return isSameName(field.name, name); };
-        return std::any_of(HOP_BY_HOP_HEADERS.begin(), HOP_BY_HOP_HEADERS.end(), isField) || std::any_of(named.begin(), named.end(), isField);
+        const auto isField = [&field](const auto &name) {
+            return isSameName(field.name, name);
+        };
+        return std::any_of(HOP_BY_HOP_HEADERS.begin(), HOP_BY_HOP_HEADERS.end(), isField)
+               || std::any_of(named.begin(), named.end(), isField);
     };
     HeaderList result = *this;
     std::erase_if(result.fields_, isHopByHop);
--- a/Source/Connection/JobService.cpp
+++ b/Source/Connection/JobService.cpp
@@ -45,7 +45,8 @@
 /// "/jobs/KIND/TEAM/ID/FROM/WAIT_MS/ITEM"; the team may be empty. Names hold no slashes.
 auto peerTarget(const JobCall &call, const std::string &team, Milliseconds wait) -> std::string
 {
-    return absl::StrCat(PEER_PATH, "/", static_cast<int>(call.kind), "/", team, "/", call.jobId, "/", call.from, "/", wait.count(), "/", call.itemId);
+    return absl::StrCat(
+        PEER_PATH, "/", static_cast<int>(call.kind), "/", team, "/", call.jobId, "/", call.from, "/", wait.count(), "/", call.itemId);
 }
 
 } // namespace
@@ -77,7 +78,8 @@
         submit(request);
         return;
     }
-    const Milliseconds wait = request.call.kind == JobCall::Kind::ReadResults ? std::min(request.terms.resultWait, LONGEST_WAIT) : Milliseconds(0);
+    const Milliseconds wait
+        = request.call.kind == JobCall::Kind::ReadResults ? std::min(request.terms.resultWait, LONGEST_WAIT) : Milliseconds(0);
     const Query query { request.call, request.team, BootClock::now() + wait };
     answer(query, [caller = request.caller, id = request.call.jobId, kind = static_cast<int>(request.call.kind)](const HttpResult &result) {
         if (result.status != OK) {
@@ -120,26 +122,35 @@
     record.giveUpAt = record.submittedAt + request.route->jobRetention;
     const BootTime receivedAt = caller->receivedAt();
     const auto patience = std::min(request.terms.patience.value_or(ACCEPT_TIME), ACCEPT_TIME);
-    ledger_.accept(record, *items, receivedAt + patience, [this, items = *items, caller, receivedAt](JobLedger::Acceptance acceptance, bool isOwn, const JobRecord &record) {
-        EventLog::write("job_submitted",
-                        { { "job", record.id },
-                          { "items", static_cast<std::uint64_t>(items.size()) },
-                          { "outcome", acceptance == JobLedger::Acceptance::Accepted ? "accepted" : acceptance == JobLedger::Acceptance::Refused ? "refused" : "uncertain" },
-                          { "first", isOwn },
-                          { "ms", millisecondsBetween(receivedAt, BootClock::now()) } });
-        if (acceptance == JobLedger::Acceptance::Accepted) {
-            if (isOwn && book_.find(record.id) == nullptr) {
-                book_.add(OwnedJob(record, items, {}));
-                if (record.version == 0) {
-                    adoption_.doubt(record.id);
-                }
-            }
-            caller->reply(jsonResult(ACCEPTED, "{}"));
-            return;
-        }
-        const bool isRefused = acceptance == JobLedger::Acceptance::Refused;
-        caller->reply(refusalOf(parts_.dialect, isRefused ? ResultCode::JobNotAccepted : ResultCode::JobUncertain, "", isRefused ? std::optional(RETRY_AFTER) : std::nullopt));
-    });
+    ledger_.accept(record,
+                   *items,
+                   receivedAt + patience,
+                   [this, items = *items, caller, receivedAt](JobLedger::Acceptance acceptance, bool isOwn, const JobRecord &record) {
+                       EventLog::write("job_submitted",
+                                       { { "job", record.id },
+                                         { "items", static_cast<std::uint64_t>(items.size()) },
+                                         { "outcome",
+                                           acceptance == JobLedger::Acceptance::Accepted  ? "accepted"
+                                           : acceptance == JobLedger::Acceptance::Refused ? "refused"
+                                                                                          : "uncertain" },
+                                         { "first", isOwn },
+                                         { "ms", millisecondsBetween(receivedAt, BootClock::now()) } });
+                       if (acceptance == JobLedger::Acceptance::Accepted) {
+                           if (isOwn && book_.find(record.id) == nullptr) {
+                               book_.add(OwnedJob(record, items, {}));
+                               if (record.version == 0) {
+                                   adoption_.doubt(record.id);
+                               }
+                           }
+                           caller->reply(jsonResult(ACCEPTED, "{}"));
+                           return;
+                       }
+                       const bool isRefused = acceptance == JobLedger::Acceptance::Refused;
+                       caller->reply(refusalOf(parts_.dialect,
+                                               isRefused ? ResultCode::JobNotAccepted : ResultCode::JobUncertain,
+                                               "",
+                                               isRefused ? std::optional(RETRY_AFTER) : std::nullopt));
+                   });
 }
 
 auto JobService::answer(const Query &query, const ReplyHandler &reply) -> void
@@ -228,7 +239,8 @@
 auto JobService::isOwnerAlive(const JobRecord &record) const -> bool
 {
     const Peer *owner = parts_.peers.find(record.owner);
-    return owner != nullptr && owner->report.incarnation == record.ownerIncarnation && parts_.peers.isAlive(*owner, BootClock::now()) && owner->report.hasStore && !owner->report.isLeaving;
+    return owner != nullptr && owner->report.incarnation == record.ownerIncarnation && parts_.peers.isAlive(*owner, BootClock::now())
+           && owner->report.hasStore && !owner->report.isLeaving;
 }
 
 auto JobService::askOwner(const Query &query, const std::string &address, const ReplyHandler &reply) -> void
@@ -292,7 +304,8 @@
     });
 }
 
-auto JobService::readItemFromStore(const Query &query, const JobRecord &record, const JobLedger::Log &log, const ReplyHandler &reply) -> void
+auto JobService::readItemFromStore(const Query &query, const JobRecord &record, const JobLedger::Log &log, const ReplyHandler &reply)
+    -> void
 {
     for (const JobResult &result : log.results) {
         if (result.itemId == query.call.itemId) {
@@ -342,7 +355,8 @@
     JobCall call;
     std::int64_t waitMs = 0;
     const bool isRead = words.size() == WORDS && absl::StrCat("/", words[1]) == PEER_PATH && absl::SimpleAtoi(words[2], &kind)
-        && absl::SimpleAtoi(words[5], &call.from) && absl::SimpleAtoi(words[6], &waitMs) && kind >= 0 && kind <= static_cast<int>(JobCall::Kind::Cancel);
+                        && absl::SimpleAtoi(words[5], &call.from) && absl::SimpleAtoi(words[6], &waitMs) && kind >= 0
+                        && kind <= static_cast<int>(JobCall::Kind::Cancel);
     if (!isRead) {
         exchange->reply(refusalOf(parts_.dialect, ResultCode::RouteUnknown, "", std::nullopt));
         return;
@@ -356,7 +370,9 @@
         return;
     }
     const Query query { call, words[3], BootClock::now() + Milliseconds(waitMs) };
-    const auto reply = [exchange](const HttpResult &result) { exchange->reply(result); };
+    const auto reply = [exchange](const HttpResult &result) {
+        exchange->reply(result);
+    };
     if (call.kind != JobCall::Kind::ReadResults) {
         replyOwned(query, reply);
         return;
--- a/Source/Connection/OnlineRun.cpp
+++ b/Source/Connection/OnlineRun.cpp
@@ -77,7 +77,10 @@
     const auto views = parts_.directory.candidates(order_.group);
     const auto choice = chooseForOnline(views, excluded_, now, parts_.random());
     if (!choice || declines_ >= MAXIMUM_DECLINES) {
-        giveUp(mayHaveRun_ ? ResultCode::RetriesExhausted : choice ? ResultCode::Overloaded : ResultCode::NoUpstream, "no upstream is left");
+        giveUp(mayHaveRun_ ? ResultCode::RetriesExhausted
+               : choice    ? ResultCode::Overloaded
+                           : ResultCode::NoUpstream,
+               "no upstream is left");
         return;
     }
     startRun(views[choice->index], *choice);
@@ -112,10 +115,18 @@
     run.fingerprint = order_.fingerprint;
     const auto self = shared_from_this();
     RunHandlers handlers;
-    handlers.onHead = [self](const MessageHead &head) { self->takeHead(head); };
-    handlers.onBody = [self](std::string_view bytes) { self->result_.body.append(bytes); };
-    handlers.onEvent = [self](const StreamEvent &event) { self->takeEvent(event); };
-    handlers.onEnd = [self](RunEnd end) { self->takeRunEnd(end); };
+    handlers.onHead = [self](const MessageHead &head) {
+        self->takeHead(head);
+    };
+    handlers.onBody = [self](std::string_view bytes) {
+        self->result_.body.append(bytes);
+    };
+    handlers.onEvent = [self](const StreamEvent &event) {
+        self->takeEvent(event);
+    };
+    handlers.onEnd = [self](RunEnd end) {
+        self->takeRunEnd(end);
+    };
     result_ = {};
     EventLog::write("run_start",
                     { { "request", run.requestId },
@@ -159,7 +170,8 @@
 auto OnlineRun::takeEvent(const StreamEvent &event) -> void
 {
     if (event.id && hasEvents_ && *event.id <= lastEventId_) {
-        EventLog::write("event_repeated", { { "request", order_.terms.requestId }, { "upstream", run_->upstream() }, { "event", *event.id } });
+        EventLog::write("event_repeated",
+                        { { "request", order_.terms.requestId }, { "upstream", run_->upstream() }, { "event", *event.id } });
         return;
     }
     lastEventId_ = event.id.value_or(lastEventId_);
@@ -252,7 +264,8 @@
     if (!choice || choice->expectedMs > static_cast<double>(order_.route->target.count()) || !parts_.retries.takeRetry(Clock::now())) {
         return;
     }
-    EventLog::write("run_stalled", { { "request", order_.terms.requestId }, { "upstream", run_->upstream() }, { "had_first", run_->hasFirst() } });
+    EventLog::write("run_stalled",
+                    { { "request", order_.terms.requestId }, { "upstream", run_->upstream() }, { "had_first", run_->hasFirst() } });
     parts_.directory.recordFailure(run_->upstream(), BootClock::now());
     parts_.metrics.count("online_moves");
     excluded_ = std::move(excluded);
--- a/Source/Connection/Refusal.cpp
+++ b/Source/Connection/Refusal.cpp
@@ -19,7 +19,8 @@
 
 } // namespace
 
-auto refusalOf(const WireDialect &dialect, ResultCode code, const std::string &message, std::optional<Milliseconds> retryAfter) -> HttpResult
+auto refusalOf(const WireDialect &dialect, ResultCode code, const std::string &message, std::optional<Milliseconds> retryAfter)
+    -> HttpResult
 {
     HttpResult result;
     result.status = statusOf(describe(code));
--- a/Source/Connection/UpstreamRun.cpp
+++ b/Source/Connection/UpstreamRun.cpp
@@ -35,21 +35,22 @@
     parts_.directory.begin(order_.upstream, order_.work);
     isCounted_ = true;
     const Milliseconds freshness = order_.needsFreshConnection ? FRESH_REUSE_TIME : REUSE_TIME;
-    parts_.upstreams.acquire(order_.upstream, order_.address, freshness, [self = shared_from_this()](const std::shared_ptr<ClientChannel> &channel) {
-        if (self->isDone_) {
-            if (channel != nullptr) {
-                self->parts_.upstreams.release(self->order_.upstream, channel);
+    parts_.upstreams.acquire(
+        order_.upstream, order_.address, freshness, [self = shared_from_this()](const std::shared_ptr<ClientChannel> &channel) {
+            if (self->isDone_) {
+                if (channel != nullptr) {
+                    self->parts_.upstreams.release(self->order_.upstream, channel);
+                }
+                return;
             }
-            return;
-        }
-        if (channel == nullptr) {
-            self->parts_.directory.recordFailure(self->order_.upstream, BootClock::now());
-            EventLog::write("upstream_unreachable", { { "request", self->order_.requestId }, { "upstream", self->order_.upstream } });
-            self->finish(RunEnd::NotRun);
-            return;
-        }
-        self->send(channel);
-    });
+            if (channel == nullptr) {
+                self->parts_.directory.recordFailure(self->order_.upstream, BootClock::now());
+                EventLog::write("upstream_unreachable", { { "request", self->order_.requestId }, { "upstream", self->order_.upstream } });
+                self->finish(RunEnd::NotRun);
+                return;
+            }
+            self->send(channel);
+        });
 }
 
 auto UpstreamRun::send(const std::shared_ptr<ClientChannel> &channel) -> void
@@ -64,13 +65,21 @@
         const bool isOurs = terms.requestId == self->order_.requestId;
         if (!isOurs) {
             self->parts_.metrics.count("answers_of_other_requests");
-            EventLog::write("answer_skipped", { { "request", self->order_.requestId }, { "upstream", self->order_.upstream }, { "answers", terms.requestId } });
+            EventLog::write(
+                "answer_skipped",
+                { { "request", self->order_.requestId }, { "upstream", self->order_.upstream }, { "answers", terms.requestId } });
         }
         return isOurs;
     };
-    handlers.onHead = [self](const MessageHead &head) { self->takeHead(head); };
-    handlers.onBody = [self](std::string_view bytes) { self->takeBody(bytes); };
-    handlers.onEnd = [self](ExchangeEnd end) { self->takeEnd(end); };
+    handlers.onHead = [self](const MessageHead &head) {
+        self->takeHead(head);
+    };
+    handlers.onBody = [self](std::string_view bytes) {
+        self->takeBody(bytes);
+    };
+    handlers.onEnd = [self](ExchangeEnd end) {
+        self->takeEnd(end);
+    };
     channel->exchange(encodeCall(order_.call), std::move(handlers));
 }
 
@@ -131,8 +140,9 @@
             parts_.directory.remove(order_.upstream);
             parts_.upstreams.drop(order_.upstream);
         }
-        EventLog::write("run_declined",
-                        { { "request", order_.requestId }, { "upstream", order_.upstream }, { "status", status_ }, { "waiting", terms_.waiting } });
+        EventLog::write(
+            "run_declined",
+            { { "request", order_.requestId }, { "upstream", order_.upstream }, { "status", status_ }, { "waiting", terms_.waiting } });
         finish(RunEnd::NotRun);
         return;
     }
@@ -154,7 +164,10 @@
     EventLog::write("run_lost",
                     { { "request", order_.requestId },
                       { "upstream", order_.upstream },
-                      { "how", end == ExchangeEnd::Malformed ? "malformed" : isCut ? "cut" : "broken" },
+                      { "how",
+                        end == ExchangeEnd::Malformed ? "malformed"
+                        : isCut                       ? "cut"
+                                                      : "broken" },
                       { "had_head", hasHead_ },
                       { "after_ms", millisecondsBetween(sentAt_, now) } });
     if (end == ExchangeEnd::Broken) {
@@ -175,7 +188,9 @@
             return;
         }
         parts.crashes.record(order.fingerprint, BootClock::now());
-        EventLog::write("upstream_died", { { "request", order.requestId }, { "upstream", order.upstream }, { "fingerprint", order.fingerprint.substr(0, 16) } });
+        EventLog::write(
+            "upstream_died",
+            { { "request", order.requestId }, { "upstream", order.upstream }, { "fingerprint", order.fingerprint.substr(0, 16) } });
     };
     Channel::connect(parts_.loop, order_.address, BootClock::now() + PROBE_TIME, {}, judge);
 }
--- a/Source/Process/Batch/JobAdoption.cpp
+++ b/Source/Process/Batch/JobAdoption.cpp
@@ -114,7 +114,8 @@
             // Tried again with the next review.
             return;
         }
-        const bool isOwner = record.ok() && record->owner == parts_.settings.name && record->ownerIncarnation == parts_.peerLink.incarnation();
+        const bool isOwner
+            = record.ok() && record->owner == parts_.settings.name && record->ownerIncarnation == parts_.peerLink.incarnation();
         if (!isOwner) {
             release(id);
         } else if (OwnedJob *job = book_.find(id)) {
--- a/Source/Process/Batch/JobBook.cpp
+++ b/Source/Process/Batch/JobBook.cpp
@@ -38,7 +38,10 @@
 auto JobBook::add(OwnedJob job) -> void
 {
     const std::string id = job.record().id;
-    EventLog::write("job_owned", { { "job", id }, { "items", static_cast<std::uint64_t>(job.items().size()) }, { "listed", static_cast<std::uint64_t>(job.listed().size()) } });
+    EventLog::write("job_owned",
+                    { { "job", id },
+                      { "items", static_cast<std::uint64_t>(job.items().size()) },
+                      { "listed", static_cast<std::uint64_t>(job.listed().size()) } });
     entries_[id] = std::make_unique<Entry>(std::move(job));
     if (entries_[id]->job.isComplete()) {
         markDone(id);
@@ -75,7 +78,8 @@
 auto JobBook::resultReady(const std::string &id) -> void
 {
     const auto found = entries_.find(id);
-    if (found == entries_.end() || found->second->isCommitting || found->second->commit.isPending() || found->second->job.unlisted().empty()) {
+    if (found == entries_.end() || found->second->isCommitting || found->second->commit.isPending()
+        || found->second->job.unlisted().empty()) {
         return;
     }
     const JobRecord &record = found->second->job.record();
@@ -122,7 +126,10 @@
         return;
     }
     entry.job.markListed(count);
-    EventLog::write("results_listed", { { "job", id }, { "count", static_cast<std::uint64_t>(count) }, { "listed", static_cast<std::uint64_t>(entry.job.listed().size()) } });
+    EventLog::write("results_listed",
+                    { { "job", id },
+                      { "count", static_cast<std::uint64_t>(count) },
+                      { "listed", static_cast<std::uint64_t>(entry.job.listed().size()) } });
     wakeReaders(entry);
     if (!entry.job.unlisted().empty()) {
         commitLater(entry, id, Milliseconds(0));
--- a/Source/Process/Batch/JobLedger.cpp
+++ b/Source/Process/Batch/JobLedger.cpp
@@ -106,8 +106,9 @@
         submission->isUncertain = submission->isUncertain || (isRecord && absl::IsUnknown(status));
         const bool isRefused = !absl::IsUnknown(status) && !submission->isUncertain;
         if (isRefused || BootClock::now() >= submission->deadline) {
-            EventLog::write("job_not_stored",
-                            { { "job", submission->writes.back().name }, { "uncertain", submission->isUncertain }, { "reason", status.message() } });
+            EventLog::write(
+                "job_not_stored",
+                { { "job", submission->writes.back().name }, { "uncertain", submission->isUncertain }, { "reason", status.message() } });
             submission->onEnd(submission->isUncertain ? Acceptance::Uncertain : Acceptance::Refused, false, submission->record);
             return;
         }
@@ -154,21 +155,23 @@
     readPayload(record, 0, std::make_shared<std::vector<JobItem>>(), std::move(handler));
 }
 
-auto JobLedger::readPayload(const JobRecord &record, std::size_t number, std::shared_ptr<std::vector<JobItem>> found, ItemsHandler handler) -> void
+auto JobLedger::readPayload(const JobRecord &record, std::size_t number, std::shared_ptr<std::vector<JobItem>> found, ItemsHandler handler)
+    -> void
 {
     if (number >= record.payloadCount) {
         handler(*found);
         return;
     }
-    store_.read(PAYLOAD_KIND, payloadName(record.id, number), [this, record, number, found, handler = std::move(handler)](const auto &object) {
-        const auto items = object.ok() ? dialect_.decodeItems(object->spec) : object.status();
-        if (!items.ok()) {
-            handler(items.status());
-            return;
-        }
-        found->insert(found->end(), items->begin(), items->end());
-        readPayload(record, number + 1, found, handler);
-    });
+    store_.read(
+        PAYLOAD_KIND, payloadName(record.id, number), [this, record, number, found, handler = std::move(handler)](const auto &object) {
+            const auto items = object.ok() ? dialect_.decodeItems(object->spec) : object.status();
+            if (!items.ok()) {
+                handler(items.status());
+                return;
+            }
+            found->insert(found->end(), items->begin(), items->end());
+            readPayload(record, number + 1, found, handler);
+        });
 }
 
 auto JobLedger::readLog(const std::string &id, LogHandler handler) -> void
--- a/Source/Process/Batch/JobRunner.cpp
+++ b/Source/Process/Batch/JobRunner.cpp
@@ -210,9 +210,14 @@
             active->second.answer.status = head.status;
         }
     };
-    handlers.onBody = [](std::string_view) {};
-    handlers.onEvent = [this, key = waiting.key](const StreamEvent &event) { takeEvent(key, event); };
-    handlers.onEnd = [this, key = waiting.key](RunEnd end) { takeEnd(key, end); };
+    handlers.onBody = [](std::string_view) {
+    };
+    handlers.onEvent = [this, key = waiting.key](const StreamEvent &event) {
+        takeEvent(key, event);
+    };
+    handlers.onEnd = [this, key = waiting.key](RunEnd end) {
+        takeEnd(key, end);
+    };
     EventLog::write("item_start",
                     { { "item", waiting.key.item },
                       { "job", waiting.key.job },
@@ -305,13 +310,18 @@
     }
     if (isSuccess || answer.status == NEVER_DONE || item.failures >= attemptLimit) {
         EventLog::write("item_done",
-                        { { "item", key.item }, { "job", key.job }, { "status", answer.status }, { "events", item.eventCount }, { "failures", item.failures } });
+                        { { "item", key.item },
+                          { "job", key.job },
+                          { "status", answer.status },
+                          { "events", item.eventCount },
+                          { "failures", item.failures } });
         parts_.metrics.count(isSuccess ? "items_completed" : "items_given_up");
         job->finishItem(item, isSuccess);
         book_.resultReady(key.job);
         return;
     }
-    EventLog::write("item_failed", { { "item", key.item }, { "job", key.job }, { "status", answer.status }, { "failures", item.failures } });
+    EventLog::write("item_failed",
+                    { { "item", key.item }, { "job", key.job }, { "status", answer.status }, { "failures", item.failures } });
     item.notBefore = BootClock::now() + FAILED_PAUSE;
 }
 
@@ -329,7 +339,12 @@
     if (item != nullptr && item->state == ItemState::Running) {
         item->state = ItemState::Waiting;
         item->notBefore = BootClock::now() + pause;
-        EventLog::write("item_put_back", { { "item", key.item }, { "job", key.job }, { "upstream", run->upstream() }, { "reason", reason }, { "events", item->eventCount } });
+        EventLog::write("item_put_back",
+                        { { "item", key.item },
+                          { "job", key.job },
+                          { "upstream", run->upstream() },
+                          { "reason", reason },
+                          { "events", item->eventCount } });
     }
 }
 
--- a/Source/Process/FrontDaemon.cpp
+++ b/Source/Process/FrontDaemon.cpp
@@ -69,8 +69,15 @@
                 peers_,
                 settings_.name,
                 settings_.peersAddress,
-                { [this] { return ownReport(); }, [this] { takePeerReports(); }, [this](const std::string &sender, const PeerMessage &message) { takePeerMessage(sender, message); } })
-    , allowances_(loop_, peers_, settings_.name, [this](const std::string &address, const PeerMessage &message) { peerLink_.send(address, message); })
+                { [this] { return ownReport(); },
+                  [this] { takePeerReports(); },
+                  [this](const std::string &sender, const PeerMessage &message) {
+                      takePeerMessage(sender, message);
+                  } })
+    , allowances_(loop_,
+                  peers_,
+                  settings_.name,
+                  [this](const std::string &address, const PeerMessage &message) { peerLink_.send(address, message); })
     , configurationWatch_(loop_,
                           store_,
                           { dialect_.configurationKind, FIRST_WAIT, Milliseconds(0) },
@@ -84,11 +91,15 @@
                                 }
                                 takeConfiguration(objects);
                             },
-                            [](BootTime) {} })
+                            [](BootTime) {
+                            } })
     , upstreamWatch_(loop_,
                      store_,
                      { dialect_.upstreamKind, FIRST_WAIT, UPSTREAM_PAUSE },
-                     { [this](const StoreList &list) { takeUpstreams(list); }, [this](const StoreEvents &events) { takeUpstreamEvents(events); }, [](BootTime) {} })
+                     { [this](const StoreList &list) { takeUpstreams(list); },
+                       [this](const StoreEvents &events) { takeUpstreamEvents(events); },
+                       [](BootTime) {
+                       } })
     , freshness_(loop_,
                  peers_,
                  settings_.name,
@@ -97,7 +108,9 @@
                  { [this](const std::string &address, const PeerMessage &message) { peerLink_.send(address, message); },
                    [this] { return version_ == nullptr ? 0 : version_->data().revision; },
                    [this] { return upstreamRevision_; },
-                   [this](const std::string &address) { fetchConfiguration(address); } })
+                   [this](const std::string &address) {
+                       fetchConfiguration(address);
+                   } })
     , peerPool_(loop_, PEER_POOL)
     , peerClient_(loop_, peerPool_)
     , parts_ { loop_,
@@ -114,7 +127,9 @@
                random_,
                [this] { return version_; },
                [this] { return freshness_.confirmedAt(); },
-               [this](const std::string &upstream) { return runner_.yieldAt(upstream); } }
+               [this](const std::string &upstream) {
+                   return runner_.yieldAt(upstream);
+               } }
     , ledger_(loop_, store_, dialect_, settings_.storeValueBytes)
     , book_(parts_, ledger_)
     , runner_(parts_, book_)
@@ -133,15 +148,20 @@
 
 auto FrontDaemon::start() -> absl::Status
 {
-    EventLog::write("start", { { "vm", settings_.name }, { "data_centre", settings_.dataCentre }, { "incarnation", peerLink_.incarnation() } });
+    EventLog::write("start",
+                    { { "vm", settings_.name }, { "data_centre", settings_.dataCentre }, { "incarnation", peerLink_.incarnation() } });
     auto callers = CallerServer::open(
-        loop_, settings_.callersAddress, [this] { return callerLimits(); }, [this](const auto &exchange) {
+        loop_,
+        settings_.callersAddress,
+        [this] { return callerLimits(); },
+        [this](const auto &exchange) {
             retries_.recordRequest(Clock::now());
             front_.handle(exchange);
         });
     auto ready = CallerServer::open(loop_, settings_.readyAddress, internalLimits, [this](const auto &exchange) { answerReady(exchange); });
     auto peers = CallerServer::open(loop_, settings_.peersAddress, internalLimits, [this](const auto &exchange) { answerPeer(exchange); });
-    auto operators = CallerServer::open(loop_, settings_.operatorsAddress, internalLimits, [this](const auto &exchange) { answerOperator(exchange); });
+    auto operators
+        = CallerServer::open(loop_, settings_.operatorsAddress, internalLimits, [this](const auto &exchange) { answerOperator(exchange); });
     for (const absl::Status &status : { callers.status(), ready.status(), peers.status(), operators.status(), peerLink_.start() }) {
         if (!status.ok()) {
             return status;
@@ -175,7 +195,9 @@
 {
     loop_.onSignal(SIGTERM, [this] { beginShutdown(); });
     loop_.onSignal(SIGINT, [this] { beginShutdown(); });
-    loop_.onSignal(SIGHUP, [] { EventLog::write("reload", { { "effect", "settings of the platform are read at the start; nothing changes" } }); });
+    loop_.onSignal(SIGHUP, [] {
+        EventLog::write("reload", { { "effect", "settings of the platform are read at the start; nothing changes" } });
+    });
     loop_.run();
     const ObjectStore::Counts &counts = store_.counts();
     EventLog::write("stop",
@@ -254,7 +276,10 @@
     const Upstream *known = directory_.find(object.name);
     if (known == nullptr || *known != *upstream) {
         EventLog::write("upstream_changed",
-                        { { "upstream", upstream->name }, { "group", upstream->group }, { "address", upstream->address }, { "leaving", upstream->leaving } });
+                        { { "upstream", upstream->name },
+                          { "group", upstream->group },
+                          { "address", upstream->address },
+                          { "leaving", upstream->leaving } });
     }
     directory_.put(*upstream);
 }
@@ -349,7 +374,8 @@
         return;
     }
     const bool hasConfiguration = version_ != nullptr;
-    exchange->reply({ hasConfiguration ? OK : NOT_FOUND, {}, hasConfiguration ? absl::StrCat(configuration_.version, "\n", configuration_.spec) : "" });
+    exchange->reply(
+        { hasConfiguration ? OK : NOT_FOUND, {}, hasConfiguration ? absl::StrCat(configuration_.version, "\n", configuration_.spec) : "" });
 }
 
 auto FrontDaemon::fetchConfiguration(const std::string &address) -> void
@@ -406,17 +432,29 @@
     const ObjectStore::Counts &counts = store_.counts();
     HttpResult result { OK, {}, metricsText(metrics_) };
     absl::StrAppend(&result.body,
-                    "poplardock_store_reads_total ", counts.reads,
-                    "\npoplardock_store_stale_reads_total ", counts.staleReads,
-                    "\npoplardock_store_watches_total ", counts.watches,
-                    "\npoplardock_store_writes_total ", counts.writes,
-                    "\npoplardock_store_failures_total ", counts.failures,
-                    "\npoplardock_upstream_connects_total ", upstreamPool_.connectCount(),
-                    "\npoplardock_log_dropped_lines_total ", EventLog::droppedLines(),
-                    "\npoplardock_upstreams ", directory_.size(),
-                    "\npoplardock_peers ", peers_.peers().size(),
-                    "\npoplardock_jobs_owned ", book_.ids().size(),
-                    "\npoplardock_items_running ", runner_.runningCount(), "\n");
+                    "poplardock_store_reads_total ",
+                    counts.reads,
+                    "\npoplardock_store_stale_reads_total ",
+                    counts.staleReads,
+                    "\npoplardock_store_watches_total ",
+                    counts.watches,
+                    "\npoplardock_store_writes_total ",
+                    counts.writes,
+                    "\npoplardock_store_failures_total ",
+                    counts.failures,
+                    "\npoplardock_upstream_connects_total ",
+                    upstreamPool_.connectCount(),
+                    "\npoplardock_log_dropped_lines_total ",
+                    EventLog::droppedLines(),
+                    "\npoplardock_upstreams ",
+                    directory_.size(),
+                    "\npoplardock_peers ",
+                    peers_.peers().size(),
+                    "\npoplardock_jobs_owned ",
+                    book_.ids().size(),
+                    "\npoplardock_items_running ",
+                    runner_.runningCount(),
+                    "\n");
     result.headers.add("Content-Type", "text/plain; version=0.0.4");
     exchange->reply(result);
 }
@@ -441,7 +479,9 @@
     if (isStopping_) {
         return;
     }
-    EventLog::write("shutdown", { { "busy", static_cast<std::uint64_t>(callers_->busyCount()) }, { "items", static_cast<std::uint64_t>(runner_.runningCount()) } });
+    EventLog::write(
+        "shutdown",
+        { { "busy", static_cast<std::uint64_t>(callers_->busyCount()) }, { "items", static_cast<std::uint64_t>(runner_.runningCount()) } });
     isStopping_ = true;
     stoppingSince_ = BootClock::now();
     callers_->drain();
--- a/Source/Process/Load/AllowanceTable.h
+++ b/Source/Process/Load/AllowanceTable.h
@@ -45,7 +45,8 @@
     };
 
     [[nodiscard]] auto isHome(const std::string &team, BootTime now) const -> bool;
-    auto takeFrom(std::map<std::string, AllowanceShare> &buckets, const Team &team, bool isWhole, BootTime now) -> std::optional<Milliseconds>;
+    auto takeFrom(std::map<std::string, AllowanceShare> &buckets, const Team &team, bool isWhole, BootTime now)
+        -> std::optional<Milliseconds>;
 
     EventLoop &loop_;
     const PeerDirectory &peers_;
--- a/Source/Process/Peers/FreshnessRelay.cpp
+++ b/Source/Process/Peers/FreshnessRelay.cpp
@@ -23,12 +23,8 @@
 
 } // namespace
 
-FreshnessRelay::FreshnessRelay(EventLoop &loop,
-                               const PeerDirectory &peers,
-                               std::string ownName,
-                               KindWatch &configuration,
-                               KindWatch &upstreams,
-                               Handlers handlers)
+FreshnessRelay::FreshnessRelay(
+    EventLoop &loop, const PeerDirectory &peers, std::string ownName, KindWatch &configuration, KindWatch &upstreams, Handlers handlers)
     : loop_(loop)
     , peers_(peers)
     , ownName_(std::move(ownName))
--- a/Source/Process/Peers/FreshnessRelay.h
+++ b/Source/Process/Peers/FreshnessRelay.h
@@ -25,7 +25,12 @@
         std::function<void(const std::string &address)> fetchConfiguration;
     };
 
-    FreshnessRelay(EventLoop &loop, const PeerDirectory &peers, std::string ownName, KindWatch &configuration, KindWatch &upstreams, Handlers handlers);
+    FreshnessRelay(EventLoop &loop,
+                   const PeerDirectory &peers,
+                   std::string ownName,
+                   KindWatch &configuration,
+                   KindWatch &upstreams,
+                   Handlers handlers);
 
     auto start() -> void;
     auto stop() -> void;
--- a/Source/Process/Peers/PeerDirectory.cpp
+++ b/Source/Process/Peers/PeerDirectory.cpp
@@ -134,7 +134,8 @@
     const Peer *owner = nullptr;
     for (const auto &[name, peer] : peers_) {
         const auto &jobs = peer.report.jobs;
-        const bool claims = isAlive(peer, now) && peer.report.hasStore && !peer.report.isLeaving && std::find(jobs.begin(), jobs.end(), job) != jobs.end();
+        const bool claims = isAlive(peer, now) && peer.report.hasStore && !peer.report.isLeaving
+                            && std::find(jobs.begin(), jobs.end(), job) != jobs.end();
         if (claims && (owner == nullptr || peer.heardAt > owner->heardAt)) {
             owner = &peer;
         }
--- a/Source/Process/Peers/PeerLink.cpp
+++ b/Source/Process/Peers/PeerLink.cpp
@@ -48,7 +48,8 @@
 
 auto PeerLink::start() -> absl::Status
 {
-    auto socket = DatagramSocket::open(loop_, address_, [this](const std::string &sender, std::string_view text) { takeDatagram(sender, text); });
+    auto socket
+        = DatagramSocket::open(loop_, address_, [this](const std::string &sender, std::string_view text) { takeDatagram(sender, text); });
     if (!socket.ok()) {
         return socket.status();
     }
--- a/Source/Process/Peers/PeerReport.cpp
+++ b/Source/Process/Peers/PeerReport.cpp
@@ -22,8 +22,17 @@
 {
     auto operator()(const PeerReport &report) const -> std::string
     {
-        std::string text
-            = absl::StrCat(REPORT_TAG, " ", report.name, " ", report.incarnation, " ", report.sequence, " ", report.isLeaving ? 1 : 0, " ", report.hasStore ? 1 : 0);
+        std::string text = absl::StrCat(REPORT_TAG,
+                                        " ",
+                                        report.name,
+                                        " ",
+                                        report.incarnation,
+                                        " ",
+                                        report.sequence,
+                                        " ",
+                                        report.isLeaving ? 1 : 0,
+                                        " ",
+                                        report.hasStore ? 1 : 0);
         for (const auto &[upstream, count] : report.work) {
             absl::StrAppend(&text, "\nw ", upstream, " ", count.online, " ", count.batch);
         }
@@ -61,7 +70,15 @@
 
     auto operator()(const FreshnessAnswer &answer) const -> std::string
     {
-        return absl::StrCat(FRESHNESS_ANSWER_TAG, " ", answer.number, " ", answer.configurationRevision, " ", answer.age.count(), " ", answer.upstreamRevision);
+        return absl::StrCat(FRESHNESS_ANSWER_TAG,
+                            " ",
+                            answer.number,
+                            " ",
+                            answer.configurationRevision,
+                            " ",
+                            answer.age.count(),
+                            " ",
+                            answer.upstreamRevision);
     }
 };
 
@@ -100,8 +117,9 @@
     TokenAnswer tokenAnswer;
     int outcome = 0;
     std::int64_t milliseconds = 0;
-    if (words.size() == 4 && words[0] == TOKEN_ANSWER_TAG && absl::SimpleAtoi(words[1], &tokenAnswer.number) && absl::SimpleAtoi(words[2], &outcome)
-        && absl::SimpleAtoi(words[3], &milliseconds) && outcome >= 0 && outcome <= static_cast<int>(TokenAnswer::Outcome::NotHome)) {
+    if (words.size() == 4 && words[0] == TOKEN_ANSWER_TAG && absl::SimpleAtoi(words[1], &tokenAnswer.number)
+        && absl::SimpleAtoi(words[2], &outcome) && absl::SimpleAtoi(words[3], &milliseconds) && outcome >= 0
+        && outcome <= static_cast<int>(TokenAnswer::Outcome::NotHome)) {
         tokenAnswer.outcome = static_cast<TokenAnswer::Outcome>(outcome);
         tokenAnswer.retryAfter = Milliseconds(milliseconds);
         return tokenAnswer;
--- a/Source/Process/Store/ObjectStore.cpp
+++ b/Source/Process/Store/ObjectStore.cpp
@@ -90,25 +90,27 @@
 {
     ++(query.allowsStale ? counts_.staleReads : counts_.reads);
     const HttpCall call = dialect_.listCall(kind, query);
-    send(call, CALL_PATIENCE, [this, kind, query = std::move(query), found = std::move(found), handler = std::move(handler)](const auto &result) {
-        const auto page = result.ok() ? dialect_.decodeList(kind, result->body) : result.status();
-        if (!page.ok()) {
-            handler(page.status());
-            return;
-        }
-        // Changes between two pages are reported by a watch from the revision of the first page.
-        if (query.after.empty()) {
-            found->revision = page->revision;
-        }
-        found->objects.insert(found->objects.end(), page->objects.begin(), page->objects.end());
-        if (page->hasMore && !page->objects.empty()) {
-            StoreQuery next = query;
-            next.after = page->objects.back().name;
-            listPage(kind, std::move(next), found, handler);
-            return;
-        }
-        handler(*found);
-    });
+    send(call,
+         CALL_PATIENCE,
+         [this, kind, query = std::move(query), found = std::move(found), handler = std::move(handler)](const auto &result) {
+             const auto page = result.ok() ? dialect_.decodeList(kind, result->body) : result.status();
+             if (!page.ok()) {
+                 handler(page.status());
+                 return;
+             }
+             // Changes between two pages are reported by a watch from the revision of the first page.
+             if (query.after.empty()) {
+                 found->revision = page->revision;
+             }
+             found->objects.insert(found->objects.end(), page->objects.begin(), page->objects.end());
+             if (page->hasMore && !page->objects.empty()) {
+                 StoreQuery next = query;
+                 next.after = page->objects.back().name;
+                 listPage(kind, std::move(next), found, handler);
+                 return;
+             }
+             handler(*found);
+         });
 }
 
 auto ObjectStore::watch(const std::string &kind, std::uint64_t revision, Milliseconds wait, EventsHandler handler) -> void
--- a/Source/Process/StoreVmDaemon.cpp
+++ b/Source/Process/StoreVmDaemon.cpp
@@ -36,7 +36,8 @@
                              }
                          }
                      },
-                     [](BootTime) {} })
+                     [](BootTime) {
+                     } })
 {
 }
 
@@ -65,7 +66,9 @@
     EventLog::write("start", { { "vm", settings_.name }, { "data_centre", settings_.dataCentre } });
     loop_.onSignal(SIGTERM, [this] { loop_.stop(); });
     loop_.onSignal(SIGINT, [this] { loop_.stop(); });
-    loop_.onSignal(SIGHUP, [] { EventLog::write("reload", { { "effect", "settings of the platform are read at the start; nothing changes" } }); });
+    loop_.onSignal(SIGHUP, [] {
+        EventLog::write("reload", { { "effect", "settings of the platform are read at the start; nothing changes" } });
+    });
     logTimer_ = loop_.every(LOG_PERIOD, [] { EventLog::flush(); });
     retirements_.start();
     loop_.run();
--- a/Source/Request/BatchPlan.h
+++ b/Source/Request/BatchPlan.h
@@ -25,7 +25,8 @@
 
 /// The upstream for the next run: the one with the largest part of its slots free; near ones and "random" decide
 /// between equals. Unset when none has room.
-auto chooseForBatch(const std::vector<UpstreamView> &views, bool isUrgent, BootTime now, std::uint64_t random) -> std::optional<std::size_t>;
+auto chooseForBatch(const std::vector<UpstreamView> &views, bool isUrgent, BootTime now, std::uint64_t random)
+    -> std::optional<std::size_t>;
 
 } // namespace BatchPlan
 
--- a/Source/Request/OnlineAdmission.cpp
+++ b/Source/Request/OnlineAdmission.cpp
@@ -16,7 +16,8 @@
 
 } // namespace
 
-auto admitOnline(const std::vector<UpstreamView> &candidates, Milliseconds target, std::optional<Milliseconds> left, BootTime now) -> Admission
+auto admitOnline(const std::vector<UpstreamView> &candidates, Milliseconds target, std::optional<Milliseconds> left, BootTime now)
+    -> Admission
 {
     const auto choice = chooseForOnline(candidates, {}, now, 0);
     if (!choice) {
--- a/Source/Request/OnlineAdmission.h
+++ b/Source/Request/OnlineAdmission.h
@@ -23,6 +23,7 @@
 /// after its target would take a slot from one that can still be on time, so it is refused at once, with the time in
 /// which the queues will have drained to within the target. "left" is the time for which the caller still waits.
 /// Pure function; thread-safe.
-auto admitOnline(const std::vector<UpstreamView> &candidates, Milliseconds target, std::optional<Milliseconds> left, BootTime now) -> Admission;
+auto admitOnline(const std::vector<UpstreamView> &candidates, Milliseconds target, std::optional<Milliseconds> left, BootTime now)
+    -> Admission;
 
 } // namespace poplardock
--- a/Source/Request/OnlineChoice.cpp
+++ b/Source/Request/OnlineChoice.cpp
@@ -54,13 +54,15 @@
 {
     if (candidates.size() > SAMPLE_SIZE) {
         const auto end = candidates.begin() + SAMPLE_SIZE;
-        std::nth_element(candidates.begin(), end, candidates.end(), [](const Candidate &a, const Candidate &b) { return a.noise < b.noise; });
+        std::nth_element(
+            candidates.begin(), end, candidates.end(), [](const Candidate &a, const Candidate &b) { return a.noise < b.noise; });
         candidates.erase(end, candidates.end());
     }
     return candidates;
 }
 
-auto bestOf(const std::vector<UpstreamView> &views, const std::vector<Candidate> &near, const std::vector<Candidate> &remote) -> std::optional<Candidate>
+auto bestOf(const std::vector<UpstreamView> &views, const std::vector<Candidate> &near, const std::vector<Candidate> &remote)
+    -> std::optional<Candidate>
 {
     std::optional<Candidate> best;
     double bestCost = 0;
--- a/Source/Version/ServingVersion.cpp
+++ b/Source/Version/ServingVersion.cpp
@@ -36,7 +36,8 @@
 
 auto ServingVersion::findRouteByName(const std::string &name) const -> const ServiceRoute *
 {
-    const auto found = std::find_if(data_.routes.begin(), data_.routes.end(), [&name](const ServiceRoute &route) { return route.name == name; });
+    const auto found
+        = std::find_if(data_.routes.begin(), data_.routes.end(), [&name](const ServiceRoute &route) { return route.name == name; });
     return found == data_.routes.end() ? nullptr : &*found;
 }
 
@@ -48,13 +49,15 @@
 
 auto ServingVersion::findTeam(const std::string &name) const -> const ServedTeam *
 {
-    const auto found = std::find_if(data_.teams.begin(), data_.teams.end(), [&name](const ServedTeam &each) { return each.team.name == name; });
+    const auto found
+        = std::find_if(data_.teams.begin(), data_.teams.end(), [&name](const ServedTeam &each) { return each.team.name == name; });
     return found == data_.teams.end() ? nullptr : &*found;
 }
 
 auto ServingVersion::groupLimits(const std::string &group) const -> GroupLimits
 {
-    const auto found = std::find_if(data_.groups.begin(), data_.groups.end(), [&group](const GroupLimits &each) { return each.name == group; });
+    const auto found
+        = std::find_if(data_.groups.begin(), data_.groups.end(), [&group](const GroupLimits &each) { return each.name == group; });
     return found == data_.groups.end() ? GroupLimits { group } : *found;
 }
 
--- a/Tests/Connection/FrontDaemonTest.cpp
+++ b/Tests/Connection/FrontDaemonTest.cpp
@@ -70,7 +70,8 @@
     PlatformFleet fleet(2, 1);
     int refused = 0;
     for (int index = 0; index < 60; ++index) {
-        const auto result = fleet.call(static_cast<std::size_t>(index % 2), PlatformFleet::request("/plain/x", absl::StrCat("q", index), "key2"));
+        const auto result
+            = fleet.call(static_cast<std::size_t>(index % 2), PlatformFleet::request("/plain/x", absl::StrCat("q", index), "key2"));
         BOOST_REQUIRE(result.has_value());
         if (result->status == 429) {
             ++refused;
@@ -281,9 +282,10 @@
 BOOST_AUTO_TEST_CASE(AReusedAddressRunsNothing)
 {
     PlatformFleet fleet(1, 1);
-    fleet.store.put("servers",
-                    "gone",
-                    absl::StrCat(R"({"service":"models","address":")", fleet.engines[0]->address(), R"(","zone":"east-a","slots":8,"state":"ready"})"));
+    fleet.store.put(
+        "servers",
+        "gone",
+        absl::StrCat(R"({"service":"models","address":")", fleet.engines[0]->address(), R"(","zone":"east-a","slots":8,"state":"ready"})"));
     fleet.runFor(Milliseconds(700));
     for (int index = 0; index < 6; ++index) {
         BOOST_TEST(fleet.call(0, PlatformFleet::request("/once/x", absl::StrCat("w", index), "key1"))->status == 200);
--- a/Tests/Connection/MessageReaderTest.cpp
+++ b/Tests/Connection/MessageReaderTest.cpp
@@ -22,7 +22,8 @@
 // Guards against bytes that are lost when a message comes in pieces of any size.
 BOOST_AUTO_TEST_CASE(PiecesOfAnySizeGiveTheSameMessage)
 {
-    const std::string text = "POST /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n6;x=y\r\n world\r\n0\r\n\r\nNEXT";
+    const std::string text
+        = "POST /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n6;x=y\r\n world\r\n0\r\n\r\nNEXT";
     for (std::size_t step = 1; step <= text.size(); ++step) {
         MessageReader reader(MessageReader::Kind::Request, LIMITS);
         for (std::size_t at = 0; at < text.size(); at += step) {
--- a/Tests/Fakes/FakeEngine.cpp
+++ b/Tests/Fakes/FakeEngine.cpp
@@ -1,7 +1,7 @@
 #include "Fakes/FakeEngine.h"
 
-#include <absl/strings/numbers.h>
 #include <absl/strings/match.h>
+#include <absl/strings/numbers.h>
 #include <absl/strings/str_cat.h>
 
 namespace poplardock {
@@ -105,12 +105,13 @@
     connection->reader.feed(rest);
     const std::string expected(head.headers.valueOf("Expect-Instance"));
     if (!expected.empty() && expected != name_) {
-        connection->channel->send(absl::StrCat("HTTP/1.1 421 Misdirected Request\r\nInstance-Id: ", name_, "\r\nRequest-Id: ", idOf(head), "\r\nContent-Length: 0\r\n\r\n"));
+        connection->channel->send(absl::StrCat(
+            "HTTP/1.1 421 Misdirected Request\r\nInstance-Id: ", name_, "\r\nRequest-Id: ", idOf(head), "\r\nContent-Length: 0\r\n\r\n"));
         return;
     }
     if (behaviour_.declines) {
-        connection->channel->send(
-            absl::StrCat("HTTP/1.1 503 Service Unavailable\r\nNot-Executed: 1\r\nRequest-Id: ", idOf(head), "\r\nContent-Length: 0\r\n\r\n"));
+        connection->channel->send(absl::StrCat(
+            "HTTP/1.1 503 Service Unavailable\r\nNot-Executed: 1\r\nRequest-Id: ", idOf(head), "\r\nContent-Length: 0\r\n\r\n"));
         return;
     }
     connection->run = std::make_shared<Run>();
@@ -147,7 +148,8 @@
         connection->channel->close();
         return;
     }
-    connection->channel->send(absl::StrCat(head, "Content-Length: ", body.size(), "\r\n\r\n", body, behaviour_.sendsExtraBytes ? "extra" : ""));
+    connection->channel->send(
+        absl::StrCat(head, "Content-Length: ", body.size(), "\r\n\r\n", body, behaviour_.sendsExtraBytes ? "extra" : ""));
     take(connection);
 }
 
--- a/Tests/Fakes/FakeObjectStore.cpp
+++ b/Tests/Fakes/FakeObjectStore.cpp
@@ -49,7 +49,12 @@
     : loop_(loop)
 {
     auto server = CallerServer::open(
-        loop, "127.0.0.1:0", [] { return CallerLimits { 16384, 4U << 20U }; }, [this](const auto &exchange) { handle(exchange); });
+        loop,
+        "127.0.0.1:0",
+        [] {
+            return CallerLimits { 16384, 4U << 20U };
+        },
+        [this](const auto &exchange) { handle(exchange); });
     server_ = *std::move(server);
 }
 
@@ -69,7 +74,15 @@
 auto FakeObjectStore::textOf(const std::string &kind, const std::string &name) const -> std::string
 {
     const Object &object = objects_.at(kind).at(name);
-    return absl::StrCat(R"({"metadata":{"name":")", name, R"(","revision":)", object.revision, R"(},"spec":)", object.spec, R"(,"status":)", object.status, "}");
+    return absl::StrCat(R"({"metadata":{"name":")",
+                        name,
+                        R"(","revision":)",
+                        object.revision,
+                        R"(},"spec":)",
+                        object.spec,
+                        R"(,"status":)",
+                        object.status,
+                        "}");
 }
 
 auto FakeObjectStore::record(const std::string &kind, const std::string &name, bool isRemoved) -> void
@@ -216,7 +229,8 @@
         for (const auto &[name, object] : objects_[kind]) {
             items.push_back(textOf(kind, name));
         }
-        exchange->reply({ 200, {}, absl::StrCat(R"({"items":[)", absl::StrJoin(items, ","), R"(],"hasMore":false,"at":)", revision_, "}") });
+        exchange->reply(
+            { 200, {}, absl::StrCat(R"({"items":[)", absl::StrJoin(items, ","), R"(],"hasMore":false,"at":)", revision_, "}") });
         return;
     }
     Watch watch { exchange, kind, numberIn(query, "watch"), {} };
--- a/Tests/Fakes/FakeObjectStore.h
+++ b/Tests/Fakes/FakeObjectStore.h
@@ -72,7 +72,9 @@
     auto handle(const std::shared_ptr<CallerExchange> &exchange) -> void;
     auto answer(const std::shared_ptr<CallerExchange> &exchange) -> void;
     auto answerWrite(const std::string &method, const std::vector<std::string> &path, const std::string &body) -> HttpResult;
-    auto answerList(const std::shared_ptr<CallerExchange> &exchange, const std::string &kind, const std::map<std::string, std::string> &query) -> void;
+    auto answerList(const std::shared_ptr<CallerExchange> &exchange,
+                    const std::string &kind,
+                    const std::map<std::string, std::string> &query) -> void;
     auto replyEvents(const Watch &watch) -> bool;
     auto wakeWatches() -> void;
     auto record(const std::string &kind, const std::string &name, bool isRemoved) -> void;
--- a/Tests/Platform/JobFormatTest.cpp
+++ b/Tests/Platform/JobFormatTest.cpp
@@ -68,7 +68,8 @@
 // Guards against a submission that is accepted in part.
 BOOST_AUTO_TEST_CASE(FaultySubmissionsAreErrors)
 {
-    for (const std::string body : { "", "{}", R"({"items":[]})", R"({"items":[{"id":"a"}]})", R"({"items":[{"id":"a","path":"/","body":"***"}]})" }) {
+    for (const std::string body :
+         { "", "{}", R"({"items":[]})", R"({"items":[{"id":"a"}]})", R"({"items":[{"id":"a","path":"/","body":"***"}]})" }) {
         BOOST_TEST(!decodeItems(body).ok(), body);
     }
     std::vector<JobItem> tooMany(201);
--- a/Tests/Platform/SettingsFileTest.cpp
+++ b/Tests/Platform/SettingsFileTest.cpp
@@ -64,8 +64,10 @@
 // Guards against a front daemon without an address for callers, and against asking a store VM for one.
 BOOST_AUTO_TEST_CASE(OnlyAFrontNeedsAddressesForCallers)
 {
-    BOOST_TEST(!parseSettings("nodeName=a\nserves=front\nipAddress=1.2.3.4\nzone=z\ninternalPorts=1,5\nplatform.address=1.2.3.4:5\n", "s").ok());
-    BOOST_TEST(parseSettings("nodeName=a\nserves=storage\nipAddress=1.2.3.4\nzone=z\ninternalPorts=1,5\nplatform.address=1.2.3.4:5\n", "s").ok());
+    BOOST_TEST(
+        !parseSettings("nodeName=a\nserves=front\nipAddress=1.2.3.4\nzone=z\ninternalPorts=1,5\nplatform.address=1.2.3.4:5\n", "s").ok());
+    BOOST_TEST(
+        parseSettings("nodeName=a\nserves=storage\nipAddress=1.2.3.4\nzone=z\ninternalPorts=1,5\nplatform.address=1.2.3.4:5\n", "s").ok());
     BOOST_TEST(!parseSettings("", "s").ok());
 }
 
--- a/Tests/Platform/StoreFormatTest.cpp
+++ b/Tests/Platform/StoreFormatTest.cpp
@@ -1,6 +1,7 @@
-#include "platform/ConfigurationFormat.h"
 #include "platform/StoreFormat.h"
 
+#include "platform/ConfigurationFormat.h"
+
 #include <boost/test/unit_test.hpp>
 
 namespace poplardock::platform {
@@ -27,7 +28,9 @@
 // Guards against a list that fails as a whole because another writer's entry cannot be read.
 BOOST_AUTO_TEST_CASE(ListsSkipWhatCannotBeRead)
 {
-    const auto list = decodeList("servers", R"({"items":["text",{"metadata":{"name":"a","revision":4},"spec":{"x":1},"status":null},{"metadata":{}}],"hasMore":true,"at":9})");
+    const auto list = decodeList(
+        "servers",
+        R"({"items":["text",{"metadata":{"name":"a","revision":4},"spec":{"x":1},"status":null},{"metadata":{}}],"hasMore":true,"at":9})");
     BOOST_REQUIRE(list.ok());
     BOOST_REQUIRE(list->objects.size() == 1);
     BOOST_TEST(list->objects[0].name == "a");
@@ -42,7 +45,9 @@
 // Guards against a removal that is taken for a change.
 BOOST_AUTO_TEST_CASE(EventsTellRemovals)
 {
-    const auto events = decodeEvents("servers", R"({"events":[{"deleted":true,"object":{"metadata":{"name":"a","revision":5},"spec":{}}},{"deleted":false,"object":"x"}],"at":6})");
+    const auto events = decodeEvents(
+        "servers",
+        R"({"events":[{"deleted":true,"object":{"metadata":{"name":"a","revision":5},"spec":{}}},{"deleted":false,"object":"x"}],"at":6})");
     BOOST_REQUIRE(events.ok());
     BOOST_REQUIRE(events->events.size() == 1);
     BOOST_TEST(events->events[0].isRemoved);
@@ -111,7 +116,8 @@
 // Guards against work for an address that another writer's entry names.
 BOOST_AUTO_TEST_CASE(OnlyProperEntriesNameUpstreams)
 {
-    const auto upstream = decodeUpstream(entry(R"({"service":"m","address":"10.0.0.1:80","zone":"a","slots":8,"state":"draining","sequence":4})"));
+    const auto upstream
+        = decodeUpstream(entry(R"({"service":"m","address":"10.0.0.1:80","zone":"a","slots":8,"state":"draining","sequence":4})"));
     BOOST_REQUIRE(upstream.ok());
     BOOST_TEST(upstream->name == "i-1");
     BOOST_TEST(upstream->leaving);
--- a/Tests/Process/AllowanceTableTest.cpp
+++ b/Tests/Process/AllowanceTableTest.cpp
@@ -17,9 +17,10 @@
         for (int index = 0; index < count; ++index) {
             const std::string name = "d" + std::to_string(index);
             directories.push_back(std::make_unique<PeerDirectory>(name));
-            tables.push_back(std::make_unique<AllowanceTable>(loop, *directories.back(), name, [this, name](const std::string &address, const PeerMessage &message) {
-                deliver(name, address, message);
-            }));
+            tables.push_back(std::make_unique<AllowanceTable>(
+                loop, *directories.back(), name, [this, name](const std::string &address, const PeerMessage &message) {
+                    deliver(name, address, message);
+                }));
         }
         exchangeReports();
     }
@@ -59,7 +60,8 @@
             if (static_cast<std::size_t>(index) % tables.size() == 0) {
                 exchangeReports();
             }
-            tables[static_cast<std::size_t>(index) % tables.size()]->take(team, [&admitted](std::optional<Milliseconds> wait) { admitted += wait ? 0 : 1; });
+            tables[static_cast<std::size_t>(index) % tables.size()]->take(
+                team, [&admitted](std::optional<Milliseconds> wait) { admitted += wait ? 0 : 1; });
         }
         loop.runUntil(BootClock::now() + Milliseconds(80));
         return admitted;
--- a/Tests/Process/PeerDirectoryTest.cpp
+++ b/Tests/Process/PeerDirectoryTest.cpp
@@ -44,7 +44,8 @@
 // Guards against a crash or a half-read report when something else sends to the port.
 BOOST_AUTO_TEST_CASE(OtherDatagramsAreErrors)
 {
-    for (const std::string text : { "", "x", "report1 a b", "report1 a b c 0 1", "yield1", "report1 a b 1 0 1\nw u1 x 2", "report1 a b 1 0 1\n" }) {
+    for (const std::string text :
+         { "", "x", "report1 a b", "report1 a b c 0 1", "yield1", "report1 a b 1 0 1\nw u1 x 2", "report1 a b 1 0 1\n" }) {
         BOOST_TEST(!decodePeerMessage(text).ok(), text);
     }
 }
--- a/Tests/Support/PlatformFleet.cpp
+++ b/Tests/Support/PlatformFleet.cpp
@@ -77,9 +77,10 @@
 
 auto PlatformFleet::registerEngine(const FakeEngine &engine, const std::string &state) -> void
 {
-    store.put("servers",
-              engine.name(),
-              absl::StrCat(R"({"service":"models","address":")", engine.address(), R"(","zone":"east-a","slots":8,"state":")", state, R"("})"));
+    store.put(
+        "servers",
+        engine.name(),
+        absl::StrCat(R"({"service":"models","address":")", engine.address(), R"(","zone":"east-a","slots":8,"state":")", state, R"("})"));
 }
 
 auto PlatformFleet::startDaemon(const std::string &name) -> std::size_t
@@ -141,7 +142,9 @@
 auto PlatformFleet::call(std::size_t daemon, const HttpCall &request) -> std::optional<HttpResult>
 {
     std::optional<CallOutcome> outcome;
-    client_.call(daemons[daemon]->callersAddress(), request, BootClock::now() + CALL_TIME, [&outcome](const CallOutcome &result) { outcome = result; });
+    client_.call(daemons[daemon]->callersAddress(), request, BootClock::now() + CALL_TIME, [&outcome](const CallOutcome &result) {
+        outcome = result;
+    });
     runUntil([&outcome] { return outcome.has_value(); }, CALL_TIME + Milliseconds(100));
     const auto *result = outcome ? std::get_if<HttpResult>(&*outcome) : nullptr;
     return result == nullptr ? std::nullopt : std::optional(*result);
@@ -150,9 +153,10 @@
 auto PlatformFleet::isReady(std::size_t daemon) -> bool
 {
     std::optional<CallOutcome> outcome;
-    client_.call(daemons[daemon]->readyAddress(), { "GET", "/-/ready", {}, {} }, BootClock::now() + CALL_TIME, [&outcome](const CallOutcome &result) {
-        outcome = result;
-    });
+    client_.call(daemons[daemon]->readyAddress(),
+                 { "GET", "/-/ready", {}, {} },
+                 BootClock::now() + CALL_TIME,
+                 [&outcome](const CallOutcome &result) { outcome = result; });
     runUntil([&outcome] { return outcome.has_value(); }, CALL_TIME);
     const auto *result = outcome ? std::get_if<HttpResult>(&*outcome) : nullptr;
     return result != nullptr && result->status == 200;
--- a/Tests/Support/PlatformFleet.h
+++ b/Tests/Support/PlatformFleet.h
@@ -59,7 +59,6 @@
     static auto submission(const std::string &id, int items, const std::string &key) -> HttpCall;
 
 private:
-
     std::vector<std::unique_ptr<FrontDaemon>> killed_;
     ClientPool pool_;
     HttpClient client_;
