Write nothing to a log whose owner may be another daemon

Cause, found by a new test: after a conflict in the log the former owner read it again and appended behind the new owner's entry, before it had read who owns the job. It now waits for the record. Reads of the store are sent once more when a kept connection has closed, so that one such call does not count as a loss of the store for seconds. A daemon counts as gone after four report periods, 1.5 s at least: with 400 daemons a report comes each 2.4 s.

--- a/Source/Process/Batch/JobAdoption.cpp
+++ b/Source/Process/Batch/JobAdoption.cpp
@@ -38,7 +38,11 @@
     , peerPool_(parts.loop, PEER_POOL)
     , peerClient_(parts.loop, peerPool_)
 {
-    book_.setConflictHandler([this](const std::string &id) { doubt(id); });
+    book_.setConflictHandler([this](const std::string &id) {
+        // A reading of the record that is under way may be older than the conflict.
+        doubted_.insert(id);
+        verify(id);
+    });
 }
 
 auto JobAdoption::start() -> void
@@ -150,6 +154,7 @@
             if (!record->isOpen()) {
                 runner_.stopJob(id);
             }
+            book_.resume(id);
         }
         doubted_.erase(id);
     });
--- a/Source/Process/Batch/JobBook.cpp
+++ b/Source/Process/Batch/JobBook.cpp
@@ -80,6 +80,15 @@
     onConflict_ = std::move(onConflict);
 }
 
+auto JobBook::resume(const std::string &id) -> void
+{
+    const auto found = entries_.find(id);
+    if (found != entries_.end() && found->second->hasConflict) {
+        found->second->hasConflict = false;
+        readLogAgain(id);
+    }
+}
+
 auto JobBook::resultReady(const std::string &id) -> void
 {
     const auto found = entries_.find(id);
@@ -120,12 +129,9 @@
     Entry &entry = *found->second;
     entry.isCommitting = false;
     if (absl::IsAlreadyExists(status)) {
-        // An append of this daemon whose answer was lost, or another owner's.
         entry.isCommitting = true;
-        readLogAgain(id);
-        if (onConflict_) {
-            onConflict_(id);
-        }
+        entry.hasConflict = true;
+        onConflict_(id);
         return;
     }
     if (!status.ok()) {
@@ -155,15 +161,17 @@
             return;
         }
         Entry &entry = *found->second;
-        entry.isCommitting = false;
-        if (log.ok()) {
-            entry.job.replaceLog(*log);
-            wakeReaders(entry);
+        if (!log.ok()) {
+            entry.commit = parts_.loop.at(BootClock::now() + RETRY_PAUSE, [this, id] { readLogAgain(id); });
+            return;
         }
+        entry.isCommitting = false;
+        entry.job.replaceLog(*log);
+        wakeReaders(entry);
         if (entry.job.isComplete()) {
             markDone(id);
         } else if (!entry.job.unlisted().empty()) {
-            commitLater(entry, id, log.ok() ? Milliseconds(0) : RETRY_PAUSE);
+            commitLater(entry, id, Milliseconds(0));
         }
     });
 }
--- a/Source/Process/Batch/JobBook.h
+++ b/Source/Process/Batch/JobBook.h
@@ -24,8 +24,11 @@
     /// Null for a job that this daemon does not own. The pointer lives until the job is dropped.
     [[nodiscard]] auto find(const std::string &id) -> OwnedJob *;
     [[nodiscard]] auto ids() const -> std::vector<std::string>;
-    /// Called when another daemon has appended to the log of a job that this one owns.
+    /// Called when there is an entry in the log of an owned job that this daemon does not know: its own, written with a
+    /// lost answer, or another owner's. Nothing more is written until resume().
     auto setConflictHandler(std::function<void(const std::string &id)> onConflict) -> void;
+    /// The daemon still owns the job: reads the log again and goes on writing, if a conflict has stopped it.
+    auto resume(const std::string &id) -> void;
     /// An item has a result that waits for the log.
     auto resultReady(const std::string &id) -> void;
     /// Calls "wake" once, when the log is longer than "from", the job is dropped, or the deadline has passed.
@@ -52,6 +55,7 @@
         }
         OwnedJob job;
         bool isCommitting = false;
+        bool hasConflict = false;
         bool isMarking = false;
         Timer commit;
         std::map<std::uint64_t, Reader> readers;
--- a/Source/Process/Batch/JobRunner.cpp
+++ b/Source/Process/Batch/JobRunner.cpp
@@ -166,8 +166,8 @@
 auto JobRunner::startItems(const std::string &group, const std::vector<const Waiting *> &waiting, BootTime now) -> void
 {
     auto views = parts_.directory.candidates(group);
-    const int reserve = BatchPlan::reservedSlots(parts_.peerLink.reportPeriod());
-    const double roundPart = static_cast<double>(ROUND_PERIOD.count()) / static_cast<double>(parts_.peerLink.reportPeriod().count());
+    const int reserve = BatchPlan::reservedSlots(parts_.peers.reportPeriod());
+    const double roundPart = static_cast<double>(ROUND_PERIOD.count()) / static_cast<double>(parts_.peers.reportPeriod().count());
     std::uniform_real_distribution<double> uniform;
     int starts = BatchPlan::startsPerRound(views, reserve, parts_.peers.daemonCount(now), roundPart, uniform(parts_.random), now);
     for (const Waiting *item : waiting) {
--- a/Source/Process/Peers/PeerDirectory.cpp
+++ b/Source/Process/Peers/PeerDirectory.cpp
@@ -8,8 +8,14 @@
 
 namespace {
 
-/// A daemon reports at least every second; three losses in a row are rare.
-constexpr Milliseconds SILENCE_LIMIT { 1500 };
+/// Reports are as fresh as a daemon's share of datagrams allows: about 160 a second each way whatever the number of
+/// daemons.
+constexpr Milliseconds SHORTEST_PERIOD { 100 };
+constexpr Milliseconds PERIOD_PER_PEER { 6 };
+/// Shortest silence after which a daemon counts as gone, and the number of report periods that it must cover: three
+/// losses in a row are rare.
+constexpr Milliseconds SHORTEST_SILENCE { 1500 };
+constexpr int SILENT_PERIODS = 4;
 /// A cut between daemons lasts some seconds; after this time a silent daemon is taken to be gone.
 constexpr Milliseconds DEMAND_MEMORY { 15000 };
 
@@ -61,9 +67,14 @@
     return found == peers_.end() ? nullptr : &found->second;
 }
 
+auto PeerDirectory::reportPeriod() const -> Milliseconds
+{
+    return std::max(SHORTEST_PERIOD, PERIOD_PER_PEER * static_cast<std::int64_t>(peers_.size()));
+}
+
 auto PeerDirectory::isAlive(const Peer &peer, BootTime now) const -> bool
 {
-    return !peer.report.incarnation.empty() && now - peer.heardAt < SILENCE_LIMIT;
+    return !peer.report.incarnation.empty() && now - peer.heardAt < std::max(SHORTEST_SILENCE, SILENT_PERIODS * reportPeriod());
 }
 
 auto PeerDirectory::work(BootTime now) const -> WorkCounts
--- a/Source/Process/Peers/PeerDirectory.h
+++ b/Source/Process/Peers/PeerDirectory.h
@@ -34,7 +34,9 @@
     [[nodiscard]] auto peers() const -> const std::map<std::string, Peer> &;
     /// Null for an unknown daemon and for this one.
     [[nodiscard]] auto find(const std::string &name) const -> const Peer *;
-    /// Heard within the time after which a daemon's work counts as gone.
+    /// Time between two reports of a daemon; grows with the number of daemons.
+    [[nodiscard]] auto reportPeriod() const -> Milliseconds;
+    /// Heard within the time after which a daemon's work counts as gone: some report periods.
     [[nodiscard]] auto isAlive(const Peer &peer, BootTime now) const -> bool;
     /// Work of all living daemons but this one.
     [[nodiscard]] auto work(BootTime now) const -> WorkCounts;
--- a/Source/Process/Peers/PeerLink.cpp
+++ b/Source/Process/Peers/PeerLink.cpp
@@ -14,10 +14,6 @@
 constexpr const char *MEMBER_KIND = "members";
 constexpr const char *ADDRESS_FIELD = "peers";
 
-/// Reports are as fresh as a daemon's share of datagrams allows: about 160 a second each way whatever the number of
-/// daemons.
-constexpr Milliseconds SHORTEST_PERIOD { 100 };
-constexpr Milliseconds PERIOD_PER_PEER { 6 };
 constexpr Milliseconds REGISTER_PAUSE { 500 };
 /// Daemons start within a third of a second of each other and find all others with the first listings; later ones
 /// only find VMs that could reach nobody.
@@ -121,14 +117,9 @@
     });
 }
 
-auto PeerLink::reportPeriod() const -> Milliseconds
-{
-    return std::max(SHORTEST_PERIOD, PERIOD_PER_PEER * static_cast<std::int64_t>(directory_.peers().size()));
-}
-
 auto PeerLink::scheduleReport() -> void
 {
-    reportTimer_ = loop_.at(BootClock::now() + reportPeriod(), [this] {
+    reportTimer_ = loop_.at(BootClock::now() + directory_.reportPeriod(), [this] {
         sendReports();
         scheduleReport();
     });
--- a/Source/Process/Peers/PeerLink.h
+++ b/Source/Process/Peers/PeerLink.h
@@ -33,8 +33,6 @@
     auto send(const std::string &address, const PeerMessage &message) -> void;
     /// Sends a report now, for a change that should not wait.
     auto sendReports() -> void;
-    /// Time between two reports of a daemon; grows with the number of daemons.
-    [[nodiscard]] auto reportPeriod() const -> Milliseconds;
     [[nodiscard]] auto incarnation() const -> const std::string &;
 
 private:
--- a/Source/Process/Store/ObjectStore.cpp
+++ b/Source/Process/Store/ObjectStore.cpp
@@ -8,6 +8,8 @@
 constexpr Milliseconds CALL_PATIENCE { 1500 };
 /// Time that a watch may be late over its own wait.
 constexpr Milliseconds WATCH_SLACK { 700 };
+/// A read that fails sooner than this is sent once more.
+constexpr Milliseconds QUICK_FAILURE { 300 };
 constexpr ClientPool::Options POOL_OPTIONS { { 1500, 1000 }, Milliseconds(700), Milliseconds(10000) };
 
 /// Each job has a kind of its own for its log; they are counted as one.
@@ -48,29 +50,43 @@
 }
 
 auto ObjectStore::send(const HttpCall &call, Milliseconds patience, ResultHandler handler) -> void
+{
+    sendOnce(call, patience, call.method == "GET", std::move(handler));
+}
+
+auto ObjectStore::sendOnce(const HttpCall &call, Milliseconds patience, bool mayRepeat, ResultHandler handler) -> void
 {
     const BootTime sentAt = BootClock::now();
-    client_.call(address_, call, sentAt + patience, [this, sentAt, handler = std::move(handler)](const CallOutcome &outcome) {
-        const auto *result = std::get_if<HttpResult>(&outcome);
-        const bool isContact = result != nullptr && result->status != TOO_MANY && result->status != UNAVAILABLE;
-        if (isContact) {
-            lastContact_ = std::max(lastContact_, sentAt);
-            lostSince_.reset();
-        } else {
-            ++counts_.failures;
-            lostSince_ = lostSince_.value_or(sentAt);
-        }
-        if (result == nullptr) {
-            const bool isNotSent = std::get<CallFailure>(outcome).isNotSent;
-            handler(isNotSent ? absl::UnavailableError("the store cannot be reached") : absl::UnknownError("the store did not answer"));
-            return;
-        }
-        if (result->status >= OK_LIMIT) {
-            handler(toStatus(result->status));
-            return;
-        }
-        handler(*result);
-    });
+    client_.call(address_,
+                 call,
+                 sentAt + patience,
+                 [this, call, patience, mayRepeat, sentAt, handler = std::move(handler)](const CallOutcome &outcome) {
+                     const auto *result = std::get_if<HttpResult>(&outcome);
+                     if (result == nullptr && mayRepeat && BootClock::now() - sentAt < QUICK_FAILURE) {
+                         // Most likely a kept connection that the store had closed; that is no loss of the store.
+                         sendOnce(call, patience, false, handler);
+                         return;
+                     }
+                     const bool isContact = result != nullptr && result->status != TOO_MANY && result->status != UNAVAILABLE;
+                     if (isContact) {
+                         lastContact_ = std::max(lastContact_, sentAt);
+                         lostSince_.reset();
+                     } else {
+                         ++counts_.failures;
+                         lostSince_ = lostSince_.value_or(sentAt);
+                     }
+                     if (result == nullptr) {
+                         const bool isNotSent = std::get<CallFailure>(outcome).isNotSent;
+                         handler(isNotSent ? absl::UnavailableError("the store cannot be reached")
+                                           : absl::UnknownError("the store did not answer"));
+                         return;
+                     }
+                     if (result->status >= OK_LIMIT) {
+                         handler(toStatus(result->status));
+                         return;
+                     }
+                     handler(*result);
+                 });
 }
 
 auto ObjectStore::read(const std::string &kind, const std::string &name, ObjectHandler handler) -> void
--- a/Source/Process/Store/ObjectStore.h
+++ b/Source/Process/Store/ObjectStore.h
@@ -62,6 +62,7 @@
     using ResultHandler = std::function<void(const absl::StatusOr<HttpResult> &)>;
 
     auto send(const HttpCall &call, Milliseconds patience, ResultHandler handler) -> void;
+    auto sendOnce(const HttpCall &call, Milliseconds patience, bool mayRepeat, ResultHandler handler) -> void;
     auto listPage(const std::string &kind, StoreQuery query, std::shared_ptr<StoreList> found, ListHandler handler) -> void;
 
     EventLoop &loop_;
--- a/Tests/Connection/JobServiceTest.cpp
+++ b/Tests/Connection/JobServiceTest.cpp
@@ -211,6 +211,30 @@
     BOOST_TEST(ids.size() == 12);
 }
 
+// Guards against an owner that was only slow and goes on listing results after another daemon has taken its job over.
+BOOST_AUTO_TEST_CASE(AnOwnerThatWasReplacedStops)
+{
+    PlatformFleet fleet(1, 1);
+    fleet.engines[0]->behaviour().events = 60;
+    fleet.engines[0]->behaviour().eventPause = Milliseconds(20);
+    BOOST_TEST(fleet.call(0, PlatformFleet::submission("j13", 2, "key1"))->status == 202);
+    fleet.runFor(Milliseconds(300));
+    const auto record = jobRecordFrom({ "jobs", "j13", 1, {}, fleet.store.specOf("jobs", "j13") });
+    BOOST_REQUIRE(record.ok());
+    JobRecord taken = *record;
+    taken.owner = "another";
+    fleet.store.put("jobs", "j13", toStored(taken).spec);
+    fleet.store.put("results-j13", "000000", R"({"total":0,"nextToken":0,"results":[]})");
+    // Both items are done by then, and the write of their results finds the entry of the new owner. Later this daemon
+    // takes the job over again, since nobody hears the new owner.
+    const bool areDone
+        = fleet.runUntil([&fleet] { return fleet.engines[0]->runs().size() == 2 && fleet.engines[0]->runs()[1].isComplete; }, RUN_TIME);
+    BOOST_TEST(areDone);
+    fleet.runFor(Milliseconds(150));
+    BOOST_TEST(fleet.store.countOf("results-j13") == 1);
+    BOOST_TEST(fleet.results(0, "j13", "key1").empty());
+}
+
 // Guards against work that is lost when a daemon shuts down: the next owner goes on where it stopped.
 BOOST_AUTO_TEST_CASE(AJobOfALeavingDaemonIsHandedOver)
 {
--- a/Tests/Process/PeerDirectoryTest.cpp
+++ b/Tests/Process/PeerDirectoryTest.cpp
@@ -78,6 +78,19 @@
     BOOST_TEST(peers.daemonCount(NOW + std::chrono::seconds(60)) == 1);
 }
 
+// Guards against a large fleet in which every daemon counts as gone between two of its reports.
+BOOST_AUTO_TEST_CASE(SilenceIsJudgedByTheTimeBetweenReports)
+{
+    PeerDirectory peers("self");
+    for (int index = 0; index < 400; ++index) {
+        peers.take(makeReport("d" + std::to_string(index), 1), "1:1", NOW);
+    }
+    const Milliseconds period = peers.reportPeriod();
+    BOOST_TEST(period.count() > 1500);
+    BOOST_TEST(peers.isAlive(*peers.find("d7"), NOW + 3 * period));
+    BOOST_TEST(!peers.isAlive(*peers.find("d7"), NOW + 5 * period));
+}
+
 // Guards against two daemons that take over one job, and against a home that cannot write to the store.
 BOOST_AUTO_TEST_CASE(AllDaemonsNameTheSameHome)
 {
