Refuse new connections once callers had time to leave a daemon that shuts down

It now stops listening after 2.6 s. FrontDaemonTest has a case for that load; its ports come from below the range of outgoing connections, after one run in which a port was taken.

--- a/Source/Process/FrontDaemon.cpp
+++ b/Source/Process/FrontDaemon.cpp
@@ -506,6 +506,9 @@
     if (elapsed < LEAVE_TIME) {
         return;
     }
+    // The platform sends on to a daemon that is not ready while too few others are; such a connection is refused before
+    // its request is read, and the caller goes to another daemon.
+    callers_->stopAccepting();
     callers_->closeIdle();
     book_.flush();
     const bool isIdle = callers_->busyCount() == 0 && book_.isFlushed();
--- a/Tests/Connection/FrontDaemonTest.cpp
+++ b/Tests/Connection/FrontDaemonTest.cpp
@@ -311,6 +311,27 @@
     BOOST_TEST(fleet.runUntil([&fleet] { return fleet.daemons[0]->hasStopped(); }, Milliseconds(6000)));
 }
 
+// Load pattern: the platform goes on sending connections to a daemon that shuts down, since too few others are ready.
+// Guards against requests that are taken until the end and then cut.
+BOOST_AUTO_TEST_CASE(AShutdownEndsWhileConnectionsKeepComing)
+{
+    PlatformFleet fleet(1, 1);
+    const std::string address = fleet.daemons[0]->callersAddress();
+    const BootTime begin = BootClock::now();
+    fleet.daemons[0]->beginShutdown();
+    int index = 0;
+    bool isRefused = false;
+    while (!isRefused && millisecondsBetween(begin, BootClock::now()) < 6000) {
+        const auto result = fleet.callAddress(address, PlatformFleet::request("/plain/x", absl::StrCat("n", index++), "key1"));
+        isRefused = !result.has_value();
+    }
+    BOOST_TEST(isRefused);
+    // Requests sent within three seconds of the signal must not be lost.
+    BOOST_TEST(millisecondsBetween(begin, BootClock::now()) >= 2500);
+    BOOST_TEST(millisecondsBetween(begin, BootClock::now()) < 3500);
+    BOOST_TEST(fleet.runUntil([&fleet] { return fleet.daemons[0]->hasStopped(); }, Milliseconds(1000)));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace poplardock
--- a/Tests/Support/PlatformFleet.cpp
+++ b/Tests/Support/PlatformFleet.cpp
@@ -8,6 +8,7 @@
 #include <absl/strings/str_join.h>
 
 #include <stdexcept>
+#include <unistd.h>
 
 namespace poplardock {
 
@@ -25,10 +26,24 @@
 constexpr Milliseconds STEP { 5 };
 constexpr ClientPool::Options CLIENT_POOL { {}, Milliseconds(1000), Milliseconds(5000) };
 
+/// A free port below those that the system gives to outgoing connections, so that none of them takes it before the
+/// daemon listens.
 auto freePort() -> int
 {
-    const Poco::Net::ServerSocket socket(Poco::Net::SocketAddress("127.0.0.1:0"));
-    return socket.address().port();
+    constexpr int FIRST_PORT = 20000;
+    constexpr int PORTS = 10000;
+    constexpr int STRIDE = 37;
+    static int next = getpid() * STRIDE % PORTS;
+    for (int attempt = 0; attempt < PORTS; ++attempt) {
+        next = (next + 1) % PORTS;
+        try {
+            const Poco::Net::ServerSocket socket(Poco::Net::SocketAddress("127.0.0.1", static_cast<Poco::UInt16>(FIRST_PORT + next)));
+            return FIRST_PORT + next;
+        } catch (const Poco::Exception &) {
+            continue;
+        }
+    }
+    throw std::runtime_error("no port is free");
 }
 
 } // namespace
@@ -141,11 +156,14 @@
 }
 
 auto PlatformFleet::call(std::size_t daemon, const HttpCall &request) -> std::optional<HttpResult>
+{
+    return callAddress(daemons[daemon]->callersAddress(), request);
+}
+
+auto PlatformFleet::callAddress(const std::string &address, const HttpCall &request) -> std::optional<HttpResult>
 {
     std::optional<CallOutcome> outcome;
-    client_.call(daemons[daemon]->callersAddress(), request, BootClock::now() + CALL_TIME, [&outcome](const CallOutcome &result) {
-        outcome = result;
-    });
+    client_.call(address, request, BootClock::now() + CALL_TIME, [&outcome](const CallOutcome &result) { outcome = result; });
     runUntil([&outcome] { return outcome.has_value(); }, CALL_TIME + Milliseconds(100));
     const auto *result = outcome ? std::get_if<HttpResult>(&*outcome) : nullptr;
     return result == nullptr ? std::nullopt : std::optional(*result);
--- a/Tests/Support/PlatformFleet.h
+++ b/Tests/Support/PlatformFleet.h
@@ -47,6 +47,8 @@
 
     /// Sends a request and runs the loop until its answer; unset when the connection ended without a whole answer.
     auto call(std::size_t daemon, const HttpCall &call) -> std::optional<HttpResult>;
+    /// As call(), for "IP:port".
+    auto callAddress(const std::string &address, const HttpCall &call) -> std::optional<HttpResult>;
     auto isReady(std::size_t daemon) -> bool;
     /// All results of a job as the daemon gives them out.
     auto results(std::size_t daemon, const std::string &job, const std::string &key) -> std::vector<JobResult>;
