Split the acceptance of a job; drop load reports that decide nothing

JobService::submit had a lambda of 30 lines that shadowed its record. The upstream directory kept reported loads that no decision reads; it keeps the slots.

--- a/Source/Connection/JobService.cpp
+++ b/Source/Connection/JobService.cpp
@@ -42,6 +42,19 @@
     return result;
 }
 
+auto nameOf(JobLedger::Acceptance acceptance) -> const char *
+{
+    switch (acceptance) {
+    case JobLedger::Acceptance::Accepted:
+        return "accepted";
+    case JobLedger::Acceptance::Refused:
+        return "refused";
+    case JobLedger::Acceptance::Uncertain:
+        return "uncertain";
+    }
+    return "unknown";
+}
+
 /// "/jobs/KIND/TEAM/ID/FROM/WAIT_MS/ITEM"; the team may be empty. Names hold no slashes.
 auto peerTarget(const JobCall &call, const std::string &team, Milliseconds wait) -> std::string
 {
@@ -108,49 +121,54 @@
         return;
     }
     caller->takeBody();
+    const BootTime receivedAt = caller->receivedAt();
+    const auto patience = std::min(request.terms.patience.value_or(ACCEPT_TIME), ACCEPT_TIME);
+    const auto onEnd = [this, items = *items, caller](JobLedger::Acceptance acceptance, bool isOwn, const JobRecord &record) {
+        caller->reply(takeAcceptance(acceptance, isOwn, record, items));
+    };
+    ledger_.accept(newRecord(request), *items, receivedAt + patience, onEnd);
+}
+
+auto JobService::newRecord(const FrontService::JobRequest &request) const -> JobRecord
+{
     JobRecord record;
-    record.id = id;
+    record.id = request.call.jobId;
     record.team = request.team;
     record.host = request.route->host;
     record.prefix = request.route->prefix;
     record.owner = parts_.settings.name;
     record.ownerIncarnation = parts_.peerLink.incarnation();
     record.ownerAddress = parts_.settings.peersAddress;
-    record.itemCount = items->size();
     record.submittedAt = WallClock::now();
     record.dueAt = record.submittedAt + request.route->jobTarget;
     record.giveUpAt = record.submittedAt + request.route->jobRetention;
-    const BootTime receivedAt = caller->receivedAt();
-    const auto patience = std::min(request.terms.patience.value_or(ACCEPT_TIME), ACCEPT_TIME);
-    ledger_.accept(record,
-                   *items,
-                   receivedAt + patience,
-                   [this, items = *items, caller, receivedAt](JobLedger::Acceptance acceptance, bool isOwn, const JobRecord &record) {
-                       EventLog::write("job_submitted",
-                                       { { "job", record.id },
-                                         { "items", static_cast<std::uint64_t>(items.size()) },
-                                         { "outcome",
-                                           acceptance == JobLedger::Acceptance::Accepted  ? "accepted"
-                                           : acceptance == JobLedger::Acceptance::Refused ? "refused"
-                                                                                          : "uncertain" },
-                                         { "first", isOwn },
-                                         { "ms", millisecondsBetween(receivedAt, BootClock::now()) } });
-                       if (acceptance == JobLedger::Acceptance::Accepted) {
-                           if (isOwn && book_.find(record.id) == nullptr) {
-                               book_.add(OwnedJob(record, items, {}));
-                               if (record.version == 0) {
-                                   adoption_.doubt(record.id);
-                               }
-                           }
-                           caller->reply(jsonResult(ACCEPTED, "{}"));
-                           return;
-                       }
-                       const bool isRefused = acceptance == JobLedger::Acceptance::Refused;
-                       caller->reply(refusalOf(parts_.dialect,
-                                               isRefused ? ResultCode::JobNotAccepted : ResultCode::JobUncertain,
-                                               "",
-                                               isRefused ? std::optional(RETRY_AFTER) : std::nullopt));
-                   });
+    return record;
+}
+
+auto JobService::takeAcceptance(JobLedger::Acceptance acceptance, bool isOwn, const JobRecord &record, const std::vector<JobItem> &items)
+    -> HttpResult
+{
+    EventLog::write("job_submitted",
+                    { { "job", record.id },
+                      { "items", static_cast<std::uint64_t>(items.size()) },
+                      { "outcome", nameOf(acceptance) },
+                      { "first", isOwn },
+                      { "ms", std::chrono::duration<double, std::milli>(WallClock::now() - record.submittedAt).count() } });
+    switch (acceptance) {
+    case JobLedger::Acceptance::Accepted:
+        if (isOwn && book_.find(record.id) == nullptr) {
+            book_.add(OwnedJob(record, items, {}));
+            if (record.version == 0) {
+                adoption_.doubt(record.id);
+            }
+        }
+        return jsonResult(ACCEPTED, "{}");
+    case JobLedger::Acceptance::Refused:
+        return refusalOf(parts_.dialect, ResultCode::JobNotAccepted, "", RETRY_AFTER);
+    case JobLedger::Acceptance::Uncertain:
+        return refusalOf(parts_.dialect, ResultCode::JobUncertain, "", std::nullopt);
+    }
+    return unsure("unknown outcome");
 }
 
 auto JobService::answer(const Query &query, const ReplyHandler &reply) -> void
--- a/Source/Connection/JobService.h
+++ b/Source/Connection/JobService.h
@@ -33,6 +33,9 @@
     };
 
     auto submit(const FrontService::JobRequest &request) -> void;
+    [[nodiscard]] auto newRecord(const FrontService::JobRequest &request) const -> JobRecord;
+    auto takeAcceptance(JobLedger::Acceptance acceptance, bool isOwn, const JobRecord &record, const std::vector<JobItem> &items)
+        -> HttpResult;
     auto answer(const Query &query, const ReplyHandler &reply) -> void;
     auto answerAsOwner(const Query &query, const ReplyHandler &reply) -> void;
     auto replyOwned(const Query &query, const ReplyHandler &reply) -> void;
--- a/Source/Connection/UpstreamRun.cpp
+++ b/Source/Connection/UpstreamRun.cpp
@@ -85,12 +85,11 @@
 
 auto UpstreamRun::takeHead(const MessageHead &head) -> void
 {
-    const BootTime now = BootClock::now();
     hasHead_ = true;
     status_ = head.status;
     terms_ = parts_.dialect.answerTerms(head);
     if (terms_.hasLoad) {
-        parts_.directory.recordLoad(order_.upstream, terms_.running, terms_.waiting, terms_.slots, now);
+        parts_.directory.recordSlots(order_.upstream, terms_.slots);
     }
     if (terms_.idleTime) {
         channel_->setUsableFor(std::max(Milliseconds(0), *terms_.idleTime - IDLE_MARGIN));
--- a/Source/Process/Load/UpstreamDirectory.cpp
+++ b/Source/Process/Load/UpstreamDirectory.cpp
@@ -167,17 +167,11 @@
     peers_ = std::move(counts);
 }
 
-auto UpstreamDirectory::recordLoad(const std::string &name, int running, int waiting, int slots, BootTime now) -> void
+auto UpstreamDirectory::recordSlots(const std::string &name, int slots) -> void
 {
     const auto found = entries_.find(name);
-    if (found == entries_.end()) {
-        return;
-    }
-    Entry &entry = found->second;
-    entry.reported = running + waiting;
-    entry.reportedAt = now;
-    if (slots > 0) {
-        entry.upstream.slots = slots;
+    if (found != entries_.end() && slots > 0) {
+        found->second.upstream.slots = slots;
     }
 }
 
--- a/Source/Process/Load/UpstreamDirectory.h
+++ b/Source/Process/Load/UpstreamDirectory.h
@@ -60,8 +60,8 @@
     /// Work of all other daemons.
     auto setPeerWork(WorkCounts counts) -> void;
 
-    /// An answer came: what the upstream said of its load, if it did.
-    auto recordLoad(const std::string &name, int running, int waiting, int slots, BootTime now) -> void;
+    /// An answer told how many slots the upstream has.
+    auto recordSlots(const std::string &name, int slots) -> void;
     /// Time to the first event or answer of a request that found a free slot.
     auto recordFirst(const std::string &name, double milliseconds) -> void;
     /// Time of a whole request.
@@ -77,8 +77,6 @@
         std::optional<BootTime> usableUntil;
         BootTime ejectedUntil;
         int failures = 0;
-        int reported = 0;
-        BootTime reportedAt;
         std::optional<double> firstMs;
         std::optional<double> serviceMs;
     };
