--- a/Source/Connection/HttpClient.cpp
+++ b/Source/Connection/HttpClient.cpp
@@ -26,7 +26,7 @@
             return;
         }
         if (opened == nullptr) {
-            finish(CallFailure { true });
+            finish(HttpCallFailure { true });
             return;
         }
         channel = opened;
@@ -47,7 +47,7 @@
             if (end == ExchangeEnd::Complete) {
                 self->finish(std::move(self->result));
             } else {
-                self->finish(CallFailure { false });
+                self->finish(HttpCallFailure { false });
             }
         };
         opened->exchange(request, std::move(handlers));
@@ -60,10 +60,10 @@
             channel->cancel();
             channel = nullptr;
         }
-        finish(CallFailure { !isSent });
+        finish(HttpCallFailure { !isSent });
     }
 
-    auto finish(const CallOutcome &outcome) -> void
+    auto finish(const HttpCallOutcome &outcome) -> void
     {
         timeout.cancel();
         const auto handler = std::exchange(onOutcome, nullptr);
--- a/Source/Connection/HttpClient.h
+++ b/Source/Connection/HttpClient.h
@@ -8,22 +8,22 @@
 namespace poplardock {
 
 /// Why a call has no answer.
-struct CallFailure
+struct HttpCallFailure
 {
     /// Nothing was sent; false: the call may have been executed.
     bool isNotSent = false;
 
-    auto operator==(const CallFailure &) const -> bool = default;
+    auto operator==(const HttpCallFailure &) const -> bool = default;
 };
 
-using CallOutcome = std::variant<HttpResult, CallFailure>;
+using HttpCallOutcome = std::variant<HttpResult, HttpCallFailure>;
 
 /// Calls with a whole answer over a pool of kept connections.
 /// Thread safety: the loop's thread only. The pool must outlive the client's calls.
 class HttpClient
 {
 public:
-    using Handler = std::function<void(const CallOutcome &)>;
+    using Handler = std::function<void(const HttpCallOutcome &)>;
 
     HttpClient(EventLoop &loop, ClientPool &pool);
 
--- a/Source/Connection/JobService.cpp
+++ b/Source/Connection/JobService.cpp
@@ -217,7 +217,7 @@
     }
     if (query.call.kind == JobCall::Kind::ReadItem) {
         const ItemProgress *item = job->findItem(query.call.itemId);
-        reply(item == nullptr || item->state == ItemState::Listed ? unknown() : bytesResult(item->item.body));
+        reply(item == nullptr || item->state == ItemPhase::Listed ? unknown() : bytesResult(item->item.body));
         return;
     }
     runner_.stopJob(query.call.jobId);
@@ -266,7 +266,7 @@
     const BootTime now = BootClock::now();
     const auto wait = std::max(Milliseconds(0), std::chrono::duration_cast<Milliseconds>(query.deadline - now));
     const HttpCall call { "GET", peerTarget(query.call, query.team, wait), {}, {} };
-    peerClient_.call(address, call, now + wait + OWNER_SLACK, [this, query, reply](const CallOutcome &outcome) {
+    peerClient_.call(address, call, now + wait + OWNER_SLACK, [this, query, reply](const HttpCallOutcome &outcome) {
         const auto *result = std::get_if<HttpResult>(&outcome);
         if (result != nullptr && result->status == OK) {
             HttpResult answer { OK, {}, result->body };
--- a/Source/Process/Batch/JobAdoption.cpp
+++ b/Source/Process/Batch/JobAdoption.cpp
@@ -256,7 +256,7 @@
         return;
     }
     const HttpCall call { "POST", std::string(HAND_OVER_PATH) + record.id, {}, {} };
-    peerClient_.call(former->address, call, now + HAND_OVER_TIME, [this, record](const CallOutcome &outcome) {
+    peerClient_.call(former->address, call, now + HAND_OVER_TIME, [this, record](const HttpCallOutcome &outcome) {
         const auto *result = std::get_if<HttpResult>(&outcome);
         load(record, result != nullptr && result->status == OK ? result->body : std::string());
     });
--- a/Source/Process/Batch/JobRunner.cpp
+++ b/Source/Process/Batch/JobRunner.cpp
@@ -93,7 +93,7 @@
         }
         bool hasNew = false;
         for (ItemProgress &item : job->items()) {
-            if (item.state == ItemState::Waiting || item.state == ItemState::Running) {
+            if (item.state == ItemPhase::Waiting || item.state == ItemPhase::Running) {
                 putBack({ id, item.item.id }, Milliseconds(0), "its time has passed");
                 job->finishItem(item, false);
                 hasNew = true;
@@ -112,7 +112,7 @@
     for (const auto &[key, run] : active_) {
         OwnedJob *job = book_.find(key.job);
         const ItemProgress *item = job == nullptr ? nullptr : job->findItem(key.item);
-        if (item == nullptr || item->state != ItemState::Running) {
+        if (item == nullptr || item->state != ItemPhase::Running) {
             stalled.emplace_back(key, false);
             continue;
         }
@@ -152,7 +152,7 @@
             continue;
         }
         for (const ItemProgress &item : job->items()) {
-            if (item.state == ItemState::Waiting && item.notBefore <= now && item.crashes < ITEM_CRASH_LIMIT) {
+            if (item.state == ItemPhase::Waiting && item.notBefore <= now && item.crashes < ITEM_CRASH_LIMIT) {
                 waiting.push_back({ { id, item.item.id }, groupOf(*route, parts_.random()), record.dueAt, rankOf(*job, item) });
             }
         }
@@ -225,7 +225,7 @@
                       { "upstream", upstreamName },
                       { "after_event", item->lastEventId.value_or(0) },
                       { "rank", waiting.rank } });
-    item->state = ItemState::Running;
+    item->state = ItemPhase::Running;
     const BootTime now = BootClock::now();
     ActiveRun active;
     active.run = std::make_shared<UpstreamRun>(parts_, std::move(order), std::move(handlers));
@@ -274,7 +274,7 @@
         return;
     }
     ItemProgress *item = job->findItem(key.item);
-    if (item->state != ItemState::Running) {
+    if (item->state != ItemPhase::Running) {
         // Another daemon's result of the item stands in the log; this one must not be listed beside it.
         active_.erase(active);
         return;
@@ -298,7 +298,7 @@
         itemMs_ += SAMPLE_WEIGHT * (millisecondsBetween(ended.startedAt, BootClock::now()) - itemMs_);
         itemEvents_ += SAMPLE_WEIGHT * (item->eventCount - itemEvents_);
     }
-    item->state = ItemState::Waiting;
+    item->state = ItemPhase::Waiting;
     judgeAnswer(key, *item, ended.answer, route == nullptr ? 1 : route->maximumAttempts);
 }
 
@@ -337,8 +337,8 @@
     run->cancel();
     OwnedJob *job = book_.find(key.job);
     ItemProgress *item = job == nullptr ? nullptr : job->findItem(key.item);
-    if (item != nullptr && item->state == ItemState::Running) {
-        item->state = ItemState::Waiting;
+    if (item != nullptr && item->state == ItemPhase::Running) {
+        item->state = ItemPhase::Waiting;
         item->notBefore = BootClock::now() + pause;
         EventLog::write("item_put_back",
                         { { "item", key.item },
--- a/Source/Process/Batch/OwnedJob.cpp
+++ b/Source/Process/Batch/OwnedJob.cpp
@@ -52,10 +52,10 @@
 
 auto OwnedJob::finishItem(ItemProgress &item, bool isCompleted) -> void
 {
-    if (item.state == ItemState::Finished || item.state == ItemState::Listed) {
+    if (item.state == ItemPhase::Finished || item.state == ItemPhase::Listed) {
         return;
     }
-    item.state = ItemState::Finished;
+    item.state = ItemPhase::Finished;
     unlisted_.push_back({ item.item.id, isCompleted, isCompleted ? std::move(item.text) : std::string() });
     item.text.clear();
 }
@@ -73,7 +73,7 @@
 auto OwnedJob::list(const JobResult &result) -> void
 {
     if (ItemProgress *item = findItem(result.itemId)) {
-        item->state = ItemState::Listed;
+        item->state = ItemPhase::Listed;
         item->text.clear();
         item->item.body.clear();
     }
@@ -100,7 +100,7 @@
         return entry;
     };
     for (const ItemProgress &item : items_) {
-        if (item.state == ItemState::Waiting && (item.lastEventId || item.failures > 0)) {
+        if (item.state == ItemPhase::Waiting && (item.lastEventId || item.failures > 0)) {
             JsonObject::Ptr entry = add(item.item.id, item.text);
             entry->set("events", item.eventCount);
             entry->set("failures", item.failures);
@@ -136,7 +136,7 @@
             }
         }
         ItemProgress *item = findItem(*id);
-        if (item == nullptr || item->state != ItemState::Waiting) {
+        if (item == nullptr || item->state != ItemPhase::Waiting) {
             continue;
         }
         item->text = *itemText;
@@ -161,7 +161,7 @@
     }
     std::erase_if(unlisted_, [this](const JobResult &result) {
         const ItemProgress *item = findItem(result.itemId);
-        return item == nullptr || item->state == ItemState::Listed;
+        return item == nullptr || item->state == ItemPhase::Listed;
     });
 }
 
--- a/Source/Process/Batch/OwnedJob.h
+++ b/Source/Process/Batch/OwnedJob.h
@@ -8,7 +8,7 @@
 
 namespace poplardock {
 
-enum class ItemState
+enum class ItemPhase
 {
     Waiting,
     Running,
@@ -22,7 +22,7 @@
 struct ItemProgress
 {
     JobItem item;
-    ItemState state = ItemState::Waiting;
+    ItemPhase state = ItemPhase::Waiting;
     /// The last event that came, and the data of all so far. A run that is broken off goes on after it.
     std::optional<std::int64_t> lastEventId;
     std::string text;
--- a/Source/Process/FrontDaemon.cpp
+++ b/Source/Process/FrontDaemon.cpp
@@ -307,10 +307,10 @@
     }
 }
 
-auto FrontDaemon::ownReport() -> PeerReport
+auto FrontDaemon::ownReport() -> DaemonReport
 {
     const BootTime now = BootClock::now();
-    PeerReport report;
+    DaemonReport report;
     report.isLeaving = isStopping_;
     report.hasStore = adoption_.hasStore(now);
     report.work = directory_.ownWork();
@@ -344,7 +344,7 @@
     FreshnessRelay &freshness;
     const ServingVersionPointer &version;
 
-    auto operator()(const PeerReport & /*report*/) const -> void
+    auto operator()(const DaemonReport & /*report*/) const -> void
     {
     }
     auto operator()(const YieldRequest &request) const -> void
@@ -406,7 +406,7 @@
 auto FrontDaemon::fetchConfiguration(const std::string &address) -> void
 {
     const HttpCall call { "GET", CONFIGURATION_PATH, {}, {} };
-    peerClient_.call(address, call, BootClock::now() + FETCH_TIME, [this, address](const CallOutcome &outcome) {
+    peerClient_.call(address, call, BootClock::now() + FETCH_TIME, [this, address](const HttpCallOutcome &outcome) {
         const auto *result = std::get_if<HttpResult>(&outcome);
         const std::size_t end = result == nullptr ? std::string::npos : result->body.find('\n');
         StoredObject object;
--- a/Source/Process/FrontDaemon.h
+++ b/Source/Process/FrontDaemon.h
@@ -45,7 +45,7 @@
     auto takeUpstreamEvents(const StoreEvents &events) -> void;
     auto putUpstream(const StoredObject &object) -> void;
     [[nodiscard]] auto missedUsableUntil(BootTime now) const -> BootTime;
-    [[nodiscard]] auto ownReport() -> PeerReport;
+    [[nodiscard]] auto ownReport() -> DaemonReport;
     auto takePeerReports() -> void;
     auto takePeerMessage(const std::string &sender, const PeerMessage &message) -> void;
     auto answerPeer(const std::shared_ptr<CallerExchange> &exchange) -> void;
--- a/Source/Process/Peers/PeerReport.cpp
+++ b/Source/Process/Peers/DaemonReport.cpp
@@ -1,4 +1,4 @@
-#include "Process/Peers/PeerReport.h"
+#include "Process/Peers/DaemonReport.h"
 
 #include <absl/strings/numbers.h>
 #include <absl/strings/str_cat.h>
@@ -20,7 +20,7 @@
 
 struct EncodeVisitor
 {
-    auto operator()(const PeerReport &report) const -> std::string
+    auto operator()(const DaemonReport &report) const -> std::string
     {
         std::string text = absl::StrCat(REPORT_TAG,
                                         " ",
@@ -87,7 +87,7 @@
     return absl::InvalidArgumentError(absl::StrCat("malformed peer message: ", line.substr(0, 80)));
 }
 
-auto readDetail(PeerReport &report, const Words &words) -> bool
+auto readDetail(DaemonReport &report, const Words &words) -> bool
 {
     if (words.size() == 4 && words[0] == "w") {
         WorkCount &count = report.work[std::string(words[1])];
@@ -153,7 +153,7 @@
         return decodeShort(head);
     }
     constexpr std::size_t HEAD_WORDS = 6;
-    PeerReport report;
+    DaemonReport report;
     if (head.size() != HEAD_WORDS || head[0] != REPORT_TAG || !absl::SimpleAtoi(head[3], &report.sequence)) {
         return malformed(lines.front());
     }
--- a/Source/Process/Peers/PeerReport.h
+++ b/Source/Process/Peers/DaemonReport.h
@@ -14,7 +14,7 @@
 namespace poplardock {
 
 /// What a daemon tells the others about itself, several times a second.
-struct PeerReport
+struct DaemonReport
 {
     std::string name;
     /// Unique for each start of a daemon.
@@ -34,7 +34,7 @@
     /// Requests at whose run an upstream died, with the number of deaths that the daemon saw itself.
     std::map<std::string, int> crashes;
 
-    auto operator==(const PeerReport &) const -> bool = default;
+    auto operator==(const DaemonReport &) const -> bool = default;
 };
 
 /// Asks a daemon to break off batch runs at an upstream, because an online request needs the slot.
@@ -94,7 +94,7 @@
     auto operator==(const FreshnessAnswer &) const -> bool = default;
 };
 
-using PeerMessage = std::variant<PeerReport, YieldRequest, TokenRequest, TokenAnswer, FreshnessRequest, FreshnessAnswer>;
+using PeerMessage = std::variant<DaemonReport, YieldRequest, TokenRequest, TokenAnswer, FreshnessRequest, FreshnessAnswer>;
 
 /// One datagram's text. Precondition: names hold no blanks.
 auto encodePeerMessage(const PeerMessage &message) -> std::string;
--- a/Source/Process/Peers/PeerDirectory.cpp
+++ b/Source/Process/Peers/PeerDirectory.cpp
@@ -43,7 +43,7 @@
     }
 }
 
-auto PeerDirectory::take(const PeerReport &report, const std::string &address, BootTime now) -> bool
+auto PeerDirectory::take(const DaemonReport &report, const std::string &address, BootTime now) -> bool
 {
     if (report.name == ownName_) {
         return false;
--- a/Source/Process/Peers/PeerDirectory.h
+++ b/Source/Process/Peers/PeerDirectory.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "Process/Peers/PeerReport.h"
+#include "Process/Peers/DaemonReport.h"
 
 #include <optional>
 
@@ -13,7 +13,7 @@
     /// "IP:port" for datagrams and calls.
     std::string address;
     /// The last report; empty before the first one.
-    PeerReport report;
+    DaemonReport report;
     BootTime heardAt;
 
     auto operator==(const Peer &) const -> bool = default;
@@ -29,7 +29,7 @@
     /// A record in the store names a daemon. Its address counts until a report comes from another one.
     auto addMember(const std::string &name, const std::string &address) -> void;
     /// Takes a report unless a later one of that incarnation came before. Returns whether it was taken.
-    auto take(const PeerReport &report, const std::string &address, BootTime now) -> bool;
+    auto take(const DaemonReport &report, const std::string &address, BootTime now) -> bool;
 
     [[nodiscard]] auto peers() const -> const std::map<std::string, Peer> &;
     /// Null for an unknown daemon and for this one.
--- a/Source/Process/Peers/PeerLink.cpp
+++ b/Source/Process/Peers/PeerLink.cpp
@@ -127,7 +127,7 @@
 
 auto PeerLink::sendReports() -> void
 {
-    PeerReport report = handlers_.report();
+    DaemonReport report = handlers_.report();
     report.name = name_;
     report.incarnation = incarnation_;
     report.sequence = ++sequence_;
@@ -156,11 +156,11 @@
         EventLog::write("peer_message_unreadable", { { "sender", sender }, { "reason", message.status().message() } });
         return;
     }
-    if (!std::holds_alternative<PeerReport>(*message)) {
+    if (!std::holds_alternative<DaemonReport>(*message)) {
         handlers_.onMessage(sender, *message);
         return;
     }
-    const auto &report = std::get<PeerReport>(*message);
+    const auto &report = std::get<DaemonReport>(*message);
     const Peer *known = directory_.find(report.name);
     if (known == nullptr || known->report.incarnation != report.incarnation) {
         EventLog::write("peer_heard", { { "peer", report.name }, { "incarnation", report.incarnation }, { "address", sender } });
--- a/Source/Process/Peers/PeerLink.h
+++ b/Source/Process/Peers/PeerLink.h
@@ -17,7 +17,7 @@
     struct Handlers
     {
         /// The report to send; name, incarnation and sequence are filled in.
-        std::function<PeerReport()> report;
+        std::function<DaemonReport()> report;
         /// Reports were taken since the last call.
         std::function<void()> onReports;
         /// Any other message, with the address to which an answer goes.
--- a/Source/Process/Store/ObjectStore.cpp
+++ b/Source/Process/Store/ObjectStore.cpp
@@ -60,7 +60,7 @@
     client_.call(address_,
                  call,
                  sentAt + patience,
-                 [this, call, patience, mayRepeat, sentAt, handler = std::move(handler)](const CallOutcome &outcome) {
+                 [this, call, patience, mayRepeat, sentAt, handler = std::move(handler)](const HttpCallOutcome &outcome) {
                      const auto *result = std::get_if<HttpResult>(&outcome);
                      if (result == nullptr && mayRepeat && BootClock::now() - sentAt < QUICK_FAILURE) {
                          // Most likely a kept connection that the store had closed; that is no loss of the store.
@@ -76,7 +76,7 @@
                          lostSince_ = lostSince_.value_or(sentAt);
                      }
                      if (result == nullptr) {
-                         const bool isNotSent = std::get<CallFailure>(outcome).isNotSent;
+                         const bool isNotSent = std::get<HttpCallFailure>(outcome).isNotSent;
                          handler(isNotSent ? absl::UnavailableError("the store cannot be reached")
                                            : absl::UnknownError("the store did not answer"));
                          return;
--- a/Tests/Process/AllowanceTableTest.cpp
+++ b/Tests/Process/AllowanceTableTest.cpp
@@ -31,7 +31,7 @@
         const BootTime now = BootClock::now();
         ++sequence_;
         for (std::size_t from = 0; from < tables.size(); ++from) {
-            PeerReport report;
+            DaemonReport report;
             report.name = "d" + std::to_string(from);
             report.incarnation = "i";
             report.sequence = sequence_;
--- a/Tests/Process/PeerDirectoryTest.cpp
+++ b/Tests/Process/PeerDirectoryTest.cpp
@@ -10,9 +10,9 @@
 
 const BootTime NOW = BootTime() + std::chrono::hours(1);
 
-auto makeReport(const std::string &name, std::uint64_t sequence) -> PeerReport
+auto makeReport(const std::string &name, std::uint64_t sequence) -> DaemonReport
 {
-    PeerReport report;
+    DaemonReport report;
     report.name = name;
     report.incarnation = "i1";
     report.sequence = sequence;
@@ -30,12 +30,12 @@
 // Guards against a field that is written and not read, or read as another one.
 BOOST_AUTO_TEST_CASE(MessagesComeBackAsTheyWere)
 {
-    PeerReport report = makeReport("daemon-a", 7);
+    DaemonReport report = makeReport("daemon-a", 7);
     report.isLeaving = true;
     report.hasStore = false;
     const auto read = decodePeerMessage(encodePeerMessage(report));
     BOOST_REQUIRE(read.ok());
-    BOOST_TEST((std::get<PeerReport>(*read) == report));
+    BOOST_TEST((std::get<DaemonReport>(*read) == report));
     const auto yield = decodePeerMessage(encodePeerMessage(YieldRequest { "u1" }));
     BOOST_REQUIRE(yield.ok());
     BOOST_TEST(std::get<YieldRequest>(*yield).upstream == "u1");
@@ -58,7 +58,7 @@
     BOOST_TEST(!peers.take(makeReport("a", 5), "1:1", NOW));
     BOOST_TEST(!peers.take(makeReport("a", 4), "1:1", NOW));
     BOOST_TEST(!peers.take(makeReport("self", 9), "1:1", NOW));
-    PeerReport restarted = makeReport("a", 1);
+    DaemonReport restarted = makeReport("a", 1);
     restarted.incarnation = "i2";
     BOOST_TEST(peers.take(restarted, "1:1", NOW));
 }
@@ -107,7 +107,7 @@
         homes.insert(first.homeOf(id, NOW));
     }
     BOOST_TEST(homes.size() == 3);
-    PeerReport storeless = makeReport("c", 2);
+    DaemonReport storeless = makeReport("c", 2);
     storeless.hasStore = false;
     first.take(storeless, "1:1", NOW);
     for (int job = 0; job < 100; ++job) {
@@ -124,7 +124,7 @@
     BOOST_TEST(peers.ownerOf("job1", NOW)->name == "a");
     BOOST_TEST(peers.ownerOf("job2", NOW) == nullptr);
     BOOST_TEST(peers.ownerOf("job1", NOW + std::chrono::seconds(5)) == nullptr);
-    PeerReport leaving = makeReport("a", 2);
+    DaemonReport leaving = makeReport("a", 2);
     leaving.isLeaving = true;
     peers.take(leaving, "1:1", NOW);
     BOOST_TEST(peers.ownerOf("job1", NOW) == nullptr);
--- a/Tests/Support/AllowanceFleet.h
+++ b/Tests/Support/AllowanceFleet.h
@@ -91,7 +91,7 @@
     [[nodiscard]] auto now() const -> TimePoint;
 
     ManualClock clock;
-    AdmissionLog log;
+    AdmissionFile log;
 
 private:
     std::vector<Team> teams_;
--- a/Tests/Support/PlatformFleet.cpp
+++ b/Tests/Support/PlatformFleet.cpp
@@ -162,8 +162,8 @@
 
 auto PlatformFleet::callAddress(const std::string &address, const HttpCall &request) -> std::optional<HttpResult>
 {
-    std::optional<CallOutcome> outcome;
-    client_.call(address, request, BootClock::now() + CALL_TIME, [&outcome](const CallOutcome &result) { outcome = result; });
+    std::optional<HttpCallOutcome> outcome;
+    client_.call(address, request, BootClock::now() + CALL_TIME, [&outcome](const HttpCallOutcome &result) { outcome = result; });
     runUntil([&outcome] { return outcome.has_value(); }, CALL_TIME + Milliseconds(100));
     const auto *result = outcome ? std::get_if<HttpResult>(&*outcome) : nullptr;
     return result == nullptr ? std::nullopt : std::optional(*result);
@@ -171,11 +171,11 @@
 
 auto PlatformFleet::isReady(std::size_t daemon) -> bool
 {
-    std::optional<CallOutcome> outcome;
+    std::optional<HttpCallOutcome> outcome;
     client_.call(daemons[daemon]->readyAddress(),
                  { "GET", "/-/ready", {}, {} },
                  BootClock::now() + CALL_TIME,
-                 [&outcome](const CallOutcome &result) { outcome = result; });
+                 [&outcome](const HttpCallOutcome &result) { outcome = result; });
     runUntil([&outcome] { return outcome.has_value(); }, CALL_TIME);
     const auto *result = outcome ? std::get_if<HttpResult>(&*outcome) : nullptr;
     return result != nullptr && result->status == 200;
