Finish take-overs that failed after their claim; fill a restarted home's bucket by its time of run

A claimed job is now tried again by its claimer, and the review of records takes over what names this daemon whoever the home is. A home that starts again had ten tokens at once; it now has what the rate has given since its start. Traced: daemons that the soak starts inherited the sockets of the test, so that a closed connection stayed open for its peer. A fault of the soak, not of the daemon; ChildProcess closes what a child must not inherit.

--- a/Source/Process/Batch/JobAdoption.cpp
+++ b/Source/Process/Batch/JobAdoption.cpp
@@ -23,6 +23,8 @@
 /// Times that the log is read again when another entry stands where the closing one should.
 constexpr int FENCE_ATTEMPTS = 4;
 constexpr Milliseconds STORE_SILENCE { 1000 };
+/// Time after which a take-over is tried again that failed when the record already named this daemon.
+constexpr Milliseconds FINISH_PAUSE { 500 };
 /// Time after the end of a job's readable time before it is removed; clocks of VMs differ a little.
 constexpr std::chrono::seconds REMOVAL_MARGIN { 60 };
 
@@ -78,6 +80,15 @@
     if (isDraining_ || !hasStore(now)) {
         return;
     }
+    for (auto each = unfinished_.begin(); each != unfinished_.end();) {
+        const auto next = std::next(each);
+        if (each->second <= now) {
+            const std::string id = each->first;
+            unfinished_.erase(each);
+            takeOver(id);
+        }
+        each = next;
+    }
     std::erase_if(retryAt_, [now](const auto &each) { return each.second <= now; });
     for (const auto &[name, peer] : parts_.peers.peers()) {
         const bool isSound = parts_.peers.isAlive(peer, now) && !peer.report.isLeaving && peer.report.hasStore;
@@ -196,7 +207,9 @@
         }
         return;
     }
-    if (!isDraining_ && hasStore(now) && needsOwner(record, now) && parts_.peers.homeOf(record.id, now) == parts_.settings.name) {
+    // A record that names this daemon is taken over here whoever the home is: no other daemon would.
+    const bool isMine = record.owner == parts_.settings.name || parts_.peers.homeOf(record.id, now) == parts_.settings.name;
+    if (!isDraining_ && hasStore(now) && isMine && needsOwner(record, now)) {
         takeOver(record.id);
     }
 }
@@ -264,6 +277,7 @@
     ledger_.readItems(record, [this, record, progress](const absl::StatusOr<std::vector<JobItem>> &items) {
         if (!items.ok()) {
             endTakeOver(record.id, "items", items.status());
+            finishLater(record.id);
             return;
         }
         fenceLog(record, *items, progress, FENCE_ATTEMPTS);
@@ -274,7 +288,8 @@
 {
     ledger_.readLog(record.id, [this, record, items, progress, attempts](const absl::StatusOr<JobLedger::Log> &found) {
         if (!found.ok() || attempts == 0) {
-            endTakeOver(record.id, "log", found.status());
+            endTakeOver(record.id, "log", found.ok() ? absl::AbortedError("the log grows") : found.status());
+            finishLater(record.id);
             return;
         }
         JobLedger::Log log = *found;
@@ -309,6 +324,12 @@
     endTakeOver(record.id, "done", absl::OkStatus());
 }
 
+auto JobAdoption::finishLater(const std::string &id) -> void
+{
+    // The record names this daemon now, which others see alive, so that none of them takes the job over.
+    unfinished_[id] = BootClock::now() + FINISH_PAUSE;
+}
+
 auto JobAdoption::endTakeOver(const std::string &id, const char *step, const absl::Status &status) -> void
 {
     takingOver_.erase(id);
--- a/Source/Process/Batch/JobAdoption.h
+++ b/Source/Process/Batch/JobAdoption.h
@@ -53,6 +53,8 @@
     auto adopt(const JobRecord &record, const std::vector<JobItem> &items, const JobLedger::Log &log, const std::string &progress) -> void;
     auto verify(const std::string &id) -> void;
     auto release(const std::string &id) -> void;
+    /// Tries a take-over again that failed after the claim.
+    auto finishLater(const std::string &id) -> void;
     auto endTakeOver(const std::string &id, const char *step, const absl::Status &status) -> void;
 
     FrontParts &parts_;
@@ -64,6 +66,8 @@
     std::set<std::string> doubted_;
     /// Jobs for which a take-over was tried lately, and when it may be tried again.
     std::map<std::string, BootTime> retryAt_;
+    /// Jobs whose record this daemon has claimed without having loaded them, and when that is tried again.
+    std::map<std::string, BootTime> unfinished_;
     bool isDraining_ = false;
     Timer next_;
 };
--- a/Source/Process/FrontDaemon.cpp
+++ b/Source/Process/FrontDaemon.cpp
@@ -170,6 +170,7 @@
     lastCheckAt_ = BootClock::now();
     checkTimer_ = loop_.every(CHECK_PERIOD, [this] {
         checkPauses();
+        noteReadiness();
         directory_.dropLapsed(BootClock::now());
         takePeerReports();
     });
@@ -316,8 +317,25 @@
     return !isStopping_ && upstreams_.hasList() && front_.isFresh(BootClock::now());
 }
 
+auto FrontDaemon::noteReadiness() -> void
+{
+    const bool isNowReady = isReady();
+    if (isNowReady == wasReady_) {
+        return;
+    }
+    wasReady_ = isNowReady;
+    const BootTime now = BootClock::now();
+    EventLog::write("ready_changed",
+                    { { "ready", isNowReady },
+                      { "leaving", isStopping_ },
+                      { "upstreams_listed", upstreams_.hasList() },
+                      { "config", static_cast<std::uint64_t>(configuration_.revision()) },
+                      { "config_age_ms", configuration_.revision() == 0 ? 0.0 : millisecondsBetween(freshness_.confirmedAt(), now) } });
+}
+
 auto FrontDaemon::answerReady(const std::shared_ptr<CallerExchange> &exchange) -> void
 {
+    noteReadiness();
     const bool isQuestion = exchange->head().target == dialect_.readyTarget;
     exchange->reply({ !isQuestion ? NOT_FOUND : isReady() ? OK : UNAVAILABLE, {}, {} });
 }
--- a/Source/Process/FrontDaemon.h
+++ b/Source/Process/FrontDaemon.h
@@ -46,6 +46,7 @@
     auto answerPeer(const std::shared_ptr<CallerExchange> &exchange) -> void;
     auto checkPauses() -> void;
     [[nodiscard]] auto isReady() const -> bool;
+    auto noteReadiness() -> void;
     auto answerReady(const std::shared_ptr<CallerExchange> &exchange) -> void;
     auto answerOperator(const std::shared_ptr<CallerExchange> &exchange) -> void;
     auto continueShutdown() -> void;
@@ -85,6 +86,7 @@
     BootTime stoppingSince_;
     BootTime lastCheckAt_;
     bool wasAlone_ = false;
+    bool wasReady_ = false;
     Timer logTimer_;
     Timer callsTimer_;
     Timer checkTimer_;
--- a/Source/Process/Load/AllowanceTable.cpp
+++ b/Source/Process/Load/AllowanceTable.cpp
@@ -2,6 +2,8 @@
 
 #include "Process/EventLog.h"
 
+#include <algorithm>
+
 namespace poplardock {
 
 namespace {
@@ -23,6 +25,7 @@
     , peers_(peers)
     , ownName_(std::move(ownName))
     , send_(std::move(send))
+    , startedAt_(BootClock::now())
 {
 }
 
@@ -32,9 +35,11 @@
     const AllowanceLimits limits { team.ratePerSecond, team.burst };
     const auto [entry, isNew] = buckets.try_emplace(team.name, limits, isWhole ? HOME_GRAIN : SHARE_GRAIN, now);
     if (isNew) {
-        // The home before may just have given out a whole burst. A daemon that has just started knows of nobody with
-        // whom it shares, so its own share starts with nothing.
-        entry->second.startWith(isWhole ? HOME_GRAIN : 0);
+        // The home before, or this daemon before a restart, may just have given out a whole burst: the bucket holds what
+        // the rate has given since the start. A daemon that has just started knows of nobody with whom it shares, so its
+        // own share starts with nothing.
+        const double accrued = team.ratePerSecond * std::chrono::duration<double>(now - startedAt_).count();
+        entry->second.startWith(isWhole ? std::min(HOME_GRAIN, accrued) : 0);
     }
     entry->second.setLimits(limits, now);
     return entry->second.take(now);
--- a/Source/Process/Load/AllowanceTable.h
+++ b/Source/Process/Load/AllowanceTable.h
@@ -59,6 +59,7 @@
     std::map<std::string, AllowanceShare> homes_;
     std::map<std::uint64_t, Pending> pending_;
     std::uint64_t lastNumber_ = 0;
+    const BootTime startedAt_;
 };
 
 } // namespace poplardock
--- a/Tests/Connection/JobServiceTest.cpp
+++ b/Tests/Connection/JobServiceTest.cpp
@@ -256,6 +256,40 @@
     BOOST_TEST(resumed == 2);
 }
 
+// Guards against a job that nobody runs: its record names a daemon that claimed it and could not read its items, and
+// that daemon is not its home any more. Found by the soak (seed 28).
+BOOST_AUTO_TEST_CASE(AClaimedJobIsLoadedInTheEnd)
+{
+    PlatformFleet fleet(2, 2);
+    for (const auto &engine : fleet.engines) {
+        engine->behaviour().declines = true;
+    }
+    constexpr int JOBS = 8;
+    for (int job = 0; job < JOBS; ++job) {
+        BOOST_TEST(fleet.call(0, PlatformFleet::submission(absl::StrCat("l", job), 2, "key1"))->status == 202);
+    }
+    FakeObjectStore::Faults refused;
+    refused.refuseStatus = 503;
+    refused.onlyTargets = "/payloads";
+    fleet.store.setFaults(refused);
+    // The reports name the jobs, so that they are taken over as soon as the silence is noticed.
+    fleet.runFor(Milliseconds(300));
+    fleet.killDaemon(0);
+    fleet.runFor(Milliseconds(2500));
+    // The homes of most jobs move to the new daemons.
+    fleet.startDaemon("daemon7");
+    fleet.startDaemon("daemon8");
+    fleet.startDaemon("daemon9");
+    fleet.runFor(Milliseconds(2300));
+    for (const auto &engine : fleet.engines) {
+        engine->behaviour().declines = false;
+    }
+    fleet.store.setFaults({});
+    for (int job = 0; job < JOBS; ++job) {
+        BOOST_TEST(awaitResults(fleet, 1, absl::StrCat("l", job), 2).size() == 2);
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace poplardock
--- a/Tests/Process/AllowanceTableTest.cpp
+++ b/Tests/Process/AllowanceTableTest.cpp
@@ -8,11 +8,15 @@
 
 namespace {
 
+/// Long enough for the first tokens of a team with a rate of 5.
+constexpr Milliseconds UPTIME { 2000 };
+
 /// Tables of several daemons that hear each other's reports; messages arrive at once.
 class Tables
 {
 public:
-    explicit Tables(int count)
+    /// "uptime": time for which the daemons have run before the first request.
+    Tables(int count, Milliseconds uptime)
     {
         for (int index = 0; index < count; ++index) {
             const std::string name = "d" + std::to_string(index);
@@ -22,6 +26,7 @@
                     deliver(name, address, message);
                 }));
         }
+        loop.runUntil(BootClock::now() + uptime);
         exchangeReports();
     }
 
@@ -93,7 +98,7 @@
 // of less than one token, which refuse nearly all of them: 4,767 of 17,290 requests on a day of a grown deployment.
 BOOST_AUTO_TEST_CASE(ASmallTeamGetsItsWholeBurstOverManyDaemons)
 {
-    Tables tables(67);
+    Tables tables(67, UPTIME);
     tables.take(1);
     tables.loop.runUntil(BootClock::now() + Milliseconds(1000));
     // Burst 5 is not full at once, since a new home does not know what an earlier one has given out.
@@ -105,7 +110,7 @@
 // Guards against daemons that together admit more than rate and burst: one bucket counts for all.
 BOOST_AUTO_TEST_CASE(OneBucketCountsForAllDaemons)
 {
-    Tables tables(8);
+    Tables tables(8, UPTIME);
     const int admitted = tables.take(200);
     BOOST_TEST(admitted <= 5 + 10 + 2);
     BOOST_TEST(admitted >= 10);
@@ -114,7 +119,7 @@
 // Guards against requests that hang, or are all refused or all admitted, while the home does not answer.
 BOOST_AUTO_TEST_CASE(ASilentHomeIsReplacedByShares)
 {
-    Tables tables(8);
+    Tables tables(8, UPTIME);
     tables.take(8);
     tables.isCut = true;
     const int admitted = tables.take(400);
@@ -123,10 +128,11 @@
 }
 
 // Guards against a whole burst for each daemon that starts while the home of the bucket is silent: it knows of nobody
-// with whom it shares. Found by the soak (seed 22): 57 requests in a window that allows 53.
+// with whom it shares. Found by the soak (seeds 22
+// and 29): 57 requests in a window that allows 53. The home itself may be the one that has started again.
 BOOST_AUTO_TEST_CASE(AStartedDaemonHasNoBurstOfItsOwn)
 {
-    Tables tables(4);
+    Tables tables(4, Milliseconds(0));
     tables.isCut = true;
     int admitted = 0;
     for (const auto &table : tables.tables) {
@@ -135,14 +141,14 @@
         }
     }
     tables.loop.runUntil(BootClock::now() + Milliseconds(80));
-    // The home of the bucket has its first ten; the rate of 5 gives the others less than one each in this time.
-    BOOST_TEST(admitted <= 10 + 4);
+    // The rate of 5 gives less than one token in this time, the home of the bucket as well as each of the others.
+    BOOST_TEST(admitted <= 4);
 }
 
 // Guards against limits for a team that has none.
 BOOST_AUTO_TEST_CASE(ATeamWithoutALimitIsAdmitted)
 {
-    Tables tables(2);
+    Tables tables(2, UPTIME);
     tables.team.ratePerSecond = 0;
     BOOST_TEST(tables.take(50) == 50);
     BOOST_TEST(tables.messages == 0);
--- a/Tests/Support/ChildProcess.cpp
+++ b/Tests/Support/ChildProcess.cpp
@@ -73,6 +73,8 @@
     posix_spawn_file_actions_addopen(&actions, STDIN_FILENO, "/dev/null", O_RDONLY, 0);
     posix_spawn_file_actions_addopen(&actions, STDOUT_FILENO, command.outputFile.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0600);
     posix_spawn_file_actions_adddup2(&actions, STDOUT_FILENO, STDERR_FILENO);
+    // A child that inherits the sockets of the test keeps them open: their peers would not see them closed.
+    posix_spawn_file_actions_addclosefrom_np(&actions, STDERR_FILENO + 1);
     posix_spawnattr_t attributes;
     posix_spawnattr_init(&attributes);
     // The child starts with no blocked signals, whatever the test framework has set.
