Let the store daemon watch for orders again

No test covered that daemon.

Change: a watch says at construction whether it follows the first list. StoreVmTest starts the store process and orders VMs to be emptied half a second later; it failed with the binary of the commit before and passes now.

--- a/Source/Process/Store/KindWatch.cpp
+++ b/Source/Process/Store/KindWatch.cpp
@@ -24,6 +24,7 @@
     , options_(std::move(options))
     , handlers_(std::move(handlers))
     , wait_(options_.wait)
+    , isWatching_(options_.startsWatching)
     , random_(static_cast<unsigned>(BootClock::now().time_since_epoch().count()))
 {
 }
--- a/Source/Process/Store/KindWatch.h
+++ b/Source/Process/Store/KindWatch.h
@@ -22,6 +22,8 @@
         Milliseconds pause { 0 };
         /// The same for the first seconds, in which many objects are made one after the other.
         Milliseconds firstPause { 0 };
+        /// Whether watches follow the first list.
+        bool startsWatching = false;
 
         auto operator==(const Options &) const -> bool = default;
     };
@@ -36,7 +38,7 @@
     KindWatch(EventLoop &loop, ObjectStore &store, Options options, Handlers handlers);
 
     auto start() -> void;
-    /// Whether watches follow the list; not at first. Changes to true read the whole kind again.
+    /// Whether watches follow the list. A change to true reads the whole kind again.
     auto setWatching(bool isWatching) -> void;
     /// Reads the whole kind again; a call under way is not waited for.
     auto refresh() -> void;
@@ -58,11 +60,11 @@
     const Options options_;
     Handlers handlers_;
     Milliseconds wait_;
+    bool isWatching_ = false;
     std::uint64_t revision_ = 0;
     /// Answers to calls of an earlier generation are ignored.
     std::uint64_t generation_ = 0;
     int failures_ = 0;
-    bool isWatching_ = false;
     BootTime confirmedAt_;
     BootTime startedAt_;
     Timer next_;
--- a/Source/Process/StoreVmDaemon.cpp
+++ b/Source/Process/StoreVmDaemon.cpp
@@ -23,7 +23,7 @@
     , store_(loop_, dialect_, settings_.storeAddress)
     , retirements_(loop_,
                    store_,
-                   { dialect_.retirementKind, WATCH_WAIT, Milliseconds(0), Milliseconds(0) },
+                   { dialect_.retirementKind, WATCH_WAIT, Milliseconds(0), Milliseconds(0), true },
                    { [this](const StoreList &list) {
                         for (const StoredObject &order : list.objects) {
                             answer(order.name);
