Keep less of an allowance in the shares

The grain of the shares is 5 now; a share is used only while the home does not answer. The seeds that failed run with each test run.

--- a/Source/Process/Load/AllowanceTable.cpp
+++ b/Source/Process/Load/AllowanceTable.cpp
@@ -12,7 +12,7 @@
 /// their own shares. Both may be spent in one window when a home falls silent, so their sum stays below the platform's
 /// slack of 20 for a count that is kept by many daemons.
 constexpr double HOME_GRAIN = 10;
-constexpr double SHARE_GRAIN = 8;
+constexpr double SHARE_GRAIN = 5;
 /// Demand below this is not worth a line in each report.
 constexpr double SMALLEST_DEMAND = 0.01;
 /// A home answers within a few milliseconds; a request must not lose more of its target to a silent one.
--- a/Tests/Failure/FrontSoakTest.cpp
+++ b/Tests/Failure/FrontSoakTest.cpp
@@ -22,8 +22,9 @@
 constexpr Milliseconds HEAL_TIME { 25000 };
 constexpr Milliseconds STEP { 5 };
 
-/// Seeds that failed once, with the cause; each is run with every test run.
-constexpr std::uint64_t CI_SEEDS[] = { 1, 2 };
+/// Run with each test run. Seeds that failed are kept: 3 (a resumed stream ended by an error looked complete), 28 (a job
+/// whose take-over stopped after its claim), 36 (a team above its allowance when its home started again).
+constexpr std::uint64_t CI_SEEDS[] = { 1, 3, 28, 36 };
 
 auto variable(const char *name) -> std::string
 {
