--- a/Tests/Support/SoakCallers.cpp
+++ b/Tests/Support/SoakCallers.cpp
@@ -83,7 +83,7 @@
 auto SoakCallers::sendNext() -> void
 {
     static const std::vector<std::string> ROUTES = { "plain", "once", "resumed", "stream" };
-    const std::string route = ROUTES[random_() % ROUTES.size()];
+    const std::string &route = ROUTES[random_() % ROUTES.size()];
     const bool usesThird = !thirdKey_.empty() && random_() % 2 == 0;
     send(randomDaemon(), route, usesThird ? thirdKey_ : "key1");
 }
