--- a/Source/Connection/CallerExchange.cpp
+++ b/Source/Connection/CallerExchange.cpp
@@ -52,11 +52,7 @@
 {
     hasBegun_ = true;
     if (const auto session = session_.lock()) {
-        const std::string_view reason = reasonOf(status);
-        std::string text = absl::StrCat("HTTP/1.1 ", status, " ", absl::string_view(reason.data(), reason.size()), "\r\n");
-        headers.appendTo(text);
-        absl::StrAppend(&text, session->keepsConnection() ? "" : "Connection: close\r\n", "Transfer-Encoding: chunked\r\n\r\n");
-        session->holdBack(std::move(text));
+        session->holdBack(absl::StrCat(encodeHead(status, headers, session->keepsConnection()), "Transfer-Encoding: chunked\r\n\r\n"));
     }
 }
 
--- a/Source/Connection/CallerServer.cpp
+++ b/Source/Connection/CallerServer.cpp
@@ -75,11 +75,6 @@
         std::count_if(sessions_.begin(), sessions_.end(), [](const auto &entry) { return entry.second->isBusy(); }));
 }
 
-auto CallerServer::connectionCount() const -> std::size_t
-{
-    return sessions_.size();
-}
-
 auto CallerServer::address() const -> std::string
 {
     return listener_ == nullptr ? std::string() : listener_->address();
--- a/Source/Connection/CallerServer.h
+++ b/Source/Connection/CallerServer.h
@@ -32,7 +32,6 @@
     auto stopAccepting() -> void;
     /// Connections that carry a request.
     [[nodiscard]] auto busyCount() const -> std::size_t;
-    [[nodiscard]] auto connectionCount() const -> std::size_t;
     [[nodiscard]] auto address() const -> std::string;
 
 private:
--- a/Source/Connection/CallerSession.cpp
+++ b/Source/Connection/CallerSession.cpp
@@ -10,10 +10,6 @@
 
 /// Bytes of following requests that are kept while one runs; callers send one request at a time.
 constexpr std::size_t EARLY_BYTES = 64U << 10U;
-constexpr int BAD_REQUEST = 400;
-constexpr int REQUEST_TIMEOUT = 408;
-constexpr int TOO_LARGE = 413;
-constexpr int HEAD_TOO_LARGE = 431;
 
 } // namespace
 
@@ -101,11 +97,11 @@
     while (!isClosed_ && exchange_ == nullptr) {
         const ReadState state = reader_->state();
         if (state == ReadState::Malformed) {
-            refuse(BAD_REQUEST);
+            refuse(HttpStatus::BAD_REQUEST);
             return;
         }
         if (state == ReadState::HeadTooLarge || state == ReadState::BodyTooLarge) {
-            refuse(state == ReadState::HeadTooLarge ? HEAD_TOO_LARGE : TOO_LARGE);
+            refuse(state == ReadState::HeadTooLarge ? HttpStatus::HEAD_TOO_LARGE : HttpStatus::CONTENT_TOO_LARGE);
             return;
         }
         if (state == ReadState::Body && !wantsContinue_) {
@@ -142,7 +138,7 @@
     if (!reader_->hasBytes() && now - idleSince_ > limits.idleTime) {
         close();
     } else if (reader_->hasBytes() && reader_->state() == ReadState::Head && now - startedAt_ > limits.headTime) {
-        refuse(REQUEST_TIMEOUT);
+        refuse(HttpStatus::REQUEST_TIMEOUT);
     }
 }
 
--- a/Source/Connection/Io/Channel.cpp
+++ b/Source/Connection/Io/Channel.cpp
@@ -89,15 +89,10 @@
 Channel::~Channel() = default;
 
 auto Channel::start(DataHandler onData, EndHandler onEnd) -> void
-{
-    setHandlers(std::move(onData), std::move(onEnd));
-    read();
-}
-
-auto Channel::setHandlers(DataHandler onData, EndHandler onEnd) -> void
 {
     onData_ = std::move(onData);
     onEnd_ = std::move(onEnd);
+    read();
 }
 
 auto Channel::setPatience(ChannelPatience patience) -> void
--- a/Source/Connection/Io/Channel.h
+++ b/Source/Connection/Io/Channel.h
@@ -56,7 +56,6 @@
 
     /// Starts reading. Precondition: called once.
     auto start(DataHandler onData, EndHandler onEnd) -> void;
-    auto setHandlers(DataHandler onData, EndHandler onEnd) -> void;
     auto setPatience(ChannelPatience patience) -> void;
     auto send(std::string_view bytes) -> void;
     /// Bytes that the socket has not taken yet.
--- a/Source/Connection/Io/HttpMessage.cpp
+++ b/Source/Connection/Io/HttpMessage.cpp
@@ -21,6 +21,47 @@
     return absl::EqualsIgnoreCase(absl::string_view(a.data(), a.size()), absl::string_view(b.data(), b.size()));
 }
 
+/// The usual reason phrase of a status.
+auto reasonOf(int status) -> std::string_view
+{
+    switch (status) {
+    case 200:
+        return "OK";
+    case 202:
+        return "Accepted";
+    case 400:
+        return "Bad Request";
+    case 401:
+        return "Unauthorized";
+    case 404:
+        return "Not Found";
+    case 405:
+        return "Method Not Allowed";
+    case 408:
+        return "Request Timeout";
+    case 409:
+        return "Conflict";
+    case 413:
+        return "Content Too Large";
+    case 421:
+        return "Misdirected Request";
+    case 429:
+        return "Too Many Requests";
+    case 431:
+        return "Request Header Fields Too Large";
+    case 500:
+        return "Internal Server Error";
+    case 502:
+        return "Bad Gateway";
+    case 503:
+        return "Service Unavailable";
+    case 504:
+        return "Gateway Timeout";
+    default:
+        return "Status";
+    }
+}
+
 } // namespace
 
 auto HeaderList::add(std::string name, std::string value) -> void
@@ -86,47 +127,13 @@
     }
 }
 
-auto reasonOf(int status) -> std::string_view
+auto HttpStatus::isSuccess(int status) -> bool
 {
-    switch (status) {
-    case 200:
-        return "OK";
-    case 202:
-        return "Accepted";
-    case 400:
-        return "Bad Request";
-    case 401:
-        return "Unauthorized";
-    case 404:
-        return "Not Found";
-    case 405:
-        return "Method Not Allowed";
-    case 408:
-        return "Request Timeout";
-    case 409:
-        return "Conflict";
-    case 413:
-        return "Content Too Large";
-    case 421:
-        return "Misdirected Request";
-    case 429:
-        return "Too Many Requests";
-    case 431:
-        return "Request Header Fields Too Large";
-    case 500:
-        return "Internal Server Error";
-    case 502:
-        return "Bad Gateway";
-    case 503:
-        return "Service Unavailable";
-    case 504:
-        return "Gateway Timeout";
-    default:
-        return "Status";
-    }
+    constexpr int END = 300;
+    return status >= OK && status < END;
 }
 
-auto encodeAnswer(int status, const HeaderList &headers, std::string_view body, bool keepAlive) -> std::string
+auto encodeHead(int status, const HeaderList &headers, bool keepAlive) -> std::string
 {
     const std::string_view reason = reasonOf(status);
     std::string text = absl::StrCat("HTTP/1.1 ", status, " ", absl::string_view(reason.data(), reason.size()), "\r\n");
@@ -134,6 +141,12 @@
     if (!keepAlive) {
         absl::StrAppend(&text, "Connection: close\r\n");
     }
+    return text;
+}
+
+auto encodeAnswer(int status, const HeaderList &headers, std::string_view body, bool keepAlive) -> std::string
+{
+    std::string text = encodeHead(status, headers, keepAlive);
     absl::StrAppend(&text, "Content-Length: ", body.size(), "\r\n\r\n");
     text.append(body);
     return text;
--- a/Source/Connection/Io/HttpMessage.h
+++ b/Source/Connection/Io/HttpMessage.h
@@ -52,8 +52,32 @@
     auto operator==(const MessageHead &) const -> bool = default;
 };
 
-/// The usual reason phrase of a status.
-auto reasonOf(int status) -> std::string_view;
+/// Status codes that the daemons send or judge.
+namespace HttpStatus {
+
+inline constexpr int OK = 200;
+inline constexpr int ACCEPTED = 202;
+inline constexpr int BAD_REQUEST = 400;
+inline constexpr int NOT_FOUND = 404;
+inline constexpr int REQUEST_TIMEOUT = 408;
+inline constexpr int CONFLICT = 409;
+inline constexpr int GONE = 410;
+inline constexpr int CONTENT_TOO_LARGE = 413;
+inline constexpr int MISDIRECTED = 421;
+inline constexpr int UNPROCESSABLE = 422;
+inline constexpr int TOO_MANY_REQUESTS = 429;
+inline constexpr int HEAD_TOO_LARGE = 431;
+inline constexpr int SERVER_ERROR = 500;
+inline constexpr int UNAVAILABLE = 503;
+inline constexpr int GATEWAY_TIMEOUT = 504;
+
+/// Whether it is one of 200 to 299.
+auto isSuccess(int status) -> bool;
+
+} // namespace HttpStatus
+
+/// The status line and the fields of an answer, without the blank line that ends the head.
+auto encodeHead(int status, const HeaderList &headers, bool keepAlive) -> std::string;
 
 /// A whole answer with a length. Precondition: the headers hold neither Content-Length nor Transfer-Encoding.
 auto encodeAnswer(int status, const HeaderList &headers, std::string_view body, bool keepAlive) -> std::string;
--- a/Source/Connection/JobService.cpp
+++ b/Source/Connection/JobService.cpp
@@ -23,9 +23,6 @@
 constexpr std::size_t CACHED_RECORDS = 2000;
 constexpr std::size_t CACHED_LOGS = 64;
 constexpr const char *PEER_PATH = "/jobs";
-constexpr int OK = 200;
-constexpr int ACCEPTED = 202;
-constexpr int NOT_OWNER = 409;
 
 auto jsonResult(int status, std::string body) -> HttpResult
 {
@@ -36,7 +33,7 @@
 
 auto bytesResult(std::string body) -> HttpResult
 {
-    HttpResult result { OK, {}, std::move(body) };
+    HttpResult result { HttpStatus::OK, {}, std::move(body) };
     result.headers.add("Content-Type", "application/octet-stream");
     return result;
 }
@@ -92,7 +89,7 @@
         = request.call.kind == JobCall::Kind::ReadResults ? std::min(request.terms.resultWait, LONGEST_WAIT) : Milliseconds(0);
     const Query query { request.call, request.team, BootClock::now() + wait };
     answer(query, [caller = request.caller, id = request.call.jobId, kind = static_cast<int>(request.call.kind)](const HttpResult &result) {
-        if (result.status != OK) {
+        if (result.status != HttpStatus::OK) {
             EventLog::write("job_call_failed", { { "job", id }, { "kind", kind }, { "status", result.status } });
         }
         caller->reply(result);
@@ -104,7 +101,7 @@
     const std::string &id = request.call.jobId;
     const auto caller = request.caller;
     if (book_.find(id) != nullptr) {
-        caller->reply(jsonResult(ACCEPTED, "{}"));
+        caller->reply(jsonResult(HttpStatus::ACCEPTED, "{}"));
         return;
     }
     if (!adoption_.hasStore(BootClock::now())) {
@@ -159,7 +156,7 @@
                 adoption_.doubt(record.id);
             }
         }
-        return jsonResult(ACCEPTED, "{}");
+        return jsonResult(HttpStatus::ACCEPTED, "{}");
     case JobLedger::Acceptance::Refused:
         return refusalOf(parts_.dialect, ResultCode::JobNotAccepted, "", RETRY_AFTER);
     case JobLedger::Acceptance::Uncertain:
@@ -170,8 +167,8 @@
 
 auto JobService::answer(const Query &query, const ReplyHandler &reply) -> void
 {
-    if (book_.find(query.call.jobId) != nullptr && adoption_.isSureOf(query.call.jobId)) {
-        answerAsOwner(query, reply);
+    if (answersFor(query.call.jobId)) {
+        answerAsOwner(query, reply, [this, query, reply] { findOwner(query, reply); });
         return;
     }
     if (const Peer *owner = parts_.peers.ownerOf(query.call.jobId, BootClock::now())) {
@@ -186,17 +183,22 @@
     findOwner(query, reply);
 }
 
-auto JobService::answerAsOwner(const Query &query, const ReplyHandler &reply) -> void
+auto JobService::answersFor(const std::string &job) -> bool
+{
+    return book_.find(job) != nullptr && adoption_.isSureOf(job);
+}
+
+auto JobService::answerAsOwner(const Query &query, const ReplyHandler &reply, const std::function<void()> &onNotOwner) -> void
 {
     if (query.call.kind != JobCall::Kind::ReadResults) {
         replyOwned(query, reply);
         return;
     }
-    book_.await(query.call.jobId, query.call.from, query.deadline, [this, query, reply] {
-        if (book_.find(query.call.jobId) != nullptr && adoption_.isSureOf(query.call.jobId)) {
+    book_.await(query.call.jobId, query.call.from, query.deadline, [this, query, reply, onNotOwner] {
+        if (answersFor(query.call.jobId)) {
             replyOwned(query, reply);
         } else {
-            findOwner(query, reply);
+            onNotOwner();
         }
     });
 }
@@ -209,7 +211,7 @@
         return;
     }
     if (query.call.kind == JobCall::Kind::ReadResults) {
-        reply(jsonResult(OK, parts_.dialect.encodeResults(job->items().size(), query.call.from, job->listed())));
+        reply(jsonResult(HttpStatus::OK, parts_.dialect.encodeResults(job->items().size(), query.call.from, job->listed())));
         return;
     }
     if (query.call.kind == JobCall::Kind::ReadItem) {
@@ -221,7 +223,7 @@
     book_.cancel(query.call.jobId, [this, query, reply](const absl::Status &status) {
         EventLog::write("job_cancelled", { { "job", query.call.jobId }, { "ok", status.ok() } });
         if (status.ok()) {
-            reply(jsonResult(OK, "{}"));
+            reply(jsonResult(HttpStatus::OK, "{}"));
         } else {
             findOwner(query, reply);
         }
@@ -230,23 +232,28 @@
 
 auto JobService::findOwner(const Query &query, const ReplyHandler &reply) -> void
 {
-    ledger_.read(query.call.jobId, [this, query, reply](const absl::StatusOr<JobRecord> &record) {
-        if (!record.ok()) {
-            reply(absl::IsNotFound(record.status()) ? unknown() : unsure("the store does not answer"));
-            return;
-        }
-        if (record->team != query.team) {
-            reply(unknown());
-            return;
-        }
+    readRecord(query, reply, [this, query, reply](const JobRecord &record) {
         if (elsewhere_.size() >= CACHED_RECORDS) {
             elsewhere_.erase(elsewhere_.begin());
         }
-        elsewhere_[record->id] = *record;
-        if (isOwnerAlive(*record)) {
-            askOwner(query, record->ownerAddress, reply);
+        elsewhere_[record.id] = record;
+        if (isOwnerAlive(record)) {
+            askOwner(query, record.ownerAddress, reply);
         } else {
-            answerFromStore(query, *record, reply);
+            answerFromStore(query, record, reply);
+        }
+    });
+}
+
+auto JobService::readRecord(const Query &query, const ReplyHandler &reply, std::function<void(const JobRecord &)> onRecord) -> void
+{
+    ledger_.read(query.call.jobId, [this, query, reply, onRecord = std::move(onRecord)](const absl::StatusOr<JobRecord> &record) {
+        if (!record.ok() && !absl::IsNotFound(record.status())) {
+            reply(unsure("the store does not answer"));
+        } else if (!record.ok() || record->team != query.team) {
+            reply(unknown());
+        } else {
+            onRecord(*record);
         }
     });
 }
@@ -254,8 +261,7 @@
 auto JobService::isOwnerAlive(const JobRecord &record) const -> bool
 {
     const Peer *owner = parts_.peers.find(record.owner);
-    return owner != nullptr && owner->report.incarnation == record.ownerIncarnation && parts_.peers.isAlive(*owner, BootClock::now())
-           && owner->report.hasStore && !owner->report.isLeaving;
+    return owner != nullptr && owner->report.incarnation == record.ownerIncarnation && parts_.peers.mayTakeWork(*owner, BootClock::now());
 }
 
 auto JobService::askOwner(const Query &query, const std::string &address, const ReplyHandler &reply) -> void
@@ -265,24 +271,14 @@
     const HttpCall call { "GET", peerTarget(query.call, query.team, wait), {}, {} };
     parts_.peerClient.call(address, call, now + wait + OWNER_SLACK, [this, query, reply](const HttpCallOutcome &outcome) {
         const auto *result = std::get_if<HttpResult>(&outcome);
-        if (result != nullptr && result->status == OK) {
-            HttpResult answer { OK, {}, result->body };
+        if (result != nullptr && result->status == HttpStatus::OK) {
+            HttpResult answer { HttpStatus::OK, {}, result->body };
             answer.headers.add("Content-Type", std::string(result->headers.valueOf("Content-Type")));
             reply(answer);
             return;
         }
         elsewhere_.erase(query.call.jobId);
-        ledger_.read(query.call.jobId, [this, query, reply](const absl::StatusOr<JobRecord> &found) {
-            if (!found.ok()) {
-                reply(absl::IsNotFound(found.status()) ? unknown() : unsure("the store does not answer"));
-                return;
-            }
-            if (found->team != query.team) {
-                reply(unknown());
-                return;
-            }
-            answerFromStore(query, *found, reply);
-        });
+        readRecord(query, reply, [this, query, reply](const JobRecord &record) { answerFromStore(query, record, reply); });
     });
 }
 
@@ -294,7 +290,7 @@
     }
     const auto take = [this, query, record, reply](const JobLedger::Log &log) {
         if (query.call.kind == JobCall::Kind::ReadResults) {
-            reply(jsonResult(OK, parts_.dialect.encodeResults(record.itemCount, query.call.from, log.results)));
+            reply(jsonResult(HttpStatus::OK, parts_.dialect.encodeResults(record.itemCount, query.call.from, log.results)));
         } else {
             readItemFromStore(query, record, log, reply);
         }
@@ -346,14 +342,14 @@
 auto JobService::cancelInStore(const JobRecord &record, const ReplyHandler &reply) -> void
 {
     if (record.isCancelled) {
-        reply(jsonResult(OK, "{}"));
+        reply(jsonResult(HttpStatus::OK, "{}"));
         return;
     }
     JobRecord cancelled = record;
     cancelled.isCancelled = true;
     ledger_.replace(cancelled, [this, id = record.id, reply](const absl::StatusOr<JobRecord> &result) {
         EventLog::write("job_cancelled", { { "job", id }, { "ok", result.ok() } });
-        reply(result.ok() ? jsonResult(OK, "{}") : unsure("the job could not be ended yet"));
+        reply(result.ok() ? jsonResult(HttpStatus::OK, "{}") : unsure("the job could not be ended yet"));
     });
 }
 
@@ -361,7 +357,8 @@
 {
     if (absl::StartsWith(exchange->head().target, HAND_OVER_PATH)) {
         const std::string progress = adoption_.handOver(exchange->head().target.substr(std::string_view(HAND_OVER_PATH).size()));
-        exchange->reply(progress.empty() ? refusalOf(parts_.dialect, ResultCode::JobUnknown, "", std::nullopt) : jsonResult(OK, progress));
+        exchange->reply(progress.empty() ? refusalOf(parts_.dialect, ResultCode::JobUnknown, "", std::nullopt)
+                                         : jsonResult(HttpStatus::OK, progress));
         return;
     }
     const std::vector<std::string> words = absl::StrSplit(exchange->head().target, '/');
@@ -379,26 +376,16 @@
     call.kind = static_cast<JobCall::Kind>(kind);
     call.jobId = words[4];
     call.itemId = words[7];
-    const HttpResult notOwner = jsonResult(NOT_OWNER, "{}");
-    if (book_.find(call.jobId) == nullptr || !adoption_.isSureOf(call.jobId)) {
-        exchange->reply(notOwner);
-        return;
-    }
-    const Query query { call, words[3], BootClock::now() + Milliseconds(waitMs) };
-    const auto reply = [exchange](const HttpResult &result) {
-        exchange->reply(result);
+    const auto refuse = [exchange] {
+        exchange->reply(jsonResult(HttpStatus::CONFLICT, "{}"));
     };
-    if (call.kind != JobCall::Kind::ReadResults) {
-        replyOwned(query, reply);
+    if (!answersFor(call.jobId)) {
+        refuse();
         return;
     }
-    book_.await(call.jobId, call.from, query.deadline, [this, query, exchange, reply, notOwner] {
-        if (book_.find(query.call.jobId) != nullptr && adoption_.isSureOf(query.call.jobId)) {
-            replyOwned(query, reply);
-        } else {
-            exchange->reply(notOwner);
-        }
-    });
+    const Query query { call, words[3], BootClock::now() + Milliseconds(waitMs) };
+    answerAsOwner(
+        query, [exchange](const HttpResult &result) { exchange->reply(result); }, refuse);
 }
 
 } // namespace poplardock
--- a/Source/Connection/JobService.h
+++ b/Source/Connection/JobService.h
@@ -37,9 +37,14 @@
     auto takeAcceptance(JobLedger::Acceptance acceptance, bool isOwn, const JobRecord &record, const std::vector<JobItem> &items)
         -> HttpResult;
     auto answer(const Query &query, const ReplyHandler &reply) -> void;
-    auto answerAsOwner(const Query &query, const ReplyHandler &reply) -> void;
+    /// Whether this daemon owns a job and has no doubt of it.
+    [[nodiscard]] auto answersFor(const std::string &job) -> bool;
+    /// "onNotOwner" is called instead when the job goes to another daemon while the reader waits.
+    auto answerAsOwner(const Query &query, const ReplyHandler &reply, const std::function<void()> &onNotOwner) -> void;
     auto replyOwned(const Query &query, const ReplyHandler &reply) -> void;
     auto findOwner(const Query &query, const ReplyHandler &reply) -> void;
+    /// Replies itself unless the store has a record of the team's job.
+    auto readRecord(const Query &query, const ReplyHandler &reply, std::function<void(const JobRecord &)> onRecord) -> void;
     auto askOwner(const Query &query, const std::string &address, const ReplyHandler &reply) -> void;
     auto answerFromStore(const Query &query, const JobRecord &record, const ReplyHandler &reply) -> void;
     auto cancelInStore(const JobRecord &record, const ReplyHandler &reply) -> void;
--- a/Source/Connection/OnlineRun.cpp
+++ b/Source/Connection/OnlineRun.cpp
@@ -25,14 +25,6 @@
 constexpr int MAXIMUM_DECLINES = 4;
 /// Bytes that a slow caller may leave unread before its upstream is slowed down too.
 constexpr std::size_t QUEUE_BYTES = 256U << 10U;
-constexpr int SUCCESS_BEGIN = 200;
-constexpr int SUCCESS_END = 300;
-constexpr int SERVER_ERROR = 500;
-
-auto isSuccess(int status) -> bool
-{
-    return status >= SUCCESS_BEGIN && status < SUCCESS_END;
-}
 
 } // namespace
 
@@ -164,7 +156,7 @@
 auto OnlineRun::takeHead(const MessageHead &head) -> void
 {
     result_.status = head.status;
-    if (!isStream() || !isSuccess(head.status)) {
+    if (!isStream() || !HttpStatus::isSuccess(head.status)) {
         result_.headers = head.headers.withoutHopByHop();
         return;
     }
@@ -210,7 +202,7 @@
     mayHaveRun_ = true;
     if (end == RunEnd::Complete) {
         // A stream that has begun can end only with the answer's own end: an error of a later run is none.
-        const bool isUsable = order_.caller->hasBegun() ? isSuccess(result_.status) : result_.status < SERVER_ERROR;
+        const bool isUsable = order_.caller->hasBegun() ? HttpStatus::isSuccess(result_.status) : result_.status < HttpStatus::SERVER_ERROR;
         if (isUsable || (!order_.caller->hasBegun() && !mayMove())) {
             answer();
             return;
--- a/Source/Connection/Refusal.cpp
+++ b/Source/Connection/Refusal.cpp
@@ -4,17 +4,14 @@
 
 namespace {
 
-constexpr int UNAVAILABLE = 503;
-constexpr int GATEWAY_TIMEOUT = 504;
-
 /// Callers take 503 as a promise that the request has not run. A code without that promise is answered as a time-out,
 /// and one that blames the request is answered 503, since the configuration allows the request.
 auto statusOf(const ResultDescription &row) -> int
 {
-    if (row.httpStatus == UNAVAILABLE && row.run != RunState::NotRun) {
-        return GATEWAY_TIMEOUT;
+    if (row.httpStatus == HttpStatus::UNAVAILABLE && row.run != RunState::NotRun) {
+        return HttpStatus::GATEWAY_TIMEOUT;
     }
-    return row.code == ResultCode::RequestCrashesUpstreams ? UNAVAILABLE : row.httpStatus;
+    return row.code == ResultCode::RequestCrashesUpstreams ? HttpStatus::UNAVAILABLE : row.httpStatus;
 }
 
 } // namespace
--- a/Source/Connection/UpstreamRun.cpp
+++ b/Source/Connection/UpstreamRun.cpp
@@ -13,8 +13,6 @@
 constexpr Milliseconds IDLE_MARGIN { 800 };
 /// A connection to an upstream that crashed is refused at once; one to a sound upstream opens in this time.
 constexpr Milliseconds PROBE_TIME { 300 };
-constexpr int SUCCESS_BEGIN = 200;
-constexpr int SUCCESS_END = 300;
 
 } // namespace
 
@@ -104,8 +102,7 @@
     if (terms_.isNotRun || terms_.isMisdirected) {
         return;
     }
-    const bool isSuccess = status_ >= SUCCESS_BEGIN && status_ < SUCCESS_END;
-    if (!order_.isStream || !isSuccess) {
+    if (!order_.isStream || !HttpStatus::isSuccess(status_)) {
         handlers_.onBody(bytes);
         return;
     }
@@ -149,7 +146,7 @@
     if (end == ExchangeEnd::Complete && !isCut) {
         parts_.directory.recordSuccess(order_.upstream);
         // An answer that is no success says nothing about the time that a request takes.
-        const bool isSuccess = status_ >= SUCCESS_BEGIN && status_ < SUCCESS_END;
+        const bool isSuccess = HttpStatus::isSuccess(status_);
         if (isSuccess) {
             recordFirst();
         }
--- a/Source/Process/Batch/JobAdoption.cpp
+++ b/Source/Process/Batch/JobAdoption.cpp
@@ -17,7 +17,6 @@
 constexpr Milliseconds SETTLE_MARGIN { 200 };
 /// Time in which a former owner has to hand over; the items start again without it.
 constexpr Milliseconds HAND_OVER_TIME { 500 };
-constexpr int OK = 200;
 /// Time between two reads of a record that another daemon claims too.
 constexpr Milliseconds DOUBT_PAUSE { 1000 };
 /// Times that the log is read again when another entry stands where the closing one should.
@@ -91,7 +90,7 @@
     }
     std::erase_if(retryAt_, [now](const auto &each) { return each.second <= now; });
     for (const auto &[name, peer] : parts_.peers.peers()) {
-        const bool isSound = parts_.peers.isAlive(peer, now) && !peer.report.isLeaving && peer.report.hasStore;
+        const bool isSound = parts_.peers.mayTakeWork(peer, now);
         for (const std::string &id : isSound ? peer.report.jobs : std::vector<std::string>()) {
             // Two daemons take themselves for the owner: the record decides.
             if (book_.find(id) != nullptr && retryAt_.emplace(id, now + DOUBT_PAUSE).second) {
@@ -224,7 +223,7 @@
         return now - startedAt_ > SETTLE_TIME;
     }
     const bool isSameStart = owner->report.incarnation == record.ownerIncarnation;
-    return !isSameStart || !parts_.peers.isAlive(*owner, now) || owner->report.isLeaving || !owner->report.hasStore;
+    return !isSameStart || !parts_.peers.mayTakeWork(*owner, now);
 }
 
 auto JobAdoption::takeOver(const std::string &id) -> void
@@ -268,7 +267,7 @@
     const HttpCall call { "POST", std::string(HAND_OVER_PATH) + record.id, {}, {} };
     parts_.peerClient.call(former->address, call, now + HAND_OVER_TIME, [this, record](const HttpCallOutcome &outcome) {
         const auto *result = std::get_if<HttpResult>(&outcome);
-        load(record, result != nullptr && result->status == OK ? result->body : std::string());
+        load(record, result != nullptr && result->status == HttpStatus::OK ? result->body : std::string());
     });
 }
 
--- a/Source/Process/Batch/JobRecord.cpp
+++ b/Source/Process/Batch/JobRecord.cpp
@@ -1,6 +1,7 @@
 #include "Process/Batch/JobRecord.h"
 
 #include "Process/Json.h"
+#include "Process/JsonFields.h"
 
 namespace poplardock {
 
@@ -16,43 +17,6 @@
     return WallClock::time_point(Milliseconds(milliseconds));
 }
 
-/// Reads required fields and remembers the first fault.
-class Reader
-{
-public:
-    explicit Reader(const JsonObject &object)
-        : object_(object)
-    {
-    }
-
-    auto text(const char *key) -> std::string
-    {
-        auto value = Json::requireString(object_, key);
-        status_.Update(value.status());
-        return value.value_or(std::string());
-    }
-    auto integer(const char *key) -> std::int64_t
-    {
-        const auto value = Json::requireInteger(object_, key);
-        status_.Update(value.status());
-        return value.value_or(0);
-    }
-    auto flag(const char *key) -> bool
-    {
-        const auto value = Json::optionalBool(object_, key, false);
-        status_.Update(value.status());
-        return value.value_or(false);
-    }
-    [[nodiscard]] auto status() const -> const absl::Status &
-    {
-        return status_;
-    }
-
-private:
-    const JsonObject &object_;
-    absl::Status status_;
-};
-
 } // namespace
 
 auto JobRecord::isOpen() const -> bool
@@ -90,24 +54,34 @@
     if (!json.ok()) {
         return json.status();
     }
-    Reader reader(**json);
+    const JsonObject &spec = **json;
+    absl::Status status;
     JobRecord record;
+    std::int64_t submittedMs = 0;
+    std::int64_t dueMs = 0;
+    std::int64_t giveUpMs = 0;
     record.id = object.name;
     record.version = object.version;
-    record.team = reader.text("team");
-    record.host = reader.text("host");
-    record.prefix = reader.text("prefix");
-    record.owner = reader.text("owner");
-    record.ownerIncarnation = reader.text("owner_incarnation");
-    record.ownerAddress = reader.text("owner_address");
-    record.itemCount = static_cast<std::size_t>(reader.integer("items"));
-    record.payloadCount = static_cast<std::size_t>(reader.integer("payloads"));
-    record.submittedAt = timeOf(reader.integer("submitted_ms"));
-    record.dueAt = timeOf(reader.integer("due_ms"));
-    record.giveUpAt = timeOf(reader.integer("give_up_ms"));
-    record.isCancelled = reader.flag("cancelled");
-    record.isDone = reader.flag("done");
-    return reader.status().ok() ? absl::StatusOr<JobRecord>(record) : reader.status();
+    Json::assign(Json::requireString(spec, "team"), record.team, status);
+    Json::assign(Json::requireString(spec, "host"), record.host, status);
+    Json::assign(Json::requireString(spec, "prefix"), record.prefix, status);
+    Json::assign(Json::requireString(spec, "owner"), record.owner, status);
+    Json::assign(Json::requireString(spec, "owner_incarnation"), record.ownerIncarnation, status);
+    Json::assign(Json::requireString(spec, "owner_address"), record.ownerAddress, status);
+    Json::assign(Json::requireInteger(spec, "items"), record.itemCount, status);
+    Json::assign(Json::requireInteger(spec, "payloads"), record.payloadCount, status);
+    Json::assign(Json::requireInteger(spec, "submitted_ms"), submittedMs, status);
+    Json::assign(Json::requireInteger(spec, "due_ms"), dueMs, status);
+    Json::assign(Json::requireInteger(spec, "give_up_ms"), giveUpMs, status);
+    Json::assign(Json::optionalBool(spec, "cancelled", false), record.isCancelled, status);
+    Json::assign(Json::optionalBool(spec, "done", false), record.isDone, status);
+    if (!status.ok()) {
+        return status;
+    }
+    record.submittedAt = timeOf(submittedMs);
+    record.dueAt = timeOf(dueMs);
+    record.giveUpAt = timeOf(giveUpMs);
+    return record;
 }
 
 } // namespace poplardock
--- a/Source/Process/Batch/JobRunner.cpp
+++ b/Source/Process/Batch/JobRunner.cpp
@@ -28,10 +28,6 @@
 constexpr double SAMPLE_WEIGHT = 0.1;
 /// An item that has less than this part of its expected time is late anyway.
 constexpr double FEASIBLE_PART = 0.6;
-constexpr int SUCCESS_BEGIN = 200;
-constexpr int SUCCESS_END = 300;
-constexpr int NEVER_DONE = 422;
-constexpr int FAILED = 500;
 
 } // namespace
 
@@ -292,7 +288,7 @@
     const ServiceRoute *route = version->findRoute(job->record().host, job->record().prefix);
     const ActiveRun ended = std::move(active->second);
     active_.erase(active);
-    if (ended.eventsBefore == 0 && ended.answer.status == SUCCESS_BEGIN) {
+    if (ended.eventsBefore == 0 && ended.answer.status == HttpStatus::OK) {
         itemMs_ += SAMPLE_WEIGHT * (millisecondsBetween(ended.startedAt, BootClock::now()) - itemMs_);
         itemEvents_ += SAMPLE_WEIGHT * (item->eventCount - itemEvents_);
     }
@@ -303,11 +299,11 @@
 auto JobRunner::judgeAnswer(const ItemKey &key, ItemProgress &item, const HttpResult &answer, int attemptLimit) -> void
 {
     OwnedJob *job = book_.find(key.job);
-    const bool isSuccess = answer.status >= SUCCESS_BEGIN && answer.status < SUCCESS_END;
-    if (answer.status == FAILED) {
+    const bool isSuccess = HttpStatus::isSuccess(answer.status);
+    if (answer.status == HttpStatus::SERVER_ERROR) {
         ++item.failures;
     }
-    if (isSuccess || answer.status == NEVER_DONE || item.failures >= attemptLimit) {
+    if (isSuccess || answer.status == HttpStatus::UNPROCESSABLE || item.failures >= attemptLimit) {
         EventLog::write("item_done",
                         { { "item", key.item },
                           { "job", key.job },
--- a/Source/Process/Batch/OwnedJob.cpp
+++ b/Source/Process/Batch/OwnedJob.cpp
@@ -1,6 +1,7 @@
 #include "Process/Batch/OwnedJob.h"
 
 #include "Process/Json.h"
+#include "Process/JsonFields.h"
 
 #include <algorithm>
 
@@ -125,25 +126,27 @@
         return entries.status();
     }
     for (const JsonObject::Ptr &entry : *entries) {
-        const auto id = Json::requireString(*entry, "id");
-        const auto itemText = Json::requireString(*entry, "text");
-        const auto events = Json::optionalInteger(*entry, "events", 0);
-        const auto failures = Json::optionalInteger(*entry, "failures", 0);
-        const auto lastEvent = Json::optionalInteger(*entry, "last_event", 0);
-        for (const absl::Status &status : { id.status(), itemText.status(), events.status(), failures.status(), lastEvent.status() }) {
-            if (!status.ok()) {
-                return status;
-            }
+        std::string id;
+        ItemProgress progress;
+        std::int64_t lastEvent = 0;
+        absl::Status status;
+        Json::assign(Json::requireString(*entry, "id"), id, status);
+        Json::assign(Json::requireString(*entry, "text"), progress.text, status);
+        Json::assign(Json::optionalInteger(*entry, "events", 0), progress.eventCount, status);
+        Json::assign(Json::optionalInteger(*entry, "failures", 0), progress.failures, status);
+        Json::assign(Json::optionalInteger(*entry, "last_event", 0), lastEvent, status);
+        if (!status.ok()) {
+            return status;
         }
-        ItemProgress *item = findItem(*id);
+        ItemProgress *item = findItem(id);
         if (item == nullptr || item->state != ItemPhase::Waiting) {
             continue;
         }
-        item->text = *itemText;
-        item->eventCount = static_cast<int>(*events);
-        item->failures = static_cast<int>(*failures);
+        item->text = std::move(progress.text);
+        item->eventCount = progress.eventCount;
+        item->failures = progress.failures;
         if (entry->has("last_event")) {
-            item->lastEventId = *lastEvent;
+            item->lastEventId = lastEvent;
         }
         if (entry->has("completed")) {
             finishItem(*item, Json::optionalBool(*entry, "completed", false).value_or(false));
--- a/Source/Process/ConfigurationFollower.cpp
+++ b/Source/Process/ConfigurationFollower.cpp
@@ -1,6 +1,7 @@
 #include "Process/ConfigurationFollower.h"
 
 #include "Process/EventLog.h"
+#include "Process/Peers/PeerFetch.h"
 
 #include <absl/strings/numbers.h>
 #include <absl/strings/str_cat.h>
@@ -9,13 +10,7 @@
 
 namespace {
 
-/// Longest time of the first watch; the freshness relay sets that of the following ones.
-constexpr Milliseconds FIRST_WAIT { 1200 };
-/// Time in which a daemon in the same region gives out its configuration.
-constexpr Milliseconds FETCH_TIME { 400 };
 constexpr const char *CONFIGURATION_NAME = "main";
-constexpr int OK = 200;
-constexpr int NOT_FOUND = 404;
 
 } // namespace
 
@@ -25,7 +20,7 @@
     , peers_(peers)
     , watch_(loop,
              store,
-             { dialect.configurationKind, FIRST_WAIT, Milliseconds(0), Milliseconds(0) },
+             { dialect.configurationKind, Milliseconds(0), Milliseconds(0) },
              { [this](const StoreList &list) {
                   for (const StoredObject &object : list.objects) {
                       take(object);
@@ -37,8 +32,6 @@
                            take(event.object);
                        }
                    }
-               },
-               [](BootTime) {
                } })
 {
 }
@@ -95,17 +88,15 @@
 
 auto ConfigurationFollower::fetchFromPeer(const std::string &address) -> void
 {
-    const HttpCall call { "GET", PEER_PATH, {}, {} };
-    peers_.call(address, call, BootClock::now() + FETCH_TIME, [this, address](const HttpCallOutcome &outcome) {
-        const auto *result = std::get_if<HttpResult>(&outcome);
-        const std::size_t end = result == nullptr ? std::string::npos : result->body.find('\n');
+    fetchFrom(peers_, address, PEER_PATH, [this, address](const absl::StatusOr<std::string> &text) {
+        const std::size_t end = text.ok() ? text->find('\n') : std::string::npos;
         StoredObject object;
         object.kind = dialect_.configurationKind;
         object.name = CONFIGURATION_NAME;
-        const bool isRead = end != std::string::npos && absl::SimpleAtoi(result->body.substr(0, end), &object.version);
+        const bool isRead = end != std::string::npos && absl::SimpleAtoi(text->substr(0, end), &object.version);
         EventLog::write("configuration_fetched", { { "peer", address }, { "ok", isRead }, { "revision", object.version } });
         if (isRead) {
-            object.spec = result->body.substr(end + 1);
+            object.spec = text->substr(end + 1);
             take(object);
         }
     });
@@ -114,9 +105,9 @@
 auto ConfigurationFollower::answerForPeer() const -> HttpResult
 {
     if (version_ == nullptr) {
-        return { NOT_FOUND, {}, {} };
+        return { HttpStatus::NOT_FOUND, {}, {} };
     }
-    return { OK, {}, absl::StrCat(object_.version, "\n", object_.spec) };
+    return { HttpStatus::OK, {}, absl::StrCat(object_.version, "\n", object_.spec) };
 }
 
 } // namespace poplardock
--- a/Source/Process/FrontDaemon.cpp
+++ b/Source/Process/FrontDaemon.cpp
@@ -30,9 +30,6 @@
 constexpr ClientPool::Options PEER_POOL { { 1000, 1000 }, Milliseconds(250), Milliseconds(10000) };
 /// Retries in 30 s that a daemon may make however few requests it has.
 constexpr std::uint64_t MINIMUM_RETRIES = 20;
-constexpr int OK = 200;
-constexpr int UNAVAILABLE = 503;
-constexpr int NOT_FOUND = 404;
 
 /// Peers and operators are this fleet's own; their messages are small.
 auto internalLimits() -> CallerLimits
@@ -337,17 +334,17 @@
 {
     noteReadiness();
     const bool isQuestion = exchange->head().target == dialect_.readyTarget;
-    exchange->reply({ !isQuestion ? NOT_FOUND : isReady() ? OK : UNAVAILABLE, {}, {} });
+    exchange->reply({ !isQuestion ? HttpStatus::NOT_FOUND : wasReady_ ? HttpStatus::OK : HttpStatus::UNAVAILABLE, {}, {} });
 }
 
 auto FrontDaemon::answerOperator(const std::shared_ptr<CallerExchange> &exchange) -> void
 {
     if (exchange->head().target != "/metrics") {
-        exchange->reply({ NOT_FOUND, {}, {} });
+        exchange->reply({ HttpStatus::NOT_FOUND, {}, {} });
         return;
     }
     const ObjectStore::Counts &counts = store_.counts();
-    HttpResult result { OK, {}, metricsText(metrics_) };
+    HttpResult result { HttpStatus::OK, {}, metricsText(metrics_) };
     absl::StrAppend(&result.body,
                     "poplardock_store_reads_total ",
                     counts.reads,
--- a/Source/Process/Json.cpp
+++ b/Source/Process/Json.cpp
@@ -1,6 +1,7 @@
 #include "Process/Json.h"
 
 #include <Poco/JSON/Parser.h>
+#include <Poco/JSON/Stringifier.h>
 #include <absl/strings/str_cat.h>
 
 #include <sstream>
@@ -47,6 +48,13 @@
     return stream.str();
 }
 
+auto toText(const Poco::Dynamic::Var &value) -> std::string
+{
+    std::ostringstream stream;
+    Poco::JSON::Stringifier::stringify(value, stream);
+    return stream.str();
+}
+
 auto toText(const JsonArray &array) -> std::string
 {
     std::ostringstream stream;
--- a/Source/Process/Load/AllowanceTable.cpp
+++ b/Source/Process/Load/AllowanceTable.cpp
@@ -126,8 +126,10 @@
 auto AllowanceTable::update(BootTime now) -> void
 {
     const int daemons = peers_.daemonCount(now);
+    const std::map<std::string, double> demand = peers_.demand(now);
     for (auto &[team, share] : shares_) {
-        share.setOthers(peers_.demand(team, now), daemons, now);
+        const auto others = demand.find(team);
+        share.setOthers(others == demand.end() ? 0 : others->second, daemons, now);
     }
 }
 
--- a/Source/Process/Load/UpstreamFollower.cpp
+++ b/Source/Process/Load/UpstreamFollower.cpp
@@ -1,6 +1,7 @@
 #include "Process/Load/UpstreamFollower.h"
 
 #include "Process/EventLog.h"
+#include "Process/Peers/PeerFetch.h"
 
 #include <absl/strings/match.h>
 #include <absl/strings/numbers.h>
@@ -15,8 +16,6 @@
 
 namespace {
 
-/// Longest time of the first watch; the freshness relay sets that of the following ones.
-constexpr Milliseconds FIRST_WAIT { 1200 };
 /// Upstreams register one after the other at a start; changes of this time share one watch. It adds to the time after
 /// which an upstream that leaves gets nothing more (2 s).
 constexpr Milliseconds PAUSE { 500 };
@@ -25,10 +24,6 @@
 constexpr Milliseconds RETURN_TIME { 2200 };
 /// Part of the leave bound in which an upstream without entry may still be used.
 constexpr double LEAVE_PART = 0.7;
-/// Time in which a daemon in the same region gives out what it knows.
-constexpr Milliseconds FETCH_TIME { 400 };
-constexpr int OK = 200;
-constexpr int BAD_REQUEST = 400;
 /// Missed entries that are told to daemons that ask; one that knows less lists the store.
 constexpr std::size_t LONGEST_MISSED = 1000;
 /// Lines of a feed: the revision, a present entry, a missing one.
@@ -50,10 +45,10 @@
     , leaveBound_(leaveBound)
     , watch_(loop,
              store,
-             { dialect.upstreamKind, FIRST_WAIT, PAUSE, FIRST_PAUSE },
+             { dialect.upstreamKind, PAUSE, FIRST_PAUSE },
              { [this](const StoreList &list) { takeList(list); },
-               [this](const StoreEvents &events) { takeEvents(events); },
-               [](BootTime) {
+               [this](const StoreEvents &events) {
+                   takeEvents(events);
                } })
 {
 }
@@ -177,7 +172,7 @@
 {
     std::uint64_t after = 0;
     if (!absl::SimpleAtoi(absl::StripPrefix(target, PEER_PATH), &after)) {
-        return { BAD_REQUEST, {}, {} };
+        return { HttpStatus::BAD_REQUEST, {}, {} };
     }
     std::string feed = absl::StrCat(REVISION_TAG, " ", revision_, " ", knownUpTo_);
     for (const auto &[name, object] : entries_) {
@@ -190,15 +185,13 @@
             absl::StrAppend(&feed, "\n", MISSED_TAG, " ", name, " ", revision);
         }
     }
-    return { OK, {}, feed };
+    return { HttpStatus::OK, {}, feed };
 }
 
 auto UpstreamFollower::fetchFromPeer(const std::string &address) -> void
 {
-    const HttpCall call { "GET", absl::StrCat(PEER_PATH, knownUpTo_), {}, {} };
-    peers_.call(address, call, BootClock::now() + FETCH_TIME, [this, address](const HttpCallOutcome &outcome) {
-        const auto *result = std::get_if<HttpResult>(&outcome);
-        const absl::Status status = result == nullptr ? absl::UnavailableError("no answer") : takeFeed(result->body);
+    fetchFrom(peers_, address, absl::StrCat(PEER_PATH, knownUpTo_), [this, address](const absl::StatusOr<std::string> &feed) {
+        const absl::Status status = feed.ok() ? takeFeed(*feed) : feed.status();
         EventLog::write("upstreams_fetched", { { "peer", address }, { "reason", status.message() }, { "revision", revision_ } });
     });
 }
--- a/Source/Process/Peers/FreshnessRelay.cpp
+++ b/Source/Process/Peers/FreshnessRelay.cpp
@@ -1,6 +1,7 @@
 #include "Process/Peers/FreshnessRelay.h"
 
 #include "Process/EventLog.h"
+#include "Process/Peers/PeerFetch.h"
 
 #include <algorithm>
 
@@ -14,14 +15,10 @@
 constexpr Milliseconds SETTLE_TIME { 1500 };
 /// Watches of upstreams at the leader, by whose revision the feeders notice that they hear nothing.
 constexpr Milliseconds LEADER_WAIT { 1200 };
-/// All other watches, which only bring changes.
-constexpr Milliseconds FEEDER_WAIT { 20000 };
 /// Age of the belief at which a daemon asks the store itself. The leader reads each 0.5 s and a question is sent each
 /// 0.5 s, so a belief is hardly older than a second while all is well.
 constexpr Milliseconds OWN_CALL_AGE { 2200 };
 constexpr Milliseconds REFRESH_PAUSE { 1000 };
-/// Time in which a fetch from another daemon is answered or given up.
-constexpr Milliseconds FETCH_PAUSE { 400 };
 /// Answers in a row that name a newer revision, after which the store is asked: the first may come from another data
 /// centre before the feeder knows, the second led to a fetch.
 constexpr int LONGEST_BEHIND = 3;
@@ -78,8 +75,7 @@
         configuration_.follower.watch.setWatching(isFeeder);
         upstreams_.follower.watch.setWatching(isFeeder || isLeader);
     }
-    configuration_.follower.watch.setWait(FEEDER_WAIT);
-    upstreams_.follower.watch.setWait(isLeader ? LEADER_WAIT : FEEDER_WAIT);
+    upstreams_.follower.watch.setWait(isLeader ? LEADER_WAIT : KindWatch::LONGEST_WAIT);
     if (isLeader) {
         readAsLeader(now);
     } else {
@@ -141,7 +137,7 @@
         kind.caughtUpAt = now;
         return true;
     }
-    if (now - kind.fetchedAt < FETCH_PAUSE) {
+    if (now - kind.fetchedAt < PEER_FETCH_TIME) {
         return false;
     }
     ++kind.timesBehind;
--- a/Source/Process/Peers/PeerDirectory.cpp
+++ b/Source/Process/Peers/PeerDirectory.cpp
@@ -21,6 +21,21 @@
 /// As long as a daemon remembers the deaths that it saw itself.
 constexpr std::chrono::minutes CRASH_MEMORY { 10 };
 
+auto addDemand(std::map<std::string, double> &total, const std::map<std::string, double> &demand) -> void
+{
+    for (const auto &[team, requests] : demand) {
+        total[team] += requests;
+    }
+}
+
+auto addWork(WorkCounts &total, const WorkCounts &work) -> void
+{
+    for (const auto &[upstream, count] : work) {
+        total[upstream].online += count.online;
+        total[upstream].batch += count.batch;
+    }
+}
+
 auto rendezvousScore(const std::string &daemon, const std::string &key) -> std::uint64_t
 {
     return stableHash(daemon + "/" + key);
@@ -45,6 +60,7 @@
         peer.address = address;
         peer.dataCentre = dataCentre;
     }
+    countNeighbours();
 }
 
 auto PeerDirectory::take(const DaemonReport &report, const std::string &address, BootTime now) -> bool
@@ -57,9 +73,15 @@
         return false;
     }
     peer = { report.name, address, report.dataCentre, report, now };
+    countNeighbours();
     return true;
 }
 
+auto PeerDirectory::countNeighbours() -> void
+{
+    neighbourCount_ = std::count_if(peers_.begin(), peers_.end(), [this](const auto &each) { return isNeighbour(each.second); });
+}
+
 auto PeerDirectory::isNeighbour(const Peer &peer) const -> bool
 {
     return peer.dataCentre == ownDataCentre_ || peer.dataCentre.empty();
@@ -114,6 +136,7 @@
         peer.report.jobs = entry.jobs;
     }
     peers_.erase(ownName_);
+    countNeighbours();
     return true;
 }
 
@@ -125,16 +148,13 @@
     const auto add = [&digest](const DaemonReport &report, const std::string &address, Milliseconds age) {
         digest.daemons.push_back(
             { report.name, address, report.incarnation, report.sequence, age, report.isLeaving, report.hasStore, report.jobs });
+        addWork(digest.work, report.work);
+        addDemand(digest.demand, report.demand);
         for (const auto &[upstream, count] : report.work) {
-            digest.work[upstream].online += count.online;
-            digest.work[upstream].batch += count.batch;
             if (count.batch > 0) {
                 digest.batchHolders[upstream] = report.name;
             }
         }
-        for (const auto &[team, demand] : report.demand) {
-            digest.demand[team] += demand;
-        }
         for (const auto &[fingerprint, deaths] : report.crashes) {
             digest.crashes[fingerprint] += deaths;
         }
@@ -265,13 +285,12 @@
 
 auto PeerDirectory::reportPeriod() const -> Milliseconds
 {
-    const auto count = std::count_if(peers_.begin(), peers_.end(), [this](const auto &each) { return isNeighbour(each.second); });
-    return std::max(SHORTEST_PERIOD, PERIOD_PER_PEER * static_cast<std::int64_t>(count));
+    return std::max(SHORTEST_PERIOD, PERIOD_PER_PEER * neighbourCount_);
 }
 
 auto PeerDirectory::beliefPeriod() const -> Milliseconds
 {
-    const bool hasOthers = std::any_of(peers_.begin(), peers_.end(), [this](const auto &each) { return !isNeighbour(each.second); });
+    const bool hasOthers = neighbourCount_ < static_cast<std::int64_t>(peers_.size());
     return reportPeriod() + (hasOthers ? DIGEST_PERIOD / 2 : Milliseconds(0));
 }
 
@@ -289,19 +308,12 @@
 {
     WorkCounts total;
     for (const auto &[name, peer] : peers_) {
-        if (!isAlive(peer, now)) {
-            continue;
-        }
-        for (const auto &[upstream, count] : peer.report.work) {
-            total[upstream].online += count.online;
-            total[upstream].batch += count.batch;
+        if (isAlive(peer, now)) {
+            addWork(total, peer.report.work);
         }
     }
     for (const DataCentreDigest *digest : digestsWithin(silence(), now)) {
-        for (const auto &[upstream, count] : digest->work) {
-            total[upstream].online += count.online;
-            total[upstream].batch += count.batch;
-        }
+        addWork(total, digest->work);
     }
     return total;
 }
@@ -311,18 +323,16 @@
     return !peer.report.incarnation.empty() && now - peer.heardAt < DEMAND_MEMORY;
 }
 
-auto PeerDirectory::demand(const std::string &team, BootTime now) const -> double
+auto PeerDirectory::demand(BootTime now) const -> std::map<std::string, double>
 {
-    double total = 0;
+    std::map<std::string, double> total;
     for (const auto &[name, peer] : peers_) {
-        const auto found = peer.report.demand.find(team);
-        if (countsForDemand(peer, now) && found != peer.report.demand.end()) {
-            total += found->second;
+        if (countsForDemand(peer, now)) {
+            addDemand(total, peer.report.demand);
         }
     }
     for (const DataCentreDigest *digest : digestsWithin(DEMAND_MEMORY, now)) {
-        const auto found = digest->demand.find(team);
-        total += found == digest->demand.end() ? 0 : found->second;
+        addDemand(total, digest->demand);
     }
     return total;
 }
@@ -374,8 +384,7 @@
     const Peer *owner = nullptr;
     for (const auto &[name, peer] : peers_) {
         const auto &jobs = peer.report.jobs;
-        const bool claims = isAlive(peer, now) && peer.report.hasStore && !peer.report.isLeaving
-                            && std::find(jobs.begin(), jobs.end(), job) != jobs.end();
+        const bool claims = mayTakeWork(peer, now) && std::find(jobs.begin(), jobs.end(), job) != jobs.end();
         if (claims && (owner == nullptr || peer.heardAt > owner->heardAt)) {
             owner = &peer;
         }
@@ -385,16 +394,7 @@
 
 auto PeerDirectory::allowanceHomeOf(const std::string &team, BootTime now) const -> std::string
 {
-    std::string best = ownName_;
-    std::uint64_t bestScore = rendezvousScore(ownName_, team);
-    for (const auto &[name, peer] : peers_) {
-        const std::uint64_t score = rendezvousScore(name, team);
-        if (countsForDemand(peer, now) && score > bestScore) {
-            best = name;
-            bestScore = score;
-        }
-    }
-    return best;
+    return chooseFor(team, [this, now](const Peer &peer) { return countsForDemand(peer, now); });
 }
 
 auto PeerDirectory::isAlone(BootTime now) const -> bool
@@ -416,26 +416,21 @@
 
 auto PeerDirectory::feederOf(BootTime now) const -> std::string
 {
-    constexpr const char *FEEDER_KEY = "feeder";
-    std::string best = ownName_;
-    std::uint64_t bestScore = rendezvousScore(ownName_, FEEDER_KEY);
-    for (const Peer *peer : neighbours()) {
-        const std::uint64_t score = rendezvousScore(peer->name, FEEDER_KEY);
-        if (score > bestScore && mayTakeWork(*peer, now)) {
-            best = peer->name;
-            bestScore = score;
-        }
-    }
-    return best;
+    return chooseFor("feeder", [this, now](const Peer &peer) { return isNeighbour(peer) && mayTakeWork(peer, now); });
 }
 
 auto PeerDirectory::homeOf(const std::string &key, BootTime now) const -> std::string
+{
+    return chooseFor(key, [this, now](const Peer &peer) { return mayTakeWork(peer, now); });
+}
+
+auto PeerDirectory::chooseFor(const std::string &key, const std::function<bool(const Peer &)> &isEligible) const -> std::string
 {
     std::string best = ownName_;
     std::uint64_t bestScore = rendezvousScore(ownName_, key);
     for (const auto &[name, peer] : peers_) {
         const std::uint64_t score = rendezvousScore(name, key);
-        if (score > bestScore && mayTakeWork(peer, now)) {
+        if (score > bestScore && isEligible(peer)) {
             best = name;
             bestScore = score;
         }
--- a/Source/Process/Peers/PeerDirectory.h
+++ b/Source/Process/Peers/PeerDirectory.h
@@ -2,7 +2,8 @@
 
 #include "Process/Peers/DaemonReport.h"
 
-#include <optional>
+#include <functional>
+#include <map>
 #include <set>
 
 namespace poplardock {
@@ -68,11 +69,13 @@
     [[nodiscard]] auto beliefPeriod() const -> Milliseconds;
     /// Heard within the time after which a daemon's work counts as gone: some report periods.
     [[nodiscard]] auto isAlive(const Peer &peer, BootTime now) const -> bool;
+    /// Alive, in contact with the store, and not shutting down.
+    [[nodiscard]] auto mayTakeWork(const Peer &peer, BootTime now) const -> bool;
     /// Work of all living daemons but this one.
     [[nodiscard]] auto work(BootTime now) const -> WorkCounts;
-    /// Demand for a team at all daemons but this one. A silent daemon's demand counts for some time, since it may
-    /// only be cut off and go on admitting requests.
-    [[nodiscard]] auto demand(const std::string &team, BootTime now) const -> double;
+    /// Demand at all daemons but this one, by team. A silent daemon's demand counts for some time, since it may only be
+    /// cut off and go on admitting requests.
+    [[nodiscard]] auto demand(BootTime now) const -> std::map<std::string, double>;
     /// Daemons whose demand counts, with this one.
     [[nodiscard]] auto daemonCount(BootTime now) const -> int;
     /// Deaths of upstreams that a request caused, as all other daemons saw them.
@@ -102,7 +105,9 @@
     };
 
     [[nodiscard]] auto countsForDemand(const Peer &peer, BootTime now) const -> bool;
-    [[nodiscard]] auto mayTakeWork(const Peer &peer, BootTime now) const -> bool;
+    /// The eligible daemon, this one included, to which a key falls by rendezvous hashing.
+    [[nodiscard]] auto chooseFor(const std::string &key, const std::function<bool(const Peer &)> &isEligible) const -> std::string;
+    auto countNeighbours() -> void;
     /// The digests that are younger than the silence and cover each daemon once.
     [[nodiscard]] auto digestsWithin(Milliseconds silence, BootTime now) const -> std::vector<const DataCentreDigest *>;
     [[nodiscard]] auto silence() const -> Milliseconds;
@@ -110,6 +115,8 @@
     const std::string ownName_;
     const std::string ownDataCentre_;
     std::map<std::string, Peer> peers_;
+    /// Kept with the peers, since each judgement of a silence needs it.
+    std::int64_t neighbourCount_ = 0;
     /// The last digest of each sender.
     std::map<std::string, HeardDigest> digests_;
 };
--- /dev/null
+++ b/Source/Process/Peers/PeerFetch.cpp
@@ -0,0 +1,23 @@
+#include "Process/Peers/PeerFetch.h"
+
+namespace poplardock {
+
+auto fetchFrom(HttpClient &peers,
+               const std::string &address,
+               const std::string &path,
+               std::function<void(const absl::StatusOr<std::string> &)> handler) -> void
+{
+    const HttpCall call { "GET", path, {}, {} };
+    peers.call(address, call, BootClock::now() + PEER_FETCH_TIME, [handler = std::move(handler)](const HttpCallOutcome &outcome) {
+        const auto *result = std::get_if<HttpResult>(&outcome);
+        if (result == nullptr) {
+            handler(absl::UnavailableError("no answer"));
+        } else if (result->status != HttpStatus::OK) {
+            handler(absl::NotFoundError("the daemon has nothing to give out"));
+        } else {
+            handler(result->body);
+        }
+    });
+}
+
+} // namespace poplardock
--- a/Source/Process/Store/KindWatch.cpp
+++ b/Source/Process/Store/KindWatch.cpp
@@ -23,7 +23,6 @@
     , store_(store)
     , options_(std::move(options))
     , handlers_(std::move(handlers))
-    , wait_(options_.wait)
     , isWatching_(options_.startsWatching)
     , random_(static_cast<unsigned>(BootClock::now().time_since_epoch().count()))
 {
@@ -126,7 +125,6 @@
     }
     failures_ = 0;
     confirmedAt_ = std::max(confirmedAt_, sentAt);
-    handlers_.onConfirmed(sentAt);
 }
 
 auto KindWatch::fail(const absl::Status &status) -> void
--- a/Source/Process/Store/KindWatch.h
+++ b/Source/Process/Store/KindWatch.h
@@ -16,8 +16,6 @@
     struct Options
     {
         std::string kind;
-        /// Longest time of one watch. The belief is confirmed when it returns, as of its send.
-        Milliseconds wait { 0 };
         /// Time between an answer with changes and the next watch, so that changes come together.
         Milliseconds pause { 0 };
         /// The same for the first seconds, in which many objects are made one after the other.
@@ -31,10 +29,11 @@
     {
         std::function<void(const StoreList &)> onList;
         std::function<void(const StoreEvents &)> onEvents;
-        /// The belief is that of the store at "sentAt", after the handlers above.
-        std::function<void(BootTime sentAt)> onConfirmed;
     };
 
+    /// Longest time of one watch until setWait(): about as long as the store allows.
+    static constexpr Milliseconds LONGEST_WAIT { 20000 };
+
     KindWatch(EventLoop &loop, ObjectStore &store, Options options, Handlers handlers);
 
     auto start() -> void;
@@ -42,7 +41,8 @@
     auto setWatching(bool isWatching) -> void;
     /// Reads the whole kind again; a call under way is not waited for.
     auto refresh() -> void;
-    /// Sets the longest time of the watches from the next one on.
+    /// Sets the longest time of the watches from the next one on. The belief is confirmed when a watch returns, as of
+    /// its send.
     auto setWait(Milliseconds wait) -> void;
     /// Whether the last call failed; it is tried again after a pause.
     [[nodiscard]] auto isFailing() const -> bool;
@@ -59,7 +59,7 @@
     ObjectStore &store_;
     const Options options_;
     Handlers handlers_;
-    Milliseconds wait_;
+    Milliseconds wait_ = LONGEST_WAIT;
     bool isWatching_ = false;
     std::uint64_t revision_ = 0;
     /// Answers to calls of an earlier generation are ignored.
--- a/Source/Process/Store/ObjectStore.cpp
+++ b/Source/Process/Store/ObjectStore.cpp
@@ -14,24 +14,18 @@
 
 /// Each job has a kind of its own for its log; they are counted as one.
 constexpr std::string_view LOG_KIND_BEGIN = "results-";
-constexpr int OK_LIMIT = 300;
-constexpr int NOT_FOUND = 404;
-constexpr int CONFLICT = 409;
-constexpr int GONE = 410;
-constexpr int TOO_MANY = 429;
-constexpr int UNAVAILABLE = 503;
 
 auto toStatus(int status) -> absl::Status
 {
     switch (status) {
-    case NOT_FOUND:
+    case HttpStatus::NOT_FOUND:
         return absl::NotFoundError("no such object");
-    case CONFLICT:
+    case HttpStatus::CONFLICT:
         return absl::AbortedError("the object exists or has changed");
-    case GONE:
+    case HttpStatus::GONE:
         return absl::OutOfRangeError("the history is gone");
-    case TOO_MANY:
-    case UNAVAILABLE:
+    case HttpStatus::TOO_MANY_REQUESTS:
+    case HttpStatus::UNAVAILABLE:
         return absl::UnavailableError("the store refused the call");
     default:
         return absl::InvalidArgumentError("unexpected status " + std::to_string(status));
@@ -67,7 +61,8 @@
                          sendOnce(call, patience, false, handler);
                          return;
                      }
-                     const bool isContact = result != nullptr && result->status != TOO_MANY && result->status != UNAVAILABLE;
+                     const bool isContact = result != nullptr && result->status != HttpStatus::TOO_MANY_REQUESTS
+                                            && result->status != HttpStatus::UNAVAILABLE;
                      if (isContact) {
                          lostSince_.reset();
                      } else {
@@ -80,7 +75,7 @@
                                            : absl::UnknownError("the store did not answer"));
                          return;
                      }
-                     if (result->status >= OK_LIMIT) {
+                     if (!HttpStatus::isSuccess(result->status)) {
                          handler(toStatus(result->status));
                          return;
                      }
--- a/Source/Process/StoreVmDaemon.cpp
+++ b/Source/Process/StoreVmDaemon.cpp
@@ -8,8 +8,6 @@
 
 namespace {
 
-/// Orders to empty a VM are rare and leave seconds, so one watch waits as long as the store allows.
-constexpr Milliseconds WATCH_WAIT { 20000 };
 /// A VM answers for itself; the others answer for one that does not.
 constexpr Milliseconds OTHERS_DELAY { 1500 };
 constexpr Milliseconds RETRY_PAUSE { 500 };
@@ -23,7 +21,7 @@
     , store_(loop_, dialect_, settings_.storeAddress)
     , retirements_(loop_,
                    store_,
-                   { dialect_.retirementKind, WATCH_WAIT, Milliseconds(0), Milliseconds(0), true },
+                   { dialect_.retirementKind, Milliseconds(0), Milliseconds(0), true },
                    { [this](const StoreList &list) {
                         for (const StoredObject &order : list.objects) {
                             answer(order.name);
@@ -35,8 +33,6 @@
                                  answer(event.object.name);
                              }
                          }
-                     },
-                     [](BootTime) {
                      } })
 {
 }
--- a/Source/Version/ServingVersion.cpp
+++ b/Source/Version/ServingVersion.cpp
@@ -34,13 +34,6 @@
     return best;
 }
 
-auto ServingVersion::findRouteByName(const std::string &name) const -> const ServiceRoute *
-{
-    const auto found
-        = std::find_if(data_.routes.begin(), data_.routes.end(), [&name](const ServiceRoute &route) { return route.name == name; });
-    return found == data_.routes.end() ? nullptr : &*found;
-}
-
 auto ServingVersion::findTeamOfKey(const std::string &key) const -> const ServedTeam *
 {
     const auto found = teamOfKeyHash_.find(sha256Hex(key));
@@ -54,13 +47,6 @@
     return found == data_.teams.end() ? nullptr : &*found;
 }
 
-auto ServingVersion::groupLimits(const std::string &group) const -> GroupLimits
-{
-    const auto found
-        = std::find_if(data_.groups.begin(), data_.groups.end(), [&group](const GroupLimits &each) { return each.name == group; });
-    return found == data_.groups.end() ? GroupLimits { group } : *found;
-}
-
 auto ServingVersion::hasTeams() const -> bool
 {
     return !data_.teams.empty();
--- a/Source/Version/ServingVersion.h
+++ b/Source/Version/ServingVersion.h
@@ -70,13 +70,9 @@
     /// The route of that host with the longest prefix of the path; null when none matches. A query is not part
     /// of the path. The pointer lives as long as the version.
     [[nodiscard]] auto findRoute(std::string_view host, std::string_view path) const -> const ServiceRoute *;
-    /// The route of that name, or null.
-    [[nodiscard]] auto findRouteByName(const std::string &name) const -> const ServiceRoute *;
     /// The team that holds a key; null when none does.
     [[nodiscard]] auto findTeamOfKey(const std::string &key) const -> const ServedTeam *;
     [[nodiscard]] auto findTeam(const std::string &name) const -> const ServedTeam *;
-    /// Limits of a group; all zero for a group that is not configured.
-    [[nodiscard]] auto groupLimits(const std::string &group) const -> GroupLimits;
     /// Without teams every request is allowed.
     [[nodiscard]] auto hasTeams() const -> bool;
 
--- a/Tests/Connection/FrontDaemonTest.cpp
+++ b/Tests/Connection/FrontDaemonTest.cpp
@@ -17,16 +17,6 @@
     return total;
 }
 
-/// The body of a whole stream of that many events of a request.
-auto streamOf(const std::string &requestId, int events) -> std::string
-{
-    std::string text;
-    for (int number = 0; number < events; ++number) {
-        absl::StrAppend(&text, "id: ", number, "\ndata: ", requestId, ":", number, "\n\n");
-    }
-    return text;
-}
-
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(FrontDaemonSuite)
@@ -89,7 +79,7 @@
     PlatformFleet fleet(1, 1);
     const auto result = fleet.call(0, PlatformFleet::streamRequest("/stream/x", "s1", "key1"));
     BOOST_REQUIRE(result.has_value());
-    BOOST_TEST(result->body == streamOf("s1", 5));
+    BOOST_TEST(result->body == FakeEngine::streamOf("s1", 5));
     BOOST_TEST(result->headers.valueOf("Server-Stamp") == "stamp-s1");
 }
 
@@ -119,7 +109,7 @@
         const std::string id = absl::StrCat("m", index);
         const auto result = fleet.call(0, PlatformFleet::streamRequest("/resumed/x", id, "key1"));
         BOOST_REQUIRE(result.has_value());
-        BOOST_TEST(result->body == streamOf(id, 5));
+        BOOST_TEST(result->body == FakeEngine::streamOf(id, 5));
         fleet.runFor(Milliseconds(450));
     }
     BOOST_TEST(!fleet.engines[0]->runs().empty());
@@ -366,10 +356,7 @@
 BOOST_AUTO_TEST_CASE(AReusedAddressRunsNothing)
 {
     PlatformFleet fleet(1, 1);
-    fleet.store.put(
-        "servers",
-        "gone",
-        absl::StrCat(R"({"service":"models","address":")", fleet.engines[0]->address(), R"(","zone":"east-a","slots":8,"state":"ready"})"));
+    fleet.store.put("servers", "gone", FakeEngine::entryAt(fleet.engines[0]->address(), "ready"));
     fleet.runFor(Milliseconds(700));
     for (int index = 0; index < 6; ++index) {
         BOOST_TEST(fleet.call(0, PlatformFleet::request("/once/x", absl::StrCat("w", index), "key1"))->status == 200);
@@ -388,7 +375,7 @@
     const Timer signal = fleet.loop.at(BootClock::now() + Milliseconds(300), [&fleet] { fleet.daemons[0]->beginShutdown(); });
     const auto result = fleet.call(0, PlatformFleet::streamRequest("/stream/x", "g1", "key1"));
     BOOST_REQUIRE(result.has_value());
-    BOOST_TEST(result->body == streamOf("g1", 100));
+    BOOST_TEST(result->body == FakeEngine::streamOf("g1", 100));
     BOOST_TEST(!fleet.isReady(0));
     BOOST_TEST(fleet.call(0, PlatformFleet::request("/plain/x", "g2", "key1"))->status == 200);
     BOOST_TEST(fleet.runUntil([&fleet] { return fleet.daemons[0]->hasStopped(); }, Milliseconds(6000)));
--- a/Tests/Connection/JobServiceTest.cpp
+++ b/Tests/Connection/JobServiceTest.cpp
@@ -20,15 +20,6 @@
     return total;
 }
 
-auto textOf(const std::string &itemId, int events) -> std::string
-{
-    std::string text;
-    for (int number = 0; number < events; ++number) {
-        absl::StrAppend(&text, number > 0 ? "\n" : "", itemId, ":", number);
-    }
-    return text;
-}
-
 /// Waits until the daemon lists that many results.
 auto awaitResults(PlatformFleet &fleet, std::size_t daemon, const std::string &job, std::size_t count) -> std::vector<JobResult>
 {
@@ -61,7 +52,7 @@
     for (const JobResult &result : results) {
         ids.insert(result.itemId);
         BOOST_TEST(result.isCompleted);
-        BOOST_TEST(result.text == textOf(result.itemId, 5));
+        BOOST_TEST(result.text == FakeEngine::dataOf(result.itemId, 5));
     }
     BOOST_TEST(ids.size() == 5);
     BOOST_TEST((fleet.results(1, "j1", "key1") == results));
@@ -151,7 +142,7 @@
     BOOST_TEST(fleet.call(0, PlatformFleet::submission("j8", 1, "key1"))->status == 202);
     const auto results = awaitResults(fleet, 0, "j8", 1);
     BOOST_REQUIRE(results.size() == 1);
-    BOOST_TEST(results[0].text == textOf("j8-0", 5));
+    BOOST_TEST(results[0].text == FakeEngine::dataOf("j8-0", 5));
     BOOST_TEST(totalRuns(fleet, "j8-0") == 3);
 }
 
@@ -206,7 +197,7 @@
     std::set<std::string> ids;
     for (const JobResult &result : results) {
         ids.insert(result.itemId);
-        BOOST_TEST(result.text == textOf(result.itemId, 60));
+        BOOST_TEST(result.text == FakeEngine::dataOf(result.itemId, 60));
     }
     BOOST_TEST(ids.size() == 12);
 }
@@ -247,7 +238,7 @@
     const auto results = awaitResults(fleet, 1, "j12", 2);
     BOOST_REQUIRE(results.size() == 2);
     for (const JobResult &result : results) {
-        BOOST_TEST(result.text == textOf(result.itemId, 100));
+        BOOST_TEST(result.text == FakeEngine::dataOf(result.itemId, 100));
     }
     int resumed = 0;
     for (const FakeEngine::Run &run : fleet.engines[0]->runs()) {
--- a/Tests/Failure/FrontSoakTest.cpp
+++ b/Tests/Failure/FrontSoakTest.cpp
@@ -1,11 +1,11 @@
 #include "Support/SoakChecks.h"
+#include "Support/TestEnvironment.h"
 
 #include <absl/strings/numbers.h>
 #include <absl/strings/str_cat.h>
 #include <absl/strings/str_split.h>
 #include <boost/test/unit_test.hpp>
 
-#include <cstdlib>
 #include <filesystem>
 #include <unistd.h>
 
@@ -20,22 +20,15 @@
 /// The longest fault and shutdown, a take-over of jobs, and the patience of the last requests. Items of a job may be
 /// given up at their due time, so no job is open longer.
 constexpr Milliseconds HEAL_TIME { 25000 };
-constexpr Milliseconds STEP { 5 };
 
 /// Run with each test run. Seeds that failed are kept: 3 (a resumed stream ended by an error looked complete), 28 (a job
 /// whose take-over stopped after its claim), 36 (a team above its allowance when its home started again).
 constexpr std::uint64_t CI_SEEDS[] = { 1, 3, 28, 36 };
 
-auto variable(const char *name) -> std::string
-{
-    const char *value = std::getenv(name); // NOLINT(concurrency-mt-unsafe): nothing sets the environment
-    return value == nullptr ? std::string() : value;
-}
-
 /// POPLARDOCK_SOAK_SEEDS=FIRST-LAST runs other seeds than those of CI.
 auto seeds() -> std::vector<std::uint64_t>
 {
-    const std::string given = variable("POPLARDOCK_SOAK_SEEDS");
+    const std::string given = environmentVariable("POPLARDOCK_SOAK_SEEDS", "");
     if (given.empty()) {
         return { std::begin(CI_SEEDS), std::end(CI_SEEDS) };
     }
@@ -66,15 +59,18 @@
 
     auto run() -> void
     {
-        BOOST_REQUIRE(runUntil([this] { return isServing(); }, START_TIME));
+        BOOST_REQUIRE(runLoopUntil(
+            loop_, [this] { return isServing(); }, START_TIME));
         callers_.start();
         faults_.start();
-        runUntil([] { return false; }, FAULT_TIME);
+        loop_.runUntil(BootClock::now() + FAULT_TIME);
         faults_.stop();
         callers_.stop();
-        const bool areDone = runUntil([this] { return faults_.isQuiet() && callers_.areAllDone(); }, HEAL_TIME);
+        const bool areDone = runLoopUntil(
+            loop_, [this] { return faults_.isQuiet() && callers_.areAllDone(); }, HEAL_TIME);
         BOOST_TEST(areDone, "seed " << seed_ << ": requests or jobs are still open");
-        const bool areServing = runUntil([this] { return isServing(); }, START_TIME);
+        const bool areServing = runLoopUntil(
+            loop_, [this] { return isServing(); }, START_TIME);
         BOOST_TEST(areServing, "seed " << seed_ << ": a daemon does not serve after the faults");
         isHealed_ = areDone && areServing;
     }
@@ -109,18 +105,6 @@
         return folder.string();
     }
 
-    auto runUntil(const std::function<bool()> &condition, Milliseconds time) -> bool
-    {
-        const BootTime deadline = BootClock::now() + time;
-        while (!condition()) {
-            if (BootClock::now() >= deadline) {
-                return false;
-            }
-            loop_.runUntil(BootClock::now() + STEP);
-        }
-        return true;
-    }
-
     /// Whether every daemon answers a request of its own; asks again and again.
     auto isServing() -> bool
     {
--- a/Tests/Failure/StoreVmTest.cpp
+++ b/Tests/Failure/StoreVmTest.cpp
@@ -1,6 +1,7 @@
 #include "Fakes/FakeObjectStore.h"
 #include "Support/ChildProcess.h"
 #include "Support/FreePort.h"
+#include "Support/TestEnvironment.h"
 #include "platform/Dialect.h"
 #include "platform/WireNames.h"
 
@@ -9,7 +10,6 @@
 #include <boost/test/unit_test.hpp>
 
 #include <csignal>
-#include <cstdlib>
 #include <filesystem>
 #include <fstream>
 #include <unistd.h>
@@ -20,7 +20,6 @@
 
 constexpr const char *KIND_BEGIN = "GET /-/objects/";
 constexpr Milliseconds ANSWER_TIME { 4000 };
-constexpr Milliseconds STEP { 5 };
 
 /// One `poplardock store` process over the stand-in of the platform's store.
 class StoreVm
@@ -36,7 +35,7 @@
         std::ofstream(settings) << "nodeName=vm1\nzone=east-a\nserves=storage\nipAddress=127.0.0.1\ninternalPorts=" << port << ","
                                 << port + 1 << "\nplatform.address=" << store.address() << "\n";
         ChildProcess::Command command;
-        command.program = absl::StrCat(std::getenv("POPLARDOCK_BINARY_FOLDER"), "/poplardock"); // NOLINT(concurrency-mt-unsafe)
+        command.program = binaryFolder() + "/poplardock";
         command.arguments = { "store" };
         command.environment = { { "POPLARDOCK_CONFIG", settings } };
         command.outputFile = (folder_ / "log").string();
@@ -52,24 +51,13 @@
         std::filesystem::remove_all(folder_);
     }
 
-    auto runUntil(const std::function<bool()> &condition, Milliseconds time) -> bool
-    {
-        const BootTime deadline = BootClock::now() + time;
-        while (!condition()) {
-            if (BootClock::now() >= deadline) {
-                return false;
-            }
-            loop.runUntil(BootClock::now() + STEP);
-        }
-        return true;
-    }
-
     /// Orders a VM to be emptied; whether the order is answered as done.
     auto isAnswered(const std::string &vm) -> bool
     {
         const std::string kind = platform::dialect().retirementKind;
         store.put(kind, vm, "{}");
-        return runUntil([&] { return absl::StrContains(store.statusOf(kind, vm), platform::wire::COMPLETED); }, ANSWER_TIME);
+        return runLoopUntil(
+            loop, [&] { return absl::StrContains(store.statusOf(kind, vm), platform::wire::COMPLETED); }, ANSWER_TIME);
     }
 
     EventLoop loop;
@@ -90,8 +78,9 @@
 {
     StoreVm vm;
     const std::string list = absl::StrCat(KIND_BEGIN, platform::dialect().retirementKind);
-    BOOST_REQUIRE(vm.runUntil([&] { return vm.store.callCount(list) > 0; }, ANSWER_TIME));
-    vm.runUntil([] { return false; }, Milliseconds(500));
+    BOOST_REQUIRE(runLoopUntil(
+        vm.loop, [&] { return vm.store.callCount(list) > 0; }, ANSWER_TIME));
+    vm.loop.runUntil(BootClock::now() + Milliseconds(500));
     BOOST_TEST(vm.isAnswered("vm1"));
     // One that does not answer for itself is answered for.
     BOOST_TEST(vm.isAnswered("vm2"));
--- a/Tests/Fakes/FakeEngine.cpp
+++ b/Tests/Fakes/FakeEngine.cpp
@@ -18,6 +18,16 @@
     return absl::StrCat("Request-Id: ", requestId, "\r\nServer-Stamp: stamp-", requestId, "\r\nServer-Load: 1,0,8\r\n");
 }
 
+auto dataOfEvent(const std::string &requestId, std::int64_t number) -> std::string
+{
+    return absl::StrCat(requestId, ":", number);
+}
+
+auto eventOf(const std::string &requestId, std::int64_t number) -> std::string
+{
+    return absl::StrCat("id: ", number, "\ndata: ", dataOfEvent(requestId, number), "\n\n");
+}
+
 auto chunk(const std::string &bytes) -> std::string
 {
     return absl::StrCat(absl::Hex(bytes.size()), "\r\n", bytes, "\r\n");
@@ -32,6 +42,29 @@
     listener_ = *Listener::open(loop, "127.0.0.1:0", [this](std::shared_ptr<Channel> channel) { accept(std::move(channel)); });
 }
 
+auto FakeEngine::entryAt(const std::string &address, const std::string &state) -> std::string
+{
+    return absl::StrCat(R"({"service":"models","address":")", address, R"(","zone":"east-a","slots":8,"state":")", state, R"("})");
+}
+
+auto FakeEngine::streamOf(const std::string &requestId, int events) -> std::string
+{
+    std::string text;
+    for (int number = 0; number < events; ++number) {
+        text += eventOf(requestId, number);
+    }
+    return text;
+}
+
+auto FakeEngine::dataOf(const std::string &requestId, int events) -> std::string
+{
+    std::string text;
+    for (int number = 0; number < events; ++number) {
+        absl::StrAppend(&text, number > 0 ? "\n" : "", dataOfEvent(requestId, number));
+    }
+    return text;
+}
+
 auto FakeEngine::name() const -> const std::string &
 {
     return name_;
@@ -194,7 +227,7 @@
             loop_.post([connection] { connection->channel->abort(); });
             return;
         }
-        connection->channel->send(chunk(absl::StrCat("id: ", number, "\ndata: ", idOf(connection->run->head), ":", number, "\n\n")));
+        connection->channel->send(chunk(eventOf(idOf(connection->run->head), number)));
         ++connection->run->sent;
         sendEvent(connection, number + 1);
     });
--- a/Tests/Fakes/FakeEngine.h
+++ b/Tests/Fakes/FakeEngine.h
@@ -55,6 +55,13 @@
     /// Listens on a free port of the loopback address.
     FakeEngine(EventLoop &loop, std::string name);
 
+    /// The entry in the store of an engine of group "models" at an address.
+    static auto entryAt(const std::string &address, const std::string &state) -> std::string;
+    /// The first events of the answer to a request, as they are sent.
+    static auto streamOf(const std::string &requestId, int events) -> std::string;
+    /// The data of these events, separated by line feeds.
+    static auto dataOf(const std::string &requestId, int events) -> std::string;
+
     [[nodiscard]] auto name() const -> const std::string &;
     [[nodiscard]] auto address() const -> std::string;
     [[nodiscard]] auto behaviour() -> Behaviour &;
--- a/Tests/Fakes/FakeObjectStore.cpp
+++ b/Tests/Fakes/FakeObjectStore.cpp
@@ -1,14 +1,11 @@
 #include "Fakes/FakeObjectStore.h"
 
-#include <Poco/JSON/Stringifier.h>
 #include <absl/strings/match.h>
 #include <absl/strings/numbers.h>
 #include <absl/strings/str_cat.h>
 #include <absl/strings/str_join.h>
 #include <absl/strings/str_split.h>
 
-#include <sstream>
-
 namespace poplardock {
 
 namespace {
@@ -29,13 +26,6 @@
     return query;
 }
 
-auto varText(const Poco::Dynamic::Var &value) -> std::string
-{
-    std::ostringstream stream;
-    Poco::JSON::Stringifier::stringify(value, stream);
-    return stream.str();
-}
-
 auto numberIn(const std::map<std::string, std::string> &query, const std::string &key) -> std::uint64_t
 {
     std::uint64_t number = 0;
@@ -240,7 +230,7 @@
         return { method == "POST" ? 409 : 404, {}, exists ? textOf(kind, name) : "{}" };
     }
     if (path.size() > 2) {
-        objects_[kind][name].status = varText((*json)->get("status"));
+        objects_[kind][name].status = Json::toText((*json)->get("status"));
         objects_[kind][name].revision = ++revision_;
         record(kind, name, false);
         return { 200, {}, textOf(kind, name) };
@@ -248,7 +238,7 @@
     if (exists && metadata->has("revision") && metadata->getValue<std::uint64_t>("revision") != objects_[kind][name].revision) {
         return { 409, {}, textOf(kind, name) };
     }
-    put(kind, name, varText((*json)->get("spec")));
+    put(kind, name, Json::toText((*json)->get("spec")));
     return { method == "POST" ? 201 : 200, {}, textOf(kind, name) };
 }
 
--- a/Tests/Platform/StoreFormatTest.cpp
+++ b/Tests/Platform/StoreFormatTest.cpp
@@ -4,6 +4,8 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include <algorithm>
+
 namespace poplardock::platform {
 
 namespace {
@@ -92,7 +94,9 @@
     BOOST_TEST(!longest->mayRepeat);
     BOOST_TEST(longest->isOpen);
     BOOST_TEST(longest->shares.size() == 2);
-    const ServiceRoute *batch = version.findRouteByName("r3");
+    const auto &routes = version.data().routes;
+    const auto batch = std::find_if(routes.begin(), routes.end(), [](const ServiceRoute &route) { return route.name == "r3"; });
+    BOOST_REQUIRE((batch != routes.end()));
     BOOST_TEST((batch->kind == RouteKind::Batch));
     BOOST_TEST(batch->jobTarget.count() == 18000);
     BOOST_TEST(batch->jobRetention.count() == 60500);
@@ -101,7 +105,10 @@
     BOOST_REQUIRE(version.findTeamOfKey("k2") != nullptr);
     BOOST_TEST(version.findTeamOfKey("k2")->team.ratePerSecond == 60);
     BOOST_TEST(version.findTeamOfKey("k3") == nullptr);
-    BOOST_TEST(version.groupLimits("m").slots == 8);
+    const auto &groups = version.data().groups;
+    const auto group = std::find_if(groups.begin(), groups.end(), [](const GroupLimits &each) { return each.name == "m"; });
+    BOOST_REQUIRE((group != groups.end()));
+    BOOST_TEST(group->slots == 8);
     BOOST_TEST(version.data().callerLimits.headBytes == 1000);
 }
 
--- a/Tests/Process/PeerDirectoryTest.cpp
+++ b/Tests/Process/PeerDirectoryTest.cpp
@@ -94,10 +94,10 @@
     PeerDirectory peers("self");
     peers.take(makeReport("a", 1), "1:1", NOW);
     BOOST_TEST(peers.work(NOW)["u1"].online == 2);
-    BOOST_TEST(peers.demand("team", NOW) == 4.5);
+    BOOST_TEST(peers.demand(NOW)["team"] == 4.5);
     const BootTime later = NOW + std::chrono::seconds(5);
     BOOST_TEST(peers.work(later).empty());
-    BOOST_TEST(peers.demand("team", later) == 4.5);
+    BOOST_TEST(peers.demand(later)["team"] == 4.5);
     BOOST_TEST(peers.daemonCount(later) == 2);
     BOOST_TEST(peers.daemonCount(NOW + std::chrono::seconds(60)) == 1);
 }
@@ -238,7 +238,7 @@
     for (const auto &[name, view] : fleet.views) {
         BOOST_TEST(view.work(NOW)["u1"].online == 2 * 17, name);
         BOOST_TEST(view.work(NOW)["u1"].batch == 17, name);
-        BOOST_TEST(view.demand("team", NOW) == 4.5 * 17, name);
+        BOOST_TEST(view.demand(NOW)["team"] == 4.5 * 17, name);
         BOOST_TEST(view.crashes("f00d", NOW) == 17, name);
         BOOST_TEST(view.daemonCount(NOW) == 18, name);
         BOOST_TEST(view.batchHolder("u1", NOW, 0) != nullptr, name);
--- a/Tests/Request/BatchPlanTest.cpp
+++ b/Tests/Request/BatchPlanTest.cpp
@@ -1,22 +1,14 @@
 #include "Request/BatchPlan.h"
 
+#include "Support/UpstreamViews.h"
+
 #include <boost/test/unit_test.hpp>
 
 namespace poplardock {
 
 namespace {
 
-const BootTime NOW = BootTime() + std::chrono::hours(1);
-
-auto makeView(const std::string &name, int online, int batch) -> UpstreamView
-{
-    UpstreamView view;
-    view.name = name;
-    view.slots = 8;
-    view.online = online;
-    view.batch = batch;
-    return view;
-}
+const BootTime NOW = VIEW_TIME;
 
 } // namespace
 
--- a/Tests/Request/OnlineAdmissionTest.cpp
+++ b/Tests/Request/OnlineAdmissionTest.cpp
@@ -1,23 +1,19 @@
 #include "Request/OnlineAdmission.h"
 
+#include "Support/UpstreamViews.h"
+
 #include <boost/test/unit_test.hpp>
 
 namespace poplardock {
 
 namespace {
 
-const BootTime NOW = BootTime() + std::chrono::hours(1);
+const BootTime NOW = VIEW_TIME;
 constexpr Milliseconds TARGET { 300 };
 
-auto makeView(int online) -> UpstreamView
+auto viewWith(int online) -> UpstreamView
 {
-    UpstreamView view;
-    view.name = "a" + std::to_string(online);
-    view.slots = 8;
-    view.online = online;
-    view.serviceMs = 680;
-    view.firstMs = 15;
-    return view;
+    return makeView("a" + std::to_string(online), online, 0);
 }
 
 } // namespace
@@ -28,19 +24,19 @@
 // requests that can be on time.
 BOOST_AUTO_TEST_CASE(OnlyWhatWouldBeLateIsRefused)
 {
-    BOOST_TEST(admitOnline({ makeView(7) }, TARGET, std::nullopt, NOW).isAdmitted);
-    BOOST_TEST(admitOnline({ makeView(9) }, TARGET, std::nullopt, NOW).isAdmitted);
-    const Admission refused = admitOnline({ makeView(14), makeView(16) }, TARGET, std::nullopt, NOW);
+    BOOST_TEST(admitOnline({ viewWith(7) }, TARGET, std::nullopt, NOW).isAdmitted);
+    BOOST_TEST(admitOnline({ viewWith(9) }, TARGET, std::nullopt, NOW).isAdmitted);
+    const Admission refused = admitOnline({ viewWith(14), viewWith(16) }, TARGET, std::nullopt, NOW);
     BOOST_TEST(!refused.isAdmitted);
     BOOST_REQUIRE(refused.retryAfter.has_value());
-    BOOST_TEST(admitOnline({ makeView(14), makeView(3) }, TARGET, std::nullopt, NOW).isAdmitted);
+    BOOST_TEST(admitOnline({ viewWith(14), viewWith(3) }, TARGET, std::nullopt, NOW).isAdmitted);
 }
 
 // Guards against a Retry-After that does not grow with the queue, so that callers come back into it.
 BOOST_AUTO_TEST_CASE(ALongerQueueGivesALaterReturn)
 {
-    const auto shorter = admitOnline({ makeView(14) }, TARGET, std::nullopt, NOW).retryAfter;
-    const auto longer = admitOnline({ makeView(20) }, TARGET, std::nullopt, NOW).retryAfter;
+    const auto shorter = admitOnline({ viewWith(14) }, TARGET, std::nullopt, NOW).retryAfter;
+    const auto longer = admitOnline({ viewWith(20) }, TARGET, std::nullopt, NOW).retryAfter;
     BOOST_REQUIRE(shorter.has_value());
     BOOST_REQUIRE(longer.has_value());
     BOOST_TEST(shorter->count() < longer->count());
@@ -49,7 +45,7 @@
 // Guards against refusals for a slow upstream with free slots: coming back later would not make it faster.
 BOOST_AUTO_TEST_CASE(ASlowUpstreamWithFreeSlotsIsNoReasonToRefuse)
 {
-    UpstreamView slow = makeView(0);
+    UpstreamView slow = viewWith(0);
     slow.firstMs = 500;
     BOOST_TEST(admitOnline({ slow }, TARGET, std::nullopt, NOW).isAdmitted);
 }
@@ -57,7 +53,7 @@
 // Guards against holding a request that cannot be answered while its caller waits.
 BOOST_AUTO_TEST_CASE(TheCallersOwnTimeCounts)
 {
-    BOOST_TEST(!admitOnline({ makeView(9) }, TARGET, Milliseconds(50), NOW).isAdmitted);
+    BOOST_TEST(!admitOnline({ viewWith(9) }, TARGET, Milliseconds(50), NOW).isAdmitted);
     BOOST_TEST(!admitOnline({}, TARGET, std::nullopt, NOW).isAdmitted);
 }
 
--- a/Tests/Request/OnlineChoiceTest.cpp
+++ b/Tests/Request/OnlineChoiceTest.cpp
@@ -1,5 +1,7 @@
 #include "Request/OnlineChoice.h"
 
+#include "Support/UpstreamViews.h"
+
 #include <boost/test/unit_test.hpp>
 
 #include <map>
@@ -9,17 +11,11 @@
 
 namespace {
 
-const BootTime NOW = BootTime() + std::chrono::hours(1);
+const BootTime NOW = VIEW_TIME;
 
-auto makeView(const std::string &name, int online, int batch) -> UpstreamView
+auto nearView(const std::string &name, int online, int batch) -> UpstreamView
 {
-    UpstreamView view;
-    view.name = name;
-    view.slots = 8;
-    view.online = online;
-    view.batch = batch;
-    view.serviceMs = 680;
-    view.firstMs = 15;
+    UpstreamView view = makeView(name, online, batch);
     view.isNear = true;
     return view;
 }
@@ -44,9 +40,9 @@
 // request that queues behind others while a slot is free, or can be freed.
 BOOST_AUTO_TEST_CASE(AFreeSlotBeatsAYieldAndAYieldBeatsAQueue)
 {
-    const UpstreamView isFree = makeView("free", 7, 0);
-    const UpstreamView holdsBatch = makeView("batch", 4, 4);
-    const UpstreamView isFull = makeView("full", 8, 0);
+    const UpstreamView isFree = nearView("free", 7, 0);
+    const UpstreamView holdsBatch = nearView("batch", 4, 4);
+    const UpstreamView isFull = nearView("full", 8, 0);
     BOOST_TEST(countChoices({ isFull, holdsBatch, isFree }, {})["free"] == 2000);
     BOOST_TEST(countChoices({ isFull, holdsBatch }, {})["batch"] == 2000);
     const auto choice = chooseForOnline({ isFull, holdsBatch }, {}, NOW, 1);
@@ -58,21 +54,21 @@
 // Guards against a queue estimate that ignores how many wait before a request or how fast the upstream is.
 BOOST_AUTO_TEST_CASE(TheWaitGrowsWithTheQueueAndTheServiceTime)
 {
-    BOOST_TEST(expectedWaitMs(makeView("a", 7, 0)) == 0);
-    BOOST_TEST(expectedWaitMs(makeView("a", 8, 0)) < expectedWaitMs(makeView("a", 12, 0)));
-    UpstreamView fast = makeView("fast", 12, 0);
+    BOOST_TEST(expectedWaitMs(nearView("a", 7, 0)) == 0);
+    BOOST_TEST(expectedWaitMs(nearView("a", 8, 0)) < expectedWaitMs(nearView("a", 12, 0)));
+    UpstreamView fast = nearView("fast", 12, 0);
     fast.serviceMs = 400;
-    BOOST_TEST(expectedWaitMs(fast) < expectedWaitMs(makeView("a", 12, 0)));
+    BOOST_TEST(expectedWaitMs(fast) < expectedWaitMs(nearView("a", 12, 0)));
 }
 
 // Guards against work for upstreams that failed lately or whose entry is gone while a sound one is left.
 BOOST_AUTO_TEST_CASE(SoundUpstreamsComeFirst)
 {
-    UpstreamView ejected = makeView("ejected", 0, 0);
+    UpstreamView ejected = nearView("ejected", 0, 0);
     ejected.ejectedUntil = NOW + Milliseconds(1);
-    UpstreamView doubtful = makeView("doubtful", 0, 0);
+    UpstreamView doubtful = nearView("doubtful", 0, 0);
     doubtful.isDoubtful = true;
-    const UpstreamView busy = makeView("busy", 9, 0);
+    const UpstreamView busy = nearView("busy", 9, 0);
     BOOST_TEST(countChoices({ ejected, doubtful, busy }, {})["busy"] == 2000);
     BOOST_TEST(countChoices({ ejected, doubtful, busy }, { "busy" })["ejected"] == 2000);
     BOOST_TEST(countChoices({ ejected, doubtful }, { "ejected" })["doubtful"] == 2000);
@@ -83,7 +79,7 @@
 // choosing one upstream.
 BOOST_AUTO_TEST_CASE(EqualUpstreamsShareTheRequests)
 {
-    const auto counts = countChoices({ makeView("a", 2, 0), makeView("b", 2, 0), makeView("c", 2, 0), makeView("d", 2, 0) }, {});
+    const auto counts = countChoices({ nearView("a", 2, 0), nearView("b", 2, 0), nearView("c", 2, 0), nearView("d", 2, 0) }, {});
     for (const auto &[name, count] : counts) {
         BOOST_TEST(count > 300, name << " was chosen " << count << " times of 2000");
     }
@@ -92,10 +88,10 @@
 // Guards against bytes between data centres for nothing: an upstream nearby is used while both are equally free.
 BOOST_AUTO_TEST_CASE(NearUpstreamsAreUsedFirst)
 {
-    UpstreamView remote = makeView("remote", 1, 0);
+    UpstreamView remote = nearView("remote", 1, 0);
     remote.isNear = false;
-    BOOST_TEST(countChoices({ remote, makeView("near", 1, 0) }, {})["near"] == 2000);
-    BOOST_TEST(countChoices({ remote, makeView("near", 8, 0) }, {})["remote"] == 2000);
+    BOOST_TEST(countChoices({ remote, nearView("near", 1, 0) }, {})["near"] == 2000);
+    BOOST_TEST(countChoices({ remote, nearView("near", 8, 0) }, {})["remote"] == 2000);
 }
 
 BOOST_AUTO_TEST_SUITE_END()
--- a/Tests/Support/FrontProcesses.cpp
+++ b/Tests/Support/FrontProcesses.cpp
@@ -1,10 +1,10 @@
 #include "Support/FrontProcesses.h"
 
 #include "Support/FreePort.h"
+#include "Support/TestEnvironment.h"
 
 #include <absl/strings/str_cat.h>
 
-#include <cstdlib>
 #include <fstream>
 #include <stdexcept>
 
@@ -37,15 +37,6 @@
     }
 }
 
-auto binaryFolder() -> std::string
-{
-    const char *folder = std::getenv("POPLARDOCK_BINARY_FOLDER"); // NOLINT(concurrency-mt-unsafe): nothing sets the environment
-    if (folder == nullptr) {
-        throw std::runtime_error("POPLARDOCK_BINARY_FOLDER is not set");
-    }
-    return folder;
-}
-
 } // namespace
 
 FrontProcesses::FrontProcesses(EventLoop &eventLoop, std::string folder, std::size_t daemonCount, std::size_t engineCount)
@@ -132,11 +123,7 @@
 
 auto FrontProcesses::registerEngine(const Engine &engine, const std::string &state) -> void
 {
-    store.put(
-        "servers",
-        engine.server->name(),
-        absl::StrCat(
-            R"({"service":"models","address":")", engine.proxy->address(), R"(","zone":"east-a","slots":8,"state":")", state, R"("})"));
+    store.put("servers", engine.server->name(), FakeEngine::entryAt(engine.proxy->address(), state));
 }
 
 auto FrontProcesses::beginLeave(std::size_t engine) -> void
--- a/Tests/Support/PlatformFleet.cpp
+++ b/Tests/Support/PlatformFleet.cpp
@@ -1,6 +1,7 @@
 #include "Support/PlatformFleet.h"
 
 #include "Support/FreePort.h"
+#include "Support/TestEnvironment.h"
 #include "platform/Dialect.h"
 
 #include <absl/strings/escaping.h>
@@ -22,7 +23,6 @@
 {"name":"batch","host":"shop","pathPrefix":"/batch/","kind":"batch","timeoutMs":3000,"targetLatencyMs":400,"service":"models","maxAttempts":2,"targetCompletionMs":6000,"retentionS":20}])";
 
 constexpr Milliseconds CALL_TIME { 8000 };
-constexpr Milliseconds STEP { 5 };
 constexpr ClientPool::Options CLIENT_POOL { {}, Milliseconds(1000), Milliseconds(5000) };
 
 } // namespace
@@ -72,10 +72,7 @@
 
 auto PlatformFleet::registerEngine(const FakeEngine &engine, const std::string &state) -> void
 {
-    store.put(
-        "servers",
-        engine.name(),
-        absl::StrCat(R"({"service":"models","address":")", engine.address(), R"(","zone":"east-a","slots":8,"state":")", state, R"("})"));
+    store.put("servers", engine.name(), FakeEngine::entryAt(engine.address(), state));
 }
 
 auto PlatformFleet::startDaemon(const std::string &name) -> std::size_t
@@ -104,14 +101,7 @@
 
 auto PlatformFleet::runUntil(const std::function<bool()> &condition, Milliseconds time) -> bool
 {
-    const BootTime deadline = BootClock::now() + time;
-    while (!condition()) {
-        if (BootClock::now() >= deadline) {
-            return false;
-        }
-        loop.runUntil(BootClock::now() + STEP);
-    }
-    return true;
+    return runLoopUntil(loop, condition, time);
 }
 
 auto PlatformFleet::runFor(Milliseconds time) -> void
--- a/Tests/Support/ProcessFleet.cpp
+++ b/Tests/Support/ProcessFleet.cpp
@@ -1,6 +1,7 @@
 #include "Support/ProcessFleet.h"
 
 #include "Connection/CallerAuthentication.h"
+#include "Support/TestEnvironment.h"
 
 #include <Poco/Net/HTTPRequest.h>
 #include <Poco/Net/HTTPResponse.h>
@@ -24,12 +25,6 @@
 constexpr Milliseconds POLL_INTERVAL { 20 };
 constexpr Milliseconds CONTROL_TIMEOUT { 10000 };
 
-auto environmentVariable(const char *name, const std::string &fallback) -> std::string
-{
-    const char *value = std::getenv(name); // NOLINT(concurrency-mt-unsafe): nothing sets the environment
-    return value == nullptr ? fallback : value;
-}
-
 auto makeFolder() -> std::string
 {
     std::string pattern = (std::filesystem::temp_directory_path() / "poplardock-XXXXXX").string();
@@ -120,7 +115,7 @@
 }
 
 ProcessFleet::ProcessFleet()
-    : binaries_(environmentVariable("POPLARDOCK_BINARY_FOLDER", "."))
+    : binaries_(binaryFolder())
     , folder_(makeFolder())
 {
     platform_ = launch("fake_platform", "platform", {});
--- a/Tests/Support/SoakCallers.cpp
+++ b/Tests/Support/SoakCallers.cpp
@@ -12,7 +12,8 @@
 namespace {
 
 constexpr Milliseconds REQUEST_PERIOD { 30 };
-constexpr Milliseconds DYERS_PERIOD { 1000 / SoakCallers::DYERS_RATE };
+/// The team with an allowance of 5 a second sends 20.
+constexpr Milliseconds DYERS_PERIOD { 50 };
 constexpr Milliseconds JOB_PERIOD { 900 };
 constexpr Milliseconds READ_PERIOD { 60 };
 constexpr Milliseconds CANCEL_PERIOD { 700 };
@@ -23,9 +24,6 @@
 constexpr int SUBMISSIONS = 12;
 constexpr int ITEMS = 6;
 constexpr int CANCELLED_SHARE = 5;
-constexpr int OK = 200;
-constexpr int ACCEPTED = 202;
-constexpr int UNAVAILABLE = 503;
 constexpr ClientPool::Options POOL { {}, Milliseconds(1000), Milliseconds(10000) };
 
 } // namespace
@@ -124,12 +122,12 @@
     call(randomDaemon(), request, JOB_CALL_TIME, [this, id, attempt](const HttpCallOutcome &outcome) {
         const auto *result = std::get_if<HttpResult>(&outcome);
         SoakJob &job = jobs_[id];
-        if (result != nullptr && result->status == ACCEPTED) {
+        if (result != nullptr && result->status == HttpStatus::ACCEPTED) {
             job.isAccepted = true;
             return;
         }
         // A caller whose only submission was refused does not come again, so that the promise can be checked.
-        if (attempt == 1 && result != nullptr && result->status == UNAVAILABLE) {
+        if (attempt == 1 && result != nullptr && result->status == HttpStatus::UNAVAILABLE) {
             job.isRefused = true;
             return;
         }
@@ -149,7 +147,7 @@
         call(randomDaemon(), request, JOB_CALL_TIME, [this, name = id](const HttpCallOutcome &outcome) {
             const auto *result = std::get_if<HttpResult>(&outcome);
             SoakJob &cancelled = jobs_[name];
-            if (result != nullptr && result->status == OK && !cancelled.cancelledAt) {
+            if (result != nullptr && result->status == HttpStatus::OK && !cancelled.cancelledAt) {
                 cancelled.cancelledAt = BootClock::now();
             }
         });
@@ -181,7 +179,7 @@
     const HttpCall request { "GET", absl::StrCat("/-/lots/", job, "?after=0"), PlatformFleet::request("", "r-" + job, "key1").headers, {} };
     call(daemon, request, JOB_CALL_TIME, [handler = std::move(handler)](const HttpCallOutcome &outcome) {
         const auto *result = std::get_if<HttpResult>(&outcome);
-        if (result == nullptr || result->status != OK) {
+        if (result == nullptr || result->status != HttpStatus::OK) {
             handler(std::nullopt);
             return;
         }
--- a/Tests/Support/SoakCallers.h
+++ b/Tests/Support/SoakCallers.h
@@ -71,8 +71,6 @@
 
     /// Time that each online caller waits, as it says in its request.
     static constexpr Milliseconds PATIENCE { 4000 };
-    /// Rate of the team with an allowance, above that allowance, in requests per second.
-    static constexpr int DYERS_RATE = 20;
 
 private:
     auto sendNext() -> void;
--- a/Tests/Support/SoakChecks.cpp
+++ b/Tests/Support/SoakChecks.cpp
@@ -2,7 +2,6 @@
 
 #include <absl/strings/match.h>
 #include <absl/strings/str_cat.h>
-#include <absl/strings/str_split.h>
 
 #include <algorithm>
 #include <map>
@@ -22,39 +21,14 @@
 /// Time over its patience in which a request has its final answer; the page allows 200 ms, and a busy machine starts
 /// a dozen processes beside this one.
 constexpr Milliseconds END_SLACK { 700 };
-/// Time before a disturbance and after it in which a daemon is not judged by time bounds.
+/// Margin around a disturbance of a daemon within which its latency is not checked.
 constexpr Milliseconds SETTLE_TIME { 1000 };
 constexpr std::size_t LONGEST_RUNS = 3;
 constexpr int EVENTS = 5;
-constexpr int OK = 200;
-constexpr int BAD_REQUEST = 400;
-constexpr int UNAVAILABLE = 503;
-constexpr int SERVER_ERROR = 500;
 
 auto isPromiseOfNoRun(int status) -> bool
 {
-    return status == UNAVAILABLE || (status >= BAD_REQUEST && status < SERVER_ERROR);
-}
-
-auto eventsText(const std::string &id, const std::string &separator) -> std::string
-{
-    std::string text;
-    for (int event = 0; event < EVENTS; ++event) {
-        absl::StrAppend(&text, event > 0 ? separator : "", id, ":", event);
-    }
-    return text;
-}
-
-/// The data of a stream's events, one a line.
-auto dataOf(const std::string &body) -> std::string
-{
-    std::string data;
-    for (const absl::string_view line : absl::StrSplit(body, '\n')) {
-        if (absl::StartsWith(line, "data: ")) {
-            absl::StrAppend(&data, data.empty() ? "" : "\n", line.substr(sizeof("data: ") - 1));
-        }
-    }
-    return data;
+    return status == HttpStatus::UNAVAILABLE || (status >= HttpStatus::BAD_REQUEST && status < HttpStatus::SERVER_ERROR);
 }
 
 auto millisecondsAfter(BootTime begin, BootTime end) -> std::int64_t
@@ -118,10 +92,10 @@
     if (isPromiseOfNoRun(request.status) && !runs.empty()) {
         add("was refused as not run, and ran");
     }
-    if (request.status == OK) {
+    if (request.status == HttpStatus::OK) {
         const bool isStream = request.route == "resumed" || request.route == "stream";
         const bool isRight
-            = isStream ? dataOf(request.body) == eventsText(request.id, "\n") : request.body == "answer to body of " + request.id;
+            = isStream ? request.body == FakeEngine::streamOf(request.id, EVENTS) : request.body == "answer to body of " + request.id;
         if (!isRight) {
             add(absl::StrCat("has a wrong answer: ", request.body));
         }
@@ -205,7 +179,7 @@
         if (!absl::StartsWith(result.itemId, job.id + "-")) {
             faults.push_back(absl::StrCat(result.itemId, " is listed for ", job.id));
         }
-        if (result.isCompleted && result.text != eventsText(result.itemId, "\n")) {
+        if (result.isCompleted && result.text != FakeEngine::dataOf(result.itemId, EVENTS)) {
             faults.push_back(absl::StrCat(result.itemId, " has a wrong result: ", result.text));
         }
     }
--- a/Tests/Support/SoakFaults.cpp
+++ b/Tests/Support/SoakFaults.cpp
@@ -22,9 +22,6 @@
 /// Time that an engine goes on after its notice of leave, beyond the bound of 2 s for new work.
 constexpr Milliseconds LEAVE_TIME { 3000 };
 constexpr std::size_t SMALLEST_ENGINE_COUNT = 3;
-constexpr int TOO_MANY = 429;
-constexpr int UNAVAILABLE = 503;
-constexpr int SERVER_ERROR = 500;
 
 } // namespace
 
@@ -111,7 +108,7 @@
     FakeObjectStore::Faults faults;
     const int kind = between(0, 3);
     faults.isSilent = kind == 0;
-    faults.refuseStatus = kind == 1 ? UNAVAILABLE : kind == 2 ? TOO_MANY : 0;
+    faults.refuseStatus = kind == 1 ? HttpStatus::UNAVAILABLE : kind == 2 ? HttpStatus::TOO_MANY_REQUESTS : 0;
     faults.loseWriteAnswers = kind == 3 ? between(1, 6) : 0;
     for (const FrontProcesses::Daemon &daemon : fleet_.daemons) {
         fleet_.store.setViewFaults(daemon.storeView, faults);
@@ -130,7 +127,7 @@
     LoopbackProxy::Faults path;
     const int kind = between(0, 4);
     faults.isSilent = kind == 0;
-    faults.refuseStatus = kind == 1 ? UNAVAILABLE : 0;
+    faults.refuseStatus = kind == 1 ? HttpStatus::UNAVAILABLE : 0;
     path.delay = Milliseconds(kind == 2 ? between(50, 400) : 0);
     path.holdsAnswers = kind == 3;
     fleet_.store.setViewFaults(fleet_.daemons[daemon].storeView, faults);
@@ -227,7 +224,7 @@
     behaviour.breakAfterEvents = kind == 2 ? between(1, 4) : 0;
     behaviour.sendsStrayAnswer = kind == 3;
     behaviour.declines = kind == 4;
-    behaviour.status = kind == 5 ? SERVER_ERROR : behaviour.status;
+    behaviour.status = kind == 5 ? HttpStatus::SERVER_ERROR : behaviour.status;
     later(Milliseconds(between(300, 3000)), absl::StrCat("engine ", kind), std::nullopt, [this, engine] {
         fleet_.engines[engine].server->behaviour() = {};
     });
