Let an owner prove its ownership before it says that there is no further result

Cause: a former owner whose job was taken over while it lived answered readers from its own list until its next append failed or the new owner's report arrived; a cancelled job appends nothing, so it could stay stale.

Change: an empty answer needs a proof of ownership from the store that is at most 0.7 s old (an append, or a read of the record), else 503.

--- a/Source/Connection/JobService.cpp
+++ b/Source/Connection/JobService.cpp
@@ -196,12 +196,20 @@
         replyOwned(query, reply);
         return;
     }
-    book_.awaitResults(query.call.jobId, query.call.from, query.deadline, [this, query, reply, onNotOwner] {
+    const auto end = [this, query, reply, onNotOwner] {
         if (answersFor(query.call.jobId)) {
             replyOwned(query, reply);
         } else {
             onNotOwner();
         }
+    };
+    book_.awaitResults(query.call.jobId, query.call.from, query.deadline, [this, query, end] {
+        const OwnedJob *job = book_.find(query.call.jobId);
+        if (job == nullptr || job->isComplete() || query.call.from < job->committed().size()) {
+            end();
+        } else {
+            adoption_.proveOwnership(query.call.jobId, end);
+        }
     });
 }
 
--- a/Source/Process/Batch/JobRegistry.cpp
+++ b/Source/Process/Batch/JobRegistry.cpp
@@ -132,10 +132,12 @@
     const std::vector<JobResult> results(entry.job.uncommitted().begin(),
                                          entry.job.uncommitted().begin() + static_cast<std::ptrdiff_t>(count));
     repository_.append(
-        id, entry.job.nextEntryNumber(), results, [this, id, count](const absl::Status &status) { onCommitDone(id, count, status); });
+        id, entry.job.nextEntryNumber(), results, [this, id, count, sentAt = BootClock::now()](const absl::Status &status) {
+            onCommitDone(id, count, sentAt, status);
+        });
 }
 
-auto JobRegistry::onCommitDone(const std::string &id, std::size_t count, const absl::Status &status) -> void
+auto JobRegistry::onCommitDone(const std::string &id, std::size_t count, BootTime sentAt, const absl::Status &status) -> void
 {
     const auto found = entries_.find(id);
     if (found == entries_.end()) {
@@ -155,6 +157,7 @@
         return;
     }
     entry.job.markCommitted(count);
+    entry.job.proveOwned(sentAt);
     EventLog::write("results_listed",
                     { { "job", id },
                       { "count", static_cast<std::uint64_t>(count) },
--- a/Source/Process/Batch/JobRegistry.h
+++ b/Source/Process/Batch/JobRegistry.h
@@ -69,7 +69,7 @@
     };
 
     auto commit(const std::string &id) -> void;
-    auto onCommitDone(const std::string &id, std::size_t count, const absl::Status &status) -> void;
+    auto onCommitDone(const std::string &id, std::size_t count, BootTime sentAt, const absl::Status &status) -> void;
     auto reloadResultLog(const std::string &id) -> void;
     auto startCommitTimer(Entry &entry, const std::string &id, Milliseconds delay) -> void;
     auto wakeReaders(Entry &entry) -> void;
--- a/Source/Process/Batch/JobTakeover.cpp
+++ b/Source/Process/Batch/JobTakeover.cpp
@@ -23,6 +23,9 @@
 constexpr int FENCE_ATTEMPTS = 4;
 /// Time without a response after which contact to the store counts as lost.
 constexpr Milliseconds STORE_LIVENESS_TIMEOUT { 1000 };
+/// Age of the proof of ownership up to which an owner may answer that a job has no further result. A result that another
+/// daemon has listed must be shown everywhere a second after the first caller has read it; the rest is for the way.
+constexpr Milliseconds OWNERSHIP_PROOF_TIME { 700 };
 /// Delay of the retry of a takeover that failed when the record already named this daemon.
 constexpr Milliseconds TAKEOVER_RETRY_DELAY { 500 };
 /// Time between the end of a job's readable time and its removal, since the clocks of VMs differ a little.
@@ -148,17 +151,16 @@
 
 auto JobTakeover::checkRecord(const std::string &id) -> void
 {
-    repository_.read(id, [this, id](const absl::StatusOr<JobRecord> &record) {
+    repository_.read(id, [this, id, sentAt = BootClock::now()](const absl::StatusOr<JobRecord> &record) {
         if (!record.ok() && !absl::IsNotFound(record.status())) {
             // Retried by the next reconcile().
             return;
         }
-        const bool isOwner
-            = record.ok() && record->owner == context_.settings.name && record->ownerIncarnation == context_.peerLink.incarnation();
-        if (!isOwner) {
+        if (!record.ok() || !isOwnRecord(*record)) {
             release(id);
         } else if (OwnedJob *job = registry_.find(id)) {
             job->setRecord(*record);
+            job->proveOwned(sentAt);
             if (!record->isOpen()) {
                 runner_.stopJob(id);
             }
@@ -168,6 +170,39 @@
     });
 }
 
+auto JobTakeover::proveOwnership(const std::string &id, std::function<void()> onEnd) -> void
+{
+    OwnedJob *job = registry_.find(id);
+    if (job == nullptr || !mayActAsOwner(id) || BootClock::now() - job->provenAt() < OWNERSHIP_PROOF_TIME) {
+        onEnd();
+        return;
+    }
+    auto &waiting = awaitingProof_[id];
+    waiting.push_back(std::move(onEnd));
+    if (waiting.size() > 1) {
+        return;
+    }
+    repository_.read(id, [this, id, sentAt = BootClock::now()](const absl::StatusOr<JobRecord> &record) {
+        OwnedJob *owned = registry_.find(id);
+        if (owned != nullptr && record.ok() && isOwnRecord(*record)) {
+            owned->proveOwned(sentAt);
+        } else if (owned != nullptr) {
+            EventLog::write("job_ownership_unproven", { { "job", id }, { "reason", record.status().message() } });
+            verifyJob(id);
+        }
+        const auto handlers = std::move(awaitingProof_[id]);
+        awaitingProof_.erase(id);
+        for (const auto &handler : handlers) {
+            handler();
+        }
+    });
+}
+
+auto JobTakeover::isOwnRecord(const JobRecord &record) const -> bool
+{
+    return record.owner == context_.settings.name && record.ownerIncarnation == context_.peerLink.incarnation();
+}
+
 auto JobTakeover::release(const std::string &id) -> void
 {
     runner_.stopJob(id);
@@ -192,7 +227,7 @@
 auto JobTakeover::reconcileJob(const JobRecord &record) -> void
 {
     const BootTime now = BootClock::now();
-    const bool isOwner = record.owner == context_.settings.name && record.ownerIncarnation == context_.peerLink.incarnation();
+    const bool isOwner = isOwnRecord(record);
     if (OwnedJob *job = registry_.find(record.id)) {
         // A stale list may show a former owner, so the current record decides.
         if (record.version > job->record().version && (!isOwner || record.isCancelled)) {
--- a/Source/Process/Batch/JobTakeover.h
+++ b/Source/Process/Batch/JobTakeover.h
@@ -40,6 +40,10 @@
     /// Whether this daemon may answer for a job that it owns: the ownership is verified, there is contact to the store,
     /// and the daemon is not draining.
     [[nodiscard]] auto mayActAsOwner(const std::string &id) const -> bool;
+    /// Calls "onEnd" once it is known whether this daemon is still the owner: at once if the store has shown so recently,
+    /// otherwise after a read of the record. Afterwards mayActAsOwner() is false if the job has another owner or the store
+    /// did not tell. To be called before a reader is told that there is no further result, which only the owner can know.
+    auto proveOwnership(const std::string &id, std::function<void()> onEnd) -> void;
     /// Whether the store has responded recently. Without contact, this daemon is no suitable owner of further jobs.
     [[nodiscard]] auto hasStoreContact(BootTime now) const -> bool;
 
@@ -50,6 +54,8 @@
     /// Verifies an owned job whose newer record names another owner or is cancelled, takes over an open job without a
     /// live owner, or removes an expired one.
     auto reconcileJob(const JobRecord &record) -> void;
+    /// Whether the record names this incarnation of this daemon as the owner.
+    [[nodiscard]] auto isOwnRecord(const JobRecord &record) const -> bool;
     [[nodiscard]] auto needsTakeover(const JobRecord &record, BootTime now) const -> bool;
     auto takeOver(const std::string &id) -> void;
     /// Writes this daemon into the record as the owner, unless the record has changed meanwhile.
@@ -79,6 +85,8 @@
     BootTime startedAt_;
     std::set<std::string> takingOver_;
     std::set<std::string> unverified_;
+    /// Callers of proveOwnership() that wait for a read of the record, by job.
+    std::map<std::string, std::vector<std::function<void()>>> awaitingProof_;
     /// Jobs that were verified or taken over because a peer's report named them, and when a report may cause it again.
     std::map<std::string, BootTime> nextCheckAt_;
     /// Jobs whose record this daemon has claimed but which it could not load, and when the takeover is retried.
--- a/Source/Process/Batch/OwnedJob.cpp
+++ b/Source/Process/Batch/OwnedJob.cpp
@@ -30,6 +30,16 @@
     record_ = std::move(record);
 }
 
+auto OwnedJob::proveOwned(BootTime at) -> void
+{
+    provenAt_ = std::max(provenAt_, at);
+}
+
+auto OwnedJob::provenAt() const -> BootTime
+{
+    return provenAt_;
+}
+
 auto OwnedJob::items() -> std::vector<ItemProgress> &
 {
     return items_;
--- a/Source/Process/Batch/OwnedJob.h
+++ b/Source/Process/Batch/OwnedJob.h
@@ -46,6 +46,11 @@
     OwnedJob(JobRecord record, std::vector<JobItem> items, const JobRepository::ResultLog &log);
 
     [[nodiscard]] auto record() const -> const JobRecord &;
+    /// Records that the store has shown this daemon to be the owner at that time: when a successful write of the record
+    /// or the result log, or a read of the record, was sent. No other daemon had appended results by then.
+    auto proveOwned(BootTime at) -> void;
+    /// The latest time passed to proveOwned().
+    [[nodiscard]] auto provenAt() const -> BootTime;
     auto setRecord(JobRecord record) -> void;
     [[nodiscard]] auto items() -> std::vector<ItemProgress> &;
     /// Null for an unknown item.
@@ -78,6 +83,7 @@
     auto addCommitted(const JobResult &result) -> void;
 
     JobRecord record_;
+    BootTime provenAt_;
     std::vector<ItemProgress> items_;
     std::map<std::string, std::size_t> indexOf_;
     std::vector<JobResult> committed_;
--- a/Tests/Connection/JobServiceTest.cpp
+++ b/Tests/Connection/JobServiceTest.cpp
@@ -1,4 +1,5 @@
 #include "Support/PlatformFleet.h"
+#include "platform/Adapter.h"
 
 #include <absl/strings/str_cat.h>
 #include <boost/test/unit_test.hpp>
@@ -226,6 +227,42 @@
     BOOST_TEST(fleet.results(0, "j13", "key1").empty());
 }
 
+// Guards against a position that has been read at the new owner and is empty at the former one, which was only slow and
+// does not know yet that its job was taken over. A former owner that cannot tell must not say that there is nothing.
+BOOST_AUTO_TEST_CASE(AFormerOwnerHidesNoResult)
+{
+    PlatformFleet fleet(1, 1);
+    fleet.engines[0]->behaviour().events = 1000;
+    fleet.engines[0]->behaviour().eventPause = Milliseconds(20);
+    BOOST_TEST(fleet.call(0, PlatformFleet::submission("j14", 2, "key1"))->status == 202);
+    fleet.runFor(Milliseconds(300));
+    const auto record = jobRecordFrom({ "jobs", "j14", 1, {}, fleet.store.specOf("jobs", "j14") });
+    BOOST_REQUIRE(record.ok());
+    JobRecord taken = *record;
+    taken.owner = "another";
+    fleet.store.put("jobs", "j14", toStored(taken).spec);
+    const JobResult result { "j14-0", true, "text" };
+    fleet.store.put("results-j14", "000000", platform::makeAdapter().encodeResults(1, 0, { result }));
+    const auto target = [](int after) {
+        return callOn("GET", absl::StrCat("/-/lots/j14?after=", after), "key1");
+    };
+    fleet.runFor(Milliseconds(1000));
+    const auto first = fleet.call(0, target(0));
+    BOOST_REQUIRE(first.has_value());
+    BOOST_TEST(first->status == 200);
+    BOOST_TEST(first->body.find("j14-0") != std::string::npos);
+
+    // The store is silent: whether there is a further result cannot be known.
+    FakeObjectStore::Faults refused;
+    refused.refuseStatus = 503;
+    fleet.store.put("jobs", "j14", toStored(*record).spec);
+    fleet.store.setFaults(refused);
+    fleet.runFor(Milliseconds(900));
+    const auto unsure = fleet.call(0, target(1));
+    BOOST_REQUIRE(unsure.has_value());
+    BOOST_TEST(unsure->status == 503);
+}
+
 // Guards against work that is lost when a daemon shuts down: the next owner goes on where it stopped.
 BOOST_AUTO_TEST_CASE(AJobOfALeavingDaemonIsHandedOver)
 {
