--- a/Source/Connection/JobService.cpp
+++ b/Source/Connection/JobService.cpp
@@ -271,7 +271,7 @@
 auto JobService::isOwnerAlive(const JobRecord &record) const -> bool
 {
     const Peer *owner = parts_.peers.find(record.owner);
-    return owner != nullptr && owner->report.incarnation == record.ownerIncarnation && parts_.peers.mayTakeWork(*owner, BootClock::now());
+    return owner != nullptr && owner->incarnation == record.ownerIncarnation && parts_.peers.mayTakeWork(*owner, BootClock::now());
 }
 
 auto JobService::askOwner(const Query &query, const std::string &address, const ReplyHandler &reply) -> void
--- a/Source/Connection/OnlineRun.cpp
+++ b/Source/Connection/OnlineRun.cpp
@@ -148,8 +148,10 @@
     if (parts_.yieldOwnBatch(upstream)) {
         return;
     }
-    if (const Peer *holder = parts_.peers.batchHolder(upstream, BootClock::now(), parts_.random())) {
-        parts_.peerLink.send(holder->address, PreemptionRequest { upstream });
+    // By way of the own relay and that of another data centre to the daemon that has the work.
+    constexpr int PREEMPTION_HOPS = 3;
+    if (const Peer *next = parts_.peers.preemptionTarget(upstream, BootClock::now(), parts_.random())) {
+        parts_.peerLink.send(next->address, PreemptionRequest { upstream, PREEMPTION_HOPS });
     }
 }
 
--- a/Source/Process/Batch/JobRegistry.cpp
+++ b/Source/Process/Batch/JobRegistry.cpp
@@ -131,10 +131,9 @@
     const std::size_t count = countThatFits(entry.job.uncommitted());
     const std::vector<JobResult> results(entry.job.uncommitted().begin(),
                                          entry.job.uncommitted().begin() + static_cast<std::ptrdiff_t>(count));
-    repository_.append(
-        id, entry.job.nextEntryNumber(), results, [this, id, count, sentAt = BootClock::now()](const absl::Status &status) {
-            onCommitDone(id, count, sentAt, status);
-        });
+    repository_.append(id, entry.job.nextEntryNumber(), results, [this, id, count, sentAt = BootClock::now()](const absl::Status &status) {
+        onCommitDone(id, count, sentAt, status);
+    });
 }
 
 auto JobRegistry::onCommitDone(const std::string &id, std::size_t count, BootTime sentAt, const absl::Status &status) -> void
--- a/Source/Process/Batch/JobTakeover.cpp
+++ b/Source/Process/Batch/JobTakeover.cpp
@@ -26,6 +26,8 @@
 /// Age of the proof of ownership up to which an owner may answer that a job has no further result. A result that another
 /// daemon has listed must be shown everywhere a second after the first caller has read it; the rest is for the way.
 constexpr Milliseconds OWNERSHIP_PROOF_TIME { 700 };
+/// Time after a loss of contact to the store during which others may still act on a report that told of it.
+constexpr std::chrono::seconds CONTACT_LOSS_MEMORY { 5 };
 /// Delay of the retry of a takeover that failed when the record already named this daemon.
 constexpr Milliseconds TAKEOVER_RETRY_DELAY { 500 };
 /// Time between the end of a job's readable time and its removal, since the clocks of VMs differ a little.
@@ -49,7 +51,6 @@
 
 auto JobTakeover::start() -> void
 {
-    reconcile(false);
     reconcileTimer_ = context_.loop.at(startedAt_ + STARTUP_GRACE + STARTUP_GRACE_MARGIN, [this] {
         reconcile(true);
         scheduleReconciliation();
@@ -80,7 +81,15 @@
 auto JobTakeover::checkPeerReports() -> void
 {
     const BootTime now = BootClock::now();
-    if (isDraining_ || !hasStoreContact(now)) {
+    const bool hasContact = hasStoreContact(now);
+    if (!hasContact) {
+        contactLostAt_ = now;
+    } else if (!hadContact_) {
+        // The others were told that this daemon had no contact, and may have taken over its jobs.
+        verifyOwnership();
+    }
+    hadContact_ = hasContact;
+    if (isDraining_ || !hasContact) {
         return;
     }
     for (auto each = incompleteTakeovers_.begin(); each != incompleteTakeovers_.end();) {
@@ -93,23 +102,34 @@
         each = next;
     }
     std::erase_if(nextCheckAt_, [now](const auto &each) { return each.second <= now; });
-    for (const auto &[name, peer] : context_.peers.peers()) {
-        const bool isAvailable = context_.peers.mayTakeWork(peer, now);
-        for (const std::string &id : isAvailable ? peer.report.jobs : std::vector<std::string>()) {
-            // Both daemons consider themselves the owner: the record decides.
-            if (registry_.find(id) != nullptr && nextCheckAt_.emplace(id, now + VERIFY_INTERVAL).second) {
-                verifyJob(id);
-            }
+    std::vector<std::string> orphans;
+    std::vector<std::string> contested;
+    context_.peers.forEachJob([this, now, &orphans, &contested](const std::string &id, const Peer &owner) {
+        const bool isOwned = registry_.find(id) != nullptr;
+        if (isOwned && context_.peers.mayTakeWork(owner, now)) {
+            contested.push_back(id);
+        } else if (!isOwned && hasLeft(owner, now) && context_.peers.homeOf(id, now) == context_.settings.name) {
+            orphans.push_back(id);
         }
-        for (const std::string &id : isAvailable ? std::vector<std::string>() : peer.report.jobs) {
-            const bool isHome = context_.peers.homeOf(id, now) == context_.settings.name;
-            if (isHome && registry_.find(id) == nullptr && nextCheckAt_.emplace(id, now + RECONCILE_PERIOD).second) {
-                takeOver(id);
-            }
+    });
+    for (const std::string &id : contested) {
+        // Both daemons consider themselves the owner: the record decides.
+        if (nextCheckAt_.emplace(id, now + VERIFY_INTERVAL).second) {
+            verifyJob(id);
+        }
+    }
+    for (const std::string &id : orphans) {
+        if (nextCheckAt_.emplace(id, now + RECONCILE_PERIOD).second) {
+            takeOver(id);
         }
     }
 }
 
+auto JobTakeover::hasLeft(const Peer &owner, BootTime now) const -> bool
+{
+    return context_.peers.isGone(owner, now) || owner.isDraining || !owner.hasStoreContact;
+}
+
 auto JobTakeover::handOver(const std::string &id) -> std::string
 {
     OwnedJob *job = registry_.find(id);
@@ -173,7 +193,11 @@
 auto JobTakeover::proveOwnership(const std::string &id, std::function<void()> onEnd) -> void
 {
     OwnedJob *job = registry_.find(id);
-    if (job == nullptr || !mayActAsOwner(id) || BootClock::now() - job->provenAt() < OWNERSHIP_PROOF_TIME) {
+    const BootTime now = BootClock::now();
+    const bool hasKeptContact = now - contactLostAt_ > CONTACT_LOSS_MEMORY;
+    const bool isProven
+        = job != nullptr && ((hasKeptContact && context_.peers.isHeard(now)) || now - job->provenAt() < OWNERSHIP_PROOF_TIME);
+    if (job == nullptr || !mayActAsOwner(id) || isProven) {
         onEnd();
         return;
     }
@@ -255,11 +279,10 @@
         return true;
     }
     const Peer *owner = context_.peers.find(record.owner);
-    if (owner == nullptr || owner->report.incarnation.empty()) {
-        return now - startedAt_ > STARTUP_GRACE;
+    if (owner == nullptr || owner->incarnation.empty()) {
+        return now - startedAt_ > STARTUP_GRACE && context_.peers.hasFullView(now);
     }
-    const bool isSameIncarnation = owner->report.incarnation == record.ownerIncarnation;
-    return !isSameIncarnation || !context_.peers.mayTakeWork(*owner, now);
+    return owner->incarnation != record.ownerIncarnation || hasLeft(*owner, now);
 }
 
 auto JobTakeover::takeOver(const std::string &id) -> void
@@ -294,9 +317,10 @@
 
 auto JobTakeover::fetchProgress(const JobRecord &record, const std::string &formerOwner) -> void
 {
+    // A daemon that no relay hears may still live, and hands the job over when asked.
     const Peer *former = context_.peers.find(formerOwner);
     const BootTime now = BootClock::now();
-    if (former == nullptr || !context_.peers.isAlive(*former, now)) {
+    if (former == nullptr) {
         loadItems(record, {});
         return;
     }
--- a/Source/Process/Batch/JobTakeover.h
+++ b/Source/Process/Batch/JobTakeover.h
@@ -40,8 +40,8 @@
     /// Whether this daemon may answer for a job that it owns: the ownership is verified, there is contact to the store,
     /// and the daemon is not draining.
     [[nodiscard]] auto mayActAsOwner(const std::string &id) const -> bool;
-    /// Calls "onEnd" once it is known whether this daemon is still the owner: at once if the store has shown so recently,
-    /// otherwise after a read of the record. Afterwards mayActAsOwner() is false if the job has another owner or the store
+    /// Calls "onEnd" once it is known whether this daemon is still the owner: at once if the store has shown so recently or
+    /// no other daemon can have found this one gone, otherwise after a read of the record. Afterwards mayActAsOwner() is false if the job has another owner or the store
     /// did not tell. To be called before a reader is told that there is no further result, which only the owner can know.
     auto proveOwnership(const std::string &id, std::function<void()> onEnd) -> void;
     /// Whether the store has responded recently. Without contact, this daemon is no suitable owner of further jobs.
@@ -56,6 +56,8 @@
     auto reconcileJob(const JobRecord &record) -> void;
     /// Whether the record names this incarnation of this daemon as the owner.
     [[nodiscard]] auto isOwnRecord(const JobRecord &record) const -> bool;
+    /// Whether an owner is gone, draining or without contact to the store.
+    [[nodiscard]] auto hasLeft(const Peer &owner, BootTime now) const -> bool;
     [[nodiscard]] auto needsTakeover(const JobRecord &record, BootTime now) const -> bool;
     auto takeOver(const std::string &id) -> void;
     /// Writes this daemon into the record as the owner, unless the record has changed meanwhile.
@@ -92,6 +94,8 @@
     /// Jobs whose record this daemon has claimed but which it could not load, and when the takeover is retried.
     std::map<std::string, BootTime> incompleteTakeovers_;
     bool isDraining_ = false;
+    bool hadContact_ = true;
+    BootTime contactLostAt_;
     Timer reconcileTimer_;
 };
 
--- a/Source/Process/Batch/OwnedJob.cpp
+++ b/Source/Process/Batch/OwnedJob.cpp
@@ -9,6 +9,7 @@
 
 OwnedJob::OwnedJob(JobRecord record, std::vector<JobItem> items, const JobRepository::ResultLog &log)
     : record_(std::move(record))
+    , ownedSince_(BootClock::now())
 {
     items_.reserve(items.size());
     for (JobItem &item : items) {
@@ -40,6 +41,11 @@
     return provenAt_;
 }
 
+auto OwnedJob::ownedSince() const -> BootTime
+{
+    return ownedSince_;
+}
+
 auto OwnedJob::items() -> std::vector<ItemProgress> &
 {
     return items_;
--- a/Source/Process/Batch/OwnedJob.h
+++ b/Source/Process/Batch/OwnedJob.h
@@ -51,6 +51,8 @@
     auto proveOwned(BootTime at) -> void;
     /// The latest time passed to proveOwned().
     [[nodiscard]] auto provenAt() const -> BootTime;
+    /// When this object was made, right after the job was accepted or taken over here.
+    [[nodiscard]] auto ownedSince() const -> BootTime;
     auto setRecord(JobRecord record) -> void;
     [[nodiscard]] auto items() -> std::vector<ItemProgress> &;
     /// Null for an unknown item.
@@ -84,6 +86,7 @@
 
     JobRecord record_;
     BootTime provenAt_;
+    BootTime ownedSince_;
     std::vector<ItemProgress> items_;
     std::map<std::string, std::size_t> indexOf_;
     std::vector<JobResult> committed_;
--- a/Source/Process/FrontDaemon.cpp
+++ b/Source/Process/FrontDaemon.cpp
@@ -23,10 +23,11 @@
 constexpr Milliseconds SHUTDOWN_MARGIN { 600 };
 constexpr Milliseconds SHUTDOWN_STEP { 50 };
 constexpr ClientPool::Options UPSTREAM_POOL { { 1500, 1000 }, Milliseconds(400), Milliseconds(20000) };
-/// Jobs that a report names, so that a read at another daemon needs no call to the store: those that callers may
-/// still read often, as many as fit into a datagram.
-constexpr std::chrono::seconds JOB_HINT_TIME { 20 };
-constexpr std::size_t JOB_HINTS = 40;
+/// Time for which reports name a job that this daemon has come to own, so that a read at another daemon needs no call to
+/// the store; several reports, since datagrams are lost at times.
+constexpr Milliseconds ANNOUNCEMENT_TIME { 1500 };
+/// As many as fit into a datagram.
+constexpr std::size_t MAXIMUM_ANNOUNCEMENTS = 1000;
 constexpr ClientPool::Options PEER_POOL { { 1000, 1000 }, Milliseconds(250), Milliseconds(10000) };
 /// Retries in 30 s that a daemon may make however few requests it has.
 constexpr std::uint64_t MINIMUM_RETRIES = 20;
@@ -52,13 +53,17 @@
     , directory_(settings_.dataCentre)
     , upstreams_(loop_, store_, dialect_, directory_, peerClient_, settings_.bounds.upstreamDrain)
     , upstreamPool_(loop_, UPSTREAM_POOL)
-    , peers_(settings_.name, settings_.dataCentre)
+    , peers_(settings_.name, settings_.dataCentre, settings_.capacity)
     , peerLink_(loop_,
                 store_,
                 peers_,
-                { settings_.name, settings_.dataCentre, settings_.peersAddress },
+                { settings_.name, settings_.dataCentre, settings_.peersAddress, settings_.capacity },
                 { [this] { return ownReport(); },
+                  [this] { return freshness_.state(); },
                   [this] { takePeerReports(); },
+                  [this](const std::string &sender, const FreshnessState &state, BootTime sentAt) {
+                      freshness_.handleState(state, sentAt, sender);
+                  },
                   [this](const std::string &sender, const PeerMessage &message) {
                       takePeerMessage(sender, message);
                   } })
@@ -169,6 +174,7 @@
         checkPauses();
         noteReadiness();
         directory_.removeExpired(BootClock::now());
+        peers_.removeExpired(BootClock::now());
         takePeerReports();
     });
 }
@@ -216,9 +222,9 @@
     report.work = directory_.ownWork();
     report.demand = allowances_.demand(now);
     report.crashes = crashes_.crashes(now);
-    book_.forEach([this, &report](const std::string &id, const OwnedJob &job) {
-        const bool isRecent = WallClock::now() < job.record().dueAt + JOB_HINT_TIME;
-        if (isRecent && report.jobs.size() < JOB_HINTS && (isStopping_ || adoption_.mayActAsOwner(id))) {
+    book_.forEach([this, now, &report](const std::string &id, const OwnedJob &job) {
+        const bool isNew = now - job.ownedSince() < ANNOUNCEMENT_TIME;
+        if ((isStopping_ || (isNew && adoption_.mayActAsOwner(id))) && report.jobs.size() < MAXIMUM_ANNOUNCEMENTS) {
             report.jobs.push_back(id);
         }
     });
@@ -243,16 +249,18 @@
     AllowanceTable &allowances;
     FreshnessExchange &freshness;
     const ServingVersionPointer &version;
+    const PeerDirectory &peers;
+    PeerLink &link;
+    std::mt19937_64 &random;
 
-    auto operator()(const DaemonReport & /*report*/) const -> void
-    {
-    }
-    auto operator()(const DataCentreDigest & /*digest*/) const -> void
-    {
-    }
     auto operator()(const PreemptionRequest &request) const -> void
     {
-        runner.preemptAt(request.upstream);
+        if (runner.preemptAt(request.upstream) || request.hops <= 0) {
+            return;
+        }
+        if (const Peer *next = peers.preemptionTarget(request.upstream, BootClock::now(), random())) {
+            link.send(next->address, PreemptionRequest { request.upstream, request.hops - 1 });
+        }
     }
     auto operator()(const TokenRequest &request) const -> void
     {
@@ -271,13 +279,18 @@
     {
         freshness.handleResponse(answer, sender);
     }
+    template<typename Message>
+    auto operator()(const Message & /*handledByPeerLink*/) const -> void
+    {
+    }
 };
 
 } // namespace
 
 auto FrontDaemon::takePeerMessage(const std::string &sender, const PeerMessage &message) -> void
 {
-    std::visit(PeerMessageVisitor { sender, runner_, allowances_, freshness_, configuration_.version() }, message);
+    std::visit(PeerMessageVisitor { sender, runner_, allowances_, freshness_, configuration_.version(), peers_, peerLink_, random_ },
+               message);
 }
 
 auto FrontDaemon::answerPeer(const std::shared_ptr<CallerExchange> &exchange) -> void
--- a/Source/Process/FrontSettings.h
+++ b/Source/Process/FrontSettings.h
@@ -46,6 +46,8 @@
     std::string storeAddress;
     /// Largest value that the store accepts, in bytes.
     std::uint64_t maxStoreValueBytes = 1048576;
+    /// Processor capacity of the VM in hundredths of a core, at least 1. Duties for other daemons go to VMs with more of it.
+    int capacity = 1;
     /// Period at which an upstream renews its entry in the store.
     Milliseconds upstreamHeartbeatPeriod { 1200 };
     FleetBounds bounds;
--- a/Source/Process/Peers/DaemonReport.cpp
+++ b/Source/Process/Peers/DaemonReport.cpp
@@ -3,15 +3,19 @@
 #include <absl/strings/numbers.h>
 #include <absl/strings/str_cat.h>
 #include <absl/strings/str_format.h>
+#include <absl/strings/str_join.h>
 #include <absl/strings/str_split.h>
 
 namespace poplardock {
 
 namespace {
 
-constexpr const char *REPORT_TAG = "report2";
-constexpr const char *DIGEST_TAG = "digest1";
-constexpr const char *PREEMPTION_TAG = "yield1";
+constexpr const char *REPORT_TAG = "report3";
+constexpr const char *DIGEST_TAG = "digest2";
+constexpr const char *SUMMARY_TAG = "summary1";
+constexpr const char *ROSTER_REQUEST_TAG = "rosterquestion1";
+constexpr const char *ROSTER_TAG = "roster1";
+constexpr const char *PREEMPTION_TAG = "yield2";
 constexpr const char *TOKEN_REQUEST_TAG = "token1";
 constexpr const char *TOKEN_RESPONSE_TAG = "tokenanswer1";
 constexpr const char *FRESHNESS_REQUEST_TAG = "fresh1";
@@ -19,40 +23,46 @@
 
 using Words = std::vector<absl::string_view>;
 
-auto appendLoad(std::string &text,
-                const WorkCounts &work,
-                const std::map<std::string, double> &demand,
-                const std::map<std::string, int> &crashes) -> void
+auto appendLoad(std::string &text, const LoadSums &load) -> void
 {
-    for (const auto &[upstream, count] : work) {
+    for (const auto &[upstream, count] : load.work) {
         absl::StrAppend(&text, "\nw ", upstream, " ", count.online, " ", count.batch);
     }
-    for (const auto &[team, requests] : demand) {
+    for (const auto &[team, requests] : load.demand) {
         absl::StrAppendFormat(&text, "\nd %s %.2f", team, requests);
     }
-    for (const auto &[fingerprint, count] : crashes) {
+    for (const auto &[fingerprint, count] : load.crashes) {
         absl::StrAppend(&text, "\nc ", fingerprint, " ", count);
     }
 }
 
+auto appendJobs(std::string &text, const std::vector<JobOwner> &jobs) -> void
+{
+    for (const JobOwner &each : jobs) {
+        absl::StrAppend(&text, "\nj ", each.job, " ", each.owner);
+    }
+}
+
+auto flag(bool value) -> int
+{
+    return value ? 1 : 0;
+}
+
 struct EncodeVisitor
 {
     auto operator()(const DaemonReport &report) const -> std::string
     {
-        std::string text = absl::StrCat(REPORT_TAG,
-                                        " ",
-                                        report.name,
-                                        " ",
-                                        report.incarnation,
-                                        " ",
-                                        report.sequence,
-                                        " ",
-                                        report.isDraining ? 1 : 0,
-                                        " ",
-                                        report.hasStoreContact ? 1 : 0,
-                                        " ",
-                                        report.dataCentre);
-        appendLoad(text, report.work, report.demand, report.crashes);
+        const std::vector<std::string> head = { REPORT_TAG,
+                                                report.name,
+                                                report.incarnation,
+                                                absl::StrCat(report.sequence),
+                                                absl::StrCat(report.capacity),
+                                                absl::StrCat(flag(report.isDraining)),
+                                                absl::StrCat(flag(report.hasStoreContact)),
+                                                absl::StrCat(flag(report.isToBackup)),
+                                                report.dataCentre };
+        std::string text = absl::StrJoin(head, " ");
+        appendLoad(text, report);
         for (const std::string &job : report.jobs) {
             absl::StrAppend(&text, "\nj ", job);
         }
@@ -61,25 +71,52 @@
 
     auto operator()(const DataCentreDigest &digest) const -> std::string
     {
-        std::string text
-            = absl::StrCat(DIGEST_TAG, " ", digest.sender, " ", digest.sequence, " ", digest.isForwarded ? 1 : 0, " ", digest.dataCentre);
-        for (const DigestEntry &entry : digest.daemons) {
-            absl::StrAppend(&text, "\nm ", entry.name, " ", entry.address, " ", entry.incarnation, " ", entry.sequence);
-            absl::StrAppend(&text, " ", entry.age.count(), " ", entry.isDraining ? 1 : 0, " ", entry.hasStoreContact ? 1 : 0);
-            for (const std::string &job : entry.jobs) {
-                absl::StrAppend(&text, "\nj ", job);
-            }
+        const std::vector<std::string> head
+            = { DIGEST_TAG,       digest.sender, digest.incarnation, absl::StrCat(digest.sequence), absl::StrCat(digest.rosterVersion),
+                digest.dataCentre };
+        std::string text = absl::StrJoin(head, " ");
+        appendLoad(text, digest);
+        appendJobs(text, digest.jobs);
+        return text;
+    }
+
+    auto operator()(const FleetSummary &summary) const -> std::string
+    {
+        const std::vector<std::string> head = { SUMMARY_TAG,
+                                                summary.sender,
+                                                summary.incarnation,
+                                                absl::StrCat(summary.sequence),
+                                                absl::StrCat(summary.echoedReport),
+                                                absl::StrCat(summary.freshness.configurationRevision),
+                                                absl::StrCat(summary.freshness.age.count()),
+                                                absl::StrCat(summary.freshness.upstreamRevision) };
+        std::string text = absl::StrJoin(head, " ");
+        for (const RosterState &roster : summary.rosters) {
+            absl::StrAppend(&text, "\nr ", roster.dataCentre, " ", roster.version, " ", roster.age.count());
         }
-        appendLoad(text, digest.work, digest.demand, digest.crashes);
-        for (const auto &[upstream, daemon] : digest.batchHolders) {
-            absl::StrAppend(&text, "\nb ", upstream, " ", daemon);
+        appendLoad(text, summary);
+        appendJobs(text, summary.jobs);
+        return text;
+    }
+
+    auto operator()(const RosterRequest &request) const -> std::string
+    {
+        return absl::StrCat(ROSTER_REQUEST_TAG, " ", request.dataCentre);
+    }
+
+    auto operator()(const Roster &roster) const -> std::string
+    {
+        std::string text = absl::StrCat(ROSTER_TAG, " ", roster.version, " ", roster.dataCentre);
+        for (const RosterEntry &entry : roster.entries) {
+            absl::StrAppend(&text, "\nm ", entry.name, " ", entry.address, " ", entry.incarnation, " ", entry.capacity);
+            absl::StrAppend(&text, " ", flag(entry.isDraining), " ", flag(entry.hasStoreContact));
         }
         return text;
     }
 
     auto operator()(const PreemptionRequest &request) const -> std::string
     {
-        return absl::StrCat(PREEMPTION_TAG, " ", request.upstream);
+        return absl::StrCat(PREEMPTION_TAG, " ", request.upstream, " ", request.hops);
     }
 
     auto operator()(const TokenRequest &request) const -> std::string
@@ -104,11 +141,11 @@
                             " ",
                             response.correlationId,
                             " ",
-                            response.configurationRevision,
+                            response.state.configurationRevision,
                             " ",
-                            response.age.count(),
+                            response.state.age.count(),
                             " ",
-                            response.upstreamRevision);
+                            response.state.upstreamRevision);
     }
 };
 
@@ -117,18 +154,26 @@
     return absl::InvalidArgumentError(absl::StrCat("malformed peer message: ", line.substr(0, 80)));
 }
 
-/// Parses a line of work, demand or crashes, which reports and digests have in common.
-template<typename Message>
-auto parseLoadLine(Message &message, const Words &words) -> bool
+/// Parses a line of work, demand or crashes.
+auto parseLoadLine(LoadSums &load, const Words &words) -> bool
 {
     if (words.size() == 4 && words[0] == "w") {
-        WorkCount &count = message.work[std::string(words[1])];
+        WorkCount &count = load.work[std::string(words[1])];
         return absl::SimpleAtoi(words[2], &count.online) && absl::SimpleAtoi(words[3], &count.batch);
     }
     if (words.size() == 3 && words[0] == "d") {
-        return absl::SimpleAtod(words[2], &message.demand[std::string(words[1])]);
+        return absl::SimpleAtod(words[2], &load.demand[std::string(words[1])]);
+    }
+    return words.size() == 3 && words[0] == "c" && absl::SimpleAtoi(words[2], &load.crashes[std::string(words[1])]);
+}
+
+auto parseJobOwner(std::vector<JobOwner> &jobs, const Words &words) -> bool
+{
+    if (words.size() != 3 || words[0] != "j") {
+        return false;
     }
-    return words.size() == 3 && words[0] == "c" && absl::SimpleAtoi(words[2], &message.crashes[std::string(words[1])]);
+    jobs.push_back({ std::string(words[1]), std::string(words[2]) });
+    return true;
 }
 
 auto parseLine(DaemonReport &report, const Words &words) -> bool
@@ -142,29 +187,38 @@
 
 auto parseLine(DataCentreDigest &digest, const Words &words) -> bool
 {
-    constexpr std::size_t ENTRY_WORDS = 8;
-    if (words.size() == ENTRY_WORDS && words[0] == "m") {
-        DigestEntry entry;
+    return parseJobOwner(digest.jobs, words) || parseLoadLine(digest, words);
+}
+
+auto parseLine(FleetSummary &summary, const Words &words) -> bool
+{
+    if (words.size() == 4 && words[0] == "r") {
+        RosterState state;
         std::int64_t age = 0;
-        const bool isValid = absl::SimpleAtoi(words[4], &entry.sequence) && absl::SimpleAtoi(words[5], &age) && age >= 0;
-        entry.name = std::string(words[1]);
-        entry.address = std::string(words[2]);
-        entry.incarnation = std::string(words[3]);
-        entry.age = Milliseconds(age);
-        entry.isDraining = words[6] == "1";
-        entry.hasStoreContact = words[7] == "1";
-        digest.daemons.push_back(std::move(entry));
+        const bool isValid = absl::SimpleAtoi(words[2], &state.version) && absl::SimpleAtoi(words[3], &age) && age >= 0;
+        state.dataCentre = std::string(words[1]);
+        state.age = Milliseconds(age);
+        summary.rosters.push_back(std::move(state));
         return isValid;
     }
-    if (words.size() == 2 && words[0] == "j" && !digest.daemons.empty()) {
-        digest.daemons.back().jobs.emplace_back(words[1]);
-        return true;
-    }
-    if (words.size() == 3 && words[0] == "b") {
-        digest.batchHolders.insert_or_assign(std::string(words[1]), std::string(words[2]));
-        return true;
+    return parseJobOwner(summary.jobs, words) || parseLoadLine(summary, words);
+}
+
+auto parseLine(Roster &roster, const Words &words) -> bool
+{
+    constexpr std::size_t ENTRY_WORDS = 7;
+    if (words.size() != ENTRY_WORDS || words[0] != "m") {
+        return false;
     }
-    return parseLoadLine(digest, words);
+    RosterEntry entry;
+    entry.name = std::string(words[1]);
+    entry.address = std::string(words[2]);
+    entry.incarnation = std::string(words[3]);
+    entry.isDraining = words[5] == "1";
+    entry.hasStoreContact = words[6] == "1";
+    const bool isValid = absl::SimpleAtoi(words[4], &entry.capacity);
+    roster.entries.push_back(std::move(entry));
+    return isValid;
 }
 
 template<typename Message>
@@ -181,8 +235,13 @@
 /// Decodes the messages that consist of a single line.
 auto decodeSingleLine(const Words &words) -> absl::StatusOr<PeerMessage>
 {
-    if (words.size() == 2 && words[0] == PREEMPTION_TAG) {
-        return PreemptionRequest { std::string(words[1]) };
+    PreemptionRequest preemption;
+    if (words.size() == 3 && words[0] == PREEMPTION_TAG && absl::SimpleAtoi(words[2], &preemption.hops)) {
+        preemption.upstream = std::string(words[1]);
+        return preemption;
+    }
+    if (words.size() == 2 && words[0] == ROSTER_REQUEST_TAG) {
+        return RosterRequest { std::string(words[1]) };
     }
     TokenRequest tokenRequest;
     if (words.size() == 3 && words[0] == TOKEN_REQUEST_TAG && absl::SimpleAtoi(words[2], &tokenRequest.correlationId)) {
@@ -205,9 +264,9 @@
     }
     FreshnessResponse freshnessResponse;
     if (words.size() == 5 && words[0] == FRESHNESS_RESPONSE_TAG && absl::SimpleAtoi(words[1], &freshnessResponse.correlationId)
-        && absl::SimpleAtoi(words[2], &freshnessResponse.configurationRevision) && absl::SimpleAtoi(words[3], &milliseconds)
-        && absl::SimpleAtoi(words[4], &freshnessResponse.upstreamRevision) && milliseconds >= 0) {
-        freshnessResponse.age = Milliseconds(milliseconds);
+        && absl::SimpleAtoi(words[2], &freshnessResponse.state.configurationRevision) && absl::SimpleAtoi(words[3], &milliseconds)
+        && absl::SimpleAtoi(words[4], &freshnessResponse.state.upstreamRevision) && milliseconds >= 0) {
+        freshnessResponse.state.age = Milliseconds(milliseconds);
         return freshnessResponse;
     }
     return malformed(words.front());
@@ -224,24 +283,43 @@
 {
     const std::vector<absl::string_view> lines = absl::StrSplit(absl::string_view(text.data(), text.size()), '\n');
     const Words head = absl::StrSplit(lines.front(), ' ');
-    constexpr std::size_t REPORT_WORDS = 7;
+    constexpr std::size_t REPORT_WORDS = 9;
     DaemonReport report;
-    if (head[0] == REPORT_TAG && head.size() == REPORT_WORDS && absl::SimpleAtoi(head[3], &report.sequence)) {
+    if (head[0] == REPORT_TAG && head.size() == REPORT_WORDS && absl::SimpleAtoi(head[3], &report.sequence)
+        && absl::SimpleAtoi(head[4], &report.capacity)) {
         report.name = std::string(head[1]);
         report.incarnation = std::string(head[2]);
-        report.isDraining = head[4] == "1";
-        report.hasStoreContact = head[5] == "1";
-        report.dataCentre = std::string(head[6]);
+        report.isDraining = head[5] == "1";
+        report.hasStoreContact = head[6] == "1";
+        report.isToBackup = head[7] == "1";
+        report.dataCentre = std::string(head[8]);
         return parseLines(std::move(report), lines);
     }
-    constexpr std::size_t DIGEST_WORDS = 5;
+    constexpr std::size_t DIGEST_WORDS = 6;
     DataCentreDigest digest;
-    if (head[0] == DIGEST_TAG && head.size() == DIGEST_WORDS && absl::SimpleAtoi(head[2], &digest.sequence)) {
+    if (head[0] == DIGEST_TAG && head.size() == DIGEST_WORDS && absl::SimpleAtoi(head[3], &digest.sequence)
+        && absl::SimpleAtoi(head[4], &digest.rosterVersion)) {
         digest.sender = std::string(head[1]);
-        digest.isForwarded = head[3] == "1";
-        digest.dataCentre = std::string(head[4]);
+        digest.incarnation = std::string(head[2]);
+        digest.dataCentre = std::string(head[5]);
         return parseLines(std::move(digest), lines);
     }
+    constexpr std::size_t SUMMARY_WORDS = 8;
+    FleetSummary summary;
+    std::int64_t age = 0;
+    if (head[0] == SUMMARY_TAG && head.size() == SUMMARY_WORDS && absl::SimpleAtoi(head[3], &summary.sequence)
+        && absl::SimpleAtoi(head[4], &summary.echoedReport) && absl::SimpleAtoi(head[5], &summary.freshness.configurationRevision)
+        && absl::SimpleAtoi(head[6], &age) && age >= 0 && absl::SimpleAtoi(head[7], &summary.freshness.upstreamRevision)) {
+        summary.sender = std::string(head[1]);
+        summary.incarnation = std::string(head[2]);
+        summary.freshness.age = Milliseconds(age);
+        return parseLines(std::move(summary), lines);
+    }
+    Roster roster;
+    if (head[0] == ROSTER_TAG && head.size() == 3 && absl::SimpleAtoi(head[1], &roster.version)) {
+        roster.dataCentre = std::string(head[2]);
+        return parseLines(std::move(roster), lines);
+    }
     return lines.size() == 1 ? decodeSingleLine(head) : malformed(lines.front());
 }
 
--- a/Source/Process/Peers/DaemonReport.h
+++ b/Source/Process/Peers/DaemonReport.h
@@ -13,8 +13,30 @@
 
 namespace poplardock {
 
-/// A daemon's state, which it sends to the other daemons of its data centre several times a second.
-struct DaemonReport
+/// Work, demand and crashes: of one daemon, or added up over several.
+struct LoadSums
+{
+    /// Work in flight, by upstream.
+    WorkCounts work;
+    /// Requests per second, by team.
+    std::map<std::string, double> demand;
+    /// Upstream crashes that the daemons observed themselves, by the fingerprint of the requests that were running.
+    std::map<std::string, int> crashes;
+
+    auto operator==(const LoadSums &) const -> bool = default;
+};
+
+/// A job and the daemon that owns it.
+struct JobOwner
+{
+    std::string job;
+    std::string owner;
+
+    auto operator==(const JobOwner &) const -> bool = default;
+};
+
+/// A daemon's state, which it sends to the relays of its data centre several times a second.
+struct DaemonReport : LoadSums
 {
     std::string name;
     std::string dataCentre;
@@ -22,64 +44,116 @@
     std::string incarnation;
     /// Increases with each report of an incarnation.
     std::uint64_t sequence = 0;
+    /// Relative processor capacity of the VM; 0 while the daemon lags behind, so that it gets no duties for others.
+    int capacity = 1;
     /// The daemon is shutting down; its jobs are to be taken over.
     bool isDraining = false;
     /// The daemon has recently had a response from the store.
     bool hasStoreContact = true;
-    /// Work in flight, by upstream.
-    WorkCounts work;
-    /// Requests per second, by team.
-    std::map<std::string, double> demand;
-    /// Jobs that the daemon owns and serves requests for.
+    /// Whether the recipient is the sender's second relay, which answers less often than the first.
+    bool isToBackup = false;
+    /// Jobs that the daemon has come to own a short time ago; all of its jobs while it is draining.
     std::vector<std::string> jobs;
-    /// Upstream crashes that this daemon observed itself, by the fingerprint of the requests that were running.
-    std::map<std::string, int> crashes;
 
     auto operator==(const DaemonReport &) const -> bool = default;
 };
 
-/// One daemon in a digest.
-struct DigestEntry
+/// One daemon in a roster.
+struct RosterEntry
 {
     std::string name;
     /// "IP:port" for datagrams and calls.
     std::string address;
     std::string incarnation;
-    /// Sequence of its last report.
-    std::uint64_t sequence = 0;
-    /// Time since the sender of the digest received that report.
-    Milliseconds age { 0 };
+    int capacity = 1;
     bool isDraining = false;
     bool hasStoreContact = true;
-    std::vector<std::string> jobs;
 
-    auto operator==(const DigestEntry &) const -> bool = default;
+    auto operator==(const RosterEntry &) const -> bool = default;
+};
+
+/// The live daemons of one data centre, as its relay hears them. Sent only on request; digests and summaries name the
+/// version, which confirms all entries at once.
+struct Roster
+{
+    std::string dataCentre;
+    /// Hash of the entries; the same entries have the same version at every relay.
+    std::uint64_t version = 0;
+    std::vector<RosterEntry> entries;
+
+    auto operator==(const Roster &) const -> bool = default;
+};
+
+struct RosterRequest
+{
+    std::string dataCentre;
+
+    auto operator==(const RosterRequest &) const -> bool = default;
 };
 
-/// The live daemons of one data centre and the sums of their reports, which a relay sends to the other data centres.
-struct DataCentreDigest
+/// The sums over one data centre, which its relays send to the relays of the other data centres.
+struct DataCentreDigest : LoadSums
 {
     std::string dataCentre;
-    /// Name of the relay that made the digest.
+    /// Name and incarnation of the relay that made the digest.
     std::string sender;
+    std::string incarnation;
     /// Increases with each digest of an incarnation of the sender.
     std::uint64_t sequence = 0;
-    /// Set on the copies that the receiving daemon forwards within its data centre; these are not forwarded again.
-    bool isForwarded = false;
-    std::vector<DigestEntry> daemons;
-    WorkCounts work;
-    /// One of the daemons that run batch work at an upstream, by upstream.
-    std::map<std::string, std::string> batchHolders;
-    std::map<std::string, double> demand;
-    std::map<std::string, int> crashes;
+    std::uint64_t rosterVersion = 0;
+    /// Jobs of daemons of this data centre that have recently got a new owner.
+    std::vector<JobOwner> jobs;
 
     auto operator==(const DataCentreDigest &) const -> bool = default;
 };
 
-/// Requests that a daemon preempt its batch work at an upstream, because an online request needs the slot.
+/// A data centre's roster, as a relay knows it.
+struct RosterState
+{
+    std::string dataCentre;
+    std::uint64_t version = 0;
+    /// Time since the relay last knew that the daemons in it were alive.
+    Milliseconds age { 0 };
+
+    auto operator==(const RosterState &) const -> bool = default;
+};
+
+/// What a daemon answers of its view of the configuration and the upstreams.
+struct FreshnessState
+{
+    /// Revision of the configuration in force at the responding daemon.
+    std::uint64_t configurationRevision = 0;
+    /// Time since the store confirmed the configuration.
+    Milliseconds age { 0 };
+    /// Highest revision of an upstream's entry that is known to the daemon.
+    std::uint64_t upstreamRevision = 0;
+
+    auto operator==(const FreshnessState &) const -> bool = default;
+};
+
+/// The sums over the whole fleet, the receiving daemon included, which a relay sends to each daemon that reports to it.
+struct FleetSummary : LoadSums
+{
+    std::string sender;
+    std::string incarnation;
+    /// Increases with each summary of an incarnation of the sender.
+    std::uint64_t sequence = 0;
+    /// Sequence of the recipient's last report that the relay has received. The sums include that report.
+    std::uint64_t echoedReport = 0;
+    FreshnessState freshness;
+    std::vector<RosterState> rosters;
+    std::vector<JobOwner> jobs;
+
+    auto operator==(const FleetSummary &) const -> bool = default;
+};
+
+/// Requests that a daemon preempt its batch work at an upstream, because an online request needs the slot. A daemon that
+/// has none there passes it on.
 struct PreemptionRequest
 {
     std::string upstream;
+    /// How often it may still be passed on.
+    int hops = 0;
 
     auto operator==(const PreemptionRequest &) const -> bool = default;
 };
@@ -123,18 +197,21 @@
 struct FreshnessResponse
 {
     std::uint64_t correlationId = 0;
-    /// Revision of the configuration in force at the responding daemon.
-    std::uint64_t configurationRevision = 0;
-    /// Time since the sending of the latest call with which the store confirmed the configuration.
-    Milliseconds age { 0 };
-    /// Highest revision of an upstream's entry that is known to the daemon.
-    std::uint64_t upstreamRevision = 0;
+    FreshnessState state;
 
     auto operator==(const FreshnessResponse &) const -> bool = default;
 };
 
-using PeerMessage
-    = std::variant<DaemonReport, DataCentreDigest, PreemptionRequest, TokenRequest, TokenResponse, FreshnessRequest, FreshnessResponse>;
+using PeerMessage = std::variant<DaemonReport,
+                                 DataCentreDigest,
+                                 FleetSummary,
+                                 RosterRequest,
+                                 Roster,
+                                 PreemptionRequest,
+                                 TokenRequest,
+                                 TokenResponse,
+                                 FreshnessRequest,
+                                 FreshnessResponse>;
 
 /// The text of one datagram. Precondition: names contain no spaces or line breaks.
 auto encodePeerMessage(const PeerMessage &message) -> std::string;
--- /dev/null
+++ b/Source/Process/Peers/FleetLoad.cpp
@@ -0,0 +1,216 @@
+#include "Process/Peers/FleetLoad.h"
+
+#include <algorithm>
+
+namespace poplardock {
+
+namespace {
+
+/// Own reports that are kept: those of some seconds.
+constexpr std::size_t MAXIMUM_SENT_REPORTS = 64;
+/// As long as a daemon retains the crashes that it has observed itself.
+constexpr std::chrono::minutes CRASH_RETENTION { 10 };
+/// Reports and digests of daemons that are gone are dropped after the longest time for which they count.
+constexpr std::chrono::milliseconds RETENTION = CRASH_RETENTION;
+
+auto addWork(WorkCounts &total, const WorkCounts &work) -> void
+{
+    for (const auto &[upstream, count] : work) {
+        WorkCount &sum = total[upstream];
+        sum.online += count.online;
+        sum.batch += count.batch;
+    }
+}
+
+template<typename Value>
+auto addValues(std::map<std::string, Value> &total, const std::map<std::string, Value> &values) -> void
+{
+    for (const auto &[key, value] : values) {
+        total[key] += value;
+    }
+}
+
+template<typename Value>
+auto subtract(Value total, const std::map<std::string, Value> &values, const std::string &key) -> Value
+{
+    const auto found = values.find(key);
+    return found == values.end() ? total : std::max<Value>(0, total - found->second);
+}
+
+} // namespace
+
+FleetLoad::FleetLoad(std::string ownName)
+    : ownName_(std::move(ownName))
+{
+}
+
+auto FleetLoad::recordOwnReport(const DaemonReport &report, BootTime now) -> void
+{
+    sent_.push_back({ report, now });
+    if (sent_.size() > MAXIMUM_SENT_REPORTS) {
+        sent_.pop_front();
+    }
+}
+
+auto FleetLoad::reportSentAt(std::uint64_t sequence) const -> std::optional<BootTime>
+{
+    const auto found
+        = std::find_if(sent_.rbegin(), sent_.rend(), [sequence](const SentReport &each) { return each.report.sequence == sequence; });
+    return found == sent_.rend() ? std::nullopt : std::optional(found->at);
+}
+
+auto FleetLoad::applyReport(const DaemonReport &report, BootTime now) -> void
+{
+    reports_[report.name] = { report, now };
+    std::erase_if(reports_, [now](const auto &each) { return now - each.second.at > RETENTION; });
+}
+
+auto FleetLoad::applyDigest(const DataCentreDigest &digest, BootTime now) -> void
+{
+    digests_[digest.dataCentre] = { digest, now };
+    std::erase_if(digests_, [now](const auto &each) { return now - each.second.at > RETENTION; });
+}
+
+auto FleetLoad::applySummary(const FleetSummary &summary, BootTime now) -> void
+{
+    summary_ = { summary, now };
+}
+
+auto FleetLoad::recentDigests(Milliseconds maximumAge, BootTime now) const -> std::vector<const DataCentreDigest *>
+{
+    std::vector<const DataCentreDigest *> recent;
+    for (const auto &[dataCentre, received] : digests_) {
+        if (now - received.at < maximumAge) {
+            recent.push_back(&received.message);
+        }
+    }
+    return recent;
+}
+
+auto FleetLoad::dataCentreSums(const DaemonReport &own, BootTime now) const -> LoadSums
+{
+    LoadSums sums = own;
+    for (const auto &[name, received] : reports_) {
+        if (now - received.at < LIVENESS_TIMEOUT) {
+            addWork(sums.work, received.message.work);
+        }
+        if (now - received.at < DEMAND_RETENTION) {
+            addValues(sums.demand, received.message.demand);
+        }
+        addValues(sums.crashes, received.message.crashes);
+    }
+    return sums;
+}
+
+auto FleetLoad::fleetSums(const DaemonReport &own, BootTime now) const -> LoadSums
+{
+    LoadSums sums = dataCentreSums(own, now);
+    for (const DataCentreDigest *digest : recentDigests(LIVENESS_TIMEOUT, now)) {
+        addWork(sums.work, digest->work);
+    }
+    for (const DataCentreDigest *digest : recentDigests(DEMAND_RETENTION, now)) {
+        addValues(sums.demand, digest->demand);
+    }
+    for (const DataCentreDigest *digest : recentDigests(CRASH_RETENTION, now)) {
+        addValues(sums.crashes, digest->crashes);
+    }
+    return sums;
+}
+
+auto FleetLoad::includedOwnReport() const -> const DaemonReport *
+{
+    for (auto each = sent_.rbegin(); each != sent_.rend(); ++each) {
+        if (each->report.sequence <= summary_->message.echoedReport) {
+            return &each->report;
+        }
+    }
+    return nullptr;
+}
+
+auto FleetLoad::work(bool isFirstRelay, BootTime now) const -> WorkCounts
+{
+    if (isFirstRelay) {
+        return fleetSums({}, now).work;
+    }
+    if (!summary_ || now - summary_->at >= LIVENESS_TIMEOUT) {
+        return {};
+    }
+    WorkCounts work = summary_->message.work;
+    if (const DaemonReport *own = includedOwnReport()) {
+        for (const auto &[upstream, count] : own->work) {
+            const auto found = work.find(upstream);
+            if (found != work.end()) {
+                found->second.online = std::max(0, found->second.online - count.online);
+                found->second.batch = std::max(0, found->second.batch - count.batch);
+            }
+        }
+    }
+    return work;
+}
+
+auto FleetLoad::demand(bool isFirstRelay, BootTime now) const -> std::map<std::string, double>
+{
+    if (isFirstRelay) {
+        return fleetSums({}, now).demand;
+    }
+    if (!summary_ || now - summary_->at >= DEMAND_RETENTION) {
+        return {};
+    }
+    std::map<std::string, double> demand = summary_->message.demand;
+    if (const DaemonReport *own = includedOwnReport()) {
+        for (auto &[team, requests] : demand) {
+            requests = subtract(requests, own->demand, team);
+        }
+    }
+    return demand;
+}
+
+auto FleetLoad::crashes(bool isFirstRelay, const std::string &fingerprint, BootTime now) const -> int
+{
+    int total = 0;
+    const auto add = [&total, &fingerprint](const std::map<std::string, int> &crashes) {
+        const auto found = crashes.find(fingerprint);
+        total += found == crashes.end() ? 0 : found->second;
+    };
+    if (!isFirstRelay) {
+        if (!summary_) {
+            return 0;
+        }
+        add(summary_->message.crashes);
+        const DaemonReport *own = includedOwnReport();
+        return own == nullptr ? total : subtract(total, own->crashes, fingerprint);
+    }
+    for (const auto &[name, received] : reports_) {
+        add(received.message.crashes);
+    }
+    for (const DataCentreDigest *digest : recentDigests(CRASH_RETENTION, now)) {
+        add(digest->crashes);
+    }
+    return total;
+}
+
+auto FleetLoad::localBatchHolders(const std::string &upstream, BootTime now) const -> std::vector<std::string>
+{
+    std::vector<std::string> holders;
+    for (const auto &[name, received] : reports_) {
+        const auto found = received.message.work.find(upstream);
+        if (now - received.at < LIVENESS_TIMEOUT && found != received.message.work.end() && found->second.batch > 0) {
+            holders.push_back(name);
+        }
+    }
+    return holders;
+}
+
+auto FleetLoad::batchDataCentres(const std::string &upstream, BootTime now) const -> std::vector<std::string>
+{
+    std::vector<std::string> dataCentres;
+    for (const DataCentreDigest *digest : recentDigests(LIVENESS_TIMEOUT, now)) {
+        const auto found = digest->work.find(upstream);
+        if (found != digest->work.end() && found->second.batch > 0) {
+            dataCentres.push_back(digest->dataCentre);
+        }
+    }
+    return dataCentres;
+}
+
+} // namespace poplardock
--- a/Source/Process/Peers/FreshnessExchange.cpp
+++ b/Source/Process/Peers/FreshnessExchange.cpp
@@ -9,7 +9,6 @@
 
 namespace {
 
-constexpr const char *LEADER_KEY = "configuration";
 constexpr Milliseconds TICK_PERIOD { 500 };
 /// Daemons discover each other within this time after a start. Before that, each one would consider itself the leader
 /// and the store watcher.
@@ -17,8 +16,10 @@
 /// Duration of the leader's watches of the upstreams. Store watchers compare their revision with the leader's to notice
 /// that their own watch delivers nothing.
 constexpr Milliseconds LEADER_WATCH_TIME { 1200 };
-/// Age of the confirmation at which a daemon queries the store itself. The leader reads every 0.5 s and requests are sent
-/// every 0.5 s, so in normal operation a confirmation is rarely older than a second.
+/// Age of the confirmation at which a daemon that is no relay queries the leader. The leader reads every 0.5 s, its relay
+/// queries every 0.5 s and sends a summary several times a second.
+constexpr Milliseconds MAX_RELAYED_AGE { 1600 };
+/// Age of the confirmation at which a daemon queries the store itself.
 constexpr Milliseconds MAX_CONFIRMATION_AGE { 2200 };
 constexpr Milliseconds MIN_REFRESH_INTERVAL { 1000 };
 /// Consecutive responses with a newer revision after which the store is queried. The first may come from another data
@@ -68,7 +69,7 @@
 auto FreshnessExchange::tick() -> void
 {
     const BootTime now = BootClock::now();
-    const std::string leader = peers_.homeOf(LEADER_KEY, now);
+    const std::string leader = peers_.leader(now);
     const std::string watcher = peers_.storeWatcher(now);
     const bool isLeader = leader == ownName_;
     const bool isStoreWatcher = watcher == ownName_;
@@ -80,12 +81,9 @@
     upstreams_.follower.watch.setWait(isLeader ? LEADER_WATCH_TIME : KindWatch::DEFAULT_WAIT);
     if (isLeader) {
         readAsLeader(now);
-    } else {
+    } else if (peers_.isRelay(now) || now - confirmedAt() > MAX_RELAYED_AGE) {
         sendRequest(leader, now);
     }
-    if (!isStoreWatcher && watcher != leader) {
-        sendRequest(watcher, now);
-    }
     if (now - confirmedAt() > MAX_CONFIRMATION_AGE) {
         refresh(configuration_, now);
     }
@@ -112,11 +110,15 @@
     }
 }
 
+auto FreshnessExchange::state() const -> FreshnessState
+{
+    const auto age = std::chrono::ceil<Milliseconds>(BootClock::now() - confirmedAt());
+    return { configuration_.follower.revision(), age, upstreams_.follower.revision() };
+}
+
 auto FreshnessExchange::handleRequest(const FreshnessRequest &request, const std::string &sender) -> void
 {
-    const auto age = std::chrono::ceil<Milliseconds>(BootClock::now() - std::max(readSentAt_, configuration_.follower.watch.confirmedAt()));
-    handlers_.send(sender,
-                   FreshnessResponse { request.correlationId, configuration_.follower.revision(), age, upstreams_.follower.revision() });
+    handlers_.send(sender, FreshnessResponse { request.correlationId, state() });
 }
 
 auto FreshnessExchange::handleResponse(const FreshnessResponse &response, const std::string &sender) -> void
@@ -127,10 +129,20 @@
     }
     const PendingRequest request = found->second;
     pending_.erase(found);
-    if (reconcile(configuration_, response.configurationRevision, request.isLocal, sender)) {
-        peerConfirmedAt_ = std::max(peerConfirmedAt_, request.sentAt - response.age);
+    applyState(response.state, request.sentAt, request.isLocal, sender);
+}
+
+auto FreshnessExchange::handleState(const FreshnessState &state, BootTime sentAt, const std::string &sender) -> void
+{
+    applyState(state, sentAt, true, sender);
+}
+
+auto FreshnessExchange::applyState(const FreshnessState &state, BootTime sentAt, bool isLocal, const std::string &sender) -> void
+{
+    if (reconcile(configuration_, state.configurationRevision, isLocal, sender)) {
+        peerConfirmedAt_ = std::max(peerConfirmedAt_, sentAt - state.age);
     }
-    reconcile(upstreams_, response.upstreamRevision, request.isLocal, sender);
+    reconcile(upstreams_, state.upstreamRevision, isLocal, sender);
 }
 
 auto FreshnessExchange::reconcile(KindState &kind, std::uint64_t revision, bool isLocal, const std::string &address) -> bool
--- a/Source/Process/Peers/FreshnessExchange.h
+++ b/Source/Process/Peers/FreshnessExchange.h
@@ -11,10 +11,11 @@
 /// Keeps this daemon's configuration and upstreams up to date with few calls to the store.
 ///
 /// One daemon of the fleet, the leader, reads the configuration often. One daemon of each data centre, the store watcher,
-/// watches both kinds. The other daemons query both of them for the age of their view and for their revisions, and fetch
-/// newer revisions from them. A response confirms this daemon's configuration only if the responding daemon's is not
-/// newer, and as of the time at which the request was sent minus the age in the response. A daemon that receives no such
-/// response, or does not catch up, queries the store itself.
+/// watches both kinds. The relays query the leader for the age of its view and for its revisions, and tell all others in
+/// their summaries. Whoever is behind fetches newer revisions from the daemon that told. A response confirms this daemon's
+/// configuration only if the responding daemon's is not newer, and as of the time at which the request, or the report that
+/// a summary echoes, was sent minus the age in the response. A daemon that receives no such response, or does not catch up,
+/// queries the leader and then the store itself.
 /// Thread safety: the loop's thread only.
 class FreshnessExchange
 {
@@ -44,6 +45,10 @@
     auto stop() -> void;
     auto handleRequest(const FreshnessRequest &request, const std::string &sender) -> void;
     auto handleResponse(const FreshnessResponse &response, const std::string &sender) -> void;
+    /// Handles the state that a relay of this data centre has told in answer to a report sent at that time.
+    auto handleState(const FreshnessState &state, BootTime sentAt, const std::string &sender) -> void;
+    /// The state of this daemon's views, for the other daemons.
+    [[nodiscard]] auto state() const -> FreshnessState;
     /// The configuration in force is the one that the store held at this time or later.
     [[nodiscard]] auto confirmedAt() const -> BootTime;
 
@@ -51,7 +56,7 @@
     struct PendingRequest
     {
         BootTime sentAt;
-        /// Sent to a daemon of this data centre: its store watcher, or the leader.
+        /// Sent to a daemon of this data centre.
         bool isLocal = false;
     };
     struct KindState
@@ -67,6 +72,7 @@
 
     auto tick() -> void;
     auto sendRequest(const std::string &daemon, BootTime now) -> void;
+    auto applyState(const FreshnessState &state, BootTime sentAt, bool isLocal, const std::string &sender) -> void;
     auto readAsLeader(BootTime now) -> void;
     /// Compares another daemon's revision with this daemon's and fetches newer changes. Returns whether this daemon is up
     /// to date.
--- a/Source/Process/Peers/PeerDirectory.cpp
+++ b/Source/Process/Peers/PeerDirectory.cpp
@@ -1,67 +1,138 @@
 #include "Process/Peers/PeerDirectory.h"
 
+#include "Process/Peers/Rendezvous.h"
 #include "Version/MemberTable.h"
 
+#include <absl/strings/str_cat.h>
+
 #include <algorithm>
 
 namespace poplardock {
 
 namespace {
 
-/// The report period grows with the number of local peers, so that a daemon sends at most about 160 report
-/// datagrams a second, and receives as many, however many daemons its data centre has.
-constexpr Milliseconds MIN_REPORT_PERIOD { 100 };
-constexpr Milliseconds REPORT_PERIOD_PER_PEER { 6 };
-/// Lower bound of the liveness timeout, and the number of report periods that it covers: three lost reports in a row are
-/// rare.
-constexpr Milliseconds MIN_LIVENESS_TIMEOUT { 1500 };
-constexpr int LIVENESS_REPORT_PERIODS = 4;
-/// A network partition lasts some seconds. A daemon not seen for longer than this is considered gone, and its demand
-/// no longer counts.
-constexpr Milliseconds DEMAND_RETENTION { 15000 };
-/// As long as a daemon retains the crashes that it has observed itself.
-constexpr std::chrono::minutes DIGEST_CRASH_RETENTION { 10 };
-
-auto addDemand(std::map<std::string, double> &total, const std::map<std::string, double> &demand) -> void
-{
-    for (const auto &[team, requests] : demand) {
-        total[team] += requests;
-    }
+constexpr Milliseconds MINIMUM_PERIOD { 50 };
+constexpr Milliseconds MAXIMUM_REPORT_PERIOD { 100 };
+constexpr Milliseconds MAXIMUM_SUMMARY_PERIOD { 200 };
+constexpr std::int64_t REPORT_MS_PER_DAEMON = 4;
+constexpr std::int64_t SUMMARY_MS_PER_DAEMON = 3;
+/// In a data centre with fewer daemons, both relays answer at the same rate.
+constexpr std::int64_t SMALL_DATA_CENTRE = 16;
+/// Time after the discovery of a daemon during which it is presumed alive although no relay has heard it.
+constexpr Milliseconds PRESUMED_ALIVE { 3000 };
+/// Time without a summary after which a relay is passed over, and for how long.
+constexpr Milliseconds RELAY_TIMEOUT { 800 };
+constexpr Milliseconds PASSED_OVER_TIME { 3000 };
+/// Every how many reports go to further daemons, so that one that was cut off or passed over others finds back.
+constexpr std::uint64_t PROBE_REPORTS = 5;
+/// The second relay's messages count when the first was silent for this time.
+constexpr Milliseconds FIRST_RELAY_SILENCE { 400 };
+/// A data centre from which nothing is heard for this time counts as gone with all its daemons.
+constexpr Milliseconds GROUP_SILENCE { 6000 };
+/// Age of an echoed report up to which a daemon knows itself heard; below the liveness timeout by the time that the
+/// loss takes at least to spread.
+constexpr Milliseconds HEARD_TIME { 1200 };
+/// Time for which a relay passes on the announcement of a job's owner.
+constexpr Milliseconds ANNOUNCEMENT_TIME { 600 };
+/// Announcements are kept while callers read the results, as many as a fleet at its target size needs.
+constexpr std::chrono::seconds ANNOUNCEMENT_RETENTION { 60 };
+constexpr std::size_t MAXIMUM_ANNOUNCEMENTS = 10000;
+/// Results of selections that many requests repeat.
+constexpr Milliseconds HOME_CACHE_TIME { 250 };
+constexpr Milliseconds RELAY_CACHE_TIME { 100 };
+constexpr std::size_t MAXIMUM_CACHED_HOMES = 10000;
+
+auto versionOf(const std::vector<RosterEntry> &entries) -> std::uint64_t
+{
+    std::string text;
+    for (const RosterEntry &entry : entries) {
+        absl::StrAppend(&text, entry.name, " ", entry.address, " ", entry.incarnation, " ", entry.capacity);
+        absl::StrAppend(&text, entry.isDraining ? " draining" : "", entry.hasStoreContact ? "" : " storeless", "\n");
+    }
+    return stableHash(text);
 }
 
-auto addWork(WorkCounts &total, const WorkCounts &work) -> void
+} // namespace
+
+PeerDirectory::PeerDirectory(std::string ownName, std::string ownDataCentre, int ownCapacity)
+    : ownName_(std::move(ownName))
+    , ownDataCentre_(std::move(ownDataCentre))
+    , ownCapacity_(ownCapacity)
+    , load_(ownName_)
 {
-    for (const auto &[upstream, count] : work) {
-        total[upstream].online += count.online;
-        total[upstream].batch += count.batch;
-    }
 }
 
-auto rendezvousScore(const std::string &daemon, const std::string &key) -> std::uint64_t
+auto PeerDirectory::handleChange() -> void
 {
-    return stableHash(daemon + "/" + key);
+    localPeerCount_ = std::count_if(peers_.begin(), peers_.end(), [this](const auto &each) { return isLocal(each.second); });
+    relays_.clear();
 }
 
-} // namespace
-
-PeerDirectory::PeerDirectory(std::string ownName, std::string ownDataCentre)
-    : ownName_(std::move(ownName))
-    , ownDataCentre_(std::move(ownDataCentre))
+auto PeerDirectory::setOwnCapacity(int capacity) -> void
 {
+    if (capacity != ownCapacity_) {
+        ownCapacity_ = capacity;
+        handleChange();
+    }
 }
 
-auto PeerDirectory::addMember(const std::string &name, const std::string &address, const std::string &dataCentre) -> void
+auto PeerDirectory::addMember(
+    const std::string &name, const std::string &address, const std::string &dataCentre, int capacity, BootTime now) -> void
 {
     if (name == ownName_) {
         return;
     }
-    Peer &peer = peers_[name];
-    peer.name = name;
-    if (peer.address.empty() || peer.report.incarnation.empty()) {
+    const auto [entry, isNew] = peers_.try_emplace(name);
+    Peer &peer = entry->second;
+    if (isNew || (peer.incarnation.empty() && peer.address != address)) {
+        peer.name = name;
         peer.address = address;
         peer.dataCentre = dataCentre;
+        peer.capacity = capacity;
+        peer.addedAt = now;
+        handleChange();
+    }
+}
+
+auto PeerDirectory::isNewer(std::map<std::string, Sender> &senders,
+                            const std::string &name,
+                            const std::string &incarnation,
+                            std::uint64_t sequence,
+                            BootTime now) -> bool
+{
+    Sender &sender = senders[name];
+    if (sender.incarnation == incarnation && sequence <= sender.sequence) {
+        return false;
+    }
+    sender = { incarnation, sequence, now };
+    return true;
+}
+
+auto PeerDirectory::applyEntry(const std::string &dataCentre, const RosterEntry &entry, BootTime seenAt) -> void
+{
+    if (entry.name == ownName_) {
+        return;
+    }
+    const auto [position, isNew] = peers_.try_emplace(entry.name);
+    Peer &peer = position->second;
+    const Peer before = peer;
+    peer.name = entry.name;
+    peer.address = entry.address;
+    peer.dataCentre = dataCentre;
+    peer.incarnation = entry.incarnation;
+    peer.capacity = entry.capacity;
+    peer.isDraining = entry.isDraining;
+    peer.hasStoreContact = entry.hasStoreContact;
+    peer.isUnlisted = false;
+    if (isNew) {
+        peer.addedAt = seenAt;
+    }
+    const bool isChanged = isNew || before.dataCentre != peer.dataCentre || before.capacity != peer.capacity
+                           || before.isDraining != peer.isDraining || before.incarnation != peer.incarnation || before.isUnlisted;
+    peer.lastSeenAt = std::max(peer.lastSeenAt, seenAt);
+    if (isChanged) {
+        handleChange();
     }
-    updateLocalPeerCount();
 }
 
 auto PeerDirectory::handleReport(const DaemonReport &report, const std::string &address, BootTime now) -> bool
@@ -69,138 +140,373 @@
     if (report.name == ownName_) {
         return false;
     }
-    Peer &peer = peers_[report.name];
-    if (peer.report.incarnation == report.incarnation && report.sequence <= peer.report.sequence) {
+    ReporterState &reporter = reporters_[report.name];
+    const Peer *known = find(report.name);
+    if (known != nullptr && known->incarnation == report.incarnation && report.sequence <= reporter.sequence
+        && reporter.heardAt != BootTime()) {
         return false;
     }
-    peer = { report.name, address, report.dataCentre, report, now };
-    updateLocalPeerCount();
+    reporter = { report.isToBackup, report.sequence, now };
+    applyEntry(
+        report.dataCentre, { report.name, address, report.incarnation, report.capacity, report.isDraining, report.hasStoreContact }, now);
+    load_.applyReport(report, now);
+    std::vector<JobOwner> jobs;
+    for (const std::string &job : report.jobs) {
+        jobs.push_back({ job, report.name });
+    }
+    addAnnouncements(jobs, Source::Report, now);
     return true;
 }
 
-auto PeerDirectory::updateLocalPeerCount() -> void
+auto PeerDirectory::isPreferred(const std::map<std::string, Sender> &senders,
+                                const std::string &dataCentre,
+                                const std::string &sender,
+                                BootTime now) const -> bool
 {
-    localPeerCount_ = std::count_if(peers_.begin(), peers_.end(), [this](const auto &each) { return isLocal(each.second); });
+    const auto isSilent = [&senders, now](const std::string &relay, Milliseconds time) {
+        const auto found = senders.find(relay);
+        return found == senders.end() || now - found->second.heardAt > time;
+    };
+    const std::vector<std::string> relays = relaysOf(dataCentre, now);
+    if (relays.empty() || relays.front() == sender) {
+        return true;
+    }
+    if (relays.back() == sender) {
+        return isSilent(relays.front(), FIRST_RELAY_SILENCE);
+    }
+    // Another daemon that takes itself for a relay may hear few others, so it only counts when no relay does.
+    return std::all_of(relays.begin(), relays.end(), [this, &isSilent](const std::string &relay) {
+        return relay == ownName_ || isSilent(relay, FleetLoad::LIVENESS_TIMEOUT);
+    });
 }
 
-auto PeerDirectory::isLocal(const Peer &peer) const -> bool
+auto PeerDirectory::handleDigest(const DataCentreDigest &digest, BootTime now) -> bool
 {
-    return peer.dataCentre == ownDataCentre_ || peer.dataCentre.empty();
+    if (digest.dataCentre == ownDataCentre_ || !isNewer(digestSenders_, digest.sender, digest.incarnation, digest.sequence, now)) {
+        return false;
+    }
+    addAnnouncements(digest.jobs, Source::Digest, now);
+    if (!isPreferred(digestSenders_, digest.dataCentre, digest.sender, now)) {
+        return false;
+    }
+    load_.applyDigest(digest, now);
+    confirmRoster(digest.dataCentre, digest.rosterVersion, now);
+    return true;
 }
 
-auto PeerDirectory::localPeers() const -> std::vector<const Peer *>
+auto PeerDirectory::handleSummary(const FleetSummary &summary, BootTime now) -> bool
 {
-    std::vector<const Peer *> found;
-    for (const auto &[name, peer] : peers_) {
-        if (isLocal(peer)) {
-            found.push_back(&peer);
+    if (summary.sender == ownName_ || !isNewer(summarySenders_, summary.sender, summary.incarnation, summary.sequence, now)) {
+        return false;
+    }
+    RelayState &relay = relayStates_[summary.sender];
+    relay.lastSummaryAt = now;
+    if (const auto sentAt = load_.reportSentAt(summary.echoedReport)) {
+        relay.echoedAt = std::max(relay.echoedAt, *sentAt);
+        if (isPassedOver(summary.sender, now) && now - relay.echoedAt < RELAY_TIMEOUT) {
+            relay.passedOverUntil = {};
+            relay.targetedSince = now;
+            relays_.clear();
         }
     }
-    return found;
+    addAnnouncements(summary.jobs, Source::Summary, now);
+    const bool isServing = isFirstRelay(now) && !reporters(now).empty();
+    if (isServing || !isPreferred(summarySenders_, ownDataCentre_, summary.sender, now)) {
+        return false;
+    }
+    load_.applySummary(summary, now);
+    for (const RosterState &state : summary.rosters) {
+        confirmRoster(state.dataCentre, state.version, now - state.age);
+    }
+    return true;
 }
 
-auto PeerDirectory::handleDigest(const DataCentreDigest &digest, BootTime now) -> bool
+auto PeerDirectory::confirmRoster(const std::string &dataCentre, std::uint64_t version, BootTime confirmedAt) -> void
 {
-    if (digest.dataCentre == ownDataCentre_) {
-        return false;
+    const auto known = rosters_.find(dataCentre);
+    if (known == rosters_.end() || known->second.roster.version != version) {
+        missingVersions_[dataCentre] = version;
+        return;
     }
-    ReceivedDigest &known = digests_[digest.sender];
-    if (!digest.isForwarded) {
-        known.receivedDirectlyAt = now;
+    missingVersions_.erase(dataCentre);
+    known->second.confirmedAt = std::max(known->second.confirmedAt, confirmedAt);
+    for (const RosterEntry &entry : known->second.roster.entries) {
+        const auto peer = peers_.find(entry.name);
+        if (peer != peers_.end() && peer->second.incarnation == entry.incarnation) {
+            peer->second.lastSeenAt = std::max(peer->second.lastSeenAt, confirmedAt);
+        }
     }
-    // The sender's own entry comes first; a new incarnation means that the sequence has started again.
-    const bool isSameIncarnation = !known.digest.daemons.empty() && !digest.daemons.empty()
-                                   && known.digest.daemons.front().incarnation == digest.daemons.front().incarnation;
-    if (isSameIncarnation && digest.sequence <= known.digest.sequence) {
-        return false;
+}
+
+auto PeerDirectory::handleRoster(const Roster &roster, BootTime now) -> void
+{
+    const auto missing = missingVersions_.find(roster.dataCentre);
+    if (missing == missingVersions_.end()) {
+        return;
+    }
+    // A relay whose roster has changed since answers with the newer one; the next digest or summary names it too.
+    missingVersions_.erase(missing);
+    std::set<std::string> listed;
+    for (const RosterEntry &entry : roster.entries) {
+        listed.insert(entry.name);
+        applyEntry(roster.dataCentre, entry, now);
+    }
+    for (auto &[name, peer] : peers_) {
+        const bool isDropped = peer.dataCentre == roster.dataCentre && !peer.incarnation.empty() && !listed.contains(name);
+        if (isDropped && !peer.isUnlisted) {
+            peer.isUnlisted = true;
+            handleChange();
+        }
     }
-    known.digest = digest;
-    known.receivedAt = now;
-    for (const DigestEntry &entry : digest.daemons) {
-        Peer &peer = peers_[entry.name];
-        const BootTime lastSeenAt = now - entry.age;
-        const bool isKnownIncarnation = peer.report.incarnation == entry.incarnation;
-        if (entry.name == ownName_ || (isKnownIncarnation ? entry.sequence < peer.report.sequence : lastSeenAt < peer.lastSeenAt)) {
+    rosters_[roster.dataCentre] = { roster, now };
+}
+
+auto PeerDirectory::recordOwnReport(const DaemonReport &report, BootTime now) -> void
+{
+    load_.recordOwnReport(report, now);
+}
+
+auto PeerDirectory::addAnnouncements(const std::vector<JobOwner> &jobs, Source source, BootTime now) -> void
+{
+    for (const JobOwner &each : jobs) {
+        if (each.owner == ownName_) {
+            announcements_.erase(each.job);
             continue;
         }
-        peer.name = entry.name;
-        peer.address = entry.address;
-        peer.dataCentre = digest.dataCentre;
-        peer.lastSeenAt = isKnownIncarnation ? std::max(peer.lastSeenAt, lastSeenAt) : lastSeenAt;
-        peer.report = {};
-        peer.report.name = entry.name;
-        peer.report.dataCentre = digest.dataCentre;
-        peer.report.incarnation = entry.incarnation;
-        peer.report.sequence = entry.sequence;
-        peer.report.isDraining = entry.isDraining;
-        peer.report.hasStoreContact = entry.hasStoreContact;
-        peer.report.jobs = entry.jobs;
-    }
-    peers_.erase(ownName_);
-    updateLocalPeerCount();
-    return true;
+        JobAnnouncement &known = announcements_[each.job];
+        // What a relay has heard itself it may also receive from the other relay.
+        const bool isRepeated = source == Source::Summary && known.owner == each.owner && known.source != Source::Summary;
+        if (!isRepeated) {
+            known = { each.owner, now, source };
+        }
+    }
+}
+
+auto PeerDirectory::recentAnnouncements(Source lastSource, BootTime now) const -> std::vector<JobOwner>
+{
+    std::vector<JobOwner> jobs;
+    for (const auto &[job, announcement] : announcements_) {
+        if (now - announcement.heardAt < ANNOUNCEMENT_TIME && announcement.source <= lastSource) {
+            jobs.push_back({ job, announcement.owner });
+        }
+    }
+    return jobs;
+}
+
+auto PeerDirectory::removeExpired(BootTime now) -> void
+{
+    std::erase_if(announcements_, [now](const auto &each) { return now - each.second.heardAt > ANNOUNCEMENT_RETENTION; });
+    while (announcements_.size() > MAXIMUM_ANNOUNCEMENTS) {
+        announcements_.erase(announcements_.begin());
+    }
+    std::erase_if(reporters_, [now](const auto &each) { return now - each.second.heardAt > ANNOUNCEMENT_RETENTION; });
+}
+
+auto PeerDirectory::ownRoster(const DaemonReport &own, const std::string &ownAddress, BootTime now) const -> Roster
+{
+    std::map<std::string, RosterEntry> entries;
+    entries[ownName_] = { ownName_, ownAddress, own.incarnation, own.capacity, own.isDraining, own.hasStoreContact };
+    for (const Reporter &reporter : reporters(now)) {
+        const Peer &peer = *reporter.peer;
+        if (isLocal(peer)) {
+            entries[peer.name] = { peer.name, peer.address, peer.incarnation, peer.capacity, peer.isDraining, peer.hasStoreContact };
+        }
+    }
+    Roster roster;
+    roster.dataCentre = ownDataCentre_;
+    for (auto &[name, entry] : entries) {
+        roster.entries.push_back(std::move(entry));
+    }
+    roster.version = versionOf(roster.entries);
+    return roster;
+}
+
+auto PeerDirectory::rosterOf(const std::string &dataCentre, const DaemonReport &own, const std::string &ownAddress, BootTime now) const
+    -> std::optional<Roster>
+{
+    if (dataCentre == ownDataCentre_) {
+        return ownRoster(own, ownAddress, now);
+    }
+    const auto known = rosters_.find(dataCentre);
+    return known == rosters_.end() ? std::nullopt : std::optional(known->second.roster);
+}
+
+auto PeerDirectory::missingRosters() const -> std::vector<std::string>
+{
+    std::vector<std::string> dataCentres;
+    for (const auto &[dataCentre, version] : missingVersions_) {
+        dataCentres.push_back(dataCentre);
+    }
+    return dataCentres;
 }
 
 auto PeerDirectory::makeDigest(const DaemonReport &own, const std::string &ownAddress, BootTime now) const -> DataCentreDigest
 {
     DataCentreDigest digest;
+    static_cast<LoadSums &>(digest) = load_.dataCentreSums(own, now);
     digest.dataCentre = ownDataCentre_;
     digest.sender = ownName_;
-    const auto add = [&digest](const DaemonReport &report, const std::string &address, Milliseconds age) {
-        digest.daemons.push_back(
-            { report.name, address, report.incarnation, report.sequence, age, report.isDraining, report.hasStoreContact, report.jobs });
-        addWork(digest.work, report.work);
-        addDemand(digest.demand, report.demand);
-        for (const auto &[upstream, count] : report.work) {
-            if (count.batch > 0) {
-                digest.batchHolders[upstream] = report.name;
-            }
-        }
-        for (const auto &[fingerprint, count] : report.crashes) {
-            digest.crashes[fingerprint] += count;
-        }
-    };
-    add(own, ownAddress, Milliseconds(0));
-    for (const Peer *peer : localPeers()) {
-        if (isAlive(*peer, now)) {
-            add(peer->report, peer->address, std::chrono::ceil<Milliseconds>(now - peer->lastSeenAt));
-        }
+    digest.incarnation = own.incarnation;
+    digest.rosterVersion = ownRoster(own, ownAddress, now).version;
+    digest.jobs = recentAnnouncements(Source::Report, now);
+    for (const std::string &job : own.jobs) {
+        digest.jobs.push_back({ job, ownName_ });
     }
     return digest;
 }
 
-auto PeerDirectory::relaysOf(const std::string &dataCentre, BootTime now) const -> std::vector<std::string>
+auto PeerDirectory::makeSummary(const DaemonReport &own, const std::string &ownAddress, BootTime now) const -> FleetSummary
+{
+    FleetSummary summary;
+    static_cast<LoadSums &>(summary) = load_.fleetSums(own, now);
+    summary.sender = ownName_;
+    summary.incarnation = own.incarnation;
+    summary.rosters.push_back({ ownDataCentre_, ownRoster(own, ownAddress, now).version, Milliseconds(0) });
+    for (const auto &[dataCentre, known] : rosters_) {
+        if (dataCentre != ownDataCentre_) {
+            summary.rosters.push_back({ dataCentre, known.roster.version, std::chrono::ceil<Milliseconds>(now - known.confirmedAt) });
+        }
+    }
+    summary.jobs = recentAnnouncements(Source::Digest, now);
+    for (const std::string &job : own.jobs) {
+        summary.jobs.push_back({ job, ownName_ });
+    }
+    return summary;
+}
+
+auto PeerDirectory::mayRelay(const Peer &peer, BootTime now) const -> bool
+{
+    if (peer.isDraining) {
+        return false;
+    }
+    return isAlive(peer, now) || (!peer.isUnlisted && peer.incarnation.empty() && now - peer.addedAt < PRESUMED_ALIVE);
+}
+
+auto PeerDirectory::isPassedOver(const std::string &name, BootTime now) const -> bool
+{
+    const auto state = relayStates_.find(name);
+    return state != relayStates_.end() && now < state->second.passedOverUntil;
+}
+
+auto PeerDirectory::rankRelays(const std::string &dataCentre, BootTime now) const -> std::vector<std::string>
 {
     struct Candidate
     {
-        bool isAlive;
-        std::uint64_t score;
+        bool mayRelay;
+        int capacity;
+        double score;
         std::string name;
     };
     std::vector<Candidate> candidates;
-    const auto add = [&candidates, &dataCentre](bool isAlive, const std::string &name) {
-        candidates.push_back({ isAlive, rendezvousScore(name, "relay of " + dataCentre), name });
-    };
+    const std::string key = "relay of " + dataCentre;
     for (const auto &[name, peer] : peers_) {
         if (peer.dataCentre == dataCentre) {
-            add(isAlive(peer, now) && !peer.report.isDraining, name);
+            const bool isUsable = mayRelay(peer, now) && !isPassedOver(name, now);
+            candidates.push_back({ isUsable, peer.capacity, rendezvousScore(name, key, 1), name });
         }
     }
     if (dataCentre == ownDataCentre_) {
-        add(true, ownName_);
+        candidates.push_back({ true, ownCapacity_, rendezvousScore(ownName_, key, 1), ownName_ });
     }
     std::sort(candidates.begin(), candidates.end(), [](const Candidate &a, const Candidate &b) {
-        return a.isAlive != b.isAlive ? a.isAlive : a.score > b.score;
+        if (a.mayRelay != b.mayRelay) {
+            return a.mayRelay;
+        }
+        return a.capacity != b.capacity ? a.capacity > b.capacity : a.score > b.score;
     });
     std::vector<std::string> names;
     for (std::size_t index = 0; index < candidates.size() && index < 2; ++index) {
-        if (index == 0 || candidates[index].isAlive == candidates[0].isAlive) {
+        if (index == 0 || candidates[index].mayRelay == candidates[0].mayRelay) {
             names.push_back(candidates[index].name);
         }
     }
     return names;
 }
 
+auto PeerDirectory::relaysOf(const std::string &dataCentre, BootTime now) const -> std::vector<std::string>
+{
+    CachedRelays &cached = relays_[dataCentre];
+    if (now >= cached.validUntil || now < cached.validUntil - 2 * RELAY_CACHE_TIME) {
+        cached = { rankRelays(dataCentre, now), now + RELAY_CACHE_TIME };
+    }
+    return cached.names;
+}
+
+auto PeerDirectory::isRelay(BootTime now) const -> bool
+{
+    const std::vector<std::string> relays = relaysOf(ownDataCentre_, now);
+    return std::find(relays.begin(), relays.end(), ownName_) != relays.end();
+}
+
+auto PeerDirectory::isFirstRelay(BootTime now) const -> bool
+{
+    return relaysOf(ownDataCentre_, now).front() == ownName_;
+}
+
+auto PeerDirectory::reportTargets(BootTime now) -> std::vector<const Peer *>
+{
+    for (const std::string &name : relaysOf(ownDataCentre_, now)) {
+        if (name == ownName_) {
+            continue;
+        }
+        RelayState &state = relayStates_[name];
+        if (now - state.lastTargetedAt > RELAY_TIMEOUT) {
+            state.targetedSince = now;
+        }
+        state.lastTargetedAt = now;
+        if (now - std::max(state.targetedSince, state.lastSummaryAt) > RELAY_TIMEOUT) {
+            state.passedOverUntil = now + PASSED_OVER_TIME;
+            relays_.clear();
+        }
+    }
+    std::vector<std::string> names = relaysOf(ownDataCentre_, now);
+    if (++reportCount_ % PROBE_REPORTS == 0) {
+        for (const std::string &name : probeTargets(reportCount_ / PROBE_REPORTS)) {
+            if (std::find(names.begin(), names.end(), name) == names.end()) {
+                names.push_back(name);
+            }
+        }
+    }
+    std::vector<const Peer *> targets;
+    for (const std::string &name : names) {
+        if (const Peer *peer = find(name)) {
+            targets.push_back(peer);
+        }
+    }
+    return targets;
+}
+
+auto PeerDirectory::probeTargets(std::uint64_t round) const -> std::vector<std::string>
+{
+    std::vector<std::pair<std::pair<int, double>, std::string>> ranked;
+    for (const auto &[name, peer] : peers_) {
+        if (isLocal(peer)) {
+            ranked.push_back({ { peer.capacity, rendezvousScore(name, "relay of " + ownDataCentre_, 1) }, name });
+        }
+    }
+    std::sort(ranked.rbegin(), ranked.rend());
+    std::vector<std::string> names;
+    for (std::size_t index = 0; index < ranked.size() && index < 2; ++index) {
+        names.push_back(ranked[index].second);
+    }
+    if (!ranked.empty()) {
+        names.push_back(ranked[round % ranked.size()].second);
+    }
+    return names;
+}
+
+auto PeerDirectory::reporters(BootTime now) const -> std::vector<Reporter>
+{
+    std::vector<Reporter> found;
+    for (const auto &[name, state] : reporters_) {
+        const Peer *peer = find(name);
+        if (peer != nullptr && now - state.heardAt < FleetLoad::LIVENESS_TIMEOUT) {
+            found.push_back({ peer, state.isToBackup, state.sequence });
+        }
+    }
+    return found;
+}
+
 auto PeerDirectory::otherDataCentres() const -> std::set<std::string>
 {
     std::set<std::string> found;
@@ -231,9 +537,9 @@
         }
     }
     if (isBackupTick) {
-        for (const auto &[sender, received] : digests_) {
-            if (now - received.receivedDirectlyAt < MIN_LIVENESS_TIMEOUT) {
-                names.insert(sender);
+        for (const auto &[name, sender] : digestSenders_) {
+            if (now - sender.heardAt < FleetLoad::LIVENESS_TIMEOUT) {
+                names.insert(name);
             }
         }
     }
@@ -246,32 +552,9 @@
     return addresses;
 }
 
-auto PeerDirectory::recentDigests(Milliseconds maxAge, BootTime now) const -> std::vector<const DataCentreDigest *>
+auto PeerDirectory::isLocal(const Peer &peer) const -> bool
 {
-    std::vector<const ReceivedDigest *> recent;
-    for (const auto &[sender, received] : digests_) {
-        if (now - received.receivedAt < maxAge) {
-            recent.push_back(&received);
-        }
-    }
-    // Digests that cover more daemons go first: a relay that is partitioned from most of its data centre only covers the
-    // daemons that it still reaches.
-    std::stable_sort(recent.begin(), recent.end(), [](const ReceivedDigest *a, const ReceivedDigest *b) {
-        return a->digest.daemons.size() != b->digest.daemons.size() ? a->digest.daemons.size() > b->digest.daemons.size()
-                                                                    : a->receivedAt > b->receivedAt;
-    });
-    std::set<std::string> covered;
-    std::vector<const DataCentreDigest *> chosen;
-    for (const ReceivedDigest *received : recent) {
-        if (covered.contains(received->digest.sender)) {
-            continue;
-        }
-        chosen.push_back(&received->digest);
-        for (const DigestEntry &entry : received->digest.daemons) {
-            covered.insert(entry.name);
-        }
-    }
-    return chosen;
+    return peer.dataCentre == ownDataCentre_ || peer.dataCentre.empty();
 }
 
 auto PeerDirectory::peers() const -> const std::map<std::string, Peer> &
@@ -285,58 +568,105 @@
     return found == peers_.end() ? nullptr : &found->second;
 }
 
+auto PeerDirectory::localCount() const -> std::int64_t
+{
+    return localPeerCount_ + 1;
+}
+
 auto PeerDirectory::reportPeriod() const -> Milliseconds
 {
-    return std::max(MIN_REPORT_PERIOD, REPORT_PERIOD_PER_PEER * localPeerCount_);
+    return std::clamp(Milliseconds(REPORT_MS_PER_DAEMON * localCount()), MINIMUM_PERIOD, MAXIMUM_REPORT_PERIOD);
+}
+
+auto PeerDirectory::summaryPeriod() const -> Milliseconds
+{
+    return std::clamp(Milliseconds(SUMMARY_MS_PER_DAEMON * localCount()), MINIMUM_PERIOD, MAXIMUM_SUMMARY_PERIOD);
+}
+
+auto PeerDirectory::backupSummaryTicks() const -> int
+{
+    constexpr int LARGE_DATA_CENTRE_TICKS = 3;
+    return localCount() < SMALL_DATA_CENTRE ? 1 : LARGE_DATA_CENTRE_TICKS;
 }
 
 auto PeerDirectory::propagationDelay() const -> Milliseconds
 {
     const bool hasRemotePeers = localPeerCount_ < static_cast<std::int64_t>(peers_.size());
-    return reportPeriod() + (hasRemotePeers ? DIGEST_PERIOD / 2 : Milliseconds(0));
+    return (reportPeriod() + summaryPeriod()) / 2 + (hasRemotePeers ? DIGEST_PERIOD / 2 : Milliseconds(0));
 }
 
-auto PeerDirectory::livenessTimeout() const -> Milliseconds
+auto PeerDirectory::isAlive(const Peer &peer, BootTime now) const -> bool
 {
-    return std::max(MIN_LIVENESS_TIMEOUT, LIVENESS_REPORT_PERIODS * reportPeriod());
+    return !peer.incarnation.empty() && !peer.isUnlisted && now - peer.lastSeenAt < FleetLoad::LIVENESS_TIMEOUT;
 }
 
-auto PeerDirectory::isAlive(const Peer &peer, BootTime now) const -> bool
+auto PeerDirectory::isGone(const Peer &peer, BootTime now) const -> bool
 {
-    return !peer.report.incarnation.empty() && now - peer.lastSeenAt < livenessTimeout();
+    if (isAlive(peer, now)) {
+        return false;
+    }
+    // A relay hears the daemons of its data centre itself.
+    return peer.isUnlisted || now - peer.lastSeenAt > GROUP_SILENCE || (isLocal(peer) && isFirstRelay(now));
 }
 
-auto PeerDirectory::work(BootTime now) const -> WorkCounts
+auto PeerDirectory::mayTakeWork(const Peer &peer, BootTime now) const -> bool
 {
-    WorkCounts total;
+    return isAlive(peer, now) && !peer.isDraining && peer.hasStoreContact;
+}
+
+auto PeerDirectory::hasFullView(BootTime now) const -> bool
+{
+    std::set<std::string> heard;
+    std::set<std::string> known;
     for (const auto &[name, peer] : peers_) {
+        known.insert(peer.dataCentre);
         if (isAlive(peer, now)) {
-            addWork(total, peer.report.work);
+            heard.insert(peer.dataCentre);
         }
     }
-    for (const DataCentreDigest *digest : recentDigests(livenessTimeout(), now)) {
-        addWork(total, digest->work);
+    known.erase(ownDataCentre_);
+    return std::includes(heard.begin(), heard.end(), known.begin(), known.end());
+}
+
+auto PeerDirectory::isHeard(BootTime now) const -> bool
+{
+    bool hasRelay = false;
+    for (const std::string &name : relaysOf(ownDataCentre_, now)) {
+        if (name == ownName_) {
+            continue;
+        }
+        const auto state = relayStates_.find(name);
+        if (state == relayStates_.end() || now - state->second.echoedAt > HEARD_TIME) {
+            return false;
+        }
+        hasRelay = true;
     }
-    return total;
+    return hasRelay;
 }
 
-auto PeerDirectory::countsForDemand(const Peer &peer, BootTime now) const -> bool
+auto PeerDirectory::work(BootTime now) const -> WorkCounts
 {
-    return !peer.report.incarnation.empty() && now - peer.lastSeenAt < DEMAND_RETENTION;
+    return load_.work(isFirstRelay(now), now);
 }
 
 auto PeerDirectory::demand(BootTime now) const -> std::map<std::string, double>
 {
-    std::map<std::string, double> total;
-    for (const auto &[name, peer] : peers_) {
-        if (countsForDemand(peer, now)) {
-            addDemand(total, peer.report.demand);
-        }
-    }
-    for (const DataCentreDigest *digest : recentDigests(DEMAND_RETENTION, now)) {
-        addDemand(total, digest->demand);
-    }
-    return total;
+    return load_.demand(isFirstRelay(now), now);
+}
+
+auto PeerDirectory::crashes(const std::string &fingerprint, BootTime now) const -> int
+{
+    return load_.crashes(isFirstRelay(now), fingerprint, now);
+}
+
+auto PeerDirectory::reportSentAt(std::uint64_t sequence) const -> std::optional<BootTime>
+{
+    return load_.reportSentAt(sequence);
+}
+
+auto PeerDirectory::countsForDemand(const Peer &peer, BootTime now) const -> bool
+{
+    return !peer.incarnation.empty() && now - peer.lastSeenAt < FleetLoad::DEMAND_RETENTION;
 }
 
 auto PeerDirectory::daemonCount(BootTime now) const -> int
@@ -348,55 +678,64 @@
     return count;
 }
 
-auto PeerDirectory::crashes(const std::string &fingerprint, BootTime now) const -> int
+auto PeerDirectory::aliveFraction(BootTime now) const -> double
 {
-    int total = 0;
+    int counted = 1;
+    int alive = 1;
     for (const auto &[name, peer] : peers_) {
-        const auto found = peer.report.crashes.find(fingerprint);
-        total += found == peer.report.crashes.end() ? 0 : found->second;
-    }
-    for (const DataCentreDigest *digest : recentDigests(DIGEST_CRASH_RETENTION, now)) {
-        const auto found = digest->crashes.find(fingerprint);
-        total += found == digest->crashes.end() ? 0 : found->second;
+        if (countsForDemand(peer, now) && !peer.isDraining) {
+            ++counted;
+            alive += isAlive(peer, now) ? 1 : 0;
+        }
     }
-    return total;
+    return static_cast<double>(alive) / counted;
 }
 
-auto PeerDirectory::batchHolder(const std::string &upstream, BootTime now, std::uint64_t tieBreaker) const -> const Peer *
+auto PeerDirectory::preemptionTarget(const std::string &upstream, BootTime now, std::uint64_t tieBreaker) const -> const Peer *
 {
-    std::vector<const Peer *> holders;
-    for (const auto &[name, peer] : peers_) {
-        const auto found = peer.report.work.find(upstream);
-        if (isAlive(peer, now) && found != peer.report.work.end() && found->second.batch > 0) {
-            holders.push_back(&peer);
-        }
+    if (!isRelay(now)) {
+        return find(relaysOf(ownDataCentre_, now).front());
     }
-    for (const DataCentreDigest *digest : recentDigests(livenessTimeout(), now)) {
-        const auto found = digest->batchHolders.find(upstream);
-        const Peer *peer = found == digest->batchHolders.end() ? nullptr : find(found->second);
-        if (peer != nullptr) {
-            holders.push_back(peer);
-        }
+    const std::vector<std::string> holders = load_.localBatchHolders(upstream, now);
+    if (!holders.empty()) {
+        return find(holders[tieBreaker % holders.size()]);
+    }
+    const std::vector<std::string> dataCentres = load_.batchDataCentres(upstream, now);
+    if (dataCentres.empty()) {
+        return nullptr;
     }
-    return holders.empty() ? nullptr : holders[tieBreaker % holders.size()];
+    const std::vector<std::string> relays = relaysOf(dataCentres[tieBreaker % dataCentres.size()], now);
+    return relays.empty() ? nullptr : find(relays.front());
 }
 
 auto PeerDirectory::ownerOf(const std::string &job, BootTime now) const -> const Peer *
 {
-    const Peer *owner = nullptr;
-    for (const auto &[name, peer] : peers_) {
-        const auto &jobs = peer.report.jobs;
-        const bool isOwner = mayTakeWork(peer, now) && std::find(jobs.begin(), jobs.end(), job) != jobs.end();
-        if (isOwner && (owner == nullptr || peer.lastSeenAt > owner->lastSeenAt)) {
-            owner = &peer;
+    const auto announcement = announcements_.find(job);
+    const Peer *owner = announcement == announcements_.end() ? nullptr : find(announcement->second.owner);
+    return owner != nullptr && mayTakeWork(*owner, now) ? owner : nullptr;
+}
+
+auto PeerDirectory::forEachJob(const std::function<void(const std::string &job, const Peer &owner)> &visit) const -> void
+{
+    for (const auto &[job, announcement] : announcements_) {
+        if (const Peer *owner = find(announcement.owner)) {
+            visit(job, *owner);
         }
     }
-    return owner;
 }
 
 auto PeerDirectory::allowanceHomeOf(const std::string &team, BootTime now) const -> std::string
 {
-    return selectByRendezvous(team, [this, now](const Peer &peer) { return countsForDemand(peer, now); });
+    const auto cached = allowanceHomes_.find(team);
+    if (cached != allowanceHomes_.end() && now < cached->second.validUntil && now > cached->second.validUntil - 2 * HOME_CACHE_TIME) {
+        return cached->second.home;
+    }
+    if (allowanceHomes_.size() > MAXIMUM_CACHED_HOMES) {
+        allowanceHomes_.clear();
+    }
+    std::string home = selectHome(team, [this, now](const Peer &peer) { return countsForDemand(peer, now); });
+    allowanceHomes_[team] = { home, now + HOME_CACHE_TIME };
+    return home;
 }
 
 auto PeerDirectory::isIsolated(BootTime now) const -> bool
@@ -406,32 +745,51 @@
         if (isAlive(peer, now)) {
             return false;
         }
-        hasPeers = hasPeers || !peer.report.incarnation.empty();
+        hasPeers = hasPeers || !peer.incarnation.empty();
     }
     return hasPeers;
 }
 
-auto PeerDirectory::mayTakeWork(const Peer &peer, BootTime now) const -> bool
+auto PeerDirectory::storeWatcher(BootTime now) const -> std::string
 {
-    return isAlive(peer, now) && !peer.report.isDraining && peer.report.hasStoreContact;
+    const std::vector<std::string> relays = relaysOf(ownDataCentre_, now);
+    for (const std::string &name : relays) {
+        const Peer *peer = find(name);
+        if (peer == nullptr || peer->incarnation.empty() || mayTakeWork(*peer, now)) {
+            return name;
+        }
+    }
+    return relays.front();
 }
 
-auto PeerDirectory::storeWatcher(BootTime now) const -> std::string
+auto PeerDirectory::leader(BootTime now) const -> std::string
 {
-    return selectByRendezvous("feeder", [this, now](const Peer &peer) { return isLocal(peer) && mayTakeWork(peer, now); });
+    constexpr const char *KEY = "configuration";
+    std::string best = ownName_;
+    std::pair<int, double> bestRank { ownCapacity_, rendezvousScore(ownName_, KEY, 1) };
+    for (const auto &[name, peer] : peers_) {
+        if (peer.capacity >= bestRank.first && mayTakeWork(peer, now)) {
+            const std::pair<int, double> rank { peer.capacity, rendezvousScore(name, KEY, 1) };
+            if (rank > bestRank) {
+                best = name;
+                bestRank = rank;
+            }
+        }
+    }
+    return best;
 }
 
 auto PeerDirectory::homeOf(const std::string &key, BootTime now) const -> std::string
 {
-    return selectByRendezvous(key, [this, now](const Peer &peer) { return mayTakeWork(peer, now); });
+    return selectHome(key, [this, now](const Peer &peer) { return mayTakeWork(peer, now); });
 }
 
-auto PeerDirectory::selectByRendezvous(const std::string &key, const std::function<bool(const Peer &)> &isEligible) const -> std::string
+auto PeerDirectory::selectHome(const std::string &key, const std::function<bool(const Peer &)> &isEligible) const -> std::string
 {
     std::string best = ownName_;
-    std::uint64_t bestScore = rendezvousScore(ownName_, key);
+    double bestScore = rendezvousScore(ownName_, key, ownCapacity_);
     for (const auto &[name, peer] : peers_) {
-        const std::uint64_t score = rendezvousScore(name, key);
+        const double score = rendezvousScore(name, key, peer.capacity);
         if (score > bestScore && isEligible(peer)) {
             best = name;
             bestScore = score;
--- a/Source/Process/Peers/PeerDirectory.h
+++ b/Source/Process/Peers/PeerDirectory.h
@@ -1,9 +1,11 @@
 #pragma once
 
 #include "Process/Peers/DaemonReport.h"
+#include "Process/Peers/FleetLoad.h"
 
 #include <functional>
 #include <map>
+#include <optional>
 #include <set>
 
 namespace poplardock {
@@ -15,20 +17,28 @@
     /// "IP:port" for datagrams and calls.
     std::string address;
     std::string dataCentre;
-    /// The last report; empty before the first one. For a daemon in another data centre it comes from digests, which hold
-    /// work, demand and crashes only as sums over that data centre, and lacks these.
-    DaemonReport report;
+    /// Empty while no daemon is known to have heard it.
+    std::string incarnation;
+    int capacity = 1;
+    bool isDraining = false;
+    bool hasStoreContact = true;
+    /// When its relay, or this daemon as its relay, last heard it.
     BootTime lastSeenAt;
+    /// When this daemon found its record in the store, or first heard of it.
+    BootTime addedAt;
+    /// The relays of its data centre have dropped it from the roster.
+    bool isUnlisted = false;
 
     auto operator==(const Peer &) const -> bool = default;
 };
 
-/// The other daemons, as known from their records in the store, from the reports of the local peers (the daemons of the
-/// same data centre) and from the digests of the other data centres.
+/// The other daemons: from their records in the store, from the reports that this daemon receives as a relay, and from
+/// the rosters of the data centres.
 ///
-/// Two daemons of each data centre, the relays, send digests to the relays of the other data centres, which forward them
-/// to their local peers. So a daemon's messages grow only with its own data centre, and little traffic passes between
-/// data centres.
+/// Two daemons of each data centre are its relays, those with the most capacity. All daemons there report to both. The
+/// relays send digests to the relays of the other data centres, and summaries of the whole fleet back to the daemons that
+/// report to them. So a daemon's messages do not grow with the fleet, a relay's only with its data centre, and little
+/// traffic passes between data centres. A daemon that hears nothing from a relay selects another one.
 /// Times are passed in, so that tests need no clock. Thread safety: one thread.
 class PeerDirectory
 {
@@ -38,95 +48,221 @@
     /// The second relay sends a digest on every fifth tick only, to bridge the loss of the first relay.
     static constexpr int BACKUP_DIGEST_TICKS = 5;
 
-    explicit PeerDirectory(std::string ownName, std::string ownDataCentre = {});
+    explicit PeerDirectory(std::string ownName, std::string ownDataCentre = {}, int ownCapacity = 1);
 
-    /// Adds a daemon that has a record in the store. The address and data centre are used until the daemon's first report.
-    auto addMember(const std::string &name, const std::string &address, const std::string &dataCentre) -> void;
-    /// Applies a report unless a newer one of the same incarnation has been applied, or it is this daemon's own. Returns
-    /// whether it was applied.
+    /// Adds a daemon that has a record in the store. The address, data centre and capacity are used until a relay has heard
+    /// the daemon.
+    auto addMember(const std::string &name, const std::string &address, const std::string &dataCentre, int capacity, BootTime now) -> void;
+    /// Changes the capacity that this daemon states; 0 while it lags behind.
+    auto setOwnCapacity(int capacity) -> void;
+
+    /// Applies a report to this daemon as a relay unless a newer one of the same incarnation has been applied, or it is
+    /// this daemon's own. Returns whether it was applied.
     auto handleReport(const DaemonReport &report, const std::string &address, BootTime now) -> bool;
-    /// Applies a digest of another data centre unless a newer one of the same sender has been applied. Returns whether it
-    /// was applied.
+    /// Applies a digest of another data centre. Returns whether it was applied: false for an older one of the same sender,
+    /// and for one of another daemon than the data centre's first relay while that one sends.
     auto handleDigest(const DataCentreDigest &digest, BootTime now) -> bool;
-    /// The digest of this daemon's data centre, made from its own report and address and the live local peers. The caller
-    /// sets the sequence.
+    /// Applies a relay's summary. Returns whether its sums were applied: false for an older one, and for one of the second
+    /// relay while the first sends.
+    auto handleSummary(const FleetSummary &summary, BootTime now) -> bool;
+    /// Applies a roster that was requested. Its daemons count as alive once a digest or summary names its version.
+    auto handleRoster(const Roster &roster, BootTime now) -> void;
+    /// Remembers the own report that is being sent.
+    auto recordOwnReport(const DaemonReport &report, BootTime now) -> void;
+
+    /// The roster of this daemon's data centre, made from its own report and address and the live daemons that report to
+    /// it; or the known one of another data centre. Empty if there is none.
+    [[nodiscard]] auto rosterOf(const std::string &dataCentre, const DaemonReport &own, const std::string &ownAddress, BootTime now) const
+        -> std::optional<Roster>;
+    /// Data centres whose last digest or summary named a version that this daemon does not have.
+    [[nodiscard]] auto missingRosters() const -> std::vector<std::string>;
+    /// The digest of this daemon's data centre. The caller sets the sequence.
     [[nodiscard]] auto makeDigest(const DaemonReport &own, const std::string &ownAddress, BootTime now) const -> DataCentreDigest;
-    /// Names of the one or two relays of a data centre, the first relay first; empty if none of its daemons is known. While
-    /// no daemon there is alive, the relays are selected from all known ones.
+    /// The summary for the daemons that report here. The caller sets the sequence, the freshness and the echo.
+    [[nodiscard]] auto makeSummary(const DaemonReport &own, const std::string &ownAddress, BootTime now) const -> FleetSummary;
+
+    /// Names of the one or two relays of a data centre, the first relay first; empty if none of its daemons is known.
     [[nodiscard]] auto relaysOf(const std::string &dataCentre, BootTime now) const -> std::vector<std::string>;
-    /// The other data centres with known daemons.
-    [[nodiscard]] auto otherDataCentres() const -> std::set<std::string>;
+    /// Whether this daemon is one of the relays of its data centre.
+    [[nodiscard]] auto isRelay(BootTime now) const -> bool;
+    /// Whether it is the first one, which answers the others. The second relay takes part in the first one's summaries like
+    /// any other daemon.
+    [[nodiscard]] auto isFirstRelay(BootTime now) const -> bool;
+    /// The relays to which this daemon reports, the first relay first. A relay that does not answer reports is passed over
+    /// for some seconds, and gets a report now and then.
+    auto reportTargets(BootTime now) -> std::vector<const Peer *>;
+    /// The daemons that report here, whether as to the second relay, and the sequences of their last reports.
+    struct Reporter
+    {
+        const Peer *peer = nullptr;
+        bool isToBackup = false;
+        std::uint64_t sequence = 0;
+    };
+    [[nodiscard]] auto reporters(BootTime now) const -> std::vector<Reporter>;
     /// Addresses to which this daemon, as a relay, sends its digest on this tick: the relays of the other data centres, and
-    /// the daemons there that send digests themselves, as one does that is partitioned from its data centre. Empty if this
-    /// daemon is not a relay.
+    /// the daemons there that have sent it digests themselves. Empty if this daemon is not a relay.
     [[nodiscard]] auto digestTargets(std::uint64_t tick, BootTime now) const -> std::vector<std::string>;
-    /// The other daemons of this data centre, and those whose data centre is unknown.
-    [[nodiscard]] auto localPeers() const -> std::vector<const Peer *>;
+    /// The other data centres with known daemons.
+    [[nodiscard]] auto otherDataCentres() const -> std::set<std::string>;
     [[nodiscard]] auto isLocal(const Peer &peer) const -> bool;
 
     [[nodiscard]] auto peers() const -> const std::map<std::string, Peer> &;
     /// Null for an unknown daemon and for this daemon.
     [[nodiscard]] auto find(const std::string &name) const -> const Peer *;
-    /// Time between two reports of a daemon. Grows with the number of daemons in the data centre.
+    /// Time between two reports of a daemon, and between two summaries of a relay. Both grow with the data centre, up to a
+    /// bound, so that a relay keeps up.
     [[nodiscard]] auto reportPeriod() const -> Milliseconds;
+    [[nodiscard]] auto summaryPeriod() const -> Milliseconds;
+    /// Every how many summary periods a relay answers the daemons for which it is the second relay.
+    [[nodiscard]] auto backupSummaryTicks() const -> int;
     /// Time until this daemon sees work that another daemon has started, on average over all daemons.
     [[nodiscard]] auto propagationDelay() const -> Milliseconds;
-    /// Whether a report was received within the liveness timeout, a few report periods. Work of daemons that are not alive
-    /// does not count.
+    /// Whether a relay has heard the daemon within the liveness timeout. Work of daemons that are not alive does not count.
     [[nodiscard]] auto isAlive(const Peer &peer, BootTime now) const -> bool;
+    /// Whether the daemon is gone as far as can be known: its relays have stopped hearing it, or its whole data centre has
+    /// been silent for long. A data centre that is cut off for a moment does not lose its daemons' duties.
+    [[nodiscard]] auto isGone(const Peer &peer, BootTime now) const -> bool;
     /// Whether the peer is alive, in contact with the store and not draining.
     [[nodiscard]] auto mayTakeWork(const Peer &peer, BootTime now) const -> bool;
-    /// Work in flight of all live daemons but this one.
+    /// Whether this daemon hears of all data centres, so that a daemon that it does not know is unknown to all.
+    [[nodiscard]] auto hasFullView(BootTime now) const -> bool;
+    /// Whether all relays of this daemon's data centre have recently heard it. Until their liveness timeout after the report
+    /// that they echoed, no other daemon can find it gone.
+    [[nodiscard]] auto isHeard(BootTime now) const -> bool;
+
+    /// As the functions of FleetLoad.
     [[nodiscard]] auto work(BootTime now) const -> WorkCounts;
-    /// Demand at all daemons but this one in requests per second, by team. The demand of a daemon that is no longer alive
-    /// counts for another while, since it may only be partitioned and still admit requests.
     [[nodiscard]] auto demand(BootTime now) const -> std::map<std::string, double>;
+    [[nodiscard]] auto crashes(const std::string &fingerprint, BootTime now) const -> int;
+    [[nodiscard]] auto reportSentAt(std::uint64_t sequence) const -> std::optional<BootTime>;
     /// Number of daemons whose demand counts, including this one.
     [[nodiscard]] auto daemonCount(BootTime now) const -> int;
-    /// Upstream crashes caused by a request, as observed by all other daemons.
-    [[nodiscard]] auto crashes(const std::string &fingerprint, BootTime now) const -> int;
-    /// A live daemon with batch work at an upstream, or null. "tieBreaker", a random number, selects among several.
-    [[nodiscard]] auto batchHolder(const std::string &upstream, BootTime now, std::uint64_t tieBreaker) const -> const Peer *;
-    /// The live daemon that reports owning a job, or null. If several do, the one with the most recent report.
+    /// Which part of the daemons whose demand counts is alive, this one included. The others may only be partitioned, and
+    /// admit requests on their own.
+    [[nodiscard]] auto aliveFraction(BootTime now) const -> double;
+    /// The daemon to which a request to preempt batch work at an upstream goes next, or null: from a relay one that has such
+    /// work or a relay of its data centre, from any other daemon its relay. "tieBreaker", a random number, selects among
+    /// several.
+    [[nodiscard]] auto preemptionTarget(const std::string &upstream, BootTime now, std::uint64_t tieBreaker) const -> const Peer *;
+
+    /// The live daemon that has announced owning a job, or null.
     [[nodiscard]] auto ownerOf(const std::string &job, BootTime now) const -> const Peer *;
-    /// The daemon that holds a team's bucket, by rendezvous hashing over all daemons whose demand counts. A daemon that was
-    /// not seen for a short time keeps its buckets, since it may still be granting tokens.
+    /// Calls "visit" for each job that another daemon has announced some time ago.
+    auto forEachJob(const std::function<void(const std::string &job, const Peer &owner)> &visit) const -> void;
+    /// Forgets announcements that are too old to matter.
+    auto removeExpired(BootTime now) -> void;
+
+    /// The daemon that holds a team's bucket, selected from all daemons whose demand counts. A daemon that was not seen for
+    /// a short time keeps its buckets, since it may still be granting tokens.
     [[nodiscard]] auto allowanceHomeOf(const std::string &team, BootTime now) const -> std::string;
     /// Whether other daemons are known but none is alive.
     [[nodiscard]] auto isIsolated(BootTime now) const -> bool;
-    /// The store watcher of this data centre, the daemon that watches the store for the others: selected by rendezvous
-    /// hashing from this daemon and the local peers that may take work.
+    /// The store watcher of this data centre, the daemon that watches the store for the others: its first relay, or the
+    /// second one if the first has no contact with the store.
     [[nodiscard]] auto storeWatcher(BootTime now) const -> std::string;
-    /// The home of a key, the daemon responsible for it: selected by rendezvous hashing from this daemon and all peers that
-    /// may take work.
+    /// The leader, the daemon that reads the configuration for the fleet: one with the most capacity.
+    [[nodiscard]] auto leader(BootTime now) const -> std::string;
+    /// The home of a key, the daemon responsible for it: selected by rendezvous hashing, weighted by capacity, from this
+    /// daemon and all peers that may take work.
     [[nodiscard]] auto homeOf(const std::string &key, BootTime now) const -> std::string;
 
 private:
-    struct ReceivedDigest
+    struct KnownRoster
+    {
+        Roster roster;
+        /// Until when, by the last digests and summaries, its daemons were alive.
+        BootTime confirmedAt;
+    };
+    struct Sender
+    {
+        std::string incarnation;
+        std::uint64_t sequence = 0;
+        BootTime heardAt;
+    };
+    /// What this daemon, reporting to a relay, knows of it.
+    struct RelayState
+    {
+        BootTime targetedSince;
+        BootTime lastTargetedAt;
+        BootTime lastSummaryAt;
+        BootTime passedOverUntil;
+        /// When the last own report that it has echoed was sent.
+        BootTime echoedAt;
+    };
+    struct ReporterState
+    {
+        bool isToBackup = false;
+        std::uint64_t sequence = 0;
+        BootTime heardAt;
+    };
+    /// By what an announcement arrived. Those from summaries are not passed on, since they would circulate.
+    enum class Source
+    {
+        Report,
+        Digest,
+        Summary,
+    };
+    struct JobAnnouncement
+    {
+        std::string owner;
+        BootTime heardAt;
+        Source source = Source::Report;
+    };
+    struct CachedHome
+    {
+        std::string home;
+        BootTime validUntil;
+    };
+    struct CachedRelays
     {
-        DataCentreDigest digest;
-        BootTime receivedAt;
-        /// When it was last received from the sender itself rather than forwarded.
-        BootTime receivedDirectlyAt;
+        std::vector<std::string> names;
+        BootTime validUntil;
     };
 
-    /// Whether the peer's demand still counts: last seen within 15 s.
+    /// Whether a message of a sender is newer than its last one; remembers it then.
+    static auto isNewer(std::map<std::string, Sender> &senders,
+                        const std::string &name,
+                        const std::string &incarnation,
+                        std::uint64_t sequence,
+                        BootTime now) -> bool;
+    /// Whether to apply what a relay of a data centre sends: it is the first relay, or the second and the first is silent,
+    /// or both are silent.
+    [[nodiscard]] auto isPreferred(const std::map<std::string, Sender> &senders,
+                                   const std::string &dataCentre,
+                                   const std::string &sender,
+                                   BootTime now) const -> bool;
+    auto confirmRoster(const std::string &dataCentre, std::uint64_t version, BootTime confirmedAt) -> void;
+    auto applyEntry(const std::string &dataCentre, const RosterEntry &entry, BootTime seenAt) -> void;
+    auto addAnnouncements(const std::vector<JobOwner> &jobs, Source source, BootTime now) -> void;
+    [[nodiscard]] auto recentAnnouncements(Source lastSource, BootTime now) const -> std::vector<JobOwner>;
+    [[nodiscard]] auto ownRoster(const DaemonReport &own, const std::string &ownAddress, BootTime now) const -> Roster;
+    [[nodiscard]] auto mayRelay(const Peer &peer, BootTime now) const -> bool;
+    [[nodiscard]] auto isPassedOver(const std::string &name, BootTime now) const -> bool;
+    [[nodiscard]] auto rankRelays(const std::string &dataCentre, BootTime now) const -> std::vector<std::string>;
+    /// The daemons that would be relays if all were alive, and one more of this data centre, another in each round.
+    [[nodiscard]] auto probeTargets(std::uint64_t round) const -> std::vector<std::string>;
     [[nodiscard]] auto countsForDemand(const Peer &peer, BootTime now) const -> bool;
-    /// The daemon with the highest rendezvous score for a key among this daemon and the eligible peers.
-    [[nodiscard]] auto selectByRendezvous(const std::string &key, const std::function<bool(const Peer &)> &isEligible) const -> std::string;
-    auto updateLocalPeerCount() -> void;
-    /// The digests younger than "maxAge", without those whose sender is covered by another one of them.
-    [[nodiscard]] auto recentDigests(Milliseconds maxAge, BootTime now) const -> std::vector<const DataCentreDigest *>;
-    /// Time without a report after which a daemon is no longer alive.
-    [[nodiscard]] auto livenessTimeout() const -> Milliseconds;
+    [[nodiscard]] auto selectHome(const std::string &key, const std::function<bool(const Peer &)> &isEligible) const -> std::string;
+    [[nodiscard]] auto localCount() const -> std::int64_t;
+    auto handleChange() -> void;
 
     const std::string ownName_;
     const std::string ownDataCentre_;
+    int ownCapacity_;
     std::map<std::string, Peer> peers_;
-    /// Kept up to date with the peers, since every evaluation of the liveness timeout needs it.
     std::int64_t localPeerCount_ = 0;
-    /// The last digest of each sender.
-    std::map<std::string, ReceivedDigest> digests_;
+    FleetLoad load_;
+    std::map<std::string, KnownRoster> rosters_;
+    /// Versions that digests and summaries named, by data centre, while they are unknown here.
+    std::map<std::string, std::uint64_t> missingVersions_;
+    std::map<std::string, Sender> digestSenders_;
+    std::map<std::string, Sender> summarySenders_;
+    std::map<std::string, RelayState> relayStates_;
+    std::uint64_t reportCount_ = 0;
+    std::map<std::string, ReporterState> reporters_;
+    std::map<std::string, JobAnnouncement> announcements_;
+    mutable std::map<std::string, CachedHome> allowanceHomes_;
+    mutable std::map<std::string, CachedRelays> relays_;
 };
 
 } // namespace poplardock
--- a/Source/Process/Peers/PeerLink.cpp
+++ b/Source/Process/Peers/PeerLink.cpp
@@ -14,6 +14,7 @@
 constexpr const char *MEMBER_KIND = "members";
 constexpr const char *ADDRESS_FIELD = "peers";
 constexpr const char *DATA_CENTRE_FIELD = "data_centre";
+constexpr const char *CAPACITY_FIELD = "capacity";
 
 constexpr Milliseconds REGISTRATION_RETRY_DELAY { 500 };
 /// Daemons start within a third of a second of each other and find all others with the first listings. Later listings
@@ -21,6 +22,8 @@
 constexpr Milliseconds INITIAL_LIST_INTERVAL { 600 };
 constexpr Milliseconds LIST_INTERVAL { 15000 };
 constexpr int INITIAL_LISTINGS = 3;
+/// Shortest time between two requests for rosters; the answer takes a few milliseconds.
+constexpr Milliseconds ROSTER_REQUEST_INTERVAL { 40 };
 /// Reports that arrive within this time share one notification.
 constexpr Milliseconds NOTIFICATION_DELAY { 40 };
 
@@ -53,6 +56,7 @@
     registerSelf();
     listMembers();
     scheduleReport();
+    scheduleSummaries();
     digestTimer_ = loop_.every(PeerDirectory::DIGEST_PERIOD, [this] { sendDigest(); });
     return absl::OkStatus();
 }
@@ -61,6 +65,7 @@
 {
     reportTimer_.cancel();
     digestTimer_.cancel();
+    summaryTimer_.cancel();
     registerTimer_.cancel();
     listTimer_.cancel();
     notificationTimer_.cancel();
@@ -72,6 +77,7 @@
     JsonObject spec;
     spec.set(ADDRESS_FIELD, identity_.address);
     spec.set(DATA_CENTRE_FIELD, identity_.dataCentre);
+    spec.set(CAPACITY_FIELD, identity_.capacity);
     StoredObject record;
     record.kind = MEMBER_KIND;
     record.name = identity_.name;
@@ -108,9 +114,10 @@
                 const auto spec = Json::parseObject(record.spec);
                 const auto address = spec.ok() ? Json::requireString(**spec, ADDRESS_FIELD) : spec.status();
                 const auto dataCentre = spec.ok() ? Json::requireString(**spec, DATA_CENTRE_FIELD) : spec.status();
-                const absl::Status status = address.ok() ? dataCentre.status() : address.status();
+                const auto capacity = spec.ok() ? Json::optionalInteger(**spec, CAPACITY_FIELD, 1) : spec.status();
+                const absl::Status status = !address.ok() ? address.status() : !dataCentre.ok() ? dataCentre.status() : capacity.status();
                 if (status.ok()) {
-                    directory_.addMember(record.name, *address, *dataCentre);
+                    directory_.addMember(record.name, *address, *dataCentre, static_cast<int>(*capacity), BootClock::now());
                 } else {
                     EventLog::write("member_record_unreadable", { { "member", record.name }, { "reason", status.message() } });
                 }
@@ -136,15 +143,20 @@
     report.name = identity_.name;
     report.dataCentre = identity_.dataCentre;
     report.incarnation = incarnation_;
+    report.capacity = identity_.capacity;
     report.sequence = ++sequence_;
     return report;
 }
 
 auto PeerLink::sendReports() -> void
 {
-    const std::string text = encodePeerMessage(makeReport());
-    for (const Peer *peer : directory_.localPeers()) {
-        socket_->sendTo(peer->address, text);
+    const BootTime now = BootClock::now();
+    DaemonReport report = makeReport();
+    directory_.recordOwnReport(report, now);
+    const std::vector<std::string> relays = directory_.relaysOf(identity_.dataCentre, now);
+    for (const Peer *peer : directory_.reportTargets(now)) {
+        report.isToBackup = peer->name != relays.front();
+        socket_->sendTo(peer->address, encodePeerMessage(report));
     }
 }
 
@@ -163,19 +175,41 @@
     }
 }
 
-auto PeerLink::handleDigest(DataCentreDigest digest) -> void
+auto PeerLink::scheduleSummaries() -> void
+{
+    summaryTimer_ = loop_.at(BootClock::now() + directory_.summaryPeriod(), [this] {
+        sendSummaries();
+        scheduleSummaries();
+    });
+}
+
+auto PeerLink::sendSummaries() -> void
 {
-    if (!directory_.handleDigest(digest, BootClock::now())) {
+    const BootTime now = BootClock::now();
+    const bool isBackupTick = ++summaryTick_ % static_cast<std::uint64_t>(directory_.backupSummaryTicks()) == 0;
+    std::vector<PeerDirectory::Reporter> reporters = directory_.reporters(now);
+    std::erase_if(reporters, [isBackupTick](const PeerDirectory::Reporter &each) { return each.isToBackup && !isBackupTick; });
+    if (reporters.empty()) {
         return;
     }
-    scheduleNotification();
-    if (digest.isForwarded) {
+    FleetSummary summary = directory_.makeSummary(makeReport(), identity_.address, now);
+    summary.sequence = summaryTick_;
+    summary.freshness = handlers_.collectFreshness();
+    for (const PeerDirectory::Reporter &reporter : reporters) {
+        summary.echoedReport = reporter.sequence;
+        socket_->sendTo(reporter.peer->address, encodePeerMessage(summary));
+    }
+}
+
+auto PeerLink::requestRosters(const std::string &sender) -> void
+{
+    const BootTime now = BootClock::now();
+    if (now - rostersRequestedAt_ < ROSTER_REQUEST_INTERVAL) {
         return;
     }
-    digest.isForwarded = true;
-    const std::string text = encodePeerMessage(digest);
-    for (const Peer *peer : directory_.localPeers()) {
-        socket_->sendTo(peer->address, text);
+    for (const std::string &dataCentre : directory_.missingRosters()) {
+        rostersRequestedAt_ = now;
+        send(sender, RosterRequest { dataCentre });
     }
 }
 
@@ -203,6 +237,41 @@
     return incarnation_;
 }
 
+/// Handles the messages about daemons here, and passes on all others.
+struct PeerLink::MessageVisitor
+{
+    PeerLink &link;
+    const std::string &sender;
+    const PeerMessage &message;
+
+    auto operator()(const DaemonReport &report) const -> void
+    {
+        link.handleReport(sender, report);
+    }
+    auto operator()(const DataCentreDigest &digest) const -> void
+    {
+        link.handleDigest(sender, digest);
+    }
+    auto operator()(const FleetSummary &summary) const -> void
+    {
+        link.handleSummary(sender, summary);
+    }
+    auto operator()(const RosterRequest &request) const -> void
+    {
+        link.handleRosterRequest(sender, request);
+    }
+    auto operator()(const Roster &roster) const -> void
+    {
+        link.directory_.handleRoster(roster, BootClock::now());
+        link.scheduleNotification();
+    }
+    template<typename Message>
+    auto operator()(const Message & /*other*/) const -> void
+    {
+        link.handlers_.onMessage(sender, message);
+    }
+};
+
 auto PeerLink::handleDatagram(const std::string &sender, std::string_view text) -> void
 {
     const auto message = decodePeerMessage(text);
@@ -210,17 +279,13 @@
         EventLog::write("peer_message_unreadable", { { "sender", sender }, { "reason", message.status().message() } });
         return;
     }
-    if (const auto *digest = std::get_if<DataCentreDigest>(&*message)) {
-        handleDigest(*digest);
-        return;
-    }
-    if (!std::holds_alternative<DaemonReport>(*message)) {
-        handlers_.onMessage(sender, *message);
-        return;
-    }
-    const auto &report = std::get<DaemonReport>(*message);
+    std::visit(MessageVisitor { *this, sender, *message }, *message);
+}
+
+auto PeerLink::handleReport(const std::string &sender, const DaemonReport &report) -> void
+{
     const Peer *known = directory_.find(report.name);
-    if (known == nullptr || known->report.incarnation != report.incarnation) {
+    if (known == nullptr || known->incarnation != report.incarnation) {
         EventLog::write("peer_heard", { { "peer", report.name }, { "incarnation", report.incarnation }, { "address", sender } });
     }
     if (directory_.handleReport(report, sender, BootClock::now())) {
@@ -228,4 +293,33 @@
     }
 }
 
+auto PeerLink::handleDigest(const std::string &sender, const DataCentreDigest &digest) -> void
+{
+    if (directory_.handleDigest(digest, BootClock::now())) {
+        scheduleNotification();
+        requestRosters(sender);
+    }
+}
+
+auto PeerLink::handleSummary(const std::string &sender, const FleetSummary &summary) -> void
+{
+    const BootTime now = BootClock::now();
+    if (!directory_.handleSummary(summary, now)) {
+        return;
+    }
+    scheduleNotification();
+    requestRosters(sender);
+    if (const auto sentAt = directory_.reportSentAt(summary.echoedReport)) {
+        handlers_.onFreshness(sender, summary.freshness, *sentAt);
+    }
+}
+
+auto PeerLink::handleRosterRequest(const std::string &sender, const RosterRequest &request) -> void
+{
+    const auto roster = directory_.rosterOf(request.dataCentre, makeReport(), identity_.address, BootClock::now());
+    if (roster) {
+        send(sender, *roster);
+    }
+}
+
 } // namespace poplardock
--- a/Source/Process/Peers/PeerLink.h
+++ b/Source/Process/Peers/PeerLink.h
@@ -8,9 +8,9 @@
 
 namespace poplardock {
 
-/// Exchanges reports and digests with the other daemons. Finds them through their records in the store, sends this
-/// daemon's reports to the daemons of its data centre and, as a relay, digests to the other data centres, and applies
-/// the reports and digests that it receives to the directory.
+/// Exchanges reports, digests, summaries and rosters with the other daemons. Finds them through their records in the store,
+/// sends this daemon's reports to the relays of its data centre and, as a relay, digests to the other data centres and
+/// summaries to the daemons that report to it, and applies what it receives to the directory.
 /// Thread safety: the loop's thread only.
 class PeerLink
 {
@@ -19,8 +19,12 @@
     {
         /// Returns the report to send; the link sets its name, data centre, incarnation and sequence.
         std::function<DaemonReport()> collectReport;
-        /// Reports or digests have been applied since the last call.
+        /// The state of this daemon's views, for summaries.
+        std::function<FreshnessState()> collectFreshness;
+        /// Reports, digests or a summary have been applied since the last call.
         std::function<void()> onReports;
+        /// A relay has told the state of its views in answer to a report that was sent at that time.
+        std::function<void(const std::string &sender, const FreshnessState &, BootTime sentAt)> onFreshness;
         /// Any other message has arrived; a response goes to "sender".
         std::function<void(const std::string &sender, const PeerMessage &)> onMessage;
     };
@@ -31,6 +35,7 @@
         std::string dataCentre;
         /// "IP:port" at which this daemon receives datagrams and calls.
         std::string address;
+        int capacity = 1;
 
         auto operator==(const Identity &) const -> bool = default;
     };
@@ -42,8 +47,8 @@
     /// Stops sending and receiving.
     auto stop() -> void;
     auto send(const std::string &address, const PeerMessage &message) -> void;
-    /// Sends a report to the local peers immediately, for a change that should not wait for the next period. Digests keep
-    /// their own period.
+    /// Sends a report to the relays immediately, for a change that should not wait for the next period. Digests and
+    /// summaries keep their own periods.
     auto sendReports() -> void;
     [[nodiscard]] auto incarnation() const -> const std::string &;
 
@@ -53,9 +58,17 @@
     auto scheduleReport() -> void;
     [[nodiscard]] auto makeReport() -> DaemonReport;
     auto sendDigest() -> void;
-    auto handleDigest(DataCentreDigest digest) -> void;
+    auto scheduleSummaries() -> void;
+    auto sendSummaries() -> void;
+    /// Requests the rosters that the sender of a digest or summary has named and this daemon does not have.
+    auto requestRosters(const std::string &sender) -> void;
     auto scheduleNotification() -> void;
     auto handleDatagram(const std::string &sender, std::string_view text) -> void;
+    auto handleReport(const std::string &sender, const DaemonReport &report) -> void;
+    auto handleDigest(const std::string &sender, const DataCentreDigest &digest) -> void;
+    auto handleSummary(const std::string &sender, const FleetSummary &summary) -> void;
+    auto handleRosterRequest(const std::string &sender, const RosterRequest &request) -> void;
+    struct MessageVisitor;
 
     EventLoop &loop_;
     ObjectStore &store_;
@@ -66,10 +79,13 @@
     std::unique_ptr<DatagramSocket> socket_;
     std::uint64_t sequence_ = 0;
     std::uint64_t digestTick_ = 0;
+    std::uint64_t summaryTick_ = 0;
+    BootTime rostersRequestedAt_;
     int listingCount_ = 0;
     bool isNotificationPending_ = false;
     Timer reportTimer_;
     Timer digestTimer_;
+    Timer summaryTimer_;
     Timer registerTimer_;
     Timer listTimer_;
     Timer notificationTimer_;
