Leave a silent daemon's part of an allowance to its share

Cause: while a part of the fleet is cut off from the home of a team, the home admitted the whole rate and the others their shares of it as well.

Change: the home's rate and burst shrink by the part of the daemons whose demand counts and that are not alive.

--- a/Source/Process/Load/AllowanceTable.cpp
+++ b/Source/Process/Load/AllowanceTable.cpp
@@ -33,7 +33,9 @@
 auto AllowanceTable::tryAcquireFrom(std::map<std::string, AllowanceShare> &buckets, const Team &team, bool isHomeBucket, BootTime now)
     -> std::optional<Milliseconds>
 {
-    const RateLimit limits { team.ratePerSecond, team.burst };
+    // Daemons that do not reach the home admit from their shares meanwhile; that part of the rate is not the home's.
+    const double part = isHomeBucket ? aliveFraction_ : 1;
+    const RateLimit limits { team.ratePerSecond * part, team.burst * part };
     const auto [entry, isNew] = buckets.try_emplace(team.name, limits, isHomeBucket ? HOME_EXTRA_BURST : SHARE_EXTRA_BURST, now);
     if (isNew) {
         // The previous home, or this daemon before a restart, may just have admitted a whole burst, so a new home bucket
@@ -128,6 +130,7 @@
 
 auto AllowanceTable::updatePeerDemand(BootTime now) -> void
 {
+    aliveFraction_ = peers_.aliveFraction(now);
     const int daemons = peers_.daemonCount(now);
     const std::map<std::string, double> demand = peers_.demand(now);
     for (auto &[team, share] : shares_) {
--- a/Source/Process/Load/AllowanceTable.h
+++ b/Source/Process/Load/AllowanceTable.h
@@ -15,8 +15,9 @@
 /// One daemon is the team's home and holds the token bucket of the whole allowance. The other daemons request one token
 /// from it for each request, with one datagram in each direction. If the home does not respond in time, a daemon admits
 /// from its own share, whose size follows from the recent demand at all daemons. The shares add up to the allowance, and
-/// a share is also charged for requests that the home admitted, so falling back to it admits nothing extra. A daemon
-/// that is isolated from all peers it knows does not act as home.
+/// a share is also charged for requests that the home admitted, so falling back to it admits nothing extra. The home
+/// leaves their part of the allowance to daemons that have become silent. A daemon that is isolated from all peers it knows
+/// does not act as home.
 /// Thread safety: the loop's thread only.
 class AllowanceTable
 {
@@ -62,6 +63,8 @@
     std::map<std::string, AllowanceShare> homeBuckets_;
     std::map<std::uint64_t, PendingRequest> pending_;
     std::uint64_t lastCorrelationId_ = 0;
+    /// As PeerDirectory::aliveFraction(), at the last updatePeerDemand().
+    double aliveFraction_ = 1;
     const BootTime startedAt_;
 };
 
--- a/Tests/Process/AllowanceTableTest.cpp
+++ b/Tests/Process/AllowanceTableTest.cpp
@@ -11,7 +11,7 @@
 /// Long enough for a team with a rate of 5 to accrue its first tokens.
 constexpr Milliseconds UPTIME { 2000 };
 
-/// The allowance tables of several daemons that receive each other's reports. Messages are delivered immediately.
+/// The allowance tables of several daemons that receive each other's reports and summaries. Messages are delivered immediately.
 class DaemonTables
 {
 public:
@@ -41,8 +41,25 @@
             report.incarnation = "i";
             report.sequence = sequence_;
             report.demand = tables[from]->demand(now);
+            directories[from]->recordOwnReport(report, now);
             for (std::size_t to = 0; to < tables.size(); ++to) {
-                directories[to]->handleReport(report, report.name, now);
+                if (isConnected(from, to)) {
+                    directories[to]->handleReport(report, report.name, now);
+                }
+            }
+        }
+        for (std::size_t from = 0; from < tables.size(); ++from) {
+            DaemonReport own;
+            own.name = "d" + std::to_string(from);
+            own.incarnation = "i";
+            own.demand = tables[from]->demand(now);
+            FleetSummary summary = directories[from]->makeSummary(own, own.name, now);
+            summary.sequence = sequence_;
+            summary.echoedReport = sequence_;
+            for (std::size_t to = 0; to < tables.size(); ++to) {
+                if (isConnected(from, to)) {
+                    directories[to]->handleSummary(summary, now);
+                }
             }
         }
         for (const auto &table : tables) {
@@ -54,8 +71,10 @@
     std::vector<std::unique_ptr<PeerDirectory>> directories;
     std::vector<std::unique_ptr<AllowanceTable>> tables;
     Team team { "team", 5, 5, {} };
-    /// Drops all messages between the daemons.
+    /// Drops all requests for tokens and their answers.
     bool isPartitioned = false;
+    /// Drops everything between the daemons with even and with odd numbers.
+    bool isSplit = false;
     int messages = 0;
 
     /// Sends requests of the team to all daemons in turn. Returns the number of admitted requests.
@@ -76,13 +95,20 @@
 private:
     std::uint64_t sequence_ = 0;
 
+    [[nodiscard]] auto isConnected(std::size_t from, std::size_t to) const -> bool
+    {
+        return !isSplit || from % 2 == to % 2;
+    }
+
     auto deliver(const std::string &from, const std::string &to, const PeerMessage &message) -> void
     {
         ++messages;
-        if (isPartitioned) {
+        const auto sender = static_cast<std::size_t>(std::stoi(from.substr(1)));
+        const auto receiver = static_cast<std::size_t>(std::stoi(to.substr(1)));
+        if (isPartitioned || !isConnected(sender, receiver)) {
             return;
         }
-        AllowanceTable &table = *tables[static_cast<std::size_t>(std::stoi(to.substr(1)))];
+        AllowanceTable &table = *tables[receiver];
         if (const auto *request = std::get_if<TokenRequest>(&message)) {
             table.handleRequest(&team, *request, from);
         } else if (const auto *response = std::get_if<TokenResponse>(&message)) {
@@ -147,6 +173,41 @@
     BOOST_TEST(admitted <= 4);
 }
 
+// Guards against a fleet whose halves do not reach each other and admit the whole rate at the home and half of it from
+// the shares beyond the home. Load pattern: a team that asks for many times its rate at all daemons. The bound is the one
+// that the platform states for any window, a tenth and 20 requests above rate and burst.
+BOOST_AUTO_TEST_CASE(ASplitFleetStaysWithinTheAllowance)
+{
+    DaemonTables tables(4, UPTIME);
+    tables.team = { "team", 10, 5, {} };
+    tables.sendRequests(40);
+    tables.isSplit = true;
+    std::vector<BootTime> admitted;
+    const BootTime end = BootClock::now() + Milliseconds(8000);
+    while (BootClock::now() < end) {
+        tables.exchangeReports();
+        for (const auto &table : tables.tables) {
+            for (int request = 0; request < 3; ++request) {
+                table->tryAcquire(tables.team, [&admitted](std::optional<Milliseconds> wait) {
+                    if (!wait) {
+                        admitted.push_back(BootClock::now());
+                    }
+                });
+            }
+        }
+        tables.loop.runUntil(BootClock::now() + Milliseconds(100));
+    }
+    constexpr double WINDOW_SECONDS = 5;
+    const double bound = (tables.team.ratePerSecond * WINDOW_SECONDS + tables.team.burst) * 1.1 + 20;
+    std::size_t most = 0;
+    for (std::size_t first = 0; first < admitted.size(); ++first) {
+        const auto last = std::lower_bound(admitted.begin(), admitted.end(), admitted[first] + Milliseconds(5000));
+        most = std::max(most, static_cast<std::size_t>(last - admitted.begin()) - first);
+    }
+    BOOST_TEST(static_cast<double>(most) <= bound);
+    BOOST_TEST(static_cast<double>(most) >= tables.team.ratePerSecond * WINDOW_SECONDS * 0.5);
+}
+
 // Guards against refused requests and token requests for a team without a limit.
 BOOST_AUTO_TEST_CASE(ATeamWithoutALimitIsAdmitted)
 {
