--- a/Tests/Support/SoakChecks.cpp
+++ b/Tests/Support/SoakChecks.cpp
@@ -2,6 +2,7 @@
 
 #include <absl/strings/match.h>
 #include <absl/strings/str_cat.h>
+#include <absl/strings/str_join.h>
 
 #include <algorithm>
 #include <map>
@@ -148,10 +149,12 @@
 auto SoakChecks::allowanceFaults() const -> std::vector<std::string>
 {
     std::vector<BootTime> starts;
+    std::multimap<BootTime, std::string> runsByTime;
     for (const auto &[id, request] : callers_.requests()) {
         const auto runs = request.key == "key2" ? fleet_.runsOf(id) : std::vector<FakeEngine::Run>();
         if (!runs.empty()) {
             starts.push_back(runs.front().startedAt);
+            runsByTime.emplace(runs.front().startedAt, absl::StrCat(id, "@", request.daemon));
         }
     }
     std::sort(starts.begin(), starts.end());
@@ -160,8 +163,18 @@
         const auto end = std::lower_bound(starts.begin(), starts.end(), starts[first] + ALLOWANCE_WINDOW);
         const auto count = static_cast<std::size_t>(end - starts.begin()) - first;
         if (count > ALLOWANCE_BOUND) {
-            faults.push_back(
-                absl::StrCat("the team with an allowance ran ", count, " requests in a window, ", ALLOWANCE_BOUND, " allowed"));
+            std::vector<std::string> runs;
+            for (auto run = runsByTime.lower_bound(starts[first]); run != runsByTime.end() && run->first < starts[first] + ALLOWANCE_WINDOW;
+                 ++run) {
+                runs.push_back(
+                    absl::StrCat(run->second, "+", std::chrono::duration_cast<Milliseconds>(run->first - starts[first]).count()));
+            }
+            faults.push_back(absl::StrCat("the team with an allowance ran ",
+                                          count,
+                                          " requests in a window, ",
+                                          ALLOWANCE_BOUND,
+                                          " allowed: ",
+                                          absl::StrJoin(runs, " ")));
             break;
         }
     }
