Bound what an upstream in trouble can make a daemon read

Cause: a chunk extension and a trailer without end were kept whole (1.08 and 0.96 GB in 3 s), informational answers and answers for other requests were skipped without a count, and a whole answer or one event could reach 64 MB.

Change: a message's unparsed bytes are bounded as its head is; eight answers and 1 MB are skipped for a request; a whole answer and one event end at 1 MB. The upstream counts as failed, and the request goes elsewhere where it may.

--- a/Source/Connection/ClientChannel.cpp
+++ b/Source/Connection/ClientChannel.cpp
@@ -9,6 +9,9 @@
 /// Bounds on an answer: heads of upstreams are a few hundred bytes; lists of the store reach some MB.
 constexpr MessageReader::Limits ANSWER_LIMITS { 64U << 10U, 64U << 20U };
 constexpr int FIRST_FINAL_STATUS = 200;
+/// Answers that are skipped before the one to the request: informational ones, and late ones to earlier requests.
+constexpr int MAXIMUM_SKIPPED_ANSWERS = 8;
+constexpr std::size_t MAXIMUM_SKIPPED_BYTES = 1U << 20U;
 
 } // namespace
 
@@ -55,6 +58,8 @@
     handlers_ = std::move(handlers);
     isRunning_ = true;
     reader_.emplace(freshReader());
+    skippedAnswers_ = 0;
+    skippedBytes_ = 0;
     channel_->send(request);
 }
 
@@ -148,10 +153,18 @@
             isSkipping_ = reader_->head().status < FIRST_FINAL_STATUS || !handlers_.accepts(reader_->head());
             if (!isSkipping_) {
                 handlers_.onHead(reader_->head());
+            } else if (++skippedAnswers_ > MAXIMUM_SKIPPED_ANSWERS) {
+                finish(ExchangeEnd::Malformed);
+                return;
             }
             continue;
         }
         const std::string body = reader_->takeBody();
+        skippedBytes_ += isSkipping_ ? body.size() : 0;
+        if (skippedBytes_ > MAXIMUM_SKIPPED_BYTES) {
+            finish(ExchangeEnd::Malformed);
+            return;
+        }
         if (!body.empty() && !isSkipping_) {
             handlers_.onBody(body);
             continue;
--- a/Source/Connection/ClientChannel.h
+++ b/Source/Connection/ClientChannel.h
@@ -80,6 +80,8 @@
     bool isRunning_ = false;
     bool hasHead_ = false;
     bool isSkipping_ = false;
+    int skippedAnswers_ = 0;
+    std::size_t skippedBytes_ = 0;
     BootTime idleSince_;
     BootTime usableUntil_ = BootTime::max();
 };
--- a/Source/Connection/Io/MessageReader.cpp
+++ b/Source/Connection/Io/MessageReader.cpp
@@ -71,6 +71,7 @@
 struct MessageReader::Parser
 {
     Parser(Kind kind, Limits limits)
+        : unreadLimit(limits.headBytes)
     {
         if (kind == Kind::Response) {
             collector.emplace<MessageCollector<false>>();
@@ -106,6 +107,11 @@
         if (each.is_done()) {
             return ReadState::Done;
         }
+        // The parser sets no limit to the line of a chunk's size with its extensions, nor to trailers.
+        if (unread.size() > unreadLimit) {
+            unread.clear();
+            return each.is_header_done() ? ReadState::Malformed : ReadState::HeadTooLarge;
+        }
         return each.is_header_done() ? ReadState::Body : ReadState::Head;
     }
 
@@ -120,6 +126,7 @@
     std::variant<MessageCollector<true>, MessageCollector<false>> collector;
     /// Bytes that the parser has not consumed: an incomplete line or chunk header, or what follows the message.
     std::string unread;
+    const std::size_t unreadLimit;
     ReadState state = ReadState::Head;
     bool hasBytes = false;
 };
--- a/Source/Connection/Io/MessageReader.h
+++ b/Source/Connection/Io/MessageReader.h
@@ -38,6 +38,7 @@
     /// Maximum sizes of a message, in bytes.
     struct Limits
     {
+        /// Also the limit of a chunk's head and of the trailers.
         std::uint32_t headBytes = 0;
         std::uint64_t bodyBytes = 0;
 
--- a/Source/Connection/UpstreamRun.cpp
+++ b/Source/Connection/UpstreamRun.cpp
@@ -13,6 +13,8 @@
 constexpr Milliseconds IDLE_MARGIN { 800 };
 /// A connection to an upstream that crashed is refused at once; one to a sound upstream opens in this time.
 constexpr Milliseconds PROBE_TIME { 300 };
+/// Most bytes of an answer that is not streamed, and of one event.
+constexpr std::size_t MAXIMUM_ANSWER_BYTES = 1U << 20U;
 
 } // namespace
 
@@ -102,21 +104,40 @@
     if (terms_.isNotRun || terms_.isMisdirected) {
         return;
     }
-    if (!order_.isStream || !HttpStatus::isSuccess(status_)) {
-        handlers_.onBody(bytes);
+    const bool isWhole = !order_.isStream || !HttpStatus::isSuccess(status_);
+    if (isWhole) {
+        bodyBytes_ += bytes.size();
+    } else {
+        splitter_.feed(bytes);
+        for (auto event = splitter_.next(); event && !isDone_; event = isDone_ ? std::nullopt : splitter_.next()) {
+            recordFirst();
+            handlers_.onEvent(*event);
+        }
+    }
+    if (isDone_) {
         return;
     }
-    splitter_.feed(bytes);
-    while (!isDone_) {
-        const auto event = splitter_.next();
-        if (!event) {
-            return;
-        }
-        recordFirst();
-        handlers_.onEvent(*event);
+    if (bodyBytes_ > MAXIMUM_ANSWER_BYTES || splitter_.partialBytes() > MAXIMUM_ANSWER_BYTES) {
+        endOversized();
+    } else if (isWhole) {
+        handlers_.onBody(bytes);
     }
 }
 
+auto UpstreamRun::endOversized() -> void
+{
+    parts_.directory.recordFailure(order_.upstream, BootClock::now());
+    EventLog::write("run_lost",
+                    { { "request", order_.requestId },
+                      { "upstream", order_.upstream },
+                      { "how", "oversized" },
+                      { "had_head", hasHead_ },
+                      { "after_ms", millisecondsBetween(sentAt_, BootClock::now()) } });
+    const auto channel = channel_;
+    channel->cancel();
+    finish(RunEnd::Invalid);
+}
+
 auto UpstreamRun::recordFirst() -> void
 {
     if (!hasFirst_) {
--- a/Source/Connection/UpstreamRun.h
+++ b/Source/Connection/UpstreamRun.h
@@ -82,6 +82,8 @@
     auto takeEnd(ExchangeEnd end) -> void;
     auto finish(RunEnd end) -> void;
     auto release() -> void;
+    /// Ends the run because its answer, or one event, exceeds what is held in memory.
+    auto endOversized() -> void;
     auto checkCrash() -> void;
     auto recordFirst() -> void;
 
@@ -92,6 +94,8 @@
     EventSplitter splitter_;
     AnswerTerms terms_;
     BootTime sentAt_;
+    /// Bytes of an answer that is collected whole.
+    std::size_t bodyBytes_ = 0;
     int status_ = 0;
     bool isCounted_ = false;
     bool isSent_ = false;
--- a/Source/Request/EventSplitter.cpp
+++ b/Source/Request/EventSplitter.cpp
@@ -69,7 +69,12 @@
 
 auto EventSplitter::hasPartial() const -> bool
 {
-    return consumed_ < buffer_.size();
+    return partialBytes() > 0;
+}
+
+auto EventSplitter::partialBytes() const -> std::size_t
+{
+    return buffer_.size() - consumed_;
 }
 
 } // namespace poplardock
--- a/Source/Request/EventSplitter.h
+++ b/Source/Request/EventSplitter.h
@@ -32,6 +32,8 @@
     /// Whether bytes remain that next() has not returned. Once next() has returned nothing, they are an incomplete
     /// event.
     [[nodiscard]] auto hasPartial() const -> bool;
+    /// How many bytes they are.
+    [[nodiscard]] auto partialBytes() const -> std::size_t;
 
 private:
     std::string buffer_;
