Take a roster only from the daemon that named its version

Change: a missing version remembers who named it; only that daemon is asked, and only that version is taken. Changes of relays are logged.

Test: PeerDirectoryTest/AnOldRosterIsNotTaken; homes are compared in all views.

--- a/Source/Process/Batch/JobTakeover.h
+++ b/Source/Process/Batch/JobTakeover.h
@@ -40,9 +40,10 @@
     /// Whether this daemon may answer for a job that it owns: the ownership is verified, there is contact to the store,
     /// and the daemon is not draining.
     [[nodiscard]] auto mayActAsOwner(const std::string &id) const -> bool;
-    /// Calls "onEnd" once it is known whether this daemon is still the owner: at once if the store has shown so recently or
-    /// no other daemon can have found this one gone, otherwise after a read of the record. Afterwards mayActAsOwner() is false if the job has another owner or the store
-    /// did not tell. To be called before a reader is told that there is no further result, which only the owner can know.
+    /// Calls "onEnd" once it is known whether this daemon is still the owner: at once if the store has shown so recently or no
+    /// other daemon can have found this one gone, otherwise after a read of the record. Afterwards mayActAsOwner() is false if
+    /// the job has another owner or the store did not tell. To be called before a reader is told that there is no further
+    /// result, which only the owner can know.
     auto proveOwnership(const std::string &id, std::function<void()> onEnd) -> void;
     /// Whether the store has responded recently. Without contact, this daemon is no suitable owner of further jobs.
     [[nodiscard]] auto hasStoreContact(BootTime now) const -> bool;
--- a/Source/Process/Peers/PeerDirectory.cpp
+++ b/Source/Process/Peers/PeerDirectory.cpp
@@ -190,7 +190,7 @@
         return false;
     }
     load_.applyDigest(digest, now);
-    confirmRoster(digest.dataCentre, digest.rosterVersion, now);
+    confirmRoster(digest.dataCentre, digest.rosterVersion, digest.sender, now);
     return true;
 }
 
@@ -216,19 +216,20 @@
     }
     load_.applySummary(summary, now);
     for (const RosterState &state : summary.rosters) {
-        confirmRoster(state.dataCentre, state.version, now - state.age);
+        confirmRoster(state.dataCentre, state.version, summary.sender, now - state.age);
     }
     return true;
 }
 
-auto PeerDirectory::confirmRoster(const std::string &dataCentre, std::uint64_t version, BootTime confirmedAt) -> void
+auto PeerDirectory::confirmRoster(const std::string &dataCentre, std::uint64_t version, const std::string &sender, BootTime confirmedAt)
+    -> void
 {
     const auto known = rosters_.find(dataCentre);
     if (known == rosters_.end() || known->second.roster.version != version) {
-        missingVersions_[dataCentre] = version;
+        missingRosters_[dataCentre] = { version, sender };
         return;
     }
-    missingVersions_.erase(dataCentre);
+    missingRosters_.erase(dataCentre);
     known->second.confirmedAt = std::max(known->second.confirmedAt, confirmedAt);
     for (const RosterEntry &entry : known->second.roster.entries) {
         const auto peer = peers_.find(entry.name);
@@ -238,14 +239,13 @@
     }
 }
 
-auto PeerDirectory::handleRoster(const Roster &roster, BootTime now) -> void
+auto PeerDirectory::handleRoster(const Roster &roster, BootTime now) -> bool
 {
-    const auto missing = missingVersions_.find(roster.dataCentre);
-    if (missing == missingVersions_.end()) {
-        return;
+    const auto missing = missingRosters_.find(roster.dataCentre);
+    if (missing == missingRosters_.end() || missing->second.version != roster.version) {
+        return false;
     }
-    // A relay whose roster has changed since answers with the newer one; the next digest or summary names it too.
-    missingVersions_.erase(missing);
+    missingRosters_.erase(missing);
     std::set<std::string> listed;
     for (const RosterEntry &entry : roster.entries) {
         listed.insert(entry.name);
@@ -259,6 +259,7 @@
         }
     }
     rosters_[roster.dataCentre] = { roster, now };
+    return true;
 }
 
 auto PeerDirectory::recordOwnReport(const DaemonReport &report, BootTime now) -> void
@@ -331,11 +332,13 @@
     return known == rosters_.end() ? std::nullopt : std::optional(known->second.roster);
 }
 
-auto PeerDirectory::missingRosters() const -> std::vector<std::string>
+auto PeerDirectory::missingRosters(const std::string &sender) const -> std::vector<std::string>
 {
     std::vector<std::string> dataCentres;
-    for (const auto &[dataCentre, version] : missingVersions_) {
-        dataCentres.push_back(dataCentre);
+    for (const auto &[dataCentre, missing] : missingRosters_) {
+        if (missing.sender == sender) {
+            dataCentres.push_back(dataCentre);
+        }
     }
     return dataCentres;
 }
--- a/Source/Process/Peers/PeerDirectory.h
+++ b/Source/Process/Peers/PeerDirectory.h
@@ -65,8 +65,9 @@
     /// Applies a relay's summary. Returns whether its sums were applied: false for an older one, and for one of the second
     /// relay while the first sends.
     auto handleSummary(const FleetSummary &summary, BootTime now) -> bool;
-    /// Applies a roster that was requested. Its daemons count as alive once a digest or summary names its version.
-    auto handleRoster(const Roster &roster, BootTime now) -> void;
+    /// Applies a roster that was requested. Returns whether it was applied: false for another version than the one that the
+    /// last digest or summary named, which may be an older one.
+    auto handleRoster(const Roster &roster, BootTime now) -> bool;
     /// Remembers the own report that is being sent.
     auto recordOwnReport(const DaemonReport &report, BootTime now) -> void;
 
@@ -74,8 +75,9 @@
     /// it; or the known one of another data centre. Empty if there is none.
     [[nodiscard]] auto rosterOf(const std::string &dataCentre, const DaemonReport &own, const std::string &ownAddress, BootTime now) const
         -> std::optional<Roster>;
-    /// Data centres whose last digest or summary named a version that this daemon does not have.
-    [[nodiscard]] auto missingRosters() const -> std::vector<std::string>;
+    /// Data centres for which the last digest or summary of a sender named a version that this daemon does not have. Only
+    /// the sender has that version for certain.
+    [[nodiscard]] auto missingRosters(const std::string &sender) const -> std::vector<std::string>;
     /// The digest of this daemon's data centre. The caller sets the sequence.
     [[nodiscard]] auto makeDigest(const DaemonReport &own, const std::string &ownAddress, BootTime now) const -> DataCentreDigest;
     /// The summary for the daemons that report here. The caller sets the sequence, the freshness and the echo.
@@ -173,6 +175,11 @@
         /// Until when, by the last digests and summaries, its daemons were alive.
         BootTime confirmedAt;
     };
+    struct MissingRoster
+    {
+        std::uint64_t version = 0;
+        std::string sender;
+    };
     struct Sender
     {
         std::string incarnation;
@@ -231,7 +238,7 @@
                                    const std::string &dataCentre,
                                    const std::string &sender,
                                    BootTime now) const -> bool;
-    auto confirmRoster(const std::string &dataCentre, std::uint64_t version, BootTime confirmedAt) -> void;
+    auto confirmRoster(const std::string &dataCentre, std::uint64_t version, const std::string &sender, BootTime confirmedAt) -> void;
     auto applyEntry(const std::string &dataCentre, const RosterEntry &entry, BootTime seenAt) -> void;
     auto addAnnouncements(const std::vector<JobOwner> &jobs, Source source, BootTime now) -> void;
     [[nodiscard]] auto recentAnnouncements(Source lastSource, BootTime now) const -> std::vector<JobOwner>;
@@ -254,7 +261,7 @@
     FleetLoad load_;
     std::map<std::string, KnownRoster> rosters_;
     /// Versions that digests and summaries named, by data centre, while they are unknown here.
-    std::map<std::string, std::uint64_t> missingVersions_;
+    std::map<std::string, MissingRoster> missingRosters_;
     std::map<std::string, Sender> digestSenders_;
     std::map<std::string, Sender> summarySenders_;
     std::map<std::string, RelayState> relayStates_;
--- a/Source/Process/Peers/PeerLink.cpp
+++ b/Source/Process/Peers/PeerLink.cpp
@@ -22,7 +22,7 @@
 constexpr Milliseconds INITIAL_LIST_INTERVAL { 600 };
 constexpr Milliseconds LIST_INTERVAL { 15000 };
 constexpr int INITIAL_LISTINGS = 3;
-/// Shortest time between two requests for rosters; the answer takes a few milliseconds.
+/// Shortest time between two requests for the same roster; the answer takes a few milliseconds.
 constexpr Milliseconds ROSTER_REQUEST_INTERVAL { 40 };
 /// Reports that arrive within this time share one notification.
 constexpr Milliseconds NOTIFICATION_DELAY { 40 };
@@ -154,6 +154,13 @@
     DaemonReport report = makeReport();
     directory_.recordOwnReport(report, now);
     const std::vector<std::string> relays = directory_.relaysOf(identity_.dataCentre, now);
+    if (relays != relays_) {
+        EventLog::write("relays_changed",
+                        { { "first", relays.front() },
+                          { "second", relays.back() },
+                          { "reporters", static_cast<std::uint64_t>(directory_.reporters(now).size()) } });
+        relays_ = relays;
+    }
     for (const Peer *peer : directory_.reportTargets(now)) {
         report.isToBackup = peer->name != relays.front();
         socket_->sendTo(peer->address, encodePeerMessage(report));
@@ -201,15 +208,15 @@
     }
 }
 
-auto PeerLink::requestRosters(const std::string &sender) -> void
+auto PeerLink::requestRosters(const std::string &sender, const std::string &address) -> void
 {
     const BootTime now = BootClock::now();
-    if (now - rostersRequestedAt_ < ROSTER_REQUEST_INTERVAL) {
-        return;
-    }
-    for (const std::string &dataCentre : directory_.missingRosters()) {
-        rostersRequestedAt_ = now;
-        send(sender, RosterRequest { dataCentre });
+    for (const std::string &dataCentre : directory_.missingRosters(sender)) {
+        BootTime &requestedAt = rostersRequestedAt_[dataCentre];
+        if (now - requestedAt >= ROSTER_REQUEST_INTERVAL) {
+            requestedAt = now;
+            send(address, RosterRequest { dataCentre });
+        }
     }
 }
 
@@ -262,8 +269,9 @@
     }
     auto operator()(const Roster &roster) const -> void
     {
-        link.directory_.handleRoster(roster, BootClock::now());
-        link.scheduleNotification();
+        if (link.directory_.handleRoster(roster, BootClock::now())) {
+            link.scheduleNotification();
+        }
     }
     template<typename Message>
     auto operator()(const Message & /*other*/) const -> void
@@ -297,7 +305,7 @@
 {
     if (directory_.handleDigest(digest, BootClock::now())) {
         scheduleNotification();
-        requestRosters(sender);
+        requestRosters(digest.sender, sender);
     }
 }
 
@@ -308,7 +316,7 @@
         return;
     }
     scheduleNotification();
-    requestRosters(sender);
+    requestRosters(summary.sender, sender);
     if (const auto sentAt = directory_.reportSentAt(summary.echoedReport)) {
         handlers_.onFreshness(sender, summary.freshness, *sentAt);
     }
--- a/Source/Process/Peers/PeerLink.h
+++ b/Source/Process/Peers/PeerLink.h
@@ -60,8 +60,8 @@
     auto sendDigest() -> void;
     auto scheduleSummaries() -> void;
     auto sendSummaries() -> void;
-    /// Requests the rosters that the sender of a digest or summary has named and this daemon does not have.
-    auto requestRosters(const std::string &sender) -> void;
+    /// Requests the rosters that the sender of a digest or summary, at that address, has named and this daemon does not have.
+    auto requestRosters(const std::string &sender, const std::string &address) -> void;
     auto scheduleNotification() -> void;
     auto handleDatagram(const std::string &sender, std::string_view text) -> void;
     auto handleReport(const std::string &sender, const DaemonReport &report) -> void;
@@ -80,7 +80,10 @@
     std::uint64_t sequence_ = 0;
     std::uint64_t digestTick_ = 0;
     std::uint64_t summaryTick_ = 0;
-    BootTime rostersRequestedAt_;
+    /// When the roster of each data centre was last requested.
+    std::map<std::string, BootTime> rostersRequestedAt_;
+    /// The relays of the last report, for the log.
+    std::vector<std::string> relays_;
     int listingCount_ = 0;
     bool isNotificationPending_ = false;
     Timer reportTimer_;
--- a/Tests/Process/PeerDirectoryTest.cpp
+++ b/Tests/Process/PeerDirectoryTest.cpp
@@ -356,13 +356,42 @@
     }
     constexpr int TEAMS = 2000;
     for (int team = 0; team < TEAMS; ++team) {
-        largeHomes += large.contains(fleet.views.at("a0").allowanceHomeOf("team" + std::to_string(team), fleet.now())) ? 1 : 0;
+        const std::string home = fleet.views.at("a0").allowanceHomeOf("team" + std::to_string(team), fleet.now());
+        largeHomes += large.contains(home) ? 1 : 0;
+        for (const auto &[name, view] : fleet.views) {
+            BOOST_TEST(view.allowanceHomeOf("team" + std::to_string(team), fleet.now()) == home, name);
+        }
     }
     // 200 of 524 hundredths of a core are on the large VMs.
     BOOST_TEST(largeHomes > TEAMS * 0.33);
     BOOST_TEST(largeHomes < TEAMS * 0.43);
 }
 
+// Guards against a data centre that shrinks to one daemon in the view of others: a relay asked another data centre's relay
+// for the roster, took an old one, and passed it on for good. Teams whose home was missing there were refused.
+BOOST_AUTO_TEST_CASE(AnOldRosterIsNotTaken)
+{
+    PeerDirectory peers("a0", "a");
+    peers.addMember("b0", "b0", "b", 1, NOW);
+    peers.addMember("b1", "b1", "b", 1, NOW);
+    const std::string relay = peers.relaysOf("b", NOW).front();
+    DataCentreDigest digest;
+    digest.dataCentre = "b";
+    digest.sender = relay;
+    digest.incarnation = "i1";
+    digest.sequence = 1;
+    digest.rosterVersion = 2;
+    BOOST_TEST(peers.handleDigest(digest, NOW));
+    BOOST_TEST(peers.missingRosters("c0").empty());
+    BOOST_TEST((peers.missingRosters(relay) == std::vector<std::string> { "b" }));
+    BOOST_TEST(!peers.handleRoster({ "b", 1, { { relay, relay, "i1", 1, false, true } } }, NOW));
+    BOOST_TEST(!peers.missingRosters(relay).empty());
+    BOOST_TEST(peers.handleRoster({ "b", 2, { { "b0", "b0", "i1", 1, false, true }, { "b1", "b1", "i1", 1, false, true } } }, NOW));
+    BOOST_TEST(peers.missingRosters(relay).empty());
+    BOOST_TEST(peers.isAlive(*peers.find("b0"), NOW));
+    BOOST_TEST(peers.isAlive(*peers.find("b1"), NOW));
+}
+
 // Guards against the old incarnation's state after a restart, and against a restarted daemon that nobody hears.
 BOOST_AUTO_TEST_CASE(ARestartedDaemonIsHeardAgain)
 {
--- a/Tests/Support/DirectoryFleet.cpp
+++ b/Tests/Support/DirectoryFleet.cpp
@@ -111,7 +111,7 @@
 
 auto DirectoryFleet::exchangeRosters(const std::string &from, const std::string &to) -> void
 {
-    for (const std::string &dataCentre : views.at(to).missingRosters()) {
+    for (const std::string &dataCentre : views.at(to).missingRosters(from)) {
         const auto roster = views.at(from).rosterOf(dataCentre, reports[from], from, now_);
         if (passes("roster request", to, from) && roster && passes("roster", from, to)) {
             views.at(to).handleRoster(*roster, now_);
