Take over the jobs of a daemon that has started again at once

Cause: announcements name the owner without its incarnation. A daemon that was killed and back within 1.5 s was never gone, so its jobs waited for the next list of records, 2.7 s to 25 s later. Found by reading the change.

Change: an announcement keeps the incarnation that the owner had; a later one owns nothing of it, and the job's home takes over at the next notification.

Test: PeerDirectoryTest/ARestartedDaemonIsHeardAgain (its new checks need the new argument, so they were not run on the code before). EndlessAnswerTest says its checks once.

--- a/Source/Process/Batch/JobTakeover.cpp
+++ b/Source/Process/Batch/JobTakeover.cpp
@@ -104,11 +104,11 @@
     std::erase_if(nextCheckAt_, [now](const auto &each) { return each.second <= now; });
     std::vector<std::string> orphans;
     std::vector<std::string> contested;
-    context_.peers.forEachJob([this, now, &orphans, &contested](const std::string &id, const Peer &owner) {
+    context_.peers.forEachJob([this, now, &orphans, &contested](const std::string &id, const Peer &owner, bool hasRestarted) {
         const bool isOwned = registry_.find(id) != nullptr;
-        if (isOwned && context_.peers.mayTakeWork(owner, now)) {
+        if (isOwned && !hasRestarted && context_.peers.mayTakeWork(owner, now)) {
             contested.push_back(id);
-        } else if (!isOwned && hasLeft(owner, now) && context_.peers.homeOf(id, now) == context_.settings.name) {
+        } else if (!isOwned && (hasRestarted || hasLeft(owner, now)) && context_.peers.homeOf(id, now) == context_.settings.name) {
             orphans.push_back(id);
         }
     });
--- a/Source/Process/Peers/PeerDirectory.cpp
+++ b/Source/Process/Peers/PeerDirectory.cpp
@@ -278,7 +278,8 @@
         // What a relay has heard itself it may also receive from the other relay.
         const bool isRepeated = source == Source::Summary && known.owner == each.owner && known.source != Source::Summary;
         if (!isRepeated) {
-            known = { each.owner, now, source };
+            const Peer *owner = find(each.owner);
+            known = { each.owner, owner == nullptr ? std::string() : owner->incarnation, now, source };
         }
     }
 }
@@ -715,14 +716,20 @@
 {
     const auto announcement = announcements_.find(job);
     const Peer *owner = announcement == announcements_.end() ? nullptr : find(announcement->second.owner);
-    return owner != nullptr && mayTakeWork(*owner, now) ? owner : nullptr;
+    const bool isOwner = owner != nullptr && mayTakeWork(*owner, now) && !hasRestarted(announcement->second, *owner);
+    return isOwner ? owner : nullptr;
 }
 
-auto PeerDirectory::forEachJob(const std::function<void(const std::string &job, const Peer &owner)> &visit) const -> void
+auto PeerDirectory::hasRestarted(const JobAnnouncement &announcement, const Peer &owner) -> bool
+{
+    return !announcement.incarnation.empty() && announcement.incarnation != owner.incarnation;
+}
+
+auto PeerDirectory::forEachJob(const std::function<void(const std::string &job, const Peer &owner, bool hasRestarted)> &visit) const -> void
 {
     for (const auto &[job, announcement] : announcements_) {
         if (const Peer *owner = find(announcement.owner)) {
-            visit(job, *owner);
+            visit(job, *owner, hasRestarted(announcement, *owner));
         }
     }
 }
--- a/Source/Process/Peers/PeerDirectory.h
+++ b/Source/Process/Peers/PeerDirectory.h
@@ -149,8 +149,9 @@
 
     /// The live daemon that has announced owning a job, or null.
     [[nodiscard]] auto ownerOf(const std::string &job, BootTime now) const -> const Peer *;
-    /// Calls "visit" for each job that another daemon has announced some time ago.
-    auto forEachJob(const std::function<void(const std::string &job, const Peer &owner)> &visit) const -> void;
+    /// Calls "visit" for each job that another daemon has announced some time ago, and tells whether that daemon has started
+    /// again since.
+    auto forEachJob(const std::function<void(const std::string &job, const Peer &owner, bool hasRestarted)> &visit) const -> void;
     /// Forgets announcements that are too old to matter.
     auto removeExpired(BootTime now) -> void;
 
@@ -212,6 +213,8 @@
     struct JobAnnouncement
     {
         std::string owner;
+        /// Incarnation of the owner when it was announced; empty if unknown. A later one does not own the job.
+        std::string incarnation;
         BootTime heardAt;
         Source source = Source::Report;
     };
@@ -240,6 +243,7 @@
                                    BootTime now) const -> bool;
     auto confirmRoster(const std::string &dataCentre, std::uint64_t version, const std::string &sender, BootTime confirmedAt) -> void;
     auto applyEntry(const std::string &dataCentre, const RosterEntry &entry, BootTime seenAt) -> void;
+    [[nodiscard]] static auto hasRestarted(const JobAnnouncement &announcement, const Peer &owner) -> bool;
     auto addAnnouncements(const std::vector<JobOwner> &jobs, Source source, BootTime now) -> void;
     [[nodiscard]] auto recentAnnouncements(Source lastSource, BootTime now) const -> std::vector<JobOwner>;
     [[nodiscard]] auto ownRoster(const DaemonReport &own, const std::string &ownAddress, BootTime now) const -> Roster;
--- a/Tests/Connection/EndlessAnswerTest.cpp
+++ b/Tests/Connection/EndlessAnswerTest.cpp
@@ -60,6 +60,25 @@
              { "data lines of one event", head("Content-Type: text/event-stream") + "id: 0\n", repeated("data: x\n", text.size()) } };
 }
 
+/// Sends a request to a daemon whose only upstream sends without end, and checks that it is cut off early.
+auto checkCutOff(const Case &each, const HttpCall &request) -> void
+{
+    PlatformFleet fleet(1, 0);
+    EndlessServer server(each.opening, each.piece);
+    fleet.store.put("servers", "endless", FakeEngine::entryAt(server.address(), "ready"));
+    fleet.runFor(Milliseconds(1600));
+    const BootTime begin = BootClock::now();
+    const auto result = fleet.call(0, request);
+    BOOST_TEST((BootClock::now() - begin < END_TIME), each.name << " is read for too long");
+    BOOST_TEST((!result || result->status >= 500), each.name);
+    BOOST_TEST(server.connectionCount() >= 1, each.name);
+    fleet.runFor(Milliseconds(200));
+    const std::size_t sent = server.sentBytes();
+    BOOST_TEST(sent <= MAXIMUM_BYTES, each.name << ": " << sent << " bytes");
+    fleet.runFor(Milliseconds(200));
+    BOOST_TEST(server.sentBytes() == sent, each.name << " goes on");
+}
+
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(EndlessAnswerSuite)
@@ -68,20 +87,7 @@
 BOOST_AUTO_TEST_CASE(AnEndlessAnswerIsCutOff)
 {
     for (const Case &each : cases()) {
-        PlatformFleet fleet(1, 0);
-        EndlessServer server(each.opening, each.piece);
-        fleet.store.put("servers", "endless", FakeEngine::entryAt(server.address(), "ready"));
-        fleet.runFor(Milliseconds(1600));
-        const BootTime begin = BootClock::now();
-        const auto result = fleet.call(0, PlatformFleet::request("/plain/x", "r", "key1"));
-        BOOST_TEST((BootClock::now() - begin < END_TIME), each.name << " is read for too long");
-        BOOST_TEST((!result || result->status >= 500), each.name);
-        BOOST_TEST(server.connectionCount() >= 1, each.name);
-        fleet.runFor(Milliseconds(200));
-        const std::size_t sent = server.sentBytes();
-        BOOST_TEST(sent <= MAXIMUM_BYTES, each.name << ": " << sent << " bytes");
-        fleet.runFor(Milliseconds(200));
-        BOOST_TEST(server.sentBytes() == sent, each.name << " goes on");
+        checkCutOff(each, PlatformFleet::request("/plain/x", "r", "key1"));
     }
 }
 
@@ -89,18 +95,7 @@
 BOOST_AUTO_TEST_CASE(AnEndlessEventIsCutOff)
 {
     for (const Case &each : streamCases()) {
-        PlatformFleet fleet(1, 0);
-        EndlessServer server(each.opening, each.piece);
-        fleet.store.put("servers", "endless", FakeEngine::entryAt(server.address(), "ready"));
-        fleet.runFor(Milliseconds(1600));
-        const auto result = fleet.call(0, PlatformFleet::streamRequest("/stream/x", "r", "key1"));
-        BOOST_TEST((!result || result->status >= 500), each.name);
-        BOOST_TEST(server.connectionCount() >= 1, each.name);
-        fleet.runFor(Milliseconds(200));
-        const std::size_t sent = server.sentBytes();
-        BOOST_TEST(sent <= MAXIMUM_BYTES, each.name << ": " << sent << " bytes");
-        fleet.runFor(Milliseconds(200));
-        BOOST_TEST(server.sentBytes() == sent, each.name << " goes on");
+        checkCutOff(each, PlatformFleet::streamRequest("/stream/x", "r", "key1"));
     }
 }
 
--- a/Tests/Process/PeerDirectoryTest.cpp
+++ b/Tests/Process/PeerDirectoryTest.cpp
@@ -397,6 +397,11 @@
 {
     DirectoryFleet fleet = loadedFleet(5);
     const std::string relay = fleet.views.at("a0").relaysOf("a", fleet.now()).front();
+    fleet.reports[relay].jobs = { "job1" };
+    fleet.run(Milliseconds(500));
+    fleet.reports[relay].jobs.clear();
+    fleet.run(Milliseconds(1000));
+    BOOST_TEST(fleet.views.at("c1").ownerOf("job1", fleet.now())->name == relay);
     fleet.reports[relay].incarnation = "i2";
     fleet.views.erase(relay);
     fleet.add(relay, "a", 1);
@@ -406,6 +411,10 @@
         if (name != relay) {
             BOOST_TEST(view.find(relay)->incarnation == "i2", name);
             BOOST_TEST(view.isAlive(*view.find(relay), fleet.now()), name);
+            // The new incarnation does not own what the former one has announced.
+            BOOST_TEST(view.ownerOf("job1", fleet.now()) == nullptr, name);
+            view.forEachJob(
+                [&name](const std::string & /*job*/, const Peer & /*owner*/, bool hasRestarted) { BOOST_TEST(hasRestarted, name); });
         }
         BOOST_TEST(view.hasFullView(fleet.now()), name);
     }
