--- a/Tests/Process/PeerDirectoryTest.cpp
+++ b/Tests/Process/PeerDirectoryTest.cpp
@@ -413,8 +413,9 @@
             BOOST_TEST(view.isAlive(*view.find(relay), fleet.now()), name);
             // The new incarnation does not own what the former one has announced.
             BOOST_TEST(view.ownerOf("job1", fleet.now()) == nullptr, name);
-            view.forEachJob(
-                [&name](const std::string & /*job*/, const Peer & /*owner*/, bool hasRestarted) { BOOST_TEST(hasRestarted, viewer); });
+            view.forEachJob([&viewer = name](const std::string & /*job*/, const Peer & /*owner*/, bool hasRestarted) {
+                BOOST_TEST(hasRestarted, viewer);
+            });
         }
         BOOST_TEST(view.hasFullView(fleet.now()), name);
     }
