--- a/Source/Process/Peers/DaemonReport.h
+++ b/Source/Process/Peers/DaemonReport.h
@@ -44,7 +44,7 @@
     std::string incarnation;
     /// Increases with each report of an incarnation.
     std::uint64_t sequence = 0;
-    /// Relative processor capacity of the VM; 0 while the daemon lags behind, so that it gets no duties for others.
+    /// Relative processor capacity of the VM.
     int capacity = 1;
     /// The daemon is shutting down; its jobs are to be taken over.
     bool isDraining = false;
--- a/Source/Process/Peers/FleetLoad.cpp
+++ b/Source/Process/Peers/FleetLoad.cpp
@@ -39,11 +39,6 @@
 
 } // namespace
 
-FleetLoad::FleetLoad(std::string ownName)
-    : ownName_(std::move(ownName))
-{
-}
-
 auto FleetLoad::recordOwnReport(const DaemonReport &report, BootTime now) -> void
 {
     sent_.push_back({ report, now });
--- a/Source/Process/Peers/FleetLoad.h
+++ b/Source/Process/Peers/FleetLoad.h
@@ -3,6 +3,7 @@
 #include "Process/Peers/DaemonReport.h"
 
 #include <deque>
+#include <optional>
 
 namespace poplardock {
 
@@ -17,8 +18,6 @@
     /// The demand of a silent daemon counts longer, since it may only be partitioned and still admit requests.
     static constexpr Milliseconds DEMAND_RETENTION { 15000 };
 
-    explicit FleetLoad(std::string ownName);
-
     /// Remembers a report that this daemon has sent, to subtract it from summaries that include it.
     auto recordOwnReport(const DaemonReport &report, BootTime now) -> void;
     /// When the report with that sequence was sent; unset if it is unknown or too old.
@@ -62,7 +61,6 @@
     /// The own report that is included in the last summary.
     [[nodiscard]] auto includedOwnReport() const -> const DaemonReport *;
 
-    const std::string ownName_;
     std::deque<SentReport> sent_;
     /// The last report of each daemon of this data centre that reports here.
     std::map<std::string, Received<DaemonReport>> reports_;
--- a/Source/Process/Peers/PeerDirectory.cpp
+++ b/Source/Process/Peers/PeerDirectory.cpp
@@ -37,7 +37,7 @@
 /// Announcements are kept while callers read the results, as many as a fleet at its target size needs.
 constexpr std::chrono::seconds ANNOUNCEMENT_RETENTION { 60 };
 constexpr std::size_t MAXIMUM_ANNOUNCEMENTS = 10000;
-/// Results of selections that many requests repeat.
+/// How long selections that many requests repeat are reused.
 constexpr Milliseconds HOME_CACHE_TIME { 250 };
 constexpr Milliseconds RELAY_CACHE_TIME { 100 };
 constexpr std::size_t MAXIMUM_CACHED_HOMES = 10000;
@@ -58,7 +58,6 @@
     : ownName_(std::move(ownName))
     , ownDataCentre_(std::move(ownDataCentre))
     , ownCapacity_(ownCapacity)
-    , load_(ownName_)
 {
 }
 
@@ -68,14 +67,6 @@
     relays_.clear();
 }
 
-auto PeerDirectory::setOwnCapacity(int capacity) -> void
-{
-    if (capacity != ownCapacity_) {
-        ownCapacity_ = capacity;
-        handleChange();
-    }
-}
-
 auto PeerDirectory::addMember(
     const std::string &name, const std::string &address, const std::string &dataCentre, int capacity, BootTime now) -> void
 {
--- a/Source/Process/Peers/PeerDirectory.h
+++ b/Source/Process/Peers/PeerDirectory.h
@@ -53,9 +53,6 @@
     /// Adds a daemon that has a record in the store. The address, data centre and capacity are used until a relay has heard
     /// the daemon.
     auto addMember(const std::string &name, const std::string &address, const std::string &dataCentre, int capacity, BootTime now) -> void;
-    /// Changes the capacity that this daemon states; 0 while it lags behind.
-    auto setOwnCapacity(int capacity) -> void;
-
     /// Applies a report to this daemon as a relay unless a newer one of the same incarnation has been applied, or it is
     /// this daemon's own. Returns whether it was applied.
     auto handleReport(const DaemonReport &report, const std::string &address, BootTime now) -> bool;
@@ -259,7 +256,7 @@
 
     const std::string ownName_;
     const std::string ownDataCentre_;
-    int ownCapacity_;
+    const int ownCapacity_;
     std::map<std::string, Peer> peers_;
     std::int64_t localPeerCount_ = 0;
     FleetLoad load_;
--- a/Source/Process/Peers/Rendezvous.cpp
+++ b/Source/Process/Peers/Rendezvous.cpp
@@ -2,6 +2,7 @@
 
 #include "Version/MemberTable.h"
 
+#include <algorithm>
 #include <cmath>
 
 namespace poplardock {
