--- a/Tests/Connection/FrontDaemonTest.cpp
+++ b/Tests/Connection/FrontDaemonTest.cpp
@@ -316,7 +316,7 @@
     fleet.registerEngine(*fleet.engines[0], "draining");
     fleet.configure({ "new" });
     fleet.runFor(Milliseconds(1900));
-    // The leader reads each 0.5 s and watches; the feeder watches two kinds, and peers and jobs are listed now and then.
+    // The leader reads each 0.5 s and watches; the store watcher watches two kinds, and peers and jobs are listed now and then.
     const int calls = fleet.store.callCount("GET /-/objects/") - before;
     BOOST_TEST(calls <= 4 + 3 + 4 + 5 + 5, calls << " calls");
     for (std::size_t daemon = 0; daemon < fleet.daemons.size(); ++daemon) {
--- a/Tests/Support/DirectoryFleet.h
+++ b/Tests/Support/DirectoryFleet.h
@@ -29,7 +29,7 @@
     std::map<std::string, DaemonReport> reports;
     /// Whether a message from one daemon to another is lost.
     std::function<bool(const std::string &from, const std::string &to)> isLost;
-    /// Messages and their bytes by kind, since the fleet was made.
+    /// Messages sent by kind, since the fleet was made.
     std::map<std::string, int> messages;
     /// Messages that each daemon has sent and received.
     std::map<std::string, int> traffic;
