Stop a job that was cancelled in the store, and keep a relay silent until it has heard its data centre

Also, a failed read of a record in doubt was only repeated with that list. Change: who cancels in the store tells the owner by a call, and all daemons by reports, digests and summaries; it confirms to the caller when the owner or a relay has heard it. An owner starts items only if it hears its relays and all data centres, or has read the record as open at most 1.5 s ago. Records in doubt are read again each 500 ms, and a read that was sent before the doubt does not end it. A cancellation that the store did not confirm no longer leaves a job stopped. Cause 2 (found by reading): a first relay that was killed and back within 1.5 s, or frozen that long, sent digests and summaries before the others had reported to it again; they were found gone. Change: it sends neither until six report periods after a start or a pause. Also: senders and relay states are forgotten after a minute.

--- a/Source/Connection/JobService.cpp
+++ b/Source/Connection/JobService.cpp
@@ -23,6 +23,9 @@
 constexpr std::size_t CACHED_RECORDS = 2000;
 constexpr std::size_t CACHED_LOGS = 64;
 constexpr const char *PEER_PATH = "/jobs";
+/// Path of the call by which a daemon tells a job's owner that it has cancelled the job in the store; the job's id follows.
+constexpr const char *CANCELLED_PATH = "/cancelled/";
+constexpr Milliseconds CANCELLATION_CALL_TIME { 300 };
 
 auto jsonResult(int status, std::string body) -> HttpResult
 {
@@ -235,6 +238,8 @@
         if (status.ok()) {
             reply(jsonResult(HttpStatus::OK, "{}"));
         } else {
+            // The store may have recorded it or not.
+            adoption_.verifyAgain(query.call.jobId);
             findOwner(query, reply);
         }
     });
@@ -354,17 +359,45 @@
 auto JobService::cancelInStore(const JobRecord &record, const ReplyHandler &reply) -> void
 {
     if (record.isCancelled) {
-        reply(jsonResult(HttpStatus::OK, "{}"));
+        tellOwner(record, reply);
         return;
     }
     JobRecord cancelled = record;
     cancelled.isCancelled = true;
     ledger_.replace(cancelled, [this, id = record.id, reply](const absl::StatusOr<JobRecord> &result) {
         EventLog::write("job_cancelled", { { "job", id }, { "ok", result.ok() } });
-        reply(result.ok() ? jsonResult(HttpStatus::OK, "{}") : unsure("the job could not be ended yet"));
+        if (result.ok()) {
+            tellOwner(*result, reply);
+        } else {
+            reply(unsure("the job could not be ended yet"));
+        }
     });
 }
 
+auto JobService::tellOwner(const JobRecord &record, const ReplyHandler &reply) -> void
+{
+    if (record.isDone) {
+        reply(jsonResult(HttpStatus::OK, "{}"));
+        return;
+    }
+    // The owner may not answer this daemon but still hear its relay.
+    parts_.peers.announceCancellation(record.id, BootClock::now());
+    parts_.peerLink.sendReports();
+    const HttpCall call { "POST", absl::StrCat(CANCELLED_PATH, record.id), {}, {} };
+    parts_.peerClient.call(
+        record.ownerAddress,
+        call,
+        BootClock::now() + CANCELLATION_CALL_TIME,
+        [this, id = record.id, reply](const HttpCallOutcome &outcome) {
+            const auto *result = std::get_if<HttpResult>(&outcome);
+            const bool hasOwnerHeard = result != nullptr && result->status == HttpStatus::OK;
+            const BootTime now = BootClock::now();
+            const bool isAnnounced = parts_.peers.isHeard(now) || (!parts_.peers.hasOtherRelay(now) && !parts_.peers.isIsolated(now));
+            EventLog::write("job_cancellation_told", { { "job", id }, { "owner", hasOwnerHeard }, { "relays", isAnnounced } });
+            reply(hasOwnerHeard || isAnnounced ? jsonResult(HttpStatus::OK, "{}") : unsure("the owner of the job was not told yet"));
+        });
+}
+
 auto JobService::handlePeer(const std::shared_ptr<CallerExchange> &exchange) -> void
 {
     if (absl::StartsWith(exchange->head().target, HANDOVER_PATH)) {
@@ -373,6 +406,11 @@
                                          : jsonResult(HttpStatus::OK, progress));
         return;
     }
+    if (absl::StartsWith(exchange->head().target, CANCELLED_PATH)) {
+        adoption_.verifyAgain(exchange->head().target.substr(std::string_view(CANCELLED_PATH).size()));
+        exchange->reply(jsonResult(HttpStatus::OK, "{}"));
+        return;
+    }
     const std::vector<std::string> words = absl::StrSplit(exchange->head().target, '/');
     constexpr std::size_t WORDS = 8;
     int kind = 0;
--- a/Source/Connection/JobService.h
+++ b/Source/Connection/JobService.h
@@ -48,6 +48,8 @@
     auto askOwner(const Query &query, const std::string &address, const ReplyHandler &reply) -> void;
     auto answerFromStore(const Query &query, const JobRecord &record, const ReplyHandler &reply) -> void;
     auto cancelInStore(const JobRecord &record, const ReplyHandler &reply) -> void;
+    /// Makes sure that the owner of a job that was cancelled in the store learns of it, then replies.
+    auto tellOwner(const JobRecord &record, const ReplyHandler &reply) -> void;
     auto readItemFromStore(const Query &query, const JobRecord &record, const JobRepository::ResultLog &log, const ReplyHandler &reply)
         -> void;
     [[nodiscard]] auto unsure(const std::string &reason) const -> HttpResult;
--- a/Source/Process/Batch/JobRegistry.cpp
+++ b/Source/Process/Batch/JobRegistry.cpp
@@ -272,15 +272,25 @@
     record.isCancelled = true;
     // No further items start from now on; the stored record makes the cancellation permanent.
     job->setRecord(record);
+    entries_[id]->isCancelling = true;
     repository_.replace(record, [this, id, handler = std::move(handler)](const absl::StatusOr<JobRecord> &result) {
-        OwnedJob *owned = find(id);
-        if (owned != nullptr && result.ok()) {
-            owned->setRecord(*result);
+        const auto entry = entries_.find(id);
+        if (entry != entries_.end()) {
+            entry->second->isCancelling = false;
+            if (result.ok()) {
+                entry->second->job.setRecord(*result);
+            }
         }
         handler(result.status());
     });
 }
 
+auto JobRegistry::isCancelling(const std::string &id) const -> bool
+{
+    const auto found = entries_.find(id);
+    return found != entries_.end() && found->second->isCancelling;
+}
+
 auto JobRegistry::flush() -> void
 {
     for (auto &[id, entry] : entries_) {
--- a/Source/Process/Batch/JobRegistry.h
+++ b/Source/Process/Batch/JobRegistry.h
@@ -41,6 +41,8 @@
     /// Cancels a job on behalf of its team. The handler receives whether the store has recorded the cancellation.
     /// Errors: NotFound for a job that this daemon does not own; those of ObjectStore::replace().
     auto cancel(const std::string &id, std::function<void(const absl::Status &)> handler) -> void;
+    /// Whether a cancellation of a job waits for the store.
+    [[nodiscard]] auto isCancelling(const std::string &id) const -> bool;
     /// Starts to write all uncommitted results without delay, for the shutdown.
     auto flush() -> void;
     /// Whether all results are committed.
@@ -64,6 +66,7 @@
         bool isCommitting = false;
         bool hasConflict = false;
         bool isMarkingDone = false;
+        bool isCancelling = false;
         Timer commitTimer;
         std::map<std::uint64_t, Reader> readers;
     };
--- a/Source/Process/Batch/JobRunner.cpp
+++ b/Source/Process/Batch/JobRunner.cpp
@@ -38,6 +38,11 @@
 {
 }
 
+auto JobRunner::setStartCheck(std::function<bool(const std::string &id)> mayStart) -> void
+{
+    mayStart_ = std::move(mayStart);
+}
+
 auto JobRunner::start() -> void
 {
     tickTimer_ = context_.loop.every(TICK_PERIOD, [this] { tick(); });
@@ -146,10 +151,18 @@
         if (route == nullptr || route->kind != RouteKind::Batch) {
             return;
         }
+        std::optional<bool> mayStart;
         for (const ItemProgress &item : job.items()) {
-            if (item.phase == ItemPhase::Waiting && item.notBefore <= now && item.crashes < ITEM_CRASH_LIMIT) {
-                waiting.push_back({ { id, item.item.id }, groupOf(*route, context_.random()), record.dueAt, rankOf(job, item) });
+            if (item.phase != ItemPhase::Waiting || item.notBefore > now || item.crashes >= ITEM_CRASH_LIMIT) {
+                continue;
+            }
+            if (!mayStart) {
+                mayStart = mayStart_(id);
+            }
+            if (!*mayStart) {
+                return;
             }
+            waiting.push_back({ { id, item.item.id }, groupOf(*route, context_.random()), record.dueAt, rankOf(job, item) });
         }
     });
     std::stable_sort(waiting.begin(), waiting.end(), [](const WaitingItem &a, const WaitingItem &b) {
--- a/Source/Process/Batch/JobRunner.h
+++ b/Source/Process/Batch/JobRunner.h
@@ -16,6 +16,9 @@
 public:
     JobRunner(FrontParts &context, JobRegistry &registry);
 
+    /// The check tells whether items of a job may be sent to upstreams now. It is called for each job with waiting items,
+    /// several times a second.
+    auto setStartCheck(std::function<bool(const std::string &id)> mayStart) -> void;
     auto start() -> void;
     /// Aborts all attempts and starts no more.
     auto stop() -> void;
@@ -72,6 +75,7 @@
 
     FrontParts &context_;
     JobRegistry &registry_;
+    std::function<bool(const std::string &)> mayStart_;
     std::map<ItemKey, ActiveAttempt> active_;
     Timer tickTimer_;
     /// Moving averages over the items that completed in one attempt: duration and number of events.
--- a/Source/Process/Batch/JobTakeover.cpp
+++ b/Source/Process/Batch/JobTakeover.cpp
@@ -26,6 +26,12 @@
 /// Age of the proof of ownership up to which an owner may answer that a job has no further result. A result that another
 /// daemon has listed must be shown everywhere a second after the first caller has read it; the rest is for the way.
 constexpr Milliseconds OWNERSHIP_PROOF_TIME { 700 };
+/// Age of the proof that a job is open up to which its items are started by a daemon that may not hear of a cancellation.
+/// Nothing of a job may reach an upstream 3 s after its cancellation was confirmed.
+constexpr Milliseconds OPEN_PROOF_TIME { 1500 };
+constexpr Milliseconds HEARING_CHECK_INTERVAL { 50 };
+/// Time between two reads of the record of a job in doubt while the store does not answer.
+constexpr Milliseconds VERIFY_RETRY_DELAY { 500 };
 /// Time after a loss of contact to the store during which others may still act on a report that told of it.
 constexpr std::chrono::seconds CONTACT_LOSS_MEMORY { 5 };
 /// Delay of the retry of a takeover that failed when the record already named this daemon.
@@ -42,11 +48,8 @@
     , runner_(runner)
     , startedAt_(BootClock::now())
 {
-    registry_.setConflictHandler([this](const std::string &id) {
-        // Not verifyJob(): a read of the record that is in flight may predate the conflict, so it is read again.
-        unverified_.insert(id);
-        checkRecord(id);
-    });
+    registry_.setConflictHandler([this](const std::string &id) { verifyAgain(id); });
+    runner_.setStartCheck([this](const std::string &id) { return mayStartItems(id); });
 }
 
 auto JobTakeover::start() -> void
@@ -89,34 +92,42 @@
         verifyOwnership();
     }
     hadContact_ = hasContact;
-    if (isDraining_ || !hasContact) {
-        return;
-    }
-    for (auto each = incompleteTakeovers_.begin(); each != incompleteTakeovers_.end();) {
-        const auto next = std::next(each);
-        if (each->second <= now) {
-            const std::string id = each->first;
-            incompleteTakeovers_.erase(each);
-            takeOver(id);
-        }
-        each = next;
-    }
     std::erase_if(nextCheckAt_, [now](const auto &each) { return each.second <= now; });
+    std::vector<std::string> contested = context_.peers.cancelledJobs();
+    std::erase_if(contested, [this](const std::string &id) {
+        const OwnedJob *job = registry_.find(id);
+        return job == nullptr || !job->record().isOpen();
+    });
     std::vector<std::string> orphans;
-    std::vector<std::string> contested;
     context_.peers.forEachJob([this, now, &orphans, &contested](const std::string &id, const Peer &owner, bool hasRestarted) {
         const bool isOwned = registry_.find(id) != nullptr;
         if (isOwned && !hasRestarted && context_.peers.mayTakeWork(owner, now)) {
+            // Both daemons consider themselves the owner: the record decides.
             contested.push_back(id);
         } else if (!isOwned && (hasRestarted || hasLeft(owner, now)) && context_.peers.homeOf(id, now) == context_.settings.name) {
             orphans.push_back(id);
         }
     });
     for (const std::string &id : contested) {
-        // Both daemons consider themselves the owner: the record decides.
         if (nextCheckAt_.emplace(id, now + VERIFY_INTERVAL).second) {
-            verifyJob(id);
+            verifyAgain(id);
+        }
+    }
+    if (!hasContact) {
+        return;
+    }
+    retryVerifications(now);
+    if (isDraining_) {
+        return;
+    }
+    for (auto each = incompleteTakeovers_.begin(); each != incompleteTakeovers_.end();) {
+        const auto next = std::next(each);
+        if (each->second <= now) {
+            const std::string id = each->first;
+            incompleteTakeovers_.erase(each);
+            takeOver(id);
         }
+        each = next;
     }
     for (const std::string &id : orphans) {
         if (nextCheckAt_.emplace(id, now + RECONCILE_PERIOD).second) {
@@ -125,6 +136,43 @@
     }
 }
 
+auto JobTakeover::retryVerifications(BootTime now) -> void
+{
+    std::vector<std::string> due;
+    for (auto &[id, doubt] : unverified_) {
+        if (doubt.retryAt <= now) {
+            doubt.retryAt = now + VERIFY_RETRY_DELAY;
+            due.push_back(id);
+        }
+    }
+    for (const std::string &id : due) {
+        checkRecord(id);
+    }
+}
+
+auto JobTakeover::hearsOthers(BootTime now) -> bool
+{
+    if (now >= hearsOthersCheckAt_) {
+        hearsOthers_ = context_.peers.isHeard(now) && context_.peers.hasFullView(now);
+        hearsOthersCheckAt_ = now + HEARING_CHECK_INTERVAL;
+    }
+    return hearsOthers_;
+}
+
+auto JobTakeover::mayStartItems(const std::string &id) -> bool
+{
+    const BootTime now = BootClock::now();
+    const OwnedJob *job = registry_.find(id);
+    if (job == nullptr || unverified_.contains(id)) {
+        return false;
+    }
+    if (hearsOthers(now) || now - job->openAt() < OPEN_PROOF_TIME) {
+        return true;
+    }
+    readProof(id, [] {});
+    return false;
+}
+
 auto JobTakeover::hasLeft(const Peer &owner, BootTime now) const -> bool
 {
     return context_.peers.isGone(owner, now) || owner.isDraining || !owner.hasStoreContact;
@@ -164,7 +212,16 @@
 
 auto JobTakeover::verifyJob(const std::string &id) -> void
 {
-    if (unverified_.insert(id).second) {
+    if (!unverified_.contains(id)) {
+        verifyAgain(id);
+    }
+}
+
+auto JobTakeover::verifyAgain(const std::string &id) -> void
+{
+    if (registry_.find(id) != nullptr) {
+        const BootTime now = BootClock::now();
+        unverified_[id] = { now, now + VERIFY_RETRY_DELAY };
         checkRecord(id);
     }
 }
@@ -173,23 +230,37 @@
 {
     repository_.read(id, [this, id, sentAt = BootClock::now()](const absl::StatusOr<JobRecord> &record) {
         if (!record.ok() && !absl::IsNotFound(record.status())) {
-            // Retried by the next reconcile().
+            // Retried by retryVerifications().
             return;
         }
         if (!record.ok() || !isOwnRecord(*record)) {
             release(id);
-        } else if (OwnedJob *job = registry_.find(id)) {
-            job->setRecord(*record);
-            job->proveOwned(sentAt);
-            if (!record->isOpen()) {
-                runner_.stopJob(id);
-            }
+        } else if (registry_.find(id) != nullptr) {
+            applyOwnRecord(*record, sentAt);
             registry_.resumeCommits(id);
         }
-        unverified_.erase(id);
+        const auto doubt = unverified_.find(id);
+        if (doubt != unverified_.end() && doubt->second.since <= sentAt) {
+            unverified_.erase(doubt);
+        }
     });
 }
 
+auto JobTakeover::applyOwnRecord(const JobRecord &record, BootTime sentAt) -> void
+{
+    OwnedJob *job = registry_.find(record.id);
+    job->proveOwned(sentAt);
+    // A read that was sent before this daemon's own cancellation shows the job open.
+    if (record.version >= job->record().version && !registry_.isCancelling(record.id)) {
+        job->setRecord(record);
+    }
+    if (job->record().isOpen()) {
+        job->proveOpen(sentAt);
+    } else {
+        runner_.stopJob(record.id);
+    }
+}
+
 auto JobTakeover::proveOwnership(const std::string &id, std::function<void()> onEnd) -> void
 {
     OwnedJob *job = registry_.find(id);
@@ -201,6 +272,11 @@
         onEnd();
         return;
     }
+    readProof(id, std::move(onEnd));
+}
+
+auto JobTakeover::readProof(const std::string &id, std::function<void()> onEnd) -> void
+{
     auto &waiting = awaitingProof_[id];
     waiting.push_back(std::move(onEnd));
     if (waiting.size() > 1) {
@@ -209,7 +285,7 @@
     repository_.read(id, [this, id, sentAt = BootClock::now()](const absl::StatusOr<JobRecord> &record) {
         OwnedJob *owned = registry_.find(id);
         if (owned != nullptr && record.ok() && isOwnRecord(*record)) {
-            owned->proveOwned(sentAt);
+            applyOwnRecord(*record, sentAt);
         } else if (owned != nullptr) {
             EventLog::write("job_ownership_unproven", { { "job", id }, { "reason", record.status().message() } });
             verifyJob(id);
@@ -235,9 +311,6 @@
 
 auto JobTakeover::reconcile(bool allowsStale) -> void
 {
-    for (const std::string &id : std::set<std::string>(unverified_)) {
-        checkRecord(id);
-    }
     repository_.list(allowsStale, [this](const absl::StatusOr<std::vector<JobRecord>> &records) {
         if (!records.ok()) {
             return;
--- a/Source/Process/Batch/JobTakeover.h
+++ b/Source/Process/Batch/JobTakeover.h
@@ -27,16 +27,21 @@
     auto drain() -> void;
     /// Acts on the jobs that the latest reports of peers name: takes over those of daemons that are gone, draining or
     /// without contact to the store, if this daemon is the job's home, and verifies owned jobs that another daemon
-    /// reports as its own. Retries incomplete takeovers.
+    /// reports as its own or as cancelled. Retries incomplete takeovers and verifications.
     auto checkPeerReports() -> void;
     /// Ends this daemon's ownership of a job and returns the progress of its items, for the daemon that has taken it
     /// over. Empty when the job is not owned.
     auto handOver(const std::string &id) -> std::string;
+    /// Whether items of a job that is owned here may be sent to upstreams: unless another daemon may have cancelled it or taken
+    /// it over unnoticed. Reads the record when that is in doubt.
+    [[nodiscard]] auto mayStartItems(const std::string &id) -> bool;
     /// Reads the records of all owned jobs again; until then their ownership is unverified. Call when other daemons may
     /// have taken over jobs unnoticed, for example while this one was suspended.
     auto verifyOwnership() -> void;
     /// As verifyOwnership(), for one job.
     auto verifyJob(const std::string &id) -> void;
+    /// As verifyJob(), also if a read of the record is under way, which may predate a change that is known to have happened.
+    auto verifyAgain(const std::string &id) -> void;
     /// Whether this daemon may answer for a job that it owns: the ownership is verified, there is contact to the store,
     /// and the daemon is not draining.
     [[nodiscard]] auto mayActAsOwner(const std::string &id) const -> bool;
@@ -75,6 +80,14 @@
                           const std::string &progress) -> void;
     /// Reads the record, even if another read is in flight; verifies the ownership or releases the job.
     auto checkRecord(const std::string &id) -> void;
+    /// Applies a record that names this daemon as the owner, read by a call that was sent at that time.
+    auto applyOwnRecord(const JobRecord &record, BootTime sentAt) -> void;
+    /// Reads the record as a proof of ownership; callers that wait for the same job share the read.
+    auto readProof(const std::string &id, std::function<void()> onEnd) -> void;
+    /// Whether all other daemons that act on a job would be heard here within a moment.
+    [[nodiscard]] auto hearsOthers(BootTime now) -> bool;
+    /// Reads the records of jobs in doubt again, if the store has not answered in time.
+    auto retryVerifications(BootTime now) -> void;
     /// Stops the attempts of a job that another daemon owns now, and drops it from the registry.
     auto release(const std::string &id) -> void;
     /// Schedules the retry of a takeover that failed after the claim.
@@ -87,14 +100,24 @@
     JobRunner &runner_;
     BootTime startedAt_;
     std::set<std::string> takingOver_;
-    std::set<std::string> unverified_;
-    /// Callers of proveOwnership() that wait for a read of the record, by job.
+    struct Doubt
+    {
+        BootTime since;
+        /// When the record is read again if the store has not answered by then.
+        BootTime retryAt;
+    };
+
+    /// Jobs in doubt until a read of their record that was sent later.
+    std::map<std::string, Doubt> unverified_;
+    /// Callers of readProof() that wait for a read of the record, by job.
     std::map<std::string, std::vector<std::function<void()>>> awaitingProof_;
     /// Jobs that were verified or taken over because a peer's report named them, and when a report may cause it again.
     std::map<std::string, BootTime> nextCheckAt_;
     /// Jobs whose record this daemon has claimed but which it could not load, and when the takeover is retried.
     std::map<std::string, BootTime> incompleteTakeovers_;
     bool isDraining_ = false;
+    bool hearsOthers_ = false;
+    BootTime hearsOthersCheckAt_;
     bool hadContact_ = true;
     BootTime contactLostAt_;
     Timer reconcileTimer_;
--- a/Source/Process/Batch/OwnedJob.cpp
+++ b/Source/Process/Batch/OwnedJob.cpp
@@ -41,6 +41,16 @@
     return provenAt_;
 }
 
+auto OwnedJob::proveOpen(BootTime at) -> void
+{
+    openAt_ = std::max(openAt_, at);
+}
+
+auto OwnedJob::openAt() const -> BootTime
+{
+    return openAt_;
+}
+
 auto OwnedJob::ownedSince() const -> BootTime
 {
     return ownedSince_;
--- a/Source/Process/Batch/OwnedJob.h
+++ b/Source/Process/Batch/OwnedJob.h
@@ -51,6 +51,10 @@
     auto proveOwned(BootTime at) -> void;
     /// The latest time passed to proveOwned().
     [[nodiscard]] auto provenAt() const -> BootTime;
+    /// Records that the store has shown the job to be open at that time: when a read of the record was sent.
+    auto proveOpen(BootTime at) -> void;
+    /// The latest time passed to proveOpen().
+    [[nodiscard]] auto openAt() const -> BootTime;
     /// When this object was made, right after the job was accepted or taken over here.
     [[nodiscard]] auto ownedSince() const -> BootTime;
     auto setRecord(JobRecord record) -> void;
@@ -86,6 +90,7 @@
 
     JobRecord record_;
     BootTime provenAt_;
+    BootTime openAt_;
     BootTime ownedSince_;
     std::vector<ItemProgress> items_;
     std::map<std::string, std::size_t> indexOf_;
--- a/Source/Process/FrontDaemon.cpp
+++ b/Source/Process/FrontDaemon.cpp
@@ -222,6 +222,7 @@
     report.work = directory_.ownWork();
     report.demand = allowances_.demand(now);
     report.crashes = crashes_.crashes(now);
+    report.cancelledJobs = peers_.ownCancellations(now);
     book_.forEach([this, now, &report](const std::string &id, const OwnedJob &job) {
         const bool isNew = now - job.ownedSince() < ANNOUNCEMENT_TIME;
         if ((isStopping_ || (isNew && adoption_.mayActAsOwner(id))) && report.jobs.size() < MAXIMUM_ANNOUNCEMENTS) {
--- a/Source/Process/Peers/DaemonReport.cpp
+++ b/Source/Process/Peers/DaemonReport.cpp
@@ -43,6 +43,13 @@
     }
 }
 
+auto appendCancelledJobs(std::string &text, const std::vector<std::string> &jobs) -> void
+{
+    for (const std::string &job : jobs) {
+        absl::StrAppend(&text, "\nx ", job);
+    }
+}
+
 auto flag(bool value) -> int
 {
     return value ? 1 : 0;
@@ -66,6 +73,7 @@
         for (const std::string &job : report.jobs) {
             absl::StrAppend(&text, "\nj ", job);
         }
+        appendCancelledJobs(text, report.cancelledJobs);
         return text;
     }
 
@@ -77,6 +85,7 @@
         std::string text = absl::StrJoin(head, " ");
         appendLoad(text, digest);
         appendJobs(text, digest.jobs);
+        appendCancelledJobs(text, digest.cancelledJobs);
         return text;
     }
 
@@ -96,6 +105,7 @@
         }
         appendLoad(text, summary);
         appendJobs(text, summary.jobs);
+        appendCancelledJobs(text, summary.cancelledJobs);
         return text;
     }
 
@@ -176,18 +186,24 @@
     return true;
 }
 
-auto parseLine(DaemonReport &report, const Words &words) -> bool
+/// Parses a line with the name of one job.
+auto parseJob(std::vector<std::string> &jobs, const char *tag, const Words &words) -> bool
 {
-    if (words.size() == 2 && words[0] == "j") {
-        report.jobs.emplace_back(words[1]);
-        return true;
+    if (words.size() != 2 || words[0] != tag) {
+        return false;
     }
-    return parseLoadLine(report, words);
+    jobs.emplace_back(words[1]);
+    return true;
+}
+
+auto parseLine(DaemonReport &report, const Words &words) -> bool
+{
+    return parseJob(report.jobs, "j", words) || parseJob(report.cancelledJobs, "x", words) || parseLoadLine(report, words);
 }
 
 auto parseLine(DataCentreDigest &digest, const Words &words) -> bool
 {
-    return parseJobOwner(digest.jobs, words) || parseLoadLine(digest, words);
+    return parseJobOwner(digest.jobs, words) || parseJob(digest.cancelledJobs, "x", words) || parseLoadLine(digest, words);
 }
 
 auto parseLine(FleetSummary &summary, const Words &words) -> bool
@@ -201,7 +217,7 @@
         summary.rosters.push_back(std::move(state));
         return isValid;
     }
-    return parseJobOwner(summary.jobs, words) || parseLoadLine(summary, words);
+    return parseJobOwner(summary.jobs, words) || parseJob(summary.cancelledJobs, "x", words) || parseLoadLine(summary, words);
 }
 
 auto parseLine(Roster &roster, const Words &words) -> bool
--- a/Source/Process/Peers/DaemonReport.h
+++ b/Source/Process/Peers/DaemonReport.h
@@ -54,6 +54,8 @@
     bool isToBackup = false;
     /// Jobs that the daemon has come to own a short time ago; all of its jobs while it is draining.
     std::vector<std::string> jobs;
+    /// Jobs that the daemon has recently cancelled in the store without their owner.
+    std::vector<std::string> cancelledJobs;
 
     auto operator==(const DaemonReport &) const -> bool = default;
 };
@@ -103,6 +105,8 @@
     std::uint64_t rosterVersion = 0;
     /// Jobs of daemons of this data centre that have recently got a new owner.
     std::vector<JobOwner> jobs;
+    /// Jobs that daemons of this data centre have recently cancelled in the store.
+    std::vector<std::string> cancelledJobs;
 
     auto operator==(const DataCentreDigest &) const -> bool = default;
 };
@@ -143,6 +147,7 @@
     FreshnessState freshness;
     std::vector<RosterState> rosters;
     std::vector<JobOwner> jobs;
+    std::vector<std::string> cancelledJobs;
 
     auto operator==(const FleetSummary &) const -> bool = default;
 };
--- a/Source/Process/Peers/PeerDirectory.cpp
+++ b/Source/Process/Peers/PeerDirectory.cpp
@@ -37,6 +37,8 @@
 /// Announcements are kept while callers read the results, as many as a fleet at its target size needs.
 constexpr std::chrono::seconds ANNOUNCEMENT_RETENTION { 60 };
 constexpr std::size_t MAXIMUM_ANNOUNCEMENTS = 10000;
+/// Cancellations without the owner are rare; more than these do not fit a datagram beside the sums.
+constexpr std::size_t MAXIMUM_SENT_CANCELLATIONS = 200;
 /// How long selections that many requests repeat are reused.
 constexpr Milliseconds HOME_CACHE_TIME { 250 };
 constexpr Milliseconds RELAY_CACHE_TIME { 100 };
@@ -146,6 +148,7 @@
         jobs.push_back({ job, report.name });
     }
     addAnnouncements(jobs, Source::Report, now);
+    addCancellations(report.cancelledJobs, Source::Report, now);
     return true;
 }
 
@@ -177,6 +180,7 @@
         return false;
     }
     addAnnouncements(digest.jobs, Source::Digest, now);
+    addCancellations(digest.cancelledJobs, Source::Digest, now);
     if (!isPreferred(digestSenders_, digest.dataCentre, digest.sender, now)) {
         return false;
     }
@@ -201,6 +205,7 @@
         }
     }
     addAnnouncements(summary.jobs, Source::Summary, now);
+    addCancellations(summary.cancelledJobs, Source::Summary, now);
     const bool isServing = isFirstRelay(now) && !reporters(now).empty();
     if (isServing || !isPreferred(summarySenders_, ownDataCentre_, summary.sender, now)) {
         return false;
@@ -255,6 +260,12 @@
 
 auto PeerDirectory::recordOwnReport(const DaemonReport &report, BootTime now) -> void
 {
+    // A daemon that has passed this one over reports to it only now and then.
+    const auto settlingTime = static_cast<std::int64_t>(PROBE_REPORTS + 1) * reportPeriod();
+    if (now - lastOwnReportAt_ > settlingTime) {
+        settledAt_ = now + settlingTime;
+    }
+    lastOwnReportAt_ = now;
     load_.recordOwnReport(report, now);
 }
 
@@ -286,13 +297,65 @@
     return jobs;
 }
 
+auto PeerDirectory::announceCancellation(const std::string &job, BootTime now) -> void
+{
+    cancellations_[job] = { now, Source::Own };
+}
+
+auto PeerDirectory::addCancellations(const std::vector<std::string> &jobs, Source source, BootTime now) -> void
+{
+    for (const std::string &job : jobs) {
+        const auto known = cancellations_.find(job);
+        // What was heard at first hand, or announced here, also comes back from a relay.
+        if (known == cancellations_.end() || source <= known->second.source) {
+            cancellations_[job] = { now, source };
+        }
+    }
+}
+
+auto PeerDirectory::recentCancellations(Source firstSource, Source lastSource, BootTime now) const -> std::vector<std::string>
+{
+    std::vector<std::string> jobs;
+    for (const auto &[job, cancellation] : cancellations_) {
+        const bool isFromThere = cancellation.source >= firstSource && cancellation.source <= lastSource;
+        if (isFromThere && now - cancellation.heardAt < ANNOUNCEMENT_TIME && jobs.size() < MAXIMUM_SENT_CANCELLATIONS) {
+            jobs.push_back(job);
+        }
+    }
+    return jobs;
+}
+
+auto PeerDirectory::ownCancellations(BootTime now) const -> std::vector<std::string>
+{
+    return recentCancellations(Source::Own, Source::Own, now);
+}
+
+auto PeerDirectory::cancelledJobs() const -> std::vector<std::string>
+{
+    std::vector<std::string> jobs;
+    for (const auto &[job, cancellation] : cancellations_) {
+        if (cancellation.source != Source::Own) {
+            jobs.push_back(job);
+        }
+    }
+    return jobs;
+}
+
 auto PeerDirectory::removeExpired(BootTime now) -> void
 {
-    std::erase_if(announcements_, [now](const auto &each) { return now - each.second.heardAt > ANNOUNCEMENT_RETENTION; });
+    const auto isOld = [now](BootTime heardAt) {
+        return now - heardAt > ANNOUNCEMENT_RETENTION;
+    };
+    std::erase_if(cancellations_, [&isOld](const auto &each) { return isOld(each.second.heardAt); });
+    std::erase_if(digestSenders_, [&isOld](const auto &each) { return isOld(each.second.heardAt); });
+    std::erase_if(summarySenders_, [&isOld](const auto &each) { return isOld(each.second.heardAt); });
+    std::erase_if(relayStates_,
+                  [&isOld](const auto &each) { return isOld(each.second.lastTargetedAt) && isOld(each.second.lastSummaryAt); });
+    std::erase_if(announcements_, [&isOld](const auto &each) { return isOld(each.second.heardAt); });
     while (announcements_.size() > MAXIMUM_ANNOUNCEMENTS) {
         announcements_.erase(announcements_.begin());
     }
-    std::erase_if(reporters_, [now](const auto &each) { return now - each.second.heardAt > ANNOUNCEMENT_RETENTION; });
+    std::erase_if(reporters_, [&isOld](const auto &each) { return isOld(each.second.heardAt); });
 }
 
 auto PeerDirectory::ownRoster(const DaemonReport &own, const std::string &ownAddress, BootTime now) const -> Roster
@@ -344,6 +407,7 @@
     digest.incarnation = own.incarnation;
     digest.rosterVersion = ownRoster(own, ownAddress, now).version;
     digest.jobs = recentAnnouncements(Source::Report, now);
+    digest.cancelledJobs = recentCancellations(Source::Own, Source::Report, now);
     for (const std::string &job : own.jobs) {
         digest.jobs.push_back({ job, ownName_ });
     }
@@ -363,6 +427,7 @@
         }
     }
     summary.jobs = recentAnnouncements(Source::Digest, now);
+    summary.cancelledJobs = recentCancellations(Source::Own, Source::Digest, now);
     for (const std::string &job : own.jobs) {
         summary.jobs.push_back({ job, ownName_ });
     }
@@ -433,6 +498,16 @@
     return std::find(relays.begin(), relays.end(), ownName_) != relays.end();
 }
 
+auto PeerDirectory::isSettled(BootTime now) const -> bool
+{
+    return now >= settledAt_;
+}
+
+auto PeerDirectory::hasOtherRelay(BootTime now) const -> bool
+{
+    return relaysOf(ownDataCentre_, now) != std::vector<std::string> { ownName_ };
+}
+
 auto PeerDirectory::isFirstRelay(BootTime now) const -> bool
 {
     return relaysOf(ownDataCentre_, now).front() == ownName_;
--- a/Source/Process/Peers/PeerDirectory.h
+++ b/Source/Process/Peers/PeerDirectory.h
@@ -84,6 +84,11 @@
     [[nodiscard]] auto relaysOf(const std::string &dataCentre, BootTime now) const -> std::vector<std::string>;
     /// Whether this daemon is one of the relays of its data centre.
     [[nodiscard]] auto isRelay(BootTime now) const -> bool;
+    /// Whether this daemon has been reporting for long enough to have heard, as a relay, all that report to it. After a start or
+    /// a pause it has not; until then it sends neither digests nor summaries, which would leave the others out.
+    [[nodiscard]] auto isSettled(BootTime now) const -> bool;
+    /// Whether another daemon is a relay of this data centre.
+    [[nodiscard]] auto hasOtherRelay(BootTime now) const -> bool;
     /// Whether it is the first one, which answers the others. The second relay takes part in the first one's summaries like
     /// any other daemon.
     [[nodiscard]] auto isFirstRelay(BootTime now) const -> bool;
@@ -149,7 +154,13 @@
     /// Calls "visit" for each job that another daemon has announced some time ago, and tells whether that daemon has started
     /// again since.
     auto forEachJob(const std::function<void(const std::string &job, const Peer &owner, bool hasRestarted)> &visit) const -> void;
-    /// Forgets announcements that are too old to matter.
+    /// Tells the others that this daemon has cancelled a job in the store, which its owner may not know.
+    auto announceCancellation(const std::string &job, BootTime now) -> void;
+    /// What this daemon has announced a short time ago, for its reports.
+    [[nodiscard]] auto ownCancellations(BootTime now) const -> std::vector<std::string>;
+    /// Jobs that other daemons have recently cancelled in the store.
+    [[nodiscard]] auto cancelledJobs() const -> std::vector<std::string>;
+    /// Forgets announcements and senders that are too old to matter.
     auto removeExpired(BootTime now) -> void;
 
     /// The daemon that holds a team's bucket, selected from all daemons whose demand counts. A daemon that was not seen for
@@ -203,6 +214,7 @@
     /// By what an announcement arrived. Those from summaries are not passed on, since they would circulate.
     enum class Source
     {
+        Own,
         Report,
         Digest,
         Summary,
@@ -215,6 +227,11 @@
         BootTime heardAt;
         Source source = Source::Report;
     };
+    struct Cancellation
+    {
+        BootTime heardAt;
+        Source source = Source::Own;
+    };
     struct CachedHome
     {
         std::string home;
@@ -243,6 +260,8 @@
     [[nodiscard]] static auto hasRestarted(const JobAnnouncement &announcement, const Peer &owner) -> bool;
     auto addAnnouncements(const std::vector<JobOwner> &jobs, Source source, BootTime now) -> void;
     [[nodiscard]] auto recentAnnouncements(Source lastSource, BootTime now) const -> std::vector<JobOwner>;
+    auto addCancellations(const std::vector<std::string> &jobs, Source source, BootTime now) -> void;
+    [[nodiscard]] auto recentCancellations(Source firstSource, Source lastSource, BootTime now) const -> std::vector<std::string>;
     [[nodiscard]] auto ownRoster(const DaemonReport &own, const std::string &ownAddress, BootTime now) const -> Roster;
     [[nodiscard]] auto mayRelay(const Peer &peer, BootTime now) const -> bool;
     [[nodiscard]] auto isPassedOver(const std::string &name, BootTime now) const -> bool;
@@ -269,6 +288,9 @@
     std::uint64_t reportCount_ = 0;
     std::map<std::string, ReporterState> reporters_;
     std::map<std::string, JobAnnouncement> announcements_;
+    std::map<std::string, Cancellation> cancellations_;
+    BootTime lastOwnReportAt_;
+    BootTime settledAt_;
     mutable std::map<std::string, CachedHome> allowanceHomes_;
     mutable std::map<std::string, CachedRelays> relays_;
 };
--- a/Source/Process/Peers/PeerLink.cpp
+++ b/Source/Process/Peers/PeerLink.cpp
@@ -171,7 +171,7 @@
 {
     const BootTime now = BootClock::now();
     const std::vector<std::string> targets = directory_.digestTargets(++digestTick_, now);
-    if (targets.empty()) {
+    if (targets.empty() || !directory_.isSettled(now)) {
         return;
     }
     DataCentreDigest digest = directory_.makeDigest(makeReport(), identity_.address, now);
@@ -196,7 +196,7 @@
     const bool isBackupTick = ++summaryTick_ % static_cast<std::uint64_t>(directory_.backupSummaryTicks()) == 0;
     std::vector<PeerDirectory::Reporter> reporters = directory_.reporters(now);
     std::erase_if(reporters, [isBackupTick](const PeerDirectory::Reporter &each) { return each.isToBackup && !isBackupTick; });
-    if (reporters.empty()) {
+    if (reporters.empty() || !directory_.isSettled(now)) {
         return;
     }
     FleetSummary summary = directory_.makeSummary(makeReport(), identity_.address, now);
--- a/Tests/Connection/JobServiceTest.cpp
+++ b/Tests/Connection/JobServiceTest.cpp
@@ -1,3 +1,7 @@
+#include "Connection/Io/DatagramSocket.h"
+#include "Process/Json.h"
+#include "Process/Peers/DaemonReport.h"
+#include "Support/FreePort.h"
 #include "Support/PlatformFleet.h"
 #include "platform/Adapter.h"
 
@@ -38,6 +42,85 @@
     return { method, target, PlatformFleet::request("", "r", key).headers, {} };
 }
 
+/// Time after which nothing of a cancelled job may reach an upstream.
+constexpr Milliseconds CANCEL_BOUND { 3000 };
+
+auto storedRecord(PlatformFleet &fleet, const std::string &job) -> JobRecord
+{
+    const auto record = jobRecordFrom({ "jobs", job, 1, {}, fleet.store.specOf("jobs", job) });
+    BOOST_REQUIRE(record.ok());
+    return *record;
+}
+
+/// Many daemons that report to the first daemon of a fleet as their relay, and answer nothing: a large fleet around it.
+class StrangeDaemons
+{
+public:
+    static constexpr const char *INCARNATION = "i1";
+
+    explicit StrangeDaemons(PlatformFleet &fleet)
+        : fleet_(fleet)
+        , address_(absl::StrCat("127.0.0.1:", freePort()))
+    {
+        auto socket
+            = DatagramSocket::open(fleet.loop, address_, [this](const std::string & /*sender*/, std::string_view text) { handle(text); });
+        BOOST_REQUIRE(socket.ok());
+        socket_ = *std::move(socket);
+        const auto spec = Json::parseObject(fleet.store.specOf("members", "daemon0"));
+        relay_ = *Json::requireString(**spec, "peers");
+        timer_ = fleet.loop.every(Milliseconds(100), [this] { report(); });
+        fleet_.runFor(Milliseconds(500));
+    }
+
+    static auto nameOf(int index) -> std::string
+    {
+        return absl::StrCat("strange", index);
+    }
+
+    [[nodiscard]] auto address() const -> std::string
+    {
+        return address_;
+    }
+
+    [[nodiscard]] auto cancelledJobs() const -> const std::set<std::string> &
+    {
+        return cancelledJobs_;
+    }
+
+private:
+    auto report() -> void
+    {
+        constexpr int COUNT = 100;
+        ++sequence_;
+        for (int index = 0; index < COUNT; ++index) {
+            DaemonReport report;
+            report.name = nameOf(index);
+            report.dataCentre = "east-a";
+            report.incarnation = INCARNATION;
+            report.sequence = sequence_;
+            report.capacity = 0;
+            socket_->sendTo(relay_, encodePeerMessage(report));
+        }
+    }
+
+    auto handle(std::string_view text) -> void
+    {
+        const auto message = decodePeerMessage(text);
+        const auto *summary = message.ok() ? std::get_if<FleetSummary>(&*message) : nullptr;
+        if (summary != nullptr) {
+            cancelledJobs_.insert(summary->cancelledJobs.begin(), summary->cancelledJobs.end());
+        }
+    }
+
+    PlatformFleet &fleet_;
+    const std::string address_;
+    std::string relay_;
+    std::unique_ptr<DatagramSocket> socket_;
+    std::uint64_t sequence_ = 0;
+    std::set<std::string> cancelledJobs_;
+    Timer timer_;
+};
+
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(JobServiceSuite)
@@ -184,6 +267,77 @@
     BOOST_TEST(fleet.engines[0]->runs().size() == runs);
 }
 
+// Guards against items that go on for long because their job was cancelled in the store, and the owner does not hear the
+// daemon that did it. In a large fleet, daemons seldom list the records.
+BOOST_AUTO_TEST_CASE(AJobThatWasCancelledUnnoticedStops)
+{
+    constexpr int ENGINES = 6;
+    PlatformFleet fleet(1, ENGINES);
+    StrangeDaemons others(fleet);
+    // The first list of the records has been made, and the next one is planned for the large fleet.
+    fleet.runFor(Milliseconds(3000));
+    BOOST_TEST(fleet.call(0, PlatformFleet::submission("j15", 200, "key1"))->status == 202);
+    const auto runs = [&fleet] {
+        std::size_t count = 0;
+        for (const auto &engine : fleet.engines) {
+            count += engine->runs().size();
+        }
+        return count;
+    };
+    BOOST_REQUIRE(fleet.runUntil([&runs] { return runs() > 3; }, RUN_TIME));
+    JobRecord record = storedRecord(fleet, "j15");
+    record.isCancelled = true;
+    fleet.store.put("jobs", "j15", toStored(record).spec);
+    fleet.runFor(CANCEL_BOUND);
+    const std::size_t runsAtBound = runs();
+    fleet.runFor(Milliseconds(2000));
+    BOOST_TEST(runs() == runsAtBound);
+}
+
+// Guards against an owner that is told and does not look.
+BOOST_AUTO_TEST_CASE(AnOwnerThatIsToldOfACancellationStops)
+{
+    PlatformFleet fleet(2, 1);
+    fleet.engines[0]->behaviour().events = 1000;
+    fleet.engines[0]->behaviour().eventPause = Milliseconds(10);
+    BOOST_TEST(fleet.call(0, PlatformFleet::submission("j16", 30, "key1"))->status == 202);
+    fleet.runFor(Milliseconds(400));
+    JobRecord record = storedRecord(fleet, "j16");
+    record.isCancelled = true;
+    fleet.store.put("jobs", "j16", toStored(record).spec);
+    const auto told = fleet.callAddress(record.ownerAddress, { "POST", "/cancelled/j16", {}, {} });
+    BOOST_REQUIRE(told.has_value());
+    BOOST_TEST(told->status == 200);
+    fleet.runFor(Milliseconds(200));
+    for (const FakeEngine::Run &run : fleet.engines[0]->runs()) {
+        BOOST_TEST(run.isCut);
+    }
+}
+
+// Guards against a cancellation that only the store knows: the owner does not answer, but may still run items.
+BOOST_AUTO_TEST_CASE(ACancellationWithoutTheOwnerIsAnnounced)
+{
+    PlatformFleet fleet(1, 1);
+    StrangeDaemons others(fleet);
+    JobRecord record;
+    record.id = "j17";
+    record.team = "weavers";
+    record.host = "shop";
+    record.prefix = "/batch/";
+    record.owner = StrangeDaemons::nameOf(3);
+    record.ownerIncarnation = StrangeDaemons::INCARNATION;
+    record.ownerAddress = others.address();
+    record.submittedAt = WallClock::now();
+    record.dueAt = record.submittedAt + std::chrono::minutes(1);
+    record.giveUpAt = record.dueAt;
+    record.itemCount = 1;
+    fleet.store.put("jobs", "j17", toStored(record).spec);
+    // Not confirmed: neither the owner nor a relay has told that it heard.
+    BOOST_TEST(fleet.call(0, callOn("DELETE", "/-/lots/j17", "key1"))->status == 503);
+    BOOST_TEST(storedRecord(fleet, "j17").isCancelled);
+    BOOST_TEST(fleet.runUntil([&others] { return others.cancelledJobs().contains("j17"); }, Milliseconds(1000)));
+}
+
 // Guards against a job that stays undone, or whose listed results change, when its daemon is killed.
 BOOST_AUTO_TEST_CASE(AJobOfAKilledDaemonIsTakenOver)
 {
--- a/Tests/Process/PeerDirectoryTest.cpp
+++ b/Tests/Process/PeerDirectoryTest.cpp
@@ -63,6 +63,7 @@
     report.isDraining = true;
     report.hasStoreContact = false;
     report.isToBackup = true;
+    report.cancelledJobs = { "job2", "job3" };
     BOOST_TEST(survives(report));
     DataCentreDigest digest;
     static_cast<LoadSums &>(digest) = report;
@@ -72,6 +73,7 @@
     digest.sequence = 9;
     digest.rosterVersion = 77;
     digest.jobs = { { "job1", "daemon-b" } };
+    digest.cancelledJobs = { "job2" };
     BOOST_TEST(survives(digest));
     FleetSummary summary;
     static_cast<LoadSums &>(summary) = report;
@@ -82,6 +84,7 @@
     summary.freshness = { 5, Milliseconds(4), 3 };
     summary.rosters = { { "east-a", 77, Milliseconds(2) } };
     summary.jobs = { { "job1", "daemon-b" } };
+    summary.cancelledJobs = { "job2" };
     BOOST_TEST(survives(summary));
     BOOST_TEST(
         survives(Roster { "east-a", 77, { { "daemon-a", "1:1", "i1", 9, true, false }, { "daemon-b", "1:2", "i2", 50, false, true } } }));
@@ -198,6 +201,29 @@
     BOOST_TEST(fleet.views.at("c0").ownerOf("job1", fleet.now()) == nullptr);
 }
 
+// Guards against an owner that does not learn that another daemon has cancelled its job, and against announcements that
+// circulate among the relays.
+BOOST_AUTO_TEST_CASE(ACancellationReachesAllDaemons)
+{
+    DirectoryFleet fleet(THREE, 4, NOW);
+    fleet.run(SETTLED);
+    const std::string relay = fleet.views.at("a0").relaysOf("a", fleet.now()).front();
+    const std::string leaf = relay == "a0" ? "a1" : "a0";
+    for (const std::string &sender : { relay, leaf }) {
+        fleet.views.at(sender).announceCancellation("job of " + sender, fleet.now());
+        fleet.run(Milliseconds(1000));
+        for (const auto &[name, view] : fleet.views) {
+            const std::vector<std::string> known = view.cancelledJobs();
+            const bool isKnown = std::find(known.begin(), known.end(), "job of " + sender) != known.end();
+            BOOST_TEST(isKnown == (name != sender), name << " about the job of " << sender);
+        }
+    }
+    fleet.run(SETTLED);
+    for (const auto &[name, view] : fleet.views) {
+        BOOST_TEST(view.makeSummary(fleet.reports[name], name, fleet.now()).cancelledJobs.empty(), name);
+    }
+}
+
 // Guards against work that is counted twice because two relays report it, or not at all because it is in another data
 // centre, and against a daemon that counts its own work as that of others. Load pattern: all daemons send work to shared
 // upstreams.
@@ -421,6 +447,35 @@
     }
 }
 
+// Guards against daemons that are found gone because the first relay, killed and started again before anybody missed it, or
+// frozen for that long, speaks for its data centre before it has heard it.
+BOOST_AUTO_TEST_CASE(ARelayThatIsBackAtOnceLeavesNobodyOut)
+{
+    for (const bool isRestarted : { true, false }) {
+        DirectoryFleet fleet = loadedFleet(20);
+        const std::string relay = fleet.views.at("a0").relaysOf("a", fleet.now()).front();
+        const PeerDirectory frozen = fleet.views.at(relay);
+        fleet.views.erase(relay);
+        fleet.run(Milliseconds(1000));
+        if (isRestarted) {
+            fleet.add(relay, "a", 1);
+            fleet.reports[relay].incarnation = "i2";
+        } else {
+            fleet.views.emplace(relay, frozen);
+        }
+        for (int step = 0; step < 40; ++step) {
+            fleet.run(PeerDirectory::DIGEST_PERIOD);
+            for (const auto &[name, view] : fleet.views) {
+                const auto isLost = [&view = view, &fleet, &relay](const auto &each) {
+                    return each.first != relay && view.isGone(each.second, fleet.now());
+                };
+                BOOST_TEST(std::none_of(view.peers().begin(), view.peers().end(), isLost),
+                           name << " lost a daemon in step " << step << (isRestarted ? " of the restart" : " of the pause"));
+            }
+        }
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace poplardock
--- a/Tests/Support/DirectoryFleet.cpp
+++ b/Tests/Support/DirectoryFleet.cpp
@@ -70,6 +70,7 @@
     PeerDirectory &view = views.at(name);
     DaemonReport report = reports[name];
     report.sequence = tick_;
+    report.cancelledJobs = view.ownCancellations(now_);
     view.recordOwnReport(report, now_);
     const std::vector<std::string> relays = view.relaysOf(report.dataCentre, now_);
     for (const Peer *peer : view.reportTargets(now_)) {
@@ -82,6 +83,9 @@
 
 auto DirectoryFleet::sendDigest(const std::string &name) -> void
 {
+    if (!views.at(name).isSettled(now_)) {
+        return;
+    }
     DataCentreDigest digest = views.at(name).makeDigest(reports[name], name, now_);
     digest.sequence = tick_;
     for (const std::string &target : views.at(name).digestTargets(tick_, now_)) {
@@ -94,6 +98,9 @@
 auto DirectoryFleet::sendSummaries(const std::string &name) -> void
 {
     const PeerDirectory &view = views.at(name);
+    if (!view.isSettled(now_)) {
+        return;
+    }
     const bool isBackupTick = tick_ % static_cast<std::uint64_t>(view.backupSummaryTicks()) == 0;
     for (const PeerDirectory::Reporter &reporter : view.reporters(now_)) {
         if (reporter.isToBackup && !isBackupTick) {
