Read an event once however many pieces it arrives in, and confirm rosters without lookups

The first is a fault of the code: with each piece of an unfinished event the splitter parsed the whole event again, so an event of 1 MB in 16 KB pieces was read 32 times over. The second: each summary looked up all daemons of all rosters by name, the ranking of relays hashed all of them again, and the test's fleet made digests and summaries that nobody received. Change: the splitter keeps what it has parsed; a known roster keeps its peers; the relays' scores are kept with the peers and the two best are selected in one pass; the test's fleet makes one summary for all, as PeerLink does.

--- a/Source/Process/Peers/PeerDirectory.cpp
+++ b/Source/Process/Peers/PeerDirectory.cpp
@@ -6,6 +6,7 @@
 #include <absl/strings/str_cat.h>
 
 #include <algorithm>
+#include <tuple>
 
 namespace poplardock {
 
@@ -44,6 +45,11 @@
 constexpr Milliseconds RELAY_CACHE_TIME { 100 };
 constexpr std::size_t MAXIMUM_CACHED_HOMES = 10000;
 
+auto relayScoreOf(const std::string &name, const std::string &dataCentre) -> double
+{
+    return rendezvousScore(name, "relay of " + dataCentre, 1);
+}
+
 auto versionOf(const std::vector<RosterEntry> &entries) -> std::uint64_t
 {
     std::string text;
@@ -60,6 +66,7 @@
     : ownName_(std::move(ownName))
     , ownDataCentre_(std::move(ownDataCentre))
     , ownCapacity_(ownCapacity)
+    , ownRelayScore_(relayScoreOf(ownName_, ownDataCentre_))
 {
 }
 
@@ -81,6 +88,7 @@
         peer.name = name;
         peer.address = address;
         peer.dataCentre = dataCentre;
+        peer.relayScore = relayScoreOf(name, dataCentre);
         peer.capacity = capacity;
         peer.addedAt = now;
         handleChange();
@@ -120,6 +128,9 @@
     if (isNew) {
         peer.addedAt = seenAt;
     }
+    if (isNew || before.dataCentre != dataCentre) {
+        peer.relayScore = relayScoreOf(entry.name, dataCentre);
+    }
     const bool isChanged = isNew || before.dataCentre != peer.dataCentre || before.capacity != peer.capacity
                            || before.isDraining != peer.isDraining || before.incarnation != peer.incarnation || before.isUnlisted;
     peer.lastSeenAt = std::max(peer.lastSeenAt, seenAt);
@@ -227,10 +238,10 @@
     }
     missingRosters_.erase(dataCentre);
     known->second.confirmedAt = std::max(known->second.confirmedAt, confirmedAt);
-    for (const RosterEntry &entry : known->second.roster.entries) {
-        const auto peer = peers_.find(entry.name);
-        if (peer != peers_.end() && peer->second.incarnation == entry.incarnation) {
-            peer->second.lastSeenAt = std::max(peer->second.lastSeenAt, confirmedAt);
+    for (std::size_t index = 0; index < known->second.peers.size(); ++index) {
+        Peer *peer = known->second.peers[index];
+        if (peer != nullptr && peer->incarnation == known->second.roster.entries[index].incarnation) {
+            peer->lastSeenAt = std::max(peer->lastSeenAt, confirmedAt);
         }
     }
 }
@@ -243,9 +254,12 @@
     }
     missingRosters_.erase(missing);
     std::set<std::string> listed;
+    std::vector<Peer *> listedPeers;
     for (const RosterEntry &entry : roster.entries) {
         listed.insert(entry.name);
         applyEntry(roster.dataCentre, entry, now);
+        const auto peer = peers_.find(entry.name);
+        listedPeers.push_back(peer == peers_.end() ? nullptr : &peer->second);
     }
     for (auto &[name, peer] : peers_) {
         const bool isDropped = peer.dataCentre == roster.dataCentre && !peer.incarnation.empty() && !listed.contains(name);
@@ -254,7 +268,7 @@
             handleChange();
         }
     }
-    rosters_[roster.dataCentre] = { roster, now };
+    rosters_[roster.dataCentre] = { roster, std::move(listedPeers), now };
     return true;
 }
 
@@ -452,33 +466,40 @@
 {
     struct Candidate
     {
-        bool mayRelay;
-        int capacity;
-        double score;
-        std::string name;
+        bool mayRelay = false;
+        int capacity = 0;
+        double score = 0;
+        const std::string *name = nullptr;
+
+        [[nodiscard]] auto isBetterThan(const Candidate &other) const -> bool
+        {
+            return other.name == nullptr || std::tie(mayRelay, capacity, score) > std::tie(other.mayRelay, other.capacity, other.score);
+        }
+    };
+    Candidate first;
+    Candidate second;
+    const auto add = [&first, &second](const Candidate &candidate) {
+        if (candidate.isBetterThan(first)) {
+            second = first;
+            first = candidate;
+        } else if (candidate.isBetterThan(second)) {
+            second = candidate;
+        }
     };
-    std::vector<Candidate> candidates;
-    const std::string key = "relay of " + dataCentre;
     for (const auto &[name, peer] : peers_) {
         if (peer.dataCentre == dataCentre) {
-            const bool isUsable = mayRelay(peer, now) && !isPassedOver(name, now);
-            candidates.push_back({ isUsable, peer.capacity, rendezvousScore(name, key, 1), name });
+            add({ mayRelay(peer, now) && !isPassedOver(name, now), peer.capacity, peer.relayScore, &name });
         }
     }
     if (dataCentre == ownDataCentre_) {
-        candidates.push_back({ true, ownCapacity_, rendezvousScore(ownName_, key, 1), ownName_ });
+        add({ true, ownCapacity_, ownRelayScore_, &ownName_ });
     }
-    std::sort(candidates.begin(), candidates.end(), [](const Candidate &a, const Candidate &b) {
-        if (a.mayRelay != b.mayRelay) {
-            return a.mayRelay;
-        }
-        return a.capacity != b.capacity ? a.capacity > b.capacity : a.score > b.score;
-    });
     std::vector<std::string> names;
-    for (std::size_t index = 0; index < candidates.size() && index < 2; ++index) {
-        if (index == 0 || candidates[index].mayRelay == candidates[0].mayRelay) {
-            names.push_back(candidates[index].name);
-        }
+    if (first.name != nullptr) {
+        names.push_back(*first.name);
+    }
+    if (second.name != nullptr && second.mayRelay == first.mayRelay) {
+        names.push_back(*second.name);
     }
     return names;
 }
@@ -551,7 +572,7 @@
     std::vector<std::pair<std::pair<int, double>, std::string>> ranked;
     for (const auto &[name, peer] : peers_) {
         if (isLocal(peer)) {
-            ranked.push_back({ { peer.capacity, rendezvousScore(name, "relay of " + ownDataCentre_, 1) }, name });
+            ranked.push_back({ { peer.capacity, peer.relayScore }, name });
         }
     }
     std::sort(ranked.rbegin(), ranked.rend());
--- a/Source/Process/Peers/PeerDirectory.h
+++ b/Source/Process/Peers/PeerDirectory.h
@@ -26,6 +26,8 @@
     BootTime lastSeenAt;
     /// When this daemon found its record in the store, or first heard of it.
     BootTime addedAt;
+    /// Decides between daemons of the same capacity which are the relays of their data centre.
+    double relayScore = 0;
     /// The relays of its data centre have dropped it from the roster.
     bool isUnlisted = false;
 
@@ -49,6 +51,11 @@
     static constexpr int BACKUP_DIGEST_TICKS = 5;
 
     explicit PeerDirectory(std::string ownName, std::string ownDataCentre = {}, int ownCapacity = 1);
+    PeerDirectory(const PeerDirectory &) = delete;
+    auto operator=(const PeerDirectory &) -> PeerDirectory & = delete;
+    PeerDirectory(PeerDirectory &&) = default;
+    auto operator=(PeerDirectory &&) -> PeerDirectory & = delete;
+    ~PeerDirectory() = default;
 
     /// Adds a daemon that has a record in the store. The address, data centre and capacity are used until a relay has heard
     /// the daemon.
@@ -181,6 +188,8 @@
     struct KnownRoster
     {
         Roster roster;
+        /// The peers of the entries, in their order; null for this daemon. Peers are never removed.
+        std::vector<Peer *> peers;
         /// Until when, by the last digests and summaries, its daemons were alive.
         BootTime confirmedAt;
     };
@@ -276,6 +285,7 @@
     const std::string ownName_;
     const std::string ownDataCentre_;
     const int ownCapacity_;
+    const double ownRelayScore_;
     std::map<std::string, Peer> peers_;
     std::int64_t localPeerCount_ = 0;
     FleetLoad load_;
--- a/Source/Request/EventSplitter.cpp
+++ b/Source/Request/EventSplitter.cpp
@@ -38,30 +38,31 @@
 auto EventSplitter::feed(std::string_view bytes) -> void
 {
     buffer_.erase(0, consumed_);
+    parsed_ -= consumed_;
     consumed_ = 0;
     buffer_.append(bytes);
 }
 
 auto EventSplitter::next() -> std::optional<StreamEvent>
 {
-    const std::string_view bytes = std::string_view(buffer_).substr(consumed_);
-    StreamEvent event;
-    bool hasData = false;
-    std::size_t position = 0;
-    while (const auto line = lineAt(bytes, position)) {
-        position = line->end;
+    const std::string_view bytes = buffer_;
+    while (const auto line = lineAt(bytes, parsed_)) {
+        parsed_ = line->end;
         if (line->text.empty()) {
-            event.raw = bytes.substr(0, position);
-            consumed_ += position;
+            StreamEvent event = std::move(partial_);
+            event.raw = bytes.substr(consumed_, parsed_ - consumed_);
+            consumed_ = parsed_;
+            partial_ = {};
+            hasData_ = false;
             return event;
         }
         if (line->text.starts_with("data:")) {
-            event.data.append(hasData ? "\n" : "").append(valueOf(line->text));
-            hasData = true;
+            partial_.data.append(hasData_ ? "\n" : "").append(valueOf(line->text));
+            hasData_ = true;
         } else if (line->text.starts_with("id:")) {
             const std::string_view value = valueOf(line->text);
             std::int64_t id = 0;
-            event.id = absl::SimpleAtoi(absl::string_view(value.data(), value.size()), &id) ? std::optional(id) : std::nullopt;
+            partial_.id = absl::SimpleAtoi(absl::string_view(value.data(), value.size()), &id) ? std::optional(id) : std::nullopt;
         }
     }
     return std::nullopt;
--- a/Source/Request/EventSplitter.h
+++ b/Source/Request/EventSplitter.h
@@ -37,7 +37,13 @@
 
 private:
     std::string buffer_;
+    /// Bytes of the events that were returned.
     std::size_t consumed_ = 0;
+    /// End of the last whole line, and what the lines of the incomplete event hold. Kept between calls, so that an event
+    /// that arrives in many pieces is read once.
+    std::size_t parsed_ = 0;
+    StreamEvent partial_;
+    bool hasData_ = false;
 };
 
 } // namespace poplardock
--- a/Tests/Process/PeerDirectoryTest.cpp
+++ b/Tests/Process/PeerDirectoryTest.cpp
@@ -454,14 +454,13 @@
     for (const bool isRestarted : { true, false }) {
         DirectoryFleet fleet = loadedFleet(20);
         const std::string relay = fleet.views.at("a0").relaysOf("a", fleet.now()).front();
-        const PeerDirectory frozen = fleet.views.at(relay);
-        fleet.views.erase(relay);
+        auto frozen = fleet.views.extract(relay);
         fleet.run(Milliseconds(1000));
         if (isRestarted) {
             fleet.add(relay, "a", 1);
             fleet.reports[relay].incarnation = "i2";
         } else {
-            fleet.views.emplace(relay, frozen);
+            fleet.views.insert(std::move(frozen));
         }
         for (int step = 0; step < 40; ++step) {
             fleet.run(PeerDirectory::DIGEST_PERIOD);
--- a/Tests/Support/DirectoryFleet.cpp
+++ b/Tests/Support/DirectoryFleet.cpp
@@ -83,12 +83,14 @@
 
 auto DirectoryFleet::sendDigest(const std::string &name) -> void
 {
-    if (!views.at(name).isSettled(now_)) {
+    const PeerDirectory &view = views.at(name);
+    const std::vector<std::string> targets = view.digestTargets(tick_, now_);
+    if (targets.empty() || !view.isSettled(now_)) {
         return;
     }
-    DataCentreDigest digest = views.at(name).makeDigest(reports[name], name, now_);
+    DataCentreDigest digest = view.makeDigest(reports[name], name, now_);
     digest.sequence = tick_;
-    for (const std::string &target : views.at(name).digestTargets(tick_, now_)) {
+    for (const std::string &target : targets) {
         if (passes("digest", name, target) && views.at(target).handleDigest(digest, now_)) {
             exchangeRosters(name, target);
         }
@@ -102,12 +104,16 @@
         return;
     }
     const bool isBackupTick = tick_ % static_cast<std::uint64_t>(view.backupSummaryTicks()) == 0;
-    for (const PeerDirectory::Reporter &reporter : view.reporters(now_)) {
+    const std::vector<PeerDirectory::Reporter> reporters = view.reporters(now_);
+    if (reporters.empty()) {
+        return;
+    }
+    FleetSummary summary = view.makeSummary(reports[name], name, now_);
+    summary.sequence = tick_;
+    for (const PeerDirectory::Reporter &reporter : reporters) {
         if (reporter.isToBackup && !isBackupTick) {
             continue;
         }
-        FleetSummary summary = view.makeSummary(reports[name], name, now_);
-        summary.sequence = tick_;
         summary.echoedReport = reporter.sequence;
         const std::string to = reporter.peer->name;
         if (passes("summary", name, to) && views.at(to).handleSummary(summary, now_)) {
