Ask a home that has not got its bucket yet again

A borrower refused its request at once and all others for 200 ms. Change: the borrower asks up to four times more, 50 ms apart; the wait is an option, so that tests keep their clock.

--- a/Source/Process/AllowanceClient.cpp
+++ b/Source/Process/AllowanceClient.cpp
@@ -12,6 +12,10 @@
 /// Backoff after a home could not be reached. Meanwhile requests of its teams are refused at once, so that each of them
 /// does not wait for its own time-out.
 constexpr Milliseconds UNAVAILABLE_BACKOFF { 200 };
+/// How often, and after which time, a home that is not acting is asked again: a handover by a daemon that leaves takes a few
+/// of these.
+constexpr int HANDOVER_RETRIES = 4;
+constexpr Milliseconds HANDOVER_RETRY_DELAY { 50 };
 /// Borrows that one request waits for. It needs more than one when other requests spend the borrowed tokens first.
 constexpr int MAXIMUM_ATTEMPTS = 8;
 
@@ -120,12 +124,22 @@
 auto AllowanceClient::borrow(const Location &location, std::int64_t want) -> void
 {
     BorrowResult result = borrowOnce(location, want, 1);
-    if (std::holds_alternative<NotHomeResponse>(result) || std::holds_alternative<CallFailure>(result)) {
+    // Returns whether this daemon is the home by now.
+    const auto retry = [this, &location, &result, want] {
         const Location current = locate(location.team->name);
-        if (current.isLocal) {
+        if (!current.isLocal && current.team != nullptr && current.home != nullptr) {
+            result = borrowOnce(current, want, 1);
+        }
+        return current.isLocal;
+    };
+    if ((std::holds_alternative<NotHomeResponse>(result) || std::holds_alternative<CallFailure>(result)) && retry()) {
+        return;
+    }
+    for (int attempt = 0; attempt < HANDOVER_RETRIES && std::holds_alternative<HomeNotActing>(result); ++attempt) {
+        options_.pause(HANDOVER_RETRY_DELAY);
+        if (retry()) {
             return;
         }
-        result = current.team != nullptr && current.home != nullptr ? borrowOnce(current, want, 1) : result;
     }
     if (std::holds_alternative<LoanResponse>(result)) {
         return;
--- a/Source/Process/AllowanceClient.h
+++ b/Source/Process/AllowanceClient.h
@@ -6,10 +6,12 @@
 #include "Request/AllowancePolicy.h"
 
 #include <condition_variable>
+#include <functional>
 #include <map>
 #include <mutex>
 #include <optional>
 #include <string>
+#include <thread>
 
 namespace poplardock {
 
@@ -38,12 +40,17 @@
         AdmissionRecorder recorder;
         /// Limits the connect to the home, and each wait for data from it.
         Milliseconds timeout { 500 };
+        /// Waits before the home is asked again; blocks the thread of the request.
+        std::function<void(Milliseconds)> pause = [](Milliseconds time) {
+            std::this_thread::sleep_for(time);
+        };
     };
 
     AllowanceClient(FleetState &state, AllowanceHome &home, PeerClients &peers, Options options);
 
     /// Spends a token for one request. Blocks for at most two calls to the home and the borrows that are already
-    /// in flight. "now" is the arrival of the request; the time of spending is read from the clock.
+    /// in flight, and for a fifth of a second more while the home waits for the handover by the former one. "now" is the arrival of the
+    /// request; the time of spending is read from the clock.
     auto acquire(const std::string &team, TimePoint now, Forwarding forwarding = Forwarding::Allowed) -> AllowanceDecision;
     /// Returns the unused tokens of loans that are about to expire; while demand continues, the same message requests
     /// a new loan. To be called about every 100 ms from one thread.
@@ -77,8 +84,8 @@
     auto locate(const std::string &team) const -> Location;
     /// Nothing after a borrow: the caller locates the home again and retries.
     auto acquireBorrowed(const Location &location, Forwarding forwarding) -> std::optional<AllowanceDecision>;
-    /// Borrows for a waiting request, with one retry. Records a loan or a refusal, or neither when this daemon has
-    /// become the home.
+    /// Borrows for a waiting request, with one retry, and more while the home is not acting yet. Records a loan or a refusal, or neither
+    /// when this daemon has become the home.
     auto borrow(const Location &location, std::int64_t want) -> void;
     /// Borrows "want" tokens, or one for each waiting request if those are more. "ownNeed" is 1 when the calling
     /// thread itself has a request that waits, else 0.
--- a/Tests/Process/AllowanceHomeTest.cpp
+++ b/Tests/Process/AllowanceHomeTest.cpp
@@ -75,6 +75,24 @@
     checkWindows();
 }
 
+// Guards against requests that are refused at another daemon because the new home has not got the bucket yet.
+BOOST_AUTO_TEST_CASE(ABorrowerWaitsForTheHandover)
+{
+    const Daemon &joined = fleet.addDaemon();
+    fleet.commit();
+    BOOST_REQUIRE(fleet.homeOf(team).member.name == joined.member.name);
+    int pauses = 0;
+    fleet.onPause = [this, &pauses] {
+        ++pauses;
+        if (pauses == 2) {
+            fleet.run(Milliseconds(0));
+        }
+    };
+    BOOST_TEST(fleet.daemon(1).admits(team));
+    BOOST_TEST(pauses == 2);
+    checkWindows();
+}
+
 // Guards against a successor that refills tokens lent by the earlier home, because the handover lacks the loans.
 BOOST_AUTO_TEST_CASE(HandoverIncludesTheLoans)
 {
--- a/Tests/Support/AllowanceFleet.cpp
+++ b/Tests/Support/AllowanceFleet.cpp
@@ -30,11 +30,14 @@
     sinceStart_ = sinceStart_.load() + by;
 }
 
-AllowanceFleet::Daemon::Daemon(Member record, const TimeSource &clock, const AdmissionRecorder &recorder)
+AllowanceFleet::Daemon::Daemon(Member record,
+                               const TimeSource &clock,
+                               const AdmissionRecorder &recorder,
+                               std::function<void(Milliseconds)> pause)
     : member(std::move(record))
     , state(member.name)
     , home(member, state, peers, { clock, recorder, HANG_TIMEOUT })
-    , client(state, home, peers, { clock, recorder, HANG_TIMEOUT })
+    , client(state, home, peers, { clock, recorder, HANG_TIMEOUT, std::move(pause) })
 {
     addAllowanceRoutes(router, home);
     service = *HttpService::start("127.0.0.1:0", { 64, 64 }, [this](auto &request, auto &response) { handle(request, response); });
@@ -133,7 +136,13 @@
     const AdmissionRecorder recorder = [this](const std::string &team, TimePoint at) {
         log.record(team, at);
     };
-    daemons_.push_back(std::make_unique<Daemon>(Member { name, "127.0.0.1:1", "c", region, 1, name + "-1", {} }, source, recorder));
+    const auto pause = [this](Milliseconds /*time*/) {
+        if (onPause) {
+            onPause();
+        }
+    };
+    const Member member { name, "127.0.0.1:1", "c", region, 1, name + "-1", {} };
+    daemons_.push_back(std::make_unique<Daemon>(member, source, recorder, pause));
     return *daemons_.back();
 }
 
--- a/Tests/Support/AllowanceFleet.h
+++ b/Tests/Support/AllowanceFleet.h
@@ -7,6 +7,7 @@
 #include "Support/AdmissionWindows.h"
 
 #include <atomic>
+#include <functional>
 #include <memory>
 #include <random>
 #include <string>
@@ -47,7 +48,11 @@
         /// A suspended daemon gets no versions, no confirmations and no maintenance.
         bool isSuspended = false;
 
-        Daemon(Member record, const TimeSource &clock, const AdmissionRecorder &recorder);
+        Daemon(
+            Member record,
+            const TimeSource &clock,
+            const AdmissionRecorder &recorder,
+            std::function<void(Milliseconds)> pause = [](Milliseconds) {});
         [[nodiscard]] auto acquire(const std::string &team) -> AllowanceDecision;
         /// True when acquire() returns Admitted.
         [[nodiscard]] auto admits(const std::string &team) -> bool;
@@ -93,6 +98,8 @@
 
     ManualClock clock;
     AdmissionCollector log;
+    /// Called when a daemon waits before it asks a home again; the clock stands still meanwhile.
+    std::function<void()> onPause;
 
 private:
     std::vector<Team> teams_;
