Refill shares at a tenth of the rate while the home is alive but does not answer

The home admitted the whole rate to its own callers meanwhile, and the shares, besides their stock of 10, the whole rate again. Change: while the home is alive but silent, a share gets new tokens at a tenth of its rate, the overage that the platform grants. When the home answers, or is found not alive, the share has its whole rate again.

--- a/Source/Process/Load/AllowanceTable.cpp
+++ b/Source/Process/Load/AllowanceTable.cpp
@@ -13,6 +13,9 @@
 /// platform grants to a distributed counter.
 constexpr double HOME_EXTRA_BURST = 10;
 constexpr double SHARE_EXTRA_BURST = 5;
+/// Fraction of the rate at which the shares go on while the home is alive but does not answer: it may be admitting the whole
+/// rate. The platform grants a tenth above rate and burst.
+constexpr double SILENT_HOME_REFILL = 0.1;
 /// Requests per second; lower demand is left out of the reports.
 constexpr double MIN_REPORTED_DEMAND = 0.01;
 /// A reachable home responds within a few milliseconds. Waiting longer for an unreachable one would use up too much of
@@ -68,14 +71,17 @@
     }
     const Peer *home = peers_.find(homeName);
     if (home == nullptr || !peers_.isAlive(*home, now)) {
+        setHomeSilent(team.name, false, now);
         handler(fallbackDecision);
         return;
     }
     const std::uint64_t correlationId = ++lastCorrelationId_;
-    PendingRequest pending { std::move(handler),
+    PendingRequest pending { team.name,
+                             std::move(handler),
                              fallbackDecision,
                              loop_.at(now + HOME_RESPONSE_TIMEOUT, [this, correlationId, team = team.name] {
                                  EventLog::write("allowance_home_silent", { { "team", team } });
+                                 setHomeSilent(team, true, BootClock::now());
                                  handleResponse({ correlationId, TokenResponse::Outcome::NotHome });
                              }) };
     pending_.emplace(correlationId, std::move(pending));
@@ -103,6 +109,9 @@
     PendingRequest pending = std::move(found->second);
     pending_.erase(found);
     pending.timeout.cancel();
+    if (response.outcome != TokenResponse::Outcome::NotHome) {
+        setHomeSilent(pending.team, false, BootClock::now());
+    }
     switch (response.outcome) {
     case TokenResponse::Outcome::Granted:
         pending.handler(std::nullopt);
@@ -116,6 +125,14 @@
     }
 }
 
+auto AllowanceTable::setHomeSilent(const std::string &team, bool isSilent, BootTime now) -> void
+{
+    const auto share = shares_.find(team);
+    if (share != shares_.end()) {
+        share->second.setRefillFraction(isSilent ? SILENT_HOME_REFILL : 1, now);
+    }
+}
+
 auto AllowanceTable::demand(BootTime now) -> std::map<std::string, double>
 {
     std::map<std::string, double> result;
--- a/Source/Process/Load/AllowanceTable.h
+++ b/Source/Process/Load/AllowanceTable.h
@@ -42,6 +42,7 @@
 private:
     struct PendingRequest
     {
+        std::string team;
         Handler handler;
         /// The decision of this daemon's share, used if the home does not decide.
         std::optional<Milliseconds> fallbackDecision;
@@ -53,6 +54,9 @@
     auto tryAcquireFrom(std::map<std::string, AllowanceShare> &buckets, const Team &team, bool isHomeBucket, BootTime now)
         -> std::optional<Milliseconds>;
 
+    /// Notes whether the home of a team admits requests by itself, so that this daemon's share must not do so as well.
+    auto setHomeSilent(const std::string &team, bool isSilent, BootTime now) -> void;
+
     EventLoop &loop_;
     const PeerDirectory &peers_;
     const std::string ownName_;
--- a/Source/Request/AllowanceShare.cpp
+++ b/Source/Request/AllowanceShare.cpp
@@ -52,6 +52,12 @@
     tokens_ = std::min(tokens_, capacity());
 }
 
+auto AllowanceShare::setRefillFraction(double fraction, BootTime now) -> void
+{
+    refill(now);
+    refillFraction_ = fraction;
+}
+
 auto AllowanceShare::tryAcquire(BootTime now) -> std::optional<Milliseconds>
 {
     demand_ = demand(now) + 1 / DEMAND_TIME_CONSTANT_SECONDS;
@@ -82,7 +88,7 @@
 
 auto AllowanceShare::refill(BootTime now) -> void
 {
-    tokens_ = std::min(capacity(), tokens_ + limit_.ratePerSecond * fraction() * secondsBetween(refilledAt_, now));
+    tokens_ = std::min(capacity(), tokens_ + limit_.ratePerSecond * refillFraction_ * fraction() * secondsBetween(refilledAt_, now));
     refilledAt_ = std::max(refilledAt_, now);
 }
 
--- a/Source/Request/AllowanceShare.h
+++ b/Source/Request/AllowanceShare.h
@@ -41,6 +41,8 @@
     /// Sets the summed demand of the other daemons in requests per second, and the number of daemons including this
     /// one.
     auto setPeerDemand(double demandPerSecond, int daemonCount, BootTime now) -> void;
+    /// Sets the fraction of its rate at which the share gets new tokens, 0 to 1; initially 1.
+    auto setRefillFraction(double fraction, BootTime now) -> void;
     /// Takes one token if there is one. Returns nothing when the request is admitted, else the time until the next
     /// token.
     auto tryAcquire(BootTime now) -> std::optional<Milliseconds>;
@@ -59,6 +61,7 @@
     double demand_ = 0;
     double peerDemand_ = 0;
     int daemonCount_ = 1;
+    double refillFraction_ = 1;
     BootTime refilledAt_;
     BootTime demandUpdatedAt_;
 };
--- a/Tests/Process/AllowanceTableTest.cpp
+++ b/Tests/Process/AllowanceTableTest.cpp
@@ -117,6 +117,42 @@
     }
 };
 
+constexpr double WINDOW_SECONDS = 5;
+
+/// The most requests that the platform allows a team in a window.
+auto boundOf(const Team &team) -> double
+{
+    return (team.ratePerSecond * WINDOW_SECONDS + team.burst) * 1.1 + 20;
+}
+
+auto mostInWindow(const std::vector<BootTime> &admitted) -> double
+{
+    std::ptrdiff_t most = 0;
+    for (auto first = admitted.begin(); first != admitted.end(); ++first) {
+        const auto last = std::lower_bound(first, admitted.end(), *first + std::chrono::seconds(5));
+        most = std::max(most, last - first);
+    }
+    return static_cast<double>(most);
+}
+
+/// Sends many times what the team may, to all daemons, and appends the times of those admitted.
+auto sendMany(DaemonTables &tables, Milliseconds time, std::vector<BootTime> &admitted) -> void
+{
+    for (const BootTime end = BootClock::now() + time; BootClock::now() < end;) {
+        tables.exchangeReports();
+        for (const auto &table : tables.tables) {
+            for (int request = 0; request < 3; ++request) {
+                table->tryAcquire(tables.team, [&admitted](std::optional<Milliseconds> wait) {
+                    if (!wait) {
+                        admitted.push_back(BootClock::now());
+                    }
+                });
+            }
+        }
+        tables.loop.runUntil(BootClock::now() + Milliseconds(100));
+    }
+}
+
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(AllowanceTableSuite)
@@ -183,29 +219,26 @@
     tables.sendRequests(40);
     tables.isSplit = true;
     std::vector<BootTime> admitted;
-    const BootTime end = BootClock::now() + Milliseconds(8000);
-    while (BootClock::now() < end) {
-        tables.exchangeReports();
-        for (const auto &table : tables.tables) {
-            for (int request = 0; request < 3; ++request) {
-                table->tryAcquire(tables.team, [&admitted](std::optional<Milliseconds> wait) {
-                    if (!wait) {
-                        admitted.push_back(BootClock::now());
-                    }
-                });
-            }
-        }
-        tables.loop.runUntil(BootClock::now() + Milliseconds(100));
-    }
-    constexpr double WINDOW_SECONDS = 5;
-    const double bound = (tables.team.ratePerSecond * WINDOW_SECONDS + tables.team.burst) * 1.1 + 20;
-    std::size_t most = 0;
-    for (std::size_t first = 0; first < admitted.size(); ++first) {
-        const auto last = std::lower_bound(admitted.begin(), admitted.end(), admitted[first] + Milliseconds(5000));
-        most = std::max(most, static_cast<std::size_t>(last - admitted.begin()) - first);
-    }
-    BOOST_TEST(static_cast<double>(most) <= bound);
-    BOOST_TEST(static_cast<double>(most) >= tables.team.ratePerSecond * WINDOW_SECONDS * 0.5);
+    sendMany(tables, Milliseconds(8000), admitted);
+    BOOST_TEST(mostInWindow(admitted) <= boundOf(tables.team));
+    BOOST_TEST(mostInWindow(admitted) >= tables.team.ratePerSecond * WINDOW_SECONDS * 0.5);
+}
+
+// Guards against a home that admits the whole rate while the others, which get no answers from it but still hear that it
+// lives, admit the whole rate again from their shares. Found by the soak test (seed 36): 54 requests in a window that
+// allows 53.
+BOOST_AUTO_TEST_CASE(ASilentHomeStaysWithinTheAllowance)
+{
+    DaemonTables tables(4, UPTIME);
+    tables.sendRequests(4);
+    tables.loop.runUntil(BootClock::now() + Milliseconds(3500));
+    std::vector<BootTime> admitted;
+    tables.isPartitioned = true;
+    sendMany(tables, Milliseconds(3000), admitted);
+    tables.isPartitioned = false;
+    sendMany(tables, Milliseconds(2500), admitted);
+    BOOST_TEST(mostInWindow(admitted) <= boundOf(tables.team));
+    BOOST_TEST(mostInWindow(admitted) >= tables.team.ratePerSecond * WINDOW_SECONDS);
 }
 
 // Guards against refused requests and token requests for a team without a limit.
--- a/Tests/Process/PeerDirectoryTest.cpp
+++ b/Tests/Process/PeerDirectoryTest.cpp
@@ -271,7 +271,7 @@
         fleet->run(SETTLED);
         fleet->messages.clear();
         fleet->traffic.clear();
-        fleet->run(Milliseconds(10000));
+        fleet->run(Milliseconds(5000));
     }
     BOOST_TEST(few.messages["digest"] == many.messages["digest"]);
     BOOST_TEST(many.messages["roster"] == 0);
