Confirm a cancellation once a relay has echoed the report that announces it

Change: the daemon waits up to 1 s until a relay has echoed a report sent with the announcement or later; then it confirms, otherwise it answers 503. A daemon that is alone confirms at once.

--- a/Source/Connection/JobService.cpp
+++ b/Source/Connection/JobService.cpp
@@ -26,6 +26,9 @@
 /// Path of the call by which a daemon tells a job's owner that it has cancelled the job in the store; the job's id follows.
 constexpr const char *CANCELLED_PATH = "/cancelled/";
 constexpr Milliseconds CANCELLATION_CALL_TIME { 300 };
+/// Time in which a relay has to hear of a cancellation whose owner does not answer.
+constexpr Milliseconds ANNOUNCEMENT_WAIT { 1000 };
+constexpr Milliseconds ANNOUNCEMENT_CHECK_PERIOD { 50 };
 
 auto jsonResult(int status, std::string body) -> HttpResult
 {
@@ -381,23 +384,42 @@
         return;
     }
     // The owner may not answer this daemon but still hear its relay.
-    parts_.peers.announceCancellation(record.id, BootClock::now());
+    const BootTime now = BootClock::now();
+    parts_.peers.announceCancellation(record.id, now);
     parts_.peerLink.sendReports();
     const HttpCall call { "POST", absl::StrCat(CANCELLED_PATH, record.id), {}, {} };
     parts_.peerClient.call(
-        record.ownerAddress,
-        call,
-        BootClock::now() + CANCELLATION_CALL_TIME,
-        [this, id = record.id, reply](const HttpCallOutcome &outcome) {
+        record.ownerAddress, call, now + CANCELLATION_CALL_TIME, [this, id = record.id, now, reply](const HttpCallOutcome &outcome) {
             const auto *result = std::get_if<HttpResult>(&outcome);
-            const bool hasOwnerHeard = result != nullptr && result->status == HttpStatus::OK;
-            const BootTime now = BootClock::now();
-            const bool isAnnounced = parts_.peers.isHeard(now) || (!parts_.peers.hasOtherRelay(now) && !parts_.peers.isIsolated(now));
-            EventLog::write("job_cancellation_told", { { "job", id }, { "owner", hasOwnerHeard }, { "relays", isAnnounced } });
-            reply(hasOwnerHeard || isAnnounced ? jsonResult(HttpStatus::OK, "{}") : unsure("the owner of the job was not told yet"));
+            if (result != nullptr && result->status == HttpStatus::OK) {
+                reply(jsonResult(HttpStatus::OK, "{}"));
+                return;
+            }
+            untold_.push_back({ id, now, now + ANNOUNCEMENT_WAIT, reply });
+            checkUntold();
         });
 }
 
+auto JobService::checkUntold() -> void
+{
+    const BootTime now = BootClock::now();
+    const bool isAlone = !parts_.peers.hasOtherRelay(now) && !parts_.peers.isIsolated(now);
+    const std::vector<UntoldOwner> untold = std::move(untold_);
+    untold_.clear();
+    for (const UntoldOwner &each : untold) {
+        const bool isAnnounced = isAlone || parts_.peers.wasHeardSince(each.announcedAt);
+        if (!isAnnounced && now < each.deadline) {
+            untold_.push_back(each);
+            continue;
+        }
+        EventLog::write("job_cancellation_announced", { { "job", each.job }, { "heard", isAnnounced } });
+        each.reply(isAnnounced ? jsonResult(HttpStatus::OK, "{}") : unsure("the owner of the job was not told yet"));
+    }
+    if (!untold_.empty()) {
+        untoldTimer_ = parts_.loop.at(now + ANNOUNCEMENT_CHECK_PERIOD, [this] { checkUntold(); });
+    }
+}
+
 auto JobService::handlePeer(const std::shared_ptr<CallerExchange> &exchange) -> void
 {
     if (absl::StartsWith(exchange->head().target, HANDOVER_PATH)) {
--- a/Source/Connection/JobService.h
+++ b/Source/Connection/JobService.h
@@ -31,6 +31,14 @@
         std::string team;
         BootTime deadline;
     };
+    /// A cancellation in the store whose owner has not answered.
+    struct UntoldOwner
+    {
+        std::string job;
+        BootTime announcedAt;
+        BootTime deadline;
+        ReplyHandler reply;
+    };
 
     auto submit(const FrontService::JobRequest &request) -> void;
     [[nodiscard]] auto newRecord(const FrontService::JobRequest &request) const -> JobRecord;
@@ -50,6 +58,8 @@
     auto cancelInStore(const JobRecord &record, const ReplyHandler &reply) -> void;
     /// Makes sure that the owner of a job that was cancelled in the store learns of it, then replies.
     auto tellOwner(const JobRecord &record, const ReplyHandler &reply) -> void;
+    /// Replies to cancellations that a relay has heard by now, or not in time.
+    auto checkUntold() -> void;
     auto readItemFromStore(const Query &query, const JobRecord &record, const JobRepository::ResultLog &log, const ReplyHandler &reply)
         -> void;
     [[nodiscard]] auto unsure(const std::string &reason) const -> HttpResult;
@@ -61,6 +71,8 @@
     JobRegistry &book_;
     JobRunner &runner_;
     JobTakeover &adoption_;
+    std::vector<UntoldOwner> untold_;
+    Timer untoldTimer_;
     /// Records of jobs that other daemons own, as they were last read.
     std::map<std::string, JobRecord> elsewhere_;
     /// Results of jobs that are done, as they were read from the store.
--- a/Source/Process/Peers/PeerDirectory.cpp
+++ b/Source/Process/Peers/PeerDirectory.cpp
@@ -735,6 +735,11 @@
     return hasRelay;
 }
 
+auto PeerDirectory::wasHeardSince(BootTime time) const -> bool
+{
+    return std::any_of(relayStates_.begin(), relayStates_.end(), [time](const auto &each) { return each.second.echoedAt >= time; });
+}
+
 auto PeerDirectory::work(BootTime now) const -> WorkCounts
 {
     return load_.work(isFirstRelay(now), now);
--- a/Source/Process/Peers/PeerDirectory.h
+++ b/Source/Process/Peers/PeerDirectory.h
@@ -140,6 +140,8 @@
     /// Whether all relays of this daemon's data centre have recently heard it. Until their liveness timeout after the report
     /// that they echoed, no other daemon can find it gone.
     [[nodiscard]] auto isHeard(BootTime now) const -> bool;
+    /// Whether a relay has echoed a report that this daemon sent at that time or later.
+    [[nodiscard]] auto wasHeardSince(BootTime time) const -> bool;
 
     /// As the functions of FleetLoad.
     [[nodiscard]] auto work(BootTime now) const -> WorkCounts;
--- a/Tests/Connection/JobServiceTest.cpp
+++ b/Tests/Connection/JobServiceTest.cpp
@@ -338,6 +338,18 @@
     BOOST_TEST(fleet.runUntil([&others] { return others.cancelledJobs().contains("j17"); }, Milliseconds(1000)));
 }
 
+// Guards against a cancellation that is refused for good because the owner has crashed.
+BOOST_AUTO_TEST_CASE(ACancellationAfterTheOwnersCrashIsConfirmed)
+{
+    PlatformFleet fleet(3, 1);
+    fleet.engines[0]->behaviour().declines = true;
+    BOOST_TEST(fleet.call(0, PlatformFleet::submission("j18", 2, "key1"))->status == 202);
+    fleet.runFor(Milliseconds(300));
+    fleet.killDaemon(0);
+    BOOST_TEST(fleet.call(1, callOn("DELETE", "/-/lots/j18", "key1"))->status == 200);
+    BOOST_TEST(storedRecord(fleet, "j18").isCancelled);
+}
+
 // Guards against a job that stays undone, or whose listed results change, when its daemon is killed.
 BOOST_AUTO_TEST_CASE(AJobOfAKilledDaemonIsTakenOver)
 {
