Answer the probing report of a daemon once, and probe different daemons

Every fifth report of all daemons also went to one more daemon, at the same time to the same one, which then sent its whole summary to all of them for 1.5 s, six times. Over 10 s, as the test had it, the average hid this. Change: a daemon that is no relay answers each report once, and each daemon begins the order of those that it probes elsewhere. Which reporters get a summary is decided in one place, PeerDirectory::summaryTargets().

--- a/Source/Process/Peers/PeerDirectory.cpp
+++ b/Source/Process/Peers/PeerDirectory.cpp
@@ -67,6 +67,7 @@
     , ownDataCentre_(std::move(ownDataCentre))
     , ownCapacity_(ownCapacity)
     , ownRelayScore_(relayScoreOf(ownName_, ownDataCentre_))
+    , probeOffset_(stableHash(ownName_))
 {
 }
 
@@ -150,7 +151,7 @@
         && reporter.heardAt != BootTime()) {
         return false;
     }
-    reporter = { report.isToBackup, report.sequence, now };
+    reporter = { report.isToBackup, report.sequence, now, 0 };
     applyEntry(
         report.dataCentre, { report.name, address, report.incarnation, report.capacity, report.isDraining, report.hasStoreContact }, now);
     load_.applyReport(report, now);
@@ -581,7 +582,7 @@
         names.push_back(ranked[index].second);
     }
     if (!ranked.empty()) {
-        names.push_back(ranked[round % ranked.size()].second);
+        names.push_back(ranked[(probeOffset_ + round) % ranked.size()].second);
     }
     return names;
 }
@@ -598,6 +599,25 @@
     return found;
 }
 
+auto PeerDirectory::summaryTargets(std::uint64_t tick, BootTime now) -> std::vector<Reporter>
+{
+    if (!isSettled(now)) {
+        return {};
+    }
+    const bool isBackupTick = tick % static_cast<std::uint64_t>(backupSummaryTicks()) == 0;
+    const bool isRelayNow = isRelay(now);
+    std::vector<Reporter> targets = reporters(now);
+    std::erase_if(targets, [this, isBackupTick, isRelayNow](const Reporter &each) {
+        ReporterState &state = reporters_.at(each.peer->name);
+        if ((each.isToBackup && !isBackupTick) || (!isRelayNow && state.answered == each.sequence)) {
+            return true;
+        }
+        state.answered = each.sequence;
+        return false;
+    });
+    return targets;
+}
+
 auto PeerDirectory::otherDataCentres() const -> std::set<std::string>
 {
     std::set<std::string> found;
--- a/Source/Process/Peers/PeerDirectory.h
+++ b/Source/Process/Peers/PeerDirectory.h
@@ -110,6 +110,9 @@
         std::uint64_t sequence = 0;
     };
     [[nodiscard]] auto reporters(BootTime now) const -> std::vector<Reporter>;
+    /// Those of them that get a summary on this tick. A relay answers all of them periodically, another daemon each report
+    /// once: it got the report only to be found in case it should be a relay.
+    auto summaryTargets(std::uint64_t tick, BootTime now) -> std::vector<Reporter>;
     /// Addresses to which this daemon, as a relay, sends its digest on this tick: the relays of the other data centres, and
     /// the daemons there that have sent it digests themselves. Empty if this daemon is not a relay.
     [[nodiscard]] auto digestTargets(std::uint64_t tick, BootTime now) const -> std::vector<std::string>;
@@ -124,8 +127,6 @@
     /// bound, so that a relay keeps up.
     [[nodiscard]] auto reportPeriod() const -> Milliseconds;
     [[nodiscard]] auto summaryPeriod() const -> Milliseconds;
-    /// Every how many summary periods a relay answers the daemons for which it is the second relay.
-    [[nodiscard]] auto backupSummaryTicks() const -> int;
     /// Time until this daemon sees work that another daemon has started, on average over all daemons.
     [[nodiscard]] auto propagationDelay() const -> Milliseconds;
     /// Whether a relay has heard the daemon within the liveness timeout. Work of daemons that are not alive does not count.
@@ -221,6 +222,8 @@
         bool isToBackup = false;
         std::uint64_t sequence = 0;
         BootTime heardAt;
+        /// Sequence of the last report that was answered.
+        std::uint64_t answered = 0;
     };
     /// By what an announcement arrived. Those from summaries are not passed on, since they would circulate.
     enum class Source
@@ -281,6 +284,8 @@
     [[nodiscard]] auto probeTargets(std::uint64_t round) const -> std::vector<std::string>;
     [[nodiscard]] auto countsForDemand(const Peer &peer, BootTime now) const -> bool;
     [[nodiscard]] auto selectHome(const std::string &key, const std::function<bool(const Peer &)> &isEligible) const -> std::string;
+    /// Every how many summary periods a relay answers the daemons for which it is the second relay.
+    [[nodiscard]] auto backupSummaryTicks() const -> int;
     [[nodiscard]] auto localCount() const -> std::int64_t;
     auto handleChange() -> void;
 
@@ -288,6 +293,8 @@
     const std::string ownDataCentre_;
     const int ownCapacity_;
     const double ownRelayScore_;
+    /// Where this daemon begins in the order of probed daemons, so that not all probe the same one at a time.
+    const std::uint64_t probeOffset_;
     std::map<std::string, Peer> peers_;
     std::int64_t localPeerCount_ = 0;
     FleetLoad load_;
--- a/Source/Process/Peers/PeerLink.cpp
+++ b/Source/Process/Peers/PeerLink.cpp
@@ -193,10 +193,8 @@
 auto PeerLink::sendSummaries() -> void
 {
     const BootTime now = BootClock::now();
-    const bool isBackupTick = ++summaryTick_ % static_cast<std::uint64_t>(directory_.backupSummaryTicks()) == 0;
-    std::vector<PeerDirectory::Reporter> reporters = directory_.reporters(now);
-    std::erase_if(reporters, [isBackupTick](const PeerDirectory::Reporter &each) { return each.isToBackup && !isBackupTick; });
-    if (reporters.empty() || !directory_.isSettled(now)) {
+    const std::vector<PeerDirectory::Reporter> reporters = directory_.summaryTargets(++summaryTick_, now);
+    if (reporters.empty()) {
         return;
     }
     FleetSummary summary = directory_.makeSummary(makeReport(), identity_.address, now);
--- a/Tests/Support/DirectoryFleet.cpp
+++ b/Tests/Support/DirectoryFleet.cpp
@@ -99,21 +99,14 @@
 
 auto DirectoryFleet::sendSummaries(const std::string &name) -> void
 {
-    const PeerDirectory &view = views.at(name);
-    if (!view.isSettled(now_)) {
-        return;
-    }
-    const bool isBackupTick = tick_ % static_cast<std::uint64_t>(view.backupSummaryTicks()) == 0;
-    const std::vector<PeerDirectory::Reporter> reporters = view.reporters(now_);
+    PeerDirectory &view = views.at(name);
+    const std::vector<PeerDirectory::Reporter> reporters = view.summaryTargets(tick_, now_);
     if (reporters.empty()) {
         return;
     }
     FleetSummary summary = view.makeSummary(reports[name], name, now_);
     summary.sequence = tick_;
     for (const PeerDirectory::Reporter &reporter : reporters) {
-        if (reporter.isToBackup && !isBackupTick) {
-            continue;
-        }
         summary.echoedReport = reporter.sequence;
         const std::string to = reporter.peer->name;
         if (passes("summary", name, to) && views.at(to).handleSummary(summary, now_)) {
