--- a/Source/Connection/JobService.cpp
+++ b/Source/Connection/JobService.cpp
@@ -80,6 +80,11 @@
     return refusalOf(parts_.dialect, ResultCode::StoreUnavailable, reason, RETRY_AFTER);
 }
 
+auto JobService::cancelUncertain() const -> HttpResult
+{
+    return refusalOf(parts_.dialect, ResultCode::JobCancelUncertain, "", RETRY_AFTER);
+}
+
 auto JobService::unknown() const -> HttpResult
 {
     return refusalOf(parts_.dialect, ResultCode::JobUnknown, "", std::nullopt);
@@ -241,9 +246,11 @@
         if (status.ok()) {
             reply(jsonResult(HttpStatus::OK, "{}"));
         } else {
-            // The store may have recorded it or not.
             adoption_.verifyAgain(query.call.jobId);
-            findOwner(query, reply);
+            // The store may have recorded it, so a later refusal must not say that nothing was done.
+            findOwner(query, [this, reply](const HttpResult &result) {
+                reply(result.status == HttpStatus::UNAVAILABLE ? cancelUncertain() : result);
+            });
         }
     });
 }
@@ -362,7 +369,7 @@
 auto JobService::cancelInStore(const JobRecord &record, const ReplyHandler &reply) -> void
 {
     if (record.isCancelled) {
-        tellOwner(record, reply);
+        notifyOwner(record, reply);
         return;
     }
     JobRecord cancelled = record;
@@ -370,14 +377,14 @@
     ledger_.replace(cancelled, [this, id = record.id, reply](const absl::StatusOr<JobRecord> &result) {
         EventLog::write("job_cancelled", { { "job", id }, { "ok", result.ok() } });
         if (result.ok()) {
-            tellOwner(*result, reply);
+            notifyOwner(*result, reply);
         } else {
-            reply(unsure("the job could not be ended yet"));
+            reply(cancelUncertain());
         }
     });
 }
 
-auto JobService::tellOwner(const JobRecord &record, const ReplyHandler &reply) -> void
+auto JobService::notifyOwner(const JobRecord &record, const ReplyHandler &reply) -> void
 {
     if (record.isDone) {
         reply(jsonResult(HttpStatus::OK, "{}"));
@@ -385,8 +392,9 @@
     }
     // The owner may not answer this daemon but still hear its relay.
     const BootTime now = BootClock::now();
-    parts_.peers.announceCancellation(record.id, now);
-    parts_.peerLink.sendReports();
+    if (parts_.peers.announceCancellation(record.id, now)) {
+        parts_.peerLink.sendReports();
+    }
     const HttpCall call { "POST", absl::StrCat(CANCELLED_PATH, record.id), {}, {} };
     parts_.peerClient.call(
         record.ownerAddress, call, now + CANCELLATION_CALL_TIME, [this, id = record.id, now, reply](const HttpCallOutcome &outcome) {
@@ -395,28 +403,30 @@
                 reply(jsonResult(HttpStatus::OK, "{}"));
                 return;
             }
-            untold_.push_back({ id, now, now + ANNOUNCEMENT_WAIT, reply });
-            checkUntold();
+            unconfirmed_.push_back({ id, now, now + ANNOUNCEMENT_WAIT, reply });
+            checkUnconfirmed();
         });
 }
 
-auto JobService::checkUntold() -> void
+auto JobService::checkUnconfirmed() -> void
 {
     const BootTime now = BootClock::now();
     const bool isAlone = !parts_.peers.hasOtherRelay(now) && !parts_.peers.isIsolated(now);
-    const std::vector<UntoldOwner> untold = std::move(untold_);
-    untold_.clear();
-    for (const UntoldOwner &each : untold) {
-        const bool isAnnounced = isAlone || parts_.peers.wasHeardSince(each.announcedAt);
-        if (!isAnnounced && now < each.deadline) {
-            untold_.push_back(each);
+    const std::vector<UnconfirmedCancellation> unconfirmed = std::move(unconfirmed_);
+    unconfirmed_.clear();
+    for (const UnconfirmedCancellation &each : unconfirmed) {
+        // Repeated, so that every report that a relay may echo meanwhile names the job.
+        const bool isSent = parts_.peers.announceCancellation(each.job, now);
+        const bool isAnnounced = isSent && (isAlone || parts_.peers.wasHeardSince(each.announcedAt, now));
+        if (isSent && !isAnnounced && now < each.deadline) {
+            unconfirmed_.push_back(each);
             continue;
         }
         EventLog::write("job_cancellation_announced", { { "job", each.job }, { "heard", isAnnounced } });
-        each.reply(isAnnounced ? jsonResult(HttpStatus::OK, "{}") : unsure("the owner of the job was not told yet"));
+        each.reply(isAnnounced ? jsonResult(HttpStatus::OK, "{}") : cancelUncertain());
     }
-    if (!untold_.empty()) {
-        untoldTimer_ = parts_.loop.at(now + ANNOUNCEMENT_CHECK_PERIOD, [this] { checkUntold(); });
+    if (!unconfirmed_.empty()) {
+        unconfirmedTimer_ = parts_.loop.at(now + ANNOUNCEMENT_CHECK_PERIOD, [this] { checkUnconfirmed(); });
     }
 }
 
--- a/Source/Connection/JobService.h
+++ b/Source/Connection/JobService.h
@@ -32,7 +32,7 @@
         BootTime deadline;
     };
     /// A cancellation in the store whose owner has not answered.
-    struct UntoldOwner
+    struct UnconfirmedCancellation
     {
         std::string job;
         BootTime announcedAt;
@@ -57,12 +57,14 @@
     auto answerFromStore(const Query &query, const JobRecord &record, const ReplyHandler &reply) -> void;
     auto cancelInStore(const JobRecord &record, const ReplyHandler &reply) -> void;
     /// Makes sure that the owner of a job that was cancelled in the store learns of it, then replies.
-    auto tellOwner(const JobRecord &record, const ReplyHandler &reply) -> void;
+    auto notifyOwner(const JobRecord &record, const ReplyHandler &reply) -> void;
     /// Replies to cancellations that a relay has heard by now, or not in time.
-    auto checkUntold() -> void;
+    auto checkUnconfirmed() -> void;
     auto readItemFromStore(const Query &query, const JobRecord &record, const JobRepository::ResultLog &log, const ReplyHandler &reply)
         -> void;
     [[nodiscard]] auto unsure(const std::string &reason) const -> HttpResult;
+    /// The answer to a cancellation that may have taken effect.
+    [[nodiscard]] auto cancelUncertain() const -> HttpResult;
     [[nodiscard]] auto unknown() const -> HttpResult;
     [[nodiscard]] auto isOwnerAlive(const JobRecord &record) const -> bool;
 
@@ -71,8 +73,8 @@
     JobRegistry &book_;
     JobRunner &runner_;
     JobTakeover &adoption_;
-    std::vector<UntoldOwner> untold_;
-    Timer untoldTimer_;
+    std::vector<UnconfirmedCancellation> unconfirmed_;
+    Timer unconfirmedTimer_;
     /// Records of jobs that other daemons own, as they were last read.
     std::map<std::string, JobRecord> elsewhere_;
     /// Results of jobs that are done, as they were read from the store.
--- a/Source/Process/Batch/JobRunner.h
+++ b/Source/Process/Batch/JobRunner.h
@@ -17,7 +17,7 @@
     JobRunner(FrontParts &context, JobRegistry &registry);
 
     /// The check tells whether items of a job may be sent to upstreams now. It is called for each job with waiting items,
-    /// several times a second.
+    /// several times a second. Precondition: called before start().
     auto setStartCheck(std::function<bool(const std::string &id)> mayStart) -> void;
     auto start() -> void;
     /// Aborts all attempts and starts no more.
--- a/Source/Process/Batch/JobTakeover.cpp
+++ b/Source/Process/Batch/JobTakeover.cpp
@@ -30,7 +30,7 @@
 /// Nothing of a job may reach an upstream 3 s after its cancellation was confirmed.
 constexpr Milliseconds OPEN_PROOF_TIME { 1500 };
 constexpr Milliseconds HEARING_CHECK_INTERVAL { 50 };
-/// Time between two reads of the record of a job in doubt while the store does not answer.
+/// Time between a failed read of the record of an unverified job and the next one.
 constexpr Milliseconds VERIFY_RETRY_DELAY { 500 };
 /// Time after a loss of contact to the store during which others may still act on a report that told of it.
 constexpr std::chrono::seconds CONTACT_LOSS_MEMORY { 5 };
@@ -93,24 +93,29 @@
     }
     hadContact_ = hasContact;
     std::erase_if(nextCheckAt_, [now](const auto &each) { return each.second <= now; });
-    std::vector<std::string> contested = context_.peers.cancelledJobs();
-    std::erase_if(contested, [this](const std::string &id) {
+    const auto isCheckDue = [this, now](const std::string &id, Milliseconds interval) {
+        return nextCheckAt_.emplace(id, now + interval).second;
+    };
+    for (const std::string &id : context_.peers.cancelledJobs()) {
         const OwnedJob *job = registry_.find(id);
-        return job == nullptr || !job->record().isOpen();
-    });
+        if (job != nullptr && job->record().isOpen() && isCheckDue(id, VERIFY_INTERVAL)) {
+            verifyAgain(id);
+        }
+    }
+    std::vector<std::string> contested;
     std::vector<std::string> orphans;
     context_.peers.forEachJob([this, now, &orphans, &contested](const std::string &id, const Peer &owner, bool hasRestarted) {
         const bool isOwned = registry_.find(id) != nullptr;
         if (isOwned && !hasRestarted && context_.peers.mayTakeWork(owner, now)) {
-            // Both daemons consider themselves the owner: the record decides.
             contested.push_back(id);
         } else if (!isOwned && (hasRestarted || hasLeft(owner, now)) && context_.peers.homeOf(id, now) == context_.settings.name) {
             orphans.push_back(id);
         }
     });
     for (const std::string &id : contested) {
-        if (nextCheckAt_.emplace(id, now + VERIFY_INTERVAL).second) {
-            verifyAgain(id);
+        // Both daemons consider themselves the owner: the record decides.
+        if (isCheckDue(id, VERIFY_INTERVAL)) {
+            verifyJob(id);
         }
     }
     if (!hasContact) {
@@ -130,7 +135,7 @@
         each = next;
     }
     for (const std::string &id : orphans) {
-        if (nextCheckAt_.emplace(id, now + RECONCILE_PERIOD).second) {
+        if (isCheckDue(id, RECONCILE_PERIOD)) {
             takeOver(id);
         }
     }
@@ -139,9 +144,9 @@
 auto JobTakeover::retryVerifications(BootTime now) -> void
 {
     std::vector<std::string> due;
-    for (auto &[id, doubt] : unverified_) {
-        if (doubt.retryAt <= now) {
-            doubt.retryAt = now + VERIFY_RETRY_DELAY;
+    for (auto &[id, verification] : unverified_) {
+        if (verification.retryAt && *verification.retryAt <= now) {
+            verification.retryAt.reset();
             due.push_back(id);
         }
     }
@@ -169,7 +174,9 @@
     if (hearsOthers(now) || now - job->openAt() < OPEN_PROOF_TIME) {
         return true;
     }
-    readProof(id, [] {});
+    if (!awaitingProof_.contains(id)) {
+        readProof(id, [] {});
+    }
     return false;
 }
 
@@ -220,8 +227,7 @@
 auto JobTakeover::verifyAgain(const std::string &id) -> void
 {
     if (registry_.find(id) != nullptr) {
-        const BootTime now = BootClock::now();
-        unverified_[id] = { now, now + VERIFY_RETRY_DELAY };
+        unverified_[id] = { BootClock::now(), std::nullopt };
         checkRecord(id);
     }
 }
@@ -230,7 +236,10 @@
 {
     repository_.read(id, [this, id, sentAt = BootClock::now()](const absl::StatusOr<JobRecord> &record) {
         if (!record.ok() && !absl::IsNotFound(record.status())) {
-            // Retried by retryVerifications().
+            const auto failed = unverified_.find(id);
+            if (failed != unverified_.end()) {
+                failed->second.retryAt = BootClock::now() + VERIFY_RETRY_DELAY;
+            }
             return;
         }
         if (!record.ok() || !isOwnRecord(*record)) {
@@ -239,9 +248,9 @@
             applyOwnRecord(*record, sentAt);
             registry_.resumeCommits(id);
         }
-        const auto doubt = unverified_.find(id);
-        if (doubt != unverified_.end() && doubt->second.since <= sentAt) {
-            unverified_.erase(doubt);
+        const auto verification = unverified_.find(id);
+        if (verification != unverified_.end() && verification->second.since <= sentAt) {
+            unverified_.erase(verification);
         }
     });
 }
--- a/Source/Process/Batch/JobTakeover.h
+++ b/Source/Process/Batch/JobTakeover.h
@@ -4,6 +4,7 @@
 #include "Process/Batch/JobRunner.h"
 
 #include <map>
+#include <optional>
 #include <set>
 
 namespace poplardock {
@@ -54,6 +55,14 @@
     [[nodiscard]] auto hasStoreContact(BootTime now) const -> bool;
 
 private:
+    /// Ends with the answer to a read of the record that was sent after the ownership came into doubt.
+    struct Verification
+    {
+        BootTime since;
+        /// When the record is read again because the store has not answered; unset while a read is in flight.
+        std::optional<BootTime> retryAt;
+    };
+
     auto scheduleReconciliation() -> void;
     /// Compares all job records in the store with the jobs owned here, and reads the records of unverified jobs again.
     auto reconcile(bool allowsStale) -> void;
@@ -86,7 +95,7 @@
     auto readProof(const std::string &id, std::function<void()> onEnd) -> void;
     /// Whether all other daemons that act on a job would be heard here within a moment.
     [[nodiscard]] auto hearsOthers(BootTime now) -> bool;
-    /// Reads the records of jobs in doubt again, if the store has not answered in time.
+    /// Reads the records of unverified jobs again whose last read has failed.
     auto retryVerifications(BootTime now) -> void;
     /// Stops the attempts of a job that another daemon owns now, and drops it from the registry.
     auto release(const std::string &id) -> void;
@@ -100,15 +109,8 @@
     JobRunner &runner_;
     BootTime startedAt_;
     std::set<std::string> takingOver_;
-    struct Doubt
-    {
-        BootTime since;
-        /// When the record is read again if the store has not answered by then.
-        BootTime retryAt;
-    };
-
-    /// Jobs in doubt until a read of their record that was sent later.
-    std::map<std::string, Doubt> unverified_;
+    /// Jobs whose ownership is unverified.
+    std::map<std::string, Verification> unverified_;
     /// Callers of readProof() that wait for a read of the record, by job.
     std::map<std::string, std::vector<std::function<void()>>> awaitingProof_;
     /// Jobs that were verified or taken over because a peer's report named them, and when a report may cause it again.
--- a/Source/Process/Peers/DaemonReport.h
+++ b/Source/Process/Peers/DaemonReport.h
@@ -167,7 +167,7 @@
 struct TokenRequest
 {
     std::string team;
-    /// Chosen by the requesting daemon; the response carries it too.
+    /// Set by the requesting daemon; the response carries it too.
     std::uint64_t correlationId = 0;
 
     auto operator==(const TokenRequest &) const -> bool = default;
--- a/Source/Process/Peers/FleetLoad.cpp
+++ b/Source/Process/Peers/FleetLoad.cpp
@@ -8,10 +8,8 @@
 
 /// Own reports that are kept: those of some seconds.
 constexpr std::size_t MAXIMUM_SENT_REPORTS = 64;
-/// As long as a daemon retains the crashes that it has observed itself.
+/// As long as a daemon retains the crashes that it has observed itself. Nothing in a report or digest counts for longer.
 constexpr std::chrono::minutes CRASH_RETENTION { 10 };
-/// Reports and digests of daemons that are gone are dropped after the longest time for which they count.
-constexpr std::chrono::milliseconds RETENTION = CRASH_RETENTION;
 
 auto addWork(WorkCounts &total, const WorkCounts &work) -> void
 {
@@ -57,13 +55,11 @@
 auto FleetLoad::applyReport(const DaemonReport &report, BootTime now) -> void
 {
     reports_[report.name] = { report, now };
-    std::erase_if(reports_, [now](const auto &each) { return now - each.second.at > RETENTION; });
 }
 
 auto FleetLoad::applyDigest(const DataCentreDigest &digest, BootTime now) -> void
 {
     digests_[digest.dataCentre] = { digest, now };
-    std::erase_if(digests_, [now](const auto &each) { return now - each.second.at > RETENTION; });
 }
 
 auto FleetLoad::applySummary(const FleetSummary &summary, BootTime now) -> void
@@ -71,6 +67,12 @@
     summary_ = { summary, now };
 }
 
+auto FleetLoad::removeExpired(BootTime now) -> void
+{
+    std::erase_if(reports_, [now](const auto &each) { return now - each.second.at > CRASH_RETENTION; });
+    std::erase_if(digests_, [now](const auto &each) { return now - each.second.at > CRASH_RETENTION; });
+}
+
 auto FleetLoad::recentDigests(Milliseconds maximumAge, BootTime now) const -> std::vector<const DataCentreDigest *>
 {
     std::vector<const DataCentreDigest *> recent;
--- a/Source/Process/Peers/FleetLoad.h
+++ b/Source/Process/Peers/FleetLoad.h
@@ -26,6 +26,8 @@
     auto applyReport(const DaemonReport &report, BootTime now) -> void;
     auto applyDigest(const DataCentreDigest &digest, BootTime now) -> void;
     auto applySummary(const FleetSummary &summary, BootTime now) -> void;
+    /// Drops the reports and digests that do not count any more.
+    auto removeExpired(BootTime now) -> void;
 
     /// Sums over the live daemons of this data centre, "own" included.
     [[nodiscard]] auto dataCentreSums(const DaemonReport &own, BootTime now) const -> LoadSums;
--- a/Source/Process/Peers/PeerDirectory.cpp
+++ b/Source/Process/Peers/PeerDirectory.cpp
@@ -38,8 +38,10 @@
 /// Announcements are kept while callers read the results, as many as a fleet at its target size needs.
 constexpr std::chrono::seconds ANNOUNCEMENT_RETENTION { 60 };
 constexpr std::size_t MAXIMUM_ANNOUNCEMENTS = 10000;
-/// Cancellations without the owner are rare; more than these do not fit a datagram beside the sums.
-constexpr std::size_t MAXIMUM_SENT_CANCELLATIONS = 200;
+/// Cancellations without the owner are rare; more than these do not fit a datagram beside the sums. A relay passes on those
+/// of several daemons.
+constexpr std::size_t MAXIMUM_OWN_CANCELLATIONS = 100;
+constexpr std::size_t MAXIMUM_SENT_CANCELLATIONS = 1000;
 /// How long selections that many requests repeat are reused.
 constexpr Milliseconds HOME_CACHE_TIME { 250 };
 constexpr Milliseconds RELAY_CACHE_TIME { 100 };
@@ -312,9 +314,14 @@
     return jobs;
 }
 
-auto PeerDirectory::announceCancellation(const std::string &job, BootTime now) -> void
+auto PeerDirectory::announceCancellation(const std::string &job, BootTime now) -> bool
 {
+    const std::vector<std::string> announced = ownCancellations(now);
+    if (announced.size() >= MAXIMUM_OWN_CANCELLATIONS && std::find(announced.begin(), announced.end(), job) == announced.end()) {
+        return false;
+    }
     cancellations_[job] = { now, Source::Own };
+    return true;
 }
 
 auto PeerDirectory::addCancellations(const std::vector<std::string> &jobs, Source source, BootTime now) -> void
@@ -361,7 +368,11 @@
     const auto isOld = [now](BootTime heardAt) {
         return now - heardAt > ANNOUNCEMENT_RETENTION;
     };
+    load_.removeExpired(now);
     std::erase_if(cancellations_, [&isOld](const auto &each) { return isOld(each.second.heardAt); });
+    while (cancellations_.size() > MAXIMUM_ANNOUNCEMENTS) {
+        cancellations_.erase(cancellations_.begin());
+    }
     std::erase_if(digestSenders_, [&isOld](const auto &each) { return isOld(each.second.heardAt); });
     std::erase_if(summarySenders_, [&isOld](const auto &each) { return isOld(each.second.heardAt); });
     std::erase_if(relayStates_,
@@ -755,9 +766,13 @@
     return hasRelay;
 }
 
-auto PeerDirectory::wasHeardSince(BootTime time) const -> bool
+auto PeerDirectory::wasHeardSince(BootTime time, BootTime now) const -> bool
 {
-    return std::any_of(relayStates_.begin(), relayStates_.end(), [time](const auto &each) { return each.second.echoedAt >= time; });
+    const std::vector<std::string> relays = relaysOf(ownDataCentre_, now);
+    return std::any_of(relays.begin(), relays.end(), [this, time](const std::string &name) {
+        const auto state = relayStates_.find(name);
+        return state != relayStates_.end() && state->second.echoedAt >= time;
+    });
 }
 
 auto PeerDirectory::work(BootTime now) const -> WorkCounts
--- a/Source/Process/Peers/PeerDirectory.h
+++ b/Source/Process/Peers/PeerDirectory.h
@@ -91,14 +91,14 @@
     [[nodiscard]] auto relaysOf(const std::string &dataCentre, BootTime now) const -> std::vector<std::string>;
     /// Whether this daemon is one of the relays of its data centre.
     [[nodiscard]] auto isRelay(BootTime now) const -> bool;
+    /// Whether it is the first one, which answers the others. The second relay takes part in the first one's summaries like
+    /// any other daemon.
+    [[nodiscard]] auto isFirstRelay(BootTime now) const -> bool;
     /// Whether this daemon has been reporting for long enough to have heard, as a relay, all that report to it. After a start or
     /// a pause it has not; until then it sends neither digests nor summaries, which would leave the others out.
     [[nodiscard]] auto isSettled(BootTime now) const -> bool;
     /// Whether another daemon is a relay of this data centre.
     [[nodiscard]] auto hasOtherRelay(BootTime now) const -> bool;
-    /// Whether it is the first one, which answers the others. The second relay takes part in the first one's summaries like
-    /// any other daemon.
-    [[nodiscard]] auto isFirstRelay(BootTime now) const -> bool;
     /// The relays to which this daemon reports, the first relay first. A relay that does not answer reports is passed over
     /// for some seconds, and gets a report now and then.
     auto reportTargets(BootTime now) -> std::vector<const Peer *>;
@@ -141,8 +141,8 @@
     /// Whether all relays of this daemon's data centre have recently heard it. Until their liveness timeout after the report
     /// that they echoed, no other daemon can find it gone.
     [[nodiscard]] auto isHeard(BootTime now) const -> bool;
-    /// Whether a relay has echoed a report that this daemon sent at that time or later.
-    [[nodiscard]] auto wasHeardSince(BootTime time) const -> bool;
+    /// Whether another relay of this data centre has echoed a report that this daemon sent at that time or later.
+    [[nodiscard]] auto wasHeardSince(BootTime time, BootTime now) const -> bool;
 
     /// As the functions of FleetLoad.
     [[nodiscard]] auto work(BootTime now) const -> WorkCounts;
@@ -164,8 +164,9 @@
     /// Calls "visit" for each job that another daemon has announced some time ago, and tells whether that daemon has started
     /// again since.
     auto forEachJob(const std::function<void(const std::string &job, const Peer &owner, bool hasRestarted)> &visit) const -> void;
-    /// Tells the others that this daemon has cancelled a job in the store, which its owner may not know.
-    auto announceCancellation(const std::string &job, BootTime now) -> void;
+    /// Tells the others, by the reports of a short time, that this daemon has cancelled a job in the store, which its owner may
+    /// not know. Returns false if so many are announced already that the reports would not name this one.
+    [[nodiscard]] auto announceCancellation(const std::string &job, BootTime now) -> bool;
     /// What this daemon has announced a short time ago, for its reports.
     [[nodiscard]] auto ownCancellations(BootTime now) const -> std::vector<std::string>;
     /// Jobs that other daemons have recently cancelled in the store.
--- a/Source/Request/ResultCode.cpp
+++ b/Source/Request/ResultCode.cpp
@@ -74,6 +74,7 @@
         { ResultCode::JobNotAccepted, "job_not_accepted", 503, NotRun, "The job could not be stored and was not accepted." },
         { ResultCode::JobUncertain, "job_uncertain", 503, MayHaveRun, "The job may have been accepted; send it again with the same key." },
         { ResultCode::JobCancelled, "job_cancelled", 409, MayHaveRun, "The job was cancelled before the item ran to its end." },
+        { ResultCode::JobCancelUncertain, "job_cancel_uncertain", 503, MayHaveRun, "The job may have been cancelled; cancel it again." },
         { ResultCode::ItemAttemptsExhausted, "item_attempts_exhausted", 502, MayHaveRun, "The item failed all its attempts." },
         { ResultCode::ItemMayHaveRun, "item_may_have_run", 502, MayHaveRun, "The non-repeatable item was sent and its answer was lost." },
         { ResultCode::ItemResultTooLarge, "item_result_too_large", 502, Ran, "The item's answer exceeds the size limit." },
--- a/Source/Request/ResultCode.h
+++ b/Source/Request/ResultCode.h
@@ -66,6 +66,7 @@
     JobNotAccepted = 4004,
     JobUncertain = 4005,
     JobCancelled = 4006,
+    JobCancelUncertain = 4007,
     ItemAttemptsExhausted = 4101,
     ItemMayHaveRun = 4102,
     ItemResultTooLarge = 4103,
--- a/Tests/Connection/JobServiceTest.cpp
+++ b/Tests/Connection/JobServiceTest.cpp
@@ -53,12 +53,12 @@
 }
 
 /// Many daemons that report to the first daemon of a fleet as their relay, and answer nothing: a large fleet around it.
-class StrangeDaemons
+class SimulatedDaemons
 {
 public:
     static constexpr const char *INCARNATION = "i1";
 
-    explicit StrangeDaemons(PlatformFleet &fleet)
+    explicit SimulatedDaemons(PlatformFleet &fleet)
         : fleet_(fleet)
         , address_(absl::StrCat("127.0.0.1:", freePort()))
     {
@@ -74,7 +74,7 @@
 
     static auto nameOf(int index) -> std::string
     {
-        return absl::StrCat("strange", index);
+        return absl::StrCat("simulated", index);
     }
 
     [[nodiscard]] auto address() const -> std::string
@@ -87,6 +87,11 @@
         return cancelledJobs_;
     }
 
+    auto forgetCancelledJobs() -> void
+    {
+        cancelledJobs_.clear();
+    }
+
 private:
     auto report() -> void
     {
@@ -273,7 +278,7 @@
 {
     constexpr int ENGINES = 6;
     PlatformFleet fleet(1, ENGINES);
-    StrangeDaemons others(fleet);
+    SimulatedDaemons others(fleet);
     // The first list of the records has been made, and the next one is planned for the large fleet.
     fleet.runFor(Milliseconds(3000));
     BOOST_TEST(fleet.call(0, PlatformFleet::submission("j15", 200, "key1"))->status == 202);
@@ -318,24 +323,62 @@
 BOOST_AUTO_TEST_CASE(ACancellationWithoutTheOwnerIsAnnounced)
 {
     PlatformFleet fleet(1, 1);
-    StrangeDaemons others(fleet);
+    SimulatedDaemons others(fleet);
     JobRecord record;
     record.id = "j17";
     record.team = "weavers";
     record.host = "shop";
     record.prefix = "/batch/";
-    record.owner = StrangeDaemons::nameOf(3);
-    record.ownerIncarnation = StrangeDaemons::INCARNATION;
+    record.owner = SimulatedDaemons::nameOf(3);
+    record.ownerIncarnation = SimulatedDaemons::INCARNATION;
     record.ownerAddress = others.address();
     record.submittedAt = WallClock::now();
     record.dueAt = record.submittedAt + std::chrono::minutes(1);
     record.giveUpAt = record.dueAt;
     record.itemCount = 1;
     fleet.store.put("jobs", "j17", toStored(record).spec);
-    // Not confirmed: neither the owner nor a relay has told that it heard.
-    BOOST_TEST(fleet.call(0, callOn("DELETE", "/-/lots/j17", "key1"))->status == 503);
+    // Not confirmed, since neither the owner nor a relay has told that it heard; and no refusal, since the job is cancelled.
+    BOOST_TEST(fleet.call(0, callOn("DELETE", "/-/lots/j17", "key1"))->status == 504);
     BOOST_TEST(storedRecord(fleet, "j17").isCancelled);
-    BOOST_TEST(fleet.runUntil([&others] { return others.cancelledJobs().contains("j17"); }, Milliseconds(1000)));
+    BOOST_TEST(others.cancelledJobs().contains("j17"));
+    // A report that a relay echoes at the last moment must still name the job.
+    others.forgetCancelledJobs();
+    BOOST_TEST(fleet.runUntil([&others] { return others.cancelledJobs().contains("j17"); }, Milliseconds(400)));
+}
+
+// Guards against a 503, a promise that nothing was done, while the store may have recorded the cancellation.
+BOOST_AUTO_TEST_CASE(AnUncertainCancellationIsNoRefusal)
+{
+    PlatformFleet fleet(1, 1);
+    fleet.engines[0]->behaviour().declines = true;
+    BOOST_TEST(fleet.call(0, PlatformFleet::submission("j19", 2, "key1"))->status == 202);
+    FakeObjectStore::Faults silent;
+    silent.isSilent = true;
+    silent.onlyTargets = "/jobs";
+    fleet.store.setFaults(silent);
+    const auto result = fleet.call(0, callOn("DELETE", "/-/lots/j19", "key1"));
+    BOOST_REQUIRE(result.has_value());
+    BOOST_TEST(result->status == 504);
+}
+
+// Guards against an owner that reads the record of an unverified job again and again while the store is slow to answer.
+BOOST_AUTO_TEST_CASE(ASlowStoreIsNotAskedTwiceAtOnce)
+{
+    PlatformFleet fleet(1, 1);
+    fleet.engines[0]->behaviour().declines = true;
+    BOOST_TEST(fleet.call(0, PlatformFleet::submission("j20", 2, "key1"))->status == 202);
+    const std::string owner = storedRecord(fleet, "j20").ownerAddress;
+    FakeObjectStore::Faults silent;
+    silent.isSilent = true;
+    silent.onlyTargets = "/jobs/j20";
+    fleet.store.setFaults(silent);
+    const auto reads = [&fleet] {
+        return fleet.store.callCount("GET /-/objects/jobs/j20");
+    };
+    const int before = reads();
+    BOOST_TEST(fleet.callAddress(owner, { "POST", "/cancelled/j20", {}, {} })->status == 200);
+    fleet.runFor(Milliseconds(1200));
+    BOOST_TEST(reads() - before == 1);
 }
 
 // Guards against a cancellation that is refused for good because the owner has crashed.
--- a/Tests/Process/PeerDirectoryTest.cpp
+++ b/Tests/Process/PeerDirectoryTest.cpp
@@ -210,7 +210,7 @@
     const std::string relay = fleet.views.at("a0").relaysOf("a", fleet.now()).front();
     const std::string leaf = relay == "a0" ? "a1" : "a0";
     for (const std::string &sender : { relay, leaf }) {
-        fleet.views.at(sender).announceCancellation("job of " + sender, fleet.now());
+        BOOST_TEST(fleet.views.at(sender).announceCancellation("job of " + sender, fleet.now()));
         fleet.run(Milliseconds(1000));
         for (const auto &[name, view] : fleet.views) {
             const std::vector<std::string> known = view.cancelledJobs();
@@ -224,6 +224,54 @@
     }
 }
 
+// Guards against a cancellation that is taken for announced although the reports do not name it.
+BOOST_AUTO_TEST_CASE(OnlyWhatReportsNameIsAnnounced)
+{
+    PeerDirectory peers("a0", "a");
+    std::set<std::string> announced;
+    for (int job = 0; job < 5000; ++job) {
+        const std::string name = "job" + std::to_string(job);
+        if (peers.announceCancellation(name, NOW)) {
+            announced.insert(name);
+        }
+    }
+    const std::vector<std::string> sent = peers.ownCancellations(NOW);
+    BOOST_TEST(!announced.empty());
+    BOOST_TEST((std::set<std::string>(sent.begin(), sent.end()) == announced));
+    BOOST_TEST(peers.announceCancellation(sent.front(), NOW));
+}
+
+// Guards against an echo of a daemon that passes nothing on, because it is no relay.
+BOOST_AUTO_TEST_CASE(OnlyARelaysEchoCounts)
+{
+    DirectoryFleet fleet(THREE, 4, NOW);
+    fleet.run(SETTLED);
+    PeerDirectory &view = fleet.views.at("a0");
+    const std::vector<std::string> relays = view.relaysOf("a", fleet.now());
+    const BootTime sentAt = fleet.now() + Milliseconds(1);
+    DaemonReport report = fleet.reports.at("a0");
+    report.sequence = 100000;
+    view.recordOwnReport(report, sentAt);
+    for (const std::string name : { "a1", "a2", "a3" }) {
+        FleetSummary summary = fleet.views.at(name).makeSummary(fleet.reports.at(name), name, fleet.now());
+        summary.sequence = report.sequence;
+        summary.echoedReport = report.sequence;
+        if (std::find(relays.begin(), relays.end(), name) == relays.end()) {
+            view.handleSummary(summary, fleet.now());
+            BOOST_TEST(!view.wasHeardSince(sentAt, fleet.now()), name);
+        }
+    }
+    for (const std::string &name : relays) {
+        if (name != "a0") {
+            FleetSummary summary = fleet.views.at(name).makeSummary(fleet.reports.at(name), name, fleet.now());
+            summary.sequence = report.sequence;
+            summary.echoedReport = report.sequence;
+            view.handleSummary(summary, fleet.now());
+            BOOST_TEST(view.wasHeardSince(sentAt, fleet.now()), name);
+        }
+    }
+}
+
 // Guards against work that is counted twice because two relays report it, or not at all because it is in another data
 // centre, and against a daemon that counts its own work as that of others. Load pattern: all daemons send work to shared
 // upstreams.
