Log the shared prompt parts of requests that ran at a crashed upstream

Change: the ids of all prompt parts but the last are decoded into RequestTerms, upstream_died names them, run_lost tells the number of events. No decision uses them yet.

--- a/Source/Connection/OnlineRun.cpp
+++ b/Source/Connection/OnlineRun.cpp
@@ -109,6 +109,7 @@
     run.needsFreshConnection = !order_.route->isRetryable;
     run.isTimed = view.online + view.batch < view.slots;
     run.fingerprint = order_.fingerprint;
+    run.sharedParts = order_.terms.sharedParts;
     const auto self = shared_from_this();
     RunHandlers handlers;
     handlers.onHead = [self](const MessageHead &head) {
--- a/Source/Connection/UpstreamRun.cpp
+++ b/Source/Connection/UpstreamRun.cpp
@@ -2,6 +2,8 @@
 
 #include "Process/EventLog.h"
 
+#include <absl/strings/str_join.h>
+
 namespace poplardock {
 
 namespace {
@@ -111,6 +113,7 @@
         splitter_.feed(bytes);
         for (auto event = splitter_.next(); event && !isDone_; event = isDone_ ? std::nullopt : splitter_.next()) {
             recordFirst();
+            ++eventCount_;
             handlers_.onEvent(*event);
         }
     }
@@ -186,6 +189,7 @@
                         : isCut                       ? "cut"
                                                       : "broken" },
                       { "had_head", hasHead_ },
+                      { "events", eventCount_ },
                       { "after_ms", millisecondsBetween(sentAt_, now) } });
     if (end == ExchangeEnd::Broken) {
         checkCrash();
@@ -205,9 +209,11 @@
             return;
         }
         parts.crashes.record(order.fingerprint, BootClock::now());
-        EventLog::write(
-            "upstream_died",
-            { { "request", order.requestId }, { "upstream", order.upstream }, { "fingerprint", order.fingerprint.substr(0, 16) } });
+        EventLog::write("upstream_died",
+                        { { "request", order.requestId },
+                          { "upstream", order.upstream },
+                          { "fingerprint", order.fingerprint.substr(0, 16) },
+                          { "parts", absl::StrJoin(order.sharedParts, ",") } });
     };
     Channel::connect(parts_.loop, order_.address, BootClock::now() + PROBE_TIME, {}, judge);
 }
--- a/Source/Connection/UpstreamRun.h
+++ b/Source/Connection/UpstreamRun.h
@@ -55,6 +55,7 @@
         bool isTimed = false;
         /// What a crash of the upstream is attributed to.
         std::string fingerprint;
+        std::vector<std::string> sharedParts;
     };
 
     UpstreamRun(FrontParts &parts, Order order, RunHandlers handlers);
@@ -97,6 +98,8 @@
     /// Bytes of an answer that is collected whole.
     std::size_t bodyBytes_ = 0;
     int status_ = 0;
+    /// Whole events of a successful stream.
+    int eventCount_ = 0;
     bool isCounted_ = false;
     bool isSent_ = false;
     bool hasHead_ = false;
--- a/Source/Connection/WireDialect.h
+++ b/Source/Connection/WireDialect.h
@@ -31,9 +31,14 @@
     /// Prompt tokens and the most output tokens; 0 when the request does not say.
     std::int64_t promptTokens = 0;
     std::int64_t outputTokens = 0;
+    /// Ids of the parts of the prompt that other requests may share, in order: all but the last. At most
+    /// MAXIMUM_SHARED_PARTS; further ones are left out.
+    std::vector<std::string> sharedParts;
     /// Time for which the caller waits for more results of a job.
     Milliseconds resultWait { 0 };
 
+    static constexpr std::size_t MAXIMUM_SHARED_PARTS = 32;
+
     auto operator==(const RequestTerms &) const -> bool = default;
 };
 
--- a/Tests/Platform/HeaderFormatTest.cpp
+++ b/Tests/Platform/HeaderFormatTest.cpp
@@ -46,6 +46,26 @@
     BOOST_TEST(decodeRequestMetadata(invalid).promptTokens == 0);
 }
 
+// Guards against prompt parts that are read with their lengths, and against taking a request's own part for a shared one.
+BOOST_AUTO_TEST_CASE(SharedPromptPartsAreDecoded)
+{
+    const auto partsOf = [](const std::string &value) {
+        HeaderList headers;
+        headers.add("Prompt-Prefix", value);
+        return decodeRequestMetadata(headers).sharedParts;
+    };
+    BOOST_TEST((partsOf("5c1e07a2:800, 91bd3f06:410,e4402b7d:250") == std::vector<std::string> { "5c1e07a2", "91bd3f06" }));
+    BOOST_TEST(partsOf("e4402b7d:250").empty());
+    BOOST_TEST(partsOf("").empty());
+    BOOST_TEST((partsOf(",:5,a:1,b") == std::vector<std::string> { "a" }));
+    BOOST_TEST(decodeRequestMetadata(callerHeaders()).sharedParts.empty());
+    std::string many;
+    for (int index = 0; index < 1000; ++index) {
+        many += "a:1,";
+    }
+    BOOST_TEST(partsOf(many).size() == RequestTerms::MAXIMUM_SHARED_PARTS);
+}
+
 // Guards against passing on to an upstream the caller's key, its hop-by-hop headers, or a forged team or upstream.
 BOOST_AUTO_TEST_CASE(HeadersForAnUpstreamAreSafe)
 {
