Test that a prompt part that crashes upstreams is refused in the whole fleet

The test sends ever new requests with one crashing prompt part through three daemons, among sound requests with the same key, route and first part, and restarts each daemon.

--- /dev/null
+++ b/Tests/Connection/CrashingPartTest.cpp
@@ -0,0 +1,150 @@
+#include "Support/PlatformFleet.h"
+
+#include <absl/strings/str_cat.h>
+#include <boost/test/unit_test.hpp>
+
+#include <algorithm>
+
+namespace poplardock {
+
+namespace {
+
+/// The platform's stableWindowMs: time within which what one daemon has observed counts at all.
+constexpr Milliseconds STABLE_WINDOW { 3000 };
+constexpr Milliseconds REQUEST_INTERVAL { 40 };
+constexpr int ENGINES = 8;
+constexpr std::size_t DAEMONS = 3;
+/// Crashes after which the fleet has to know the part, and requests with it that may reach an engine from then on.
+constexpr std::size_t CRASHES_TO_LEARN = 5;
+constexpr int STRAY_REQUESTS = 3;
+
+/// Daemons before engines that crash on one prompt part, and callers that send it in ever new requests, among sound
+/// requests with the same key, route and first part. Crashed engines are replaced under another name and address.
+class CrashingFleet
+{
+public:
+    CrashingFleet()
+        : fleet(DAEMONS, 0)
+    {
+        for (int index = 0; index < ENGINES; ++index) {
+            addEngine();
+        }
+        fleet.runUntil([this] { return answers(send(0, "warm:10", "warm")); }, STABLE_WINDOW);
+    }
+
+    auto addEngine() -> void
+    {
+        fleet.engines.push_back(std::make_unique<FakeEngine>(fleet.loop, absl::StrCat("server", fleet.engines.size())));
+        fleet.engines.back()->behaviour().crashesOnPart = "bad";
+        fleet.registerEngine(*fleet.engines.back(), "ready");
+    }
+
+    /// Replaces engines that have crashed since the last call, and notes when they did.
+    auto replaceCrashed() -> void
+    {
+        for (std::size_t index = 0; index < fleet.engines.size(); ++index) {
+            const FakeEngine &engine = *fleet.engines[index];
+            if (engine.hasCrashed() && crashed.insert(engine.name()).second) {
+                crashedAt.push_back(BootClock::now());
+                fleet.store.remove("servers", engine.name());
+                addEngine();
+            }
+        }
+    }
+
+    auto send(std::size_t daemon, const std::string &parts, const std::string &id) -> std::optional<HttpResult>
+    {
+        HttpCall call = PlatformFleet::streamRequest("/resumed/x", id, "key1");
+        call.headers.add("Prompt-Prefix", absl::StrCat(parts, ",own-", id, ":250"));
+        return fleet.call(daemon, call);
+    }
+
+    static auto answers(const std::optional<HttpResult> &result) -> bool
+    {
+        return result && result->status == 200;
+    }
+
+    /// Sends one crashing request among sound ones at each daemon in turn, for that time.
+    auto sendBothFor(Milliseconds time) -> void
+    {
+        for (const BootTime end = BootClock::now() + time; BootClock::now() < end;) {
+            const std::size_t daemon = static_cast<std::size_t>(count_) % fleet.daemons.size();
+            const std::string id = absl::StrCat("n", count_++);
+            if (fleet.daemons[daemon] != nullptr) {
+                send(daemon, "shared:200,bad:50", absl::StrCat("bad-", id));
+                ++soundSent;
+                soundAnswered += answers(send(daemon, absl::StrCat("shared:200,part", count_ % 5, ":50"), id)) ? 1 : 0;
+            }
+            replaceCrashed();
+            fleet.runFor(REQUEST_INTERVAL);
+        }
+    }
+
+    /// Runs of requests with the part that began at that time or later.
+    [[nodiscard]] auto badRunsSince(BootTime time) const -> int
+    {
+        int total = 0;
+        for (const auto &engine : fleet.engines) {
+            for (const FakeEngine::Run &run : engine->runs()) {
+                const std::string_view parts = run.head.headers.valueOf("Prompt-Prefix");
+                total += run.startedAt >= time && parts.find("bad:") != std::string_view::npos ? 1 : 0;
+            }
+        }
+        return total;
+    }
+
+    PlatformFleet fleet;
+    std::set<std::string> crashed;
+    std::vector<BootTime> crashedAt;
+    int soundSent = 0;
+    int soundAnswered = 0;
+
+private:
+    int count_ = 0;
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(CrashingPartSuite)
+
+// Guards against requests that share a prompt part and crash one upstream after the other, each of them new, and against
+// refusing the sound requests of the same team, route and first part with them.
+BOOST_AUTO_TEST_CASE(APromptPartThatCrashesUpstreamsIsRefusedEverywhere)
+{
+    CrashingFleet setting;
+    setting.sendBothFor(STABLE_WINDOW);
+    const BootTime learned
+        = setting.crashedAt.size() < CRASHES_TO_LEARN ? BootClock::now() : setting.crashedAt[CRASHES_TO_LEARN - 1] + STABLE_WINDOW;
+    setting.sendBothFor(STABLE_WINDOW);
+    setting.soundSent = 0;
+    setting.soundAnswered = 0;
+    setting.sendBothFor(STABLE_WINDOW);
+    BOOST_TEST(!setting.crashed.empty());
+    BOOST_TEST(setting.badRunsSince(learned) <= STRAY_REQUESTS, setting.crashed.size() << " engines crashed");
+    BOOST_TEST(setting.soundAnswered >= setting.soundSent / 2, setting.soundAnswered << " of " << setting.soundSent);
+}
+
+// Guards against a daemon that forgets by its restart which prompt parts crash upstreams.
+BOOST_AUTO_TEST_CASE(ARestartedDaemonLearnsThePartFromTheOthers)
+{
+    CrashingFleet setting;
+    setting.sendBothFor(2 * STABLE_WINDOW);
+    for (const std::size_t daemon : { 0, 1, 2 }) {
+        setting.fleet.killDaemon(daemon);
+        const std::size_t restarted = setting.fleet.startDaemon(absl::StrCat("daemon", daemon));
+        std::swap(setting.fleet.daemons[daemon], setting.fleet.daemons[restarted]);
+        setting.fleet.daemons.pop_back();
+        setting.fleet.awaitReady();
+        setting.fleet.runFor(STABLE_WINDOW);
+        const BootTime now = BootClock::now();
+        const auto bad = setting.send(daemon, "shared:200,bad:50", absl::StrCat("restarted-", daemon));
+        BOOST_TEST(setting.badRunsSince(now) == 0, "daemon " << daemon);
+        BOOST_TEST((bad && bad->status == HttpStatus::UNAVAILABLE));
+        BOOST_TEST(CrashingFleet::answers(setting.send(daemon, "shared:200,part1:50", absl::StrCat("sound-", daemon))));
+        setting.replaceCrashed();
+    }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace poplardock
--- a/Tests/Fakes/FakeEngine.cpp
+++ b/Tests/Fakes/FakeEngine.cpp
@@ -18,6 +18,13 @@
     return absl::StrCat("Request-Id: ", requestId, "\r\nServer-Stamp: stamp-", requestId, "\r\nServer-Load: 1,0,8\r\n");
 }
 
+auto hasPart(const MessageHead &head, const std::string &part) -> bool
+{
+    const std::string_view parts = head.headers.valueOf("Prompt-Prefix");
+    return !part.empty()
+           && absl::StrContains(absl::StrCat(",", absl::string_view(parts.data(), parts.size())), absl::StrCat(",", part, ":"));
+}
+
 auto dataOfEvent(const std::string &requestId, std::int64_t number) -> std::string
 {
     return absl::StrCat(requestId, ":", number);
@@ -119,6 +126,11 @@
     connections_.clear();
 }
 
+auto FakeEngine::hasCrashed() const -> bool
+{
+    return listener_ == nullptr;
+}
+
 auto FakeEngine::accept(std::shared_ptr<Channel> channel) -> void
 {
     auto connection = std::make_shared<Connection>();
@@ -208,6 +220,11 @@
     connection->channel->send(absl::StrCat("HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n",
                                            commonHeaders(idOf(connection->run->head)),
                                            "Transfer-Encoding: chunked\r\n\r\n"));
+    if (hasPart(connection->run->head, behaviour_.crashesOnPart)) {
+        // The crash ends the connection whose data handler is running.
+        loop_.post([this] { crash(); });
+        return;
+    }
     sendEvent(connection, first);
 }
 
--- a/Tests/Fakes/FakeEngine.h
+++ b/Tests/Fakes/FakeEngine.h
@@ -36,6 +36,8 @@
         bool isSilent = false;
         /// Status of all answers.
         int status = 200;
+        /// Id of a prompt part that crashes the engine right after the head of the answer; empty for none.
+        std::string crashesOnPart;
 
         auto operator==(const Behaviour &) const -> bool = default;
     };
@@ -71,6 +73,7 @@
     [[nodiscard]] auto runsOfRequest(const std::string &requestId) const -> std::vector<Run>;
     /// Stops listening and resets all connections, as a crash does.
     auto crash() -> void;
+    [[nodiscard]] auto hasCrashed() const -> bool;
 
 private:
     struct Connection
