--- a/Source/Connection/FrontService.cpp
+++ b/Source/Connection/FrontService.cpp
@@ -2,10 +2,12 @@
 
 #include "Connection/OnlineRun.h"
 #include "Connection/Refusal.h"
-#include "Process/CrashRegistry.h"
 #include "Process/EventLog.h"
 #include "Request/OnlineAdmission.h"
 
+#include <absl/strings/str_cat.h>
+#include <absl/strings/str_join.h>
+
 #include <algorithm>
 
 namespace poplardock {
@@ -94,18 +96,28 @@
         onJob_({ caller, *job, terms, team, isOnJobRoute ? route : nullptr, version });
         return;
     }
+    const CrashSubject subject { crashFingerprint(team, caller->head().target, caller->body()), terms.sharedParts };
+    // Before the allowance, so that requests that are never served take nothing from the team's sound ones.
+    if (const auto until = parts_.crashes.refusedUntil(subject, BootClock::now())) {
+        refuse(caller,
+               terms,
+               ResultCode::RequestCrashesUpstreams,
+               absl::StrCat(subject.request.substr(0, 16), " ", absl::StrJoin(subject.parts, ",")),
+               std::chrono::ceil<Milliseconds>(*until - BootClock::now()));
+        return;
+    }
     if (identity.team == nullptr) {
-        admit(caller, version, *route, terms, team);
+        admit(caller, version, *route, terms, team, subject);
         return;
     }
-    allowances_.tryAcquire(identity.team->team, [this, caller, version, route, terms, team](std::optional<Milliseconds> wait) {
+    allowances_.tryAcquire(identity.team->team, [this, caller, version, route, terms, team, subject](std::optional<Milliseconds> wait) {
         if (caller->isGone()) {
             return;
         }
         if (wait) {
             refuse(caller, terms, ResultCode::AllowanceExceeded, "team " + team, wait);
         } else {
-            admit(caller, version, *route, terms, team);
+            admit(caller, version, *route, terms, team, subject);
         }
     });
 }
@@ -114,13 +126,9 @@
                          const ServingVersionPointer &version,
                          const ServiceRoute &route,
                          const RequestTerms &terms,
-                         const std::string &team) -> void
+                         const std::string &team,
+                         const CrashSubject &subject) -> void
 {
-    const std::string fingerprint = crashFingerprint(team, caller->head().target, caller->body());
-    if (parts_.crashes.crashesOf(fingerprint) + parts_.peers.crashes(fingerprint, BootClock::now()) >= CRASH_LIMIT) {
-        refuse(caller, terms, ResultCode::RequestCrashesUpstreams, fingerprint.substr(0, 16));
-        return;
-    }
     const std::string group = groupOf(route, parts_.random());
     const BootTime now = BootClock::now();
     const auto views = parts_.directory.candidates(group);
@@ -142,7 +150,7 @@
     order.group = group;
     order.team = team;
     order.terms = terms;
-    order.fingerprint = fingerprint;
+    order.subject = subject;
     std::make_shared<OnlineRun>(parts_, std::move(order))->start();
 }
 
--- a/Source/Connection/FrontService.h
+++ b/Source/Connection/FrontService.h
@@ -50,7 +50,8 @@
                const ServingVersionPointer &version,
                const ServiceRoute &route,
                const RequestTerms &terms,
-               const std::string &team) -> void;
+               const std::string &team,
+               const CrashSubject &subject) -> void;
 
     FrontParts &parts_;
     AllowanceTable &allowances_;
--- a/Source/Connection/Io/Channel.cpp
+++ b/Source/Connection/Io/Channel.cpp
@@ -27,6 +27,36 @@
 // Bytes read from one channel per wake-up, so that a busy channel does not starve the others.
 constexpr std::size_t MAX_BYTES_PER_WAKEUP = 256 * 1024;
 
+using OpenHandler = std::function<void(const boost::system::error_code &, Tcp::socket)>;
+
+/// Opens a connection to "IP:port". The handler is called once, from the loop, at the deadline at the latest.
+auto openSocket(EventLoop &loop, const std::string &address, BootTime deadline, OpenHandler handler) -> void
+{
+    struct Attempt
+    {
+        explicit Attempt(asio::io_context &context)
+            : socket(context)
+        {
+        }
+        Tcp::socket socket;
+        Timer timeout;
+    };
+    auto attempt = std::make_shared<Attempt>(loop.context());
+    const auto endpoint = parseEndpoint<Tcp>(address);
+    if (!endpoint.ok()) {
+        loop.post([attempt, handler = std::move(handler)] { handler(asio::error::invalid_argument, std::move(attempt->socket)); });
+        return;
+    }
+    attempt->timeout = loop.at(deadline, [attempt] {
+        boost::system::error_code ignored;
+        attempt->socket.close(ignored);
+    });
+    attempt->socket.async_connect(*endpoint, [attempt, handler = std::move(handler)](const boost::system::error_code &error) {
+        attempt->timeout.cancel();
+        handler(error, std::move(attempt->socket));
+    });
+}
+
 } // namespace
 
 struct Channel::Socket
@@ -50,35 +80,26 @@
 auto Channel::connect(EventLoop &loop, const std::string &address, BootTime deadline, ChannelTimeouts timeouts, ConnectHandler handler)
     -> void
 {
-    const auto endpoint = parseEndpoint<Tcp>(address);
-    if (!endpoint.ok()) {
-        loop.post([handler = std::move(handler)] { handler(nullptr); });
-        return;
-    }
-    struct Attempt
-    {
-        explicit Attempt(asio::io_context &context)
-            : socket(context)
-        {
-        }
-        Tcp::socket socket;
-        Timer timeout;
-    };
-    auto attempt = std::make_shared<Attempt>(loop.context());
-    attempt->timeout = loop.at(deadline, [attempt] {
-        boost::system::error_code ignored;
-        attempt->socket.close(ignored);
-    });
-    attempt->socket.async_connect(*endpoint, [attempt, timeouts, handler = std::move(handler)](const boost::system::error_code &error) {
-        attempt->timeout.cancel();
-        if (error) {
-            handler(nullptr);
-            return;
-        }
-        auto channel = makeChannel(std::move(attempt->socket));
-        channel->setTimeouts(timeouts);
-        handler(std::move(channel));
-    });
+    openSocket(
+        loop, address, deadline, [timeouts, handler = std::move(handler)](const boost::system::error_code &error, Tcp::socket socket) {
+            if (error) {
+                handler(nullptr);
+                return;
+            }
+            auto channel = makeChannel(std::move(socket));
+            channel->setTimeouts(timeouts);
+            handler(std::move(channel));
+        });
+}
+
+auto Channel::probe(EventLoop &loop, const std::string &address, BootTime deadline, std::function<void(Reachability)> handler) -> void
+{
+    openSocket(
+        loop, address, deadline, [handler = std::move(handler)](const boost::system::error_code &error, const Tcp::socket & /*socket*/) {
+            handler(!error                                     ? Reachability::Accepting
+                    : error == asio::error::connection_refused ? Reachability::Refusing
+                                                               : Reachability::Unknown);
+        });
 }
 
 Channel::Channel(std::unique_ptr<Socket> socket)
--- a/Source/Connection/Io/Channel.h
+++ b/Source/Connection/Io/Channel.h
@@ -20,6 +20,16 @@
     Broken,
 };
 
+/// Whether something accepts connections at an address.
+enum class Reachability
+{
+    Accepting,
+    /// The host answers, but no process listens there.
+    Refusing,
+    /// No answer in time, or another error: the process may be alive behind a cut.
+    Unknown,
+};
+
 /// When an unresponsive peer makes a channel count as broken.
 struct ChannelTimeouts
 {
@@ -47,6 +57,10 @@
     static auto connect(EventLoop &loop, const std::string &address, BootTime deadline, ChannelTimeouts timeouts, ConnectHandler handler)
         -> void;
 
+    /// Finds out whether something accepts connections at "IP:port", by opening one and closing it. The handler is called
+    /// once, from the loop, at the deadline at the latest.
+    static auto probe(EventLoop &loop, const std::string &address, BootTime deadline, std::function<void(Reachability)> handler) -> void;
+
     explicit Channel(std::unique_ptr<Socket> socket);
     Channel(const Channel &) = delete;
     auto operator=(const Channel &) -> Channel & = delete;
--- a/Source/Connection/OnlineParts.h
+++ b/Source/Connection/OnlineParts.h
@@ -2,7 +2,7 @@
 
 #include "Process/ClaimStore.h"
 #include "Process/Clock.h"
-#include "Process/CrashRegistry.h"
+#include "Process/CrashSuspects.h"
 #include "Process/FleetState.h"
 #include "Process/Metrics.h"
 #include "Process/RetryBudget.h"
@@ -20,7 +20,7 @@
     const FleetState &state;
     UpstreamTable &upstreams;
     RetryBudget &retryBudget;
-    CrashRegistry &crashes;
+    CrashSuspects &crashes;
     ClaimStore &claims;
     Metrics &metrics;
     /// Spends one token of the team's allowance.
--- a/Source/Connection/OnlinePath.cpp
+++ b/Source/Connection/OnlinePath.cpp
@@ -152,6 +152,7 @@
             return *error;
         }
         request.model = std::get<ChatBody>(body).model;
+        request.sharedParts = std::get<ChatBody>(body).sharedParts;
     }
     const FleetVersionPointer version = parts_.state.current();
     const Configuration &configuration = version->configuration;
@@ -184,8 +185,7 @@
 
 auto OnlinePath::refuse(const OnlineRequest &request) const -> std::optional<RequestError>
 {
-    const std::string fingerprint = crashFingerprint(request.team, request.message.uri, request.message.body);
-    if (parts_.crashes.isRefused(fingerprint, Clock::now())) {
+    if (parts_.crashes.refusedUntil(crashSubjectOf(request), BootClock::now())) {
         return RequestError { ResultCode::RequestCrashesUpstreams, {} };
     }
     return std::nullopt;
--- a/Source/Connection/OnlineRun.cpp
+++ b/Source/Connection/OnlineRun.cpp
@@ -70,6 +70,10 @@
 auto OnlineRun::tryNext() -> void
 {
     const BootTime now = BootClock::now();
+    if (parts_.crashes.refusedUntil(order_.subject, now)) {
+        giveUp(mayHaveRun_ ? ResultCode::RetriesExhausted : ResultCode::RequestCrashesUpstreams, "such requests crash upstreams");
+        return;
+    }
     const auto views = parts_.directory.candidates(order_.group);
     const auto choice = chooseForOnline(views, excluded_, now, parts_.random());
     if (!choice || declines_ >= MAXIMUM_DECLINES) {
@@ -108,8 +112,7 @@
     run.isStream = isStream();
     run.needsFreshConnection = !order_.route->isRetryable;
     run.isTimed = view.online + view.batch < view.slots;
-    run.fingerprint = order_.fingerprint;
-    run.sharedParts = order_.terms.sharedParts;
+    run.subject = order_.subject;
     const auto self = shared_from_this();
     RunHandlers handlers;
     handlers.onHead = [self](const MessageHead &head) {
--- a/Source/Connection/OnlineRun.h
+++ b/Source/Connection/OnlineRun.h
@@ -29,7 +29,8 @@
         /// Empty for an open route.
         std::string team;
         RequestTerms terms;
-        std::string fingerprint;
+        /// What the crash of an upstream is attributed to.
+        CrashSubject subject;
     };
 
     OnlineRun(FrontParts &parts, Order order);
--- a/Source/Connection/RequestRun.cpp
+++ b/Source/Connection/RequestRun.cpp
@@ -71,12 +71,17 @@
                                  : version.configuration.upstreamsOfModel(request.model);
 }
 
+auto crashSubjectOf(const OnlineRequest &request) -> CrashSubject
+{
+    return { crashFingerprint(request.team, request.message.uri, request.message.body), request.sharedParts };
+}
+
 RequestRun::RequestRun(const OnlineParts &parts, const OnlineRequest &request, CallerReply &reply, CallerWatch::Registration &watch)
     : parts_(parts)
     , request_(request)
     , reply_(reply)
     , watch_(watch)
-    , fingerprint_(crashFingerprint(request.team, request.message.uri, request.message.body))
+    , crashSubject_(crashSubjectOf(request))
 {
 }
 
@@ -192,6 +197,9 @@
 
 auto RequestRun::finish(const UpstreamAnswer &answer) -> void
 {
+    if (answer.head.status < FIRST_NOT_SUCCESS) {
+        parts_.crashes.recordAnswer(crashSubject_, BootClock::now());
+    }
     if (claim_) {
         const auto recorded = parts_.claims.record(*claim_, { answer.head.status, findHeader(answer.head, "Content-Type"), answer.body });
         if (!recorded.ok()) {
@@ -217,7 +225,7 @@
     if (failure.run == RunState::NotRun) {
         return true;
     }
-    return request_.isRetryable && sentAttempts_ < MAXIMUM_SENT_ATTEMPTS && !parts_.crashes.isRefused(fingerprint_, now)
+    return request_.isRetryable && sentAttempts_ < MAXIMUM_SENT_ATTEMPTS && !parts_.crashes.refusedUntil(crashSubject_, BootClock::now())
            && parts_.retryBudget.tryAcquire(now);
 }
 
@@ -225,7 +233,7 @@
 {
     if (refusesConnections(upstream)) {
         parts_.metrics.count("online_upstream_deaths");
-        parts_.crashes.recordCrash(fingerprint_, Clock::now());
+        parts_.crashes.recordCrash(crashSubject_, upstream.name, BootClock::now());
         if (parts_.spreadDeath) {
             parts_.spreadDeath();
         }
--- a/Source/Connection/RequestRun.h
+++ b/Source/Connection/RequestRun.h
@@ -16,6 +16,9 @@
 /// The upstreams of a request in a version, leaving ones included. The pointers live as long as the version.
 auto upstreamsOf(const FleetVersion &version, const OnlineRequest &request) -> std::vector<const Upstream *>;
 
+/// What the crash of an upstream that runs the request is attributed to. Thread-safe.
+auto crashSubjectOf(const OnlineRequest &request) -> CrashSubject;
+
 /// Runs one admitted request: claims its idempotency key, sends it to upstreams by the rules for retries, and
 /// answers the caller. Not thread-safe; used once.
 class RequestRun
@@ -49,7 +52,7 @@
     const OnlineRequest &request_;
     CallerReply &reply_;
     CallerWatch::Registration &watch_;
-    const std::string fingerprint_;
+    const CrashSubject crashSubject_;
     std::optional<Claim> claim_;
     std::set<std::string> tried_;
     /// Attempts of which an upstream got at least one byte.
--- a/Source/Connection/UpstreamRun.cpp
+++ b/Source/Connection/UpstreamRun.cpp
@@ -173,6 +173,7 @@
         const bool isSuccess = HttpStatus::isSuccess(status_);
         if (isSuccess) {
             recordFirst();
+            recordAnswer();
         }
         if (isSuccess && order_.work == Work::Online && order_.isTimed) {
             parts_.directory.recordServiceTime(order_.upstream, millisecondsBetween(sentAt_, now));
@@ -191,31 +192,63 @@
                       { "had_head", hasHead_ },
                       { "events", eventCount_ },
                       { "after_ms", millisecondsBetween(sentAt_, now) } });
-    if (end == ExchangeEnd::Broken) {
-        checkCrash();
+    if (end == ExchangeEnd::Malformed) {
+        finish(RunEnd::Invalid);
+    } else {
+        finishLost();
     }
-    finish(end == ExchangeEnd::Malformed ? RunEnd::Invalid : RunEnd::Lost);
 }
 
-auto UpstreamRun::checkCrash() -> void
+auto UpstreamRun::recordAnswer() -> void
 {
-    if (order_.fingerprint.empty()) {
+    CrashSuspects &crashes = parts_.crashes;
+    if (channel_->isReusable()) {
+        crashes.recordAnswer(order_.subject, BootClock::now());
+        return;
+    }
+    // A stream that ends with its connection looks whole, too, when the upstream crashes between two events.
+    const bool mayHaveCrashed = order_.isStream && eventCount_ <= 1;
+    if (!mayHaveCrashed && !crashes.isSuspect(order_.subject)) {
         return;
     }
-    FrontParts &parts = parts_;
-    const auto judge = [&parts, order = order_](const std::shared_ptr<Channel> &channel) {
-        if (channel != nullptr) {
-            channel->abort();
-            return;
+    probe([&crashes, order = order_](Reachability reachability) {
+        if (reachability == Reachability::Accepting) {
+            crashes.recordAnswer(order.subject, BootClock::now());
+        } else if (reachability == Reachability::Refusing) {
+            recordCrash(crashes, order);
         }
-        parts.crashes.record(order.fingerprint, BootClock::now());
-        EventLog::write("upstream_died",
-                        { { "request", order.requestId },
-                          { "upstream", order.upstream },
-                          { "fingerprint", order.fingerprint.substr(0, 16) },
-                          { "parts", absl::StrJoin(order.sharedParts, ",") } });
-    };
-    Channel::connect(parts_.loop, order_.address, BootClock::now() + PROBE_TIME, {}, judge);
+    });
+}
+
+auto UpstreamRun::finishLost() -> void
+{
+    // A request that crashes upstreams does so as its answer begins.
+    if (eventCount_ > 1) {
+        finish(RunEnd::Lost);
+        return;
+    }
+    // The next attempt waits for the outcome, so that the request does not crash a further upstream meanwhile.
+    probe([self = shared_from_this()](Reachability reachability) {
+        if (reachability == Reachability::Refusing) {
+            recordCrash(self->parts_.crashes, self->order_);
+        }
+        self->finish(RunEnd::Lost);
+    });
+}
+
+auto UpstreamRun::probe(std::function<void(Reachability)> handler) -> void
+{
+    Channel::probe(parts_.loop, order_.address, BootClock::now() + PROBE_TIME, std::move(handler));
+}
+
+auto UpstreamRun::recordCrash(CrashSuspects &crashes, const Order &order) -> void
+{
+    crashes.recordCrash(order.subject, order.upstream, BootClock::now());
+    EventLog::write("upstream_died",
+                    { { "request", order.requestId },
+                      { "upstream", order.upstream },
+                      { "fingerprint", order.subject.request.substr(0, 16) },
+                      { "parts", absl::StrJoin(order.subject.parts, ",") } });
 }
 
 auto UpstreamRun::finish(RunEnd end) -> void
--- a/Source/Connection/UpstreamRun.h
+++ b/Source/Connection/UpstreamRun.h
@@ -54,8 +54,7 @@
         /// The run is expected to find a free slot, so that its times tell the speed of the upstream.
         bool isTimed = false;
         /// What a crash of the upstream is attributed to.
-        std::string fingerprint;
-        std::vector<std::string> sharedParts;
+        CrashSubject subject;
     };
 
     UpstreamRun(FrontParts &parts, Order order, RunHandlers handlers);
@@ -85,7 +84,12 @@
     auto release() -> void;
     /// Ends the run because its answer, or one event, exceeds what is held in memory.
     auto endOversized() -> void;
-    auto checkCrash() -> void;
+    /// Ends the run, after finding out whether the upstream has crashed, if the request may be the cause.
+    auto finishLost() -> void;
+    auto probe(std::function<void(Reachability)> handler) -> void;
+    static auto recordCrash(CrashSuspects &crashes, const Order &order) -> void;
+    /// Records that the request was answered whole; asks the upstream first if the answer may be the start of one.
+    auto recordAnswer() -> void;
     auto recordFirst() -> void;
 
     FrontParts &parts_;
--- a/Source/Process/Batch/JobRunner.cpp
+++ b/Source/Process/Batch/JobRunner.cpp
@@ -1,6 +1,5 @@
 #include "Process/Batch/JobRunner.h"
 
-#include "Process/CrashRegistry.h"
 #include "Process/EventLog.h"
 
 #include <algorithm>
@@ -211,7 +210,8 @@
     order.address = upstream->address;
     order.work = Work::Batch;
     order.isStream = true;
-    order.fingerprint = crashFingerprint(record.team, item->item.path, item->item.body);
+    order.subject = { crashFingerprint(record.team, item->item.path, item->item.body),
+                      context_.dialect.requestTerms(order.call.headers).sharedParts };
     RunHandlers handlers;
     handlers.onHead = [this, key = waiting.key](const MessageHead &head) {
         const auto active = active_.find(key);
@@ -292,9 +292,9 @@
         return;
     }
     if (end != RunEnd::Complete) {
-        // The next attempt resumes after the last event. Whether the upstream has crashed is known only a moment later.
+        // The next attempt resumes after the last event.
         const std::string fingerprint = crashFingerprint(job->record().team, item->item.path, item->item.body);
-        item->crashes = context_.crashes.crashesOf(fingerprint) + context_.peers.crashes(fingerprint, BootClock::now());
+        item->crashes = context_.crashes.crashCount(fingerprint, BootClock::now());
         requeue(key, FAILURE_BACKOFF, "lost");
         return;
     }
--- a/Source/Process/BatchDispatcher.cpp
+++ b/Source/Process/BatchDispatcher.cpp
@@ -398,7 +398,7 @@
         attempt.upstream, attempt.job->job, attempt.body, Clock::now() + options_.attemptTimeout, attempt.stop.get_token(), hooks_.isAlive);
     const auto *failed = std::get_if<AttemptFailed>(&result);
     if (failed != nullptr && failed->isCrash) {
-        hooks_.recordCrash(attempt.job->job.team, path, attempt.body);
+        hooks_.recordCrash(attempt.upstream.name, attempt.job->job.team, path, attempt.body);
     }
     return result;
 }
--- a/Source/Process/BatchDispatcher.h
+++ b/Source/Process/BatchDispatcher.h
@@ -42,7 +42,8 @@
         /// True for a request that is refused because it crashed upstreams.
         std::function<bool(const std::string &team, const std::string &path, const std::string &body)> isRefused;
         /// Records that an upstream crashed while it ran the request.
-        std::function<void(const std::string &team, const std::string &path, const std::string &body)> recordCrash;
+        std::function<void(const std::string &upstream, const std::string &team, const std::string &path, const std::string &body)>
+            recordCrash;
         /// Probes whether an upstream still responds after it closed a connection during a request.
         std::function<bool(const Upstream &upstream)> isAlive = BatchItemAttempt::probe;
     };
--- a/Source/Process/Daemon.cpp
+++ b/Source/Process/Daemon.cpp
@@ -83,7 +83,6 @@
         , committer(store, state, loader, writer, seed + 2)
         , editor(state, committer, exchange, seed + 3)
         , upstreams(state)
-        , crashes(writer)
         , claims(store)
         , jobStore(store, jobLimits(settings))
     {
@@ -115,7 +114,7 @@
     std::unique_ptr<AllowanceClient> allowanceClient;
     UpstreamTable upstreams;
     RetryBudget retryBudget;
-    CrashRegistry crashes;
+    CrashSuspects crashes;
     ClaimStore claims;
     JobStore jobStore;
     std::unique_ptr<BatchDispatcher> dispatcher;
@@ -128,6 +127,8 @@
     std::unique_ptr<HttpService> operatorsService;
 
     auto registerRoutes() -> void;
+    [[nodiscard]] auto encodeCrashSuspects() const -> Poco::Dynamic::Var;
+    auto mergeCrashSuspects(const Poco::Dynamic::Var &value) -> void;
     [[nodiscard]] auto ownRecord() const -> Member;
     auto createAllowances() -> absl::Status;
     auto createOnlinePath() -> void;
@@ -170,12 +171,32 @@
     });
     exchange.addField(
         "crashes",
-        [this] { return Poco::Dynamic::Var(crashes.toJson(Clock::now())); },
-        [this](const Poco::Dynamic::Var &value, const ExchangeSource &) {
-            if (value.type() == typeid(JsonObject::Ptr)) {
-                crashes.merge(*value.extract<JsonObject::Ptr>(), Clock::now());
-            }
-        });
+        [this] { return encodeCrashSuspects(); },
+        [this](const Poco::Dynamic::Var &value, const ExchangeSource &) { mergeCrashSuspects(value); });
+}
+
+auto Daemon::Parts::encodeCrashSuspects() const -> Poco::Dynamic::Var
+{
+    std::vector<std::string> texts;
+    for (const CrashSuspect &suspect : crashes.allStates(BootClock::now())) {
+        texts.push_back(encodeCrashSuspect(suspect));
+    }
+    return Json::fromStrings(texts);
+}
+
+auto Daemon::Parts::mergeCrashSuspects(const Poco::Dynamic::Var &value) -> void
+{
+    if (value.type() != typeid(JsonArray::Ptr)) {
+        return;
+    }
+    std::vector<CrashSuspect> suspects;
+    for (const Poco::Dynamic::Var &text : *value.extract<JsonArray::Ptr>()) {
+        const auto suspect = text.isString() ? decodeCrashSuspect(text.extract<std::string>()) : absl::InvalidArgumentError("not a text");
+        if (suspect.ok()) {
+            suspects.push_back(*suspect);
+        }
+    }
+    crashes.merge(suspects, BootClock::now());
 }
 
 auto Daemon::Parts::createAllowances() -> absl::Status
@@ -237,10 +258,10 @@
         return loadOf(upstream);
     };
     hooks.isRefused = [this](const std::string &team, const std::string &path, const std::string &body) {
-        return crashes.isRefused(crashFingerprint(team, path, body), Clock::now());
+        return crashes.refusedUntil({ crashFingerprint(team, path, body), {} }, BootClock::now()).has_value();
     };
-    hooks.recordCrash = [this](const std::string &team, const std::string &path, const std::string &body) {
-        crashes.recordCrash(crashFingerprint(team, path, body), Clock::now());
+    hooks.recordCrash = [this](const std::string &upstream, const std::string &team, const std::string &path, const std::string &body) {
+        crashes.recordCrash({ crashFingerprint(team, path, body), {} }, upstream, BootClock::now());
     };
     dispatcher = std::make_unique<BatchDispatcher>(jobStore, state, metrics, options, hooks);
     yieldSender = std::make_unique<PreemptionNotifier>(
--- a/Source/Process/FrontDaemon.cpp
+++ b/Source/Process/FrontDaemon.cpp
@@ -99,7 +99,7 @@
                peers_,
                peerLink_,
                peerClient_,
-               crashes_,
+               peers_.crashSuspects(),
                retries_,
                metrics_,
                random_,
@@ -221,7 +221,7 @@
     report.hasStoreContact = adoption_.hasStoreContact(now);
     report.work = directory_.ownWork();
     report.demand = allowances_.demand(now);
-    report.crashes = crashes_.crashes(now);
+    report.crashSuspects = peers_.crashSuspects().states(now);
     report.cancelledJobs = peers_.ownCancellations(now);
     book_.forEach([this, now, &report](const std::string &id, const OwnedJob &job) {
         const bool isNew = now - job.ownedSince() < ANNOUNCEMENT_TIME;
--- a/Source/Process/FrontDaemon.h
+++ b/Source/Process/FrontDaemon.h
@@ -57,7 +57,6 @@
     EventLoop &loop_;
     Metrics metrics_;
     RetryBudget retries_;
-    CrashCounter crashes_;
     std::mt19937_64 random_;
     ObjectStore store_;
     ClientPool peerPool_;
--- a/Source/Process/FrontParts.h
+++ b/Source/Process/FrontParts.h
@@ -2,8 +2,8 @@
 
 #include "Connection/HttpClient.h"
 #include "Connection/WireDialect.h"
+#include "Process/CrashSuspects.h"
 #include "Process/FrontSettings.h"
-#include "Process/Load/CrashCounter.h"
 #include "Process/Load/UpstreamDirectory.h"
 #include "Process/Metrics.h"
 #include "Process/Peers/PeerDirectory.h"
@@ -29,7 +29,7 @@
     PeerLink &peerLink;
     /// Calls to the other daemons.
     HttpClient &peerClient;
-    CrashCounter &crashes;
+    CrashSuspects &crashes;
     RetryBudget &retries;
     Metrics &metrics;
     std::mt19937_64 &random;
--- a/Source/Process/Peers/DaemonReport.cpp
+++ b/Source/Process/Peers/DaemonReport.cpp
@@ -31,9 +31,6 @@
     for (const auto &[team, requests] : load.demand) {
         absl::StrAppendFormat(&text, "\nd %s %.2f", team, requests);
     }
-    for (const auto &[fingerprint, count] : load.crashes) {
-        absl::StrAppend(&text, "\nc ", fingerprint, " ", count);
-    }
 }
 
 auto appendJobs(std::string &text, const std::vector<JobOwner> &jobs) -> void
@@ -50,6 +47,13 @@
     }
 }
 
+auto appendCrashSuspects(std::string &text, const std::vector<CrashSuspect> &suspects) -> void
+{
+    for (const CrashSuspect &suspect : suspects) {
+        absl::StrAppend(&text, "\ns ", encodeCrashSuspect(suspect));
+    }
+}
+
 auto flag(bool value) -> int
 {
     return value ? 1 : 0;
@@ -74,6 +78,7 @@
             absl::StrAppend(&text, "\nj ", job);
         }
         appendCancelledJobs(text, report.cancelledJobs);
+        appendCrashSuspects(text, report.crashSuspects);
         return text;
     }
 
@@ -86,6 +91,7 @@
         appendLoad(text, digest);
         appendJobs(text, digest.jobs);
         appendCancelledJobs(text, digest.cancelledJobs);
+        appendCrashSuspects(text, digest.crashSuspects);
         return text;
     }
 
@@ -106,6 +112,7 @@
         appendLoad(text, summary);
         appendJobs(text, summary.jobs);
         appendCancelledJobs(text, summary.cancelledJobs);
+        appendCrashSuspects(text, summary.crashSuspects);
         return text;
     }
 
@@ -164,17 +171,14 @@
     return absl::InvalidArgumentError(absl::StrCat("malformed peer message: ", line.substr(0, 80)));
 }
 
-/// Parses a line of work, demand or crashes.
+/// Parses a line of work or demand.
 auto parseLoadLine(LoadSums &load, const Words &words) -> bool
 {
     if (words.size() == 4 && words[0] == "w") {
         WorkCount &count = load.work[std::string(words[1])];
         return absl::SimpleAtoi(words[2], &count.online) && absl::SimpleAtoi(words[3], &count.batch);
     }
-    if (words.size() == 3 && words[0] == "d") {
-        return absl::SimpleAtod(words[2], &load.demand[std::string(words[1])]);
-    }
-    return words.size() == 3 && words[0] == "c" && absl::SimpleAtoi(words[2], &load.crashes[std::string(words[1])]);
+    return words.size() == 3 && words[0] == "d" && absl::SimpleAtod(words[2], &load.demand[std::string(words[1])]);
 }
 
 auto parseJobOwner(std::vector<JobOwner> &jobs, const Words &words) -> bool
@@ -196,14 +200,30 @@
     return true;
 }
 
+auto parseCrashSuspect(std::vector<CrashSuspect> &suspects, const Words &words) -> bool
+{
+    if (words.size() < 2 || words[0] != "s") {
+        return false;
+    }
+    const absl::string_view last = words.back();
+    const auto suspect = decodeCrashSuspect({ words[1].data(), static_cast<std::size_t>(last.data() + last.size() - words[1].data()) });
+    if (!suspect.ok()) {
+        return false;
+    }
+    suspects.push_back(*suspect);
+    return true;
+}
+
 auto parseLine(DaemonReport &report, const Words &words) -> bool
 {
-    return parseJob(report.jobs, "j", words) || parseJob(report.cancelledJobs, "x", words) || parseLoadLine(report, words);
+    return parseJob(report.jobs, "j", words) || parseJob(report.cancelledJobs, "x", words) || parseCrashSuspect(report.crashSuspects, words)
+           || parseLoadLine(report, words);
 }
 
 auto parseLine(DataCentreDigest &digest, const Words &words) -> bool
 {
-    return parseJobOwner(digest.jobs, words) || parseJob(digest.cancelledJobs, "x", words) || parseLoadLine(digest, words);
+    return parseJobOwner(digest.jobs, words) || parseJob(digest.cancelledJobs, "x", words) || parseCrashSuspect(digest.crashSuspects, words)
+           || parseLoadLine(digest, words);
 }
 
 auto parseLine(FleetSummary &summary, const Words &words) -> bool
@@ -217,7 +237,8 @@
         summary.rosters.push_back(std::move(state));
         return isValid;
     }
-    return parseJobOwner(summary.jobs, words) || parseJob(summary.cancelledJobs, "x", words) || parseLoadLine(summary, words);
+    return parseJobOwner(summary.jobs, words) || parseJob(summary.cancelledJobs, "x", words)
+           || parseCrashSuspect(summary.crashSuspects, words) || parseLoadLine(summary, words);
 }
 
 auto parseLine(Roster &roster, const Words &words) -> bool
--- a/Source/Process/Peers/DaemonReport.h
+++ b/Source/Process/Peers/DaemonReport.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "Process/CrashSuspects.h"
 #include "Process/Load/UpstreamDirectory.h"
 
 #include <absl/status/statusor.h>
@@ -13,15 +14,13 @@
 
 namespace poplardock {
 
-/// Work, demand and crashes: of one daemon, or added up over several.
+/// Work and demand: of one daemon, or added up over several.
 struct LoadSums
 {
     /// Work in flight, by upstream.
     WorkCounts work;
     /// Requests per second, by team.
     std::map<std::string, double> demand;
-    /// Upstream crashes that the daemons observed themselves, by the fingerprint of the requests that were running.
-    std::map<std::string, int> crashes;
 
     auto operator==(const LoadSums &) const -> bool = default;
 };
@@ -56,6 +55,7 @@
     std::vector<std::string> jobs;
     /// Jobs that the daemon has recently cancelled in the store without their owner.
     std::vector<std::string> cancelledJobs;
+    std::vector<CrashSuspect> crashSuspects;
 
     auto operator==(const DaemonReport &) const -> bool = default;
 };
@@ -107,6 +107,7 @@
     std::vector<JobOwner> jobs;
     /// Jobs that daemons of this data centre have recently cancelled in the store.
     std::vector<std::string> cancelledJobs;
+    std::vector<CrashSuspect> crashSuspects;
 
     auto operator==(const DataCentreDigest &) const -> bool = default;
 };
@@ -148,6 +149,7 @@
     std::vector<RosterState> rosters;
     std::vector<JobOwner> jobs;
     std::vector<std::string> cancelledJobs;
+    std::vector<CrashSuspect> crashSuspects;
 
     auto operator==(const FleetSummary &) const -> bool = default;
 };
--- a/Source/Process/Peers/FleetLoad.cpp
+++ b/Source/Process/Peers/FleetLoad.cpp
@@ -8,8 +8,6 @@
 
 /// Own reports that are kept: those of some seconds.
 constexpr std::size_t MAXIMUM_SENT_REPORTS = 64;
-/// As long as a daemon retains the crashes that it has observed itself. Nothing in a report or digest counts for longer.
-constexpr std::chrono::minutes CRASH_RETENTION { 10 };
 
 auto addWork(WorkCounts &total, const WorkCounts &work) -> void
 {
@@ -69,8 +67,8 @@
 
 auto FleetLoad::removeExpired(BootTime now) -> void
 {
-    std::erase_if(reports_, [now](const auto &each) { return now - each.second.at > CRASH_RETENTION; });
-    std::erase_if(digests_, [now](const auto &each) { return now - each.second.at > CRASH_RETENTION; });
+    std::erase_if(reports_, [now](const auto &each) { return now - each.second.at > DEMAND_RETENTION; });
+    std::erase_if(digests_, [now](const auto &each) { return now - each.second.at > DEMAND_RETENTION; });
 }
 
 auto FleetLoad::recentDigests(Milliseconds maximumAge, BootTime now) const -> std::vector<const DataCentreDigest *>
@@ -94,7 +92,6 @@
         if (now - received.at < DEMAND_RETENTION) {
             addValues(sums.demand, received.message.demand);
         }
-        addValues(sums.crashes, received.message.crashes);
     }
     return sums;
 }
@@ -108,9 +105,6 @@
     for (const DataCentreDigest *digest : recentDigests(DEMAND_RETENTION, now)) {
         addValues(sums.demand, digest->demand);
     }
-    for (const DataCentreDigest *digest : recentDigests(CRASH_RETENTION, now)) {
-        addValues(sums.crashes, digest->crashes);
-    }
     return sums;
 }
 
@@ -159,30 +153,6 @@
     return demand;
 }
 
-auto FleetLoad::crashes(bool isFirstRelay, const std::string &fingerprint, BootTime now) const -> int
-{
-    int total = 0;
-    const auto add = [&total, &fingerprint](const std::map<std::string, int> &crashes) {
-        const auto found = crashes.find(fingerprint);
-        total += found == crashes.end() ? 0 : found->second;
-    };
-    if (!isFirstRelay) {
-        if (!summary_) {
-            return 0;
-        }
-        add(summary_->message.crashes);
-        const DaemonReport *own = includedOwnReport();
-        return own == nullptr ? total : subtract(total, own->crashes, fingerprint);
-    }
-    for (const auto &[name, received] : reports_) {
-        add(received.message.crashes);
-    }
-    for (const DataCentreDigest *digest : recentDigests(CRASH_RETENTION, now)) {
-        add(digest->crashes);
-    }
-    return total;
-}
-
 auto FleetLoad::localBatchHolders(const std::string &upstream, BootTime now) const -> std::vector<std::string>
 {
     std::vector<std::string> holders;
--- a/Source/Process/Peers/FleetLoad.h
+++ b/Source/Process/Peers/FleetLoad.h
@@ -7,7 +7,7 @@
 
 namespace poplardock {
 
-/// Work, demand and crashes at the other daemons. The first relay adds up the reports of its data centre and the digests of the
+/// Work and demand at the other daemons. The first relay adds up the reports of its data centre and the digests of the
 /// others; any other daemon takes the sums from its relay's summaries and subtracts its own part.
 /// Times are passed in, so that tests need no clock. Thread safety: one thread.
 class FleetLoad
@@ -38,8 +38,6 @@
     [[nodiscard]] auto work(bool isFirstRelay, BootTime now) const -> WorkCounts;
     /// Requests per second at all daemons but this one, by team.
     [[nodiscard]] auto demand(bool isFirstRelay, BootTime now) const -> std::map<std::string, double>;
-    /// Upstream crashes caused by a request, as observed by all other daemons.
-    [[nodiscard]] auto crashes(bool isFirstRelay, const std::string &fingerprint, BootTime now) const -> int;
     /// Daemons of this data centre that report batch work at an upstream.
     [[nodiscard]] auto localBatchHolders(const std::string &upstream, BootTime now) const -> std::vector<std::string>;
     /// Data centres whose digest has batch work at an upstream.
--- a/Source/Process/Peers/PeerDirectory.cpp
+++ b/Source/Process/Peers/PeerDirectory.cpp
@@ -163,6 +163,7 @@
     }
     addAnnouncements(jobs, Source::Report, now);
     addCancellations(report.cancelledJobs, Source::Report, now);
+    crashSuspects_->merge(report.crashSuspects, now);
     return true;
 }
 
@@ -195,6 +196,7 @@
     }
     addAnnouncements(digest.jobs, Source::Digest, now);
     addCancellations(digest.cancelledJobs, Source::Digest, now);
+    crashSuspects_->merge(digest.crashSuspects, now);
     if (!isPreferred(digestSenders_, digest.dataCentre, digest.sender, now)) {
         return false;
     }
@@ -220,6 +222,7 @@
     }
     addAnnouncements(summary.jobs, Source::Summary, now);
     addCancellations(summary.cancelledJobs, Source::Summary, now);
+    crashSuspects_->merge(summary.crashSuspects, now);
     const bool isServing = isFirstRelay(now) && !reporters(now).empty();
     if (isServing || !isPreferred(summarySenders_, ownDataCentre_, summary.sender, now)) {
         return false;
@@ -369,6 +372,7 @@
         return now - heardAt > ANNOUNCEMENT_RETENTION;
     };
     load_.removeExpired(now);
+    crashSuspects_->removeExpired(now);
     std::erase_if(cancellations_, [&isOld](const auto &each) { return isOld(each.second.heardAt); });
     while (cancellations_.size() > MAXIMUM_ANNOUNCEMENTS) {
         cancellations_.erase(cancellations_.begin());
@@ -434,6 +438,7 @@
     digest.rosterVersion = ownRoster(own, ownAddress, now).version;
     digest.jobs = recentAnnouncements(Source::Report, now);
     digest.cancelledJobs = recentCancellations(Source::Own, Source::Report, now);
+    digest.crashSuspects = crashSuspects_->states(now);
     for (const std::string &job : own.jobs) {
         digest.jobs.push_back({ job, ownName_ });
     }
@@ -454,6 +459,7 @@
     }
     summary.jobs = recentAnnouncements(Source::Digest, now);
     summary.cancelledJobs = recentCancellations(Source::Own, Source::Digest, now);
+    summary.crashSuspects = crashSuspects_->states(now);
     for (const std::string &job : own.jobs) {
         summary.jobs.push_back({ job, ownName_ });
     }
@@ -785,9 +791,9 @@
     return load_.demand(isFirstRelay(now), now);
 }
 
-auto PeerDirectory::crashes(const std::string &fingerprint, BootTime now) const -> int
+auto PeerDirectory::crashSuspects() const -> CrashSuspects &
 {
-    return load_.crashes(isFirstRelay(now), fingerprint, now);
+    return *crashSuspects_;
 }
 
 auto PeerDirectory::reportSentAt(std::uint64_t sequence) const -> std::optional<BootTime>
--- a/Source/Process/Peers/PeerDirectory.h
+++ b/Source/Process/Peers/PeerDirectory.h
@@ -5,6 +5,7 @@
 
 #include <functional>
 #include <map>
+#include <memory>
 #include <optional>
 #include <set>
 
@@ -147,7 +148,8 @@
     /// As the functions of FleetLoad.
     [[nodiscard]] auto work(BootTime now) const -> WorkCounts;
     [[nodiscard]] auto demand(BootTime now) const -> std::map<std::string, double>;
-    [[nodiscard]] auto crashes(const std::string &fingerprint, BootTime now) const -> int;
+    /// What is known of requests that crash upstreams, here and at the others.
+    [[nodiscard]] auto crashSuspects() const -> CrashSuspects &;
     [[nodiscard]] auto reportSentAt(std::uint64_t sequence) const -> std::optional<BootTime>;
     /// Number of daemons whose demand counts, including this one.
     [[nodiscard]] auto daemonCount(BootTime now) const -> int;
@@ -299,6 +301,8 @@
     std::map<std::string, Peer> peers_;
     std::int64_t localPeerCount_ = 0;
     FleetLoad load_;
+    /// Behind a pointer, since it cannot be moved.
+    std::unique_ptr<CrashSuspects> crashSuspects_ = std::make_unique<CrashSuspects>();
     std::map<std::string, KnownRoster> rosters_;
     /// Versions that digests and summaries named, by data centre, while they are unknown here.
     std::map<std::string, MissingRoster> missingRosters_;
--- a/Source/Request/ChatBody.cpp
+++ b/Source/Request/ChatBody.cpp
@@ -1,11 +1,24 @@
 #include "Request/ChatBody.h"
 
+#include "Process/CrashSuspects.h"
 #include "Process/Json.h"
 
+#include <algorithm>
+
 namespace poplardock {
 
 namespace {
 
+auto sharedPartsOf(const std::vector<JsonObject::Ptr> &messages) -> std::vector<std::string>
+{
+    std::vector<std::string> parts;
+    const std::size_t count = std::min(messages.size() - 1, ChatBody::MAXIMUM_SHARED_PARTS);
+    for (std::size_t index = 0; index < count; ++index) {
+        parts.push_back(promptPartId(Json::toText(*messages[index])));
+    }
+    return parts;
+}
+
 auto invalidField(const absl::Status &status) -> RequestError
 {
     return { ResultCode::InvalidField, std::string(status.message()) };
@@ -41,7 +54,7 @@
     if (*maximumTokens < 1) {
         return RequestError { ResultCode::InvalidField, "\"max_tokens\" must be at least 1" };
     }
-    return ChatBody { *model, *isStream };
+    return ChatBody { *model, *isStream, sharedPartsOf(*messages) };
 }
 
 } // namespace poplardock
--- a/Source/Request/ChatBody.h
+++ b/Source/Request/ChatBody.h
@@ -4,6 +4,7 @@
 
 #include <string>
 #include <variant>
+#include <vector>
 
 namespace poplardock {
 
@@ -12,6 +13,10 @@
 {
     std::string model;
     bool isStream = false;
+    /// Ids of the messages that other requests may share, in order: all but the last, at most MAXIMUM_SHARED_PARTS.
+    std::vector<std::string> sharedParts;
+
+    static constexpr std::size_t MAXIMUM_SHARED_PARTS = 32;
 
     auto operator==(const ChatBody &) const -> bool = default;
 };
--- a/Source/Request/OnlineRequest.h
+++ b/Source/Request/OnlineRequest.h
@@ -4,6 +4,7 @@
 #include "Version/ServiceClass.h"
 
 #include <string>
+#include <vector>
 
 namespace poplardock {
 
@@ -34,6 +35,8 @@
     ServiceClass serviceClass;
     /// Set for chat completions; the upstreams are those that serve the model.
     std::string model;
+    /// Set for chat completions; see ChatBody.
+    std::vector<std::string> sharedParts;
     /// Set for services other than chat completions; the upstreams are those of the group.
     std::string group;
     /// Whether the request may be sent again after an attempt that may have run.
--- a/Tests/Connection/CrashingPartTest.cpp
+++ b/Tests/Connection/CrashingPartTest.cpp
@@ -23,9 +23,11 @@
 class CrashingFleet
 {
 public:
-    CrashingFleet()
+    explicit CrashingFleet(FakeEngine::Behaviour behaviour = {})
         : fleet(DAEMONS, 0)
+        , behaviour_(std::move(behaviour))
     {
+        behaviour_.crashesOnPart = "bad";
         for (int index = 0; index < ENGINES; ++index) {
             addEngine();
         }
@@ -35,7 +37,7 @@
     auto addEngine() -> void
     {
         fleet.engines.push_back(std::make_unique<FakeEngine>(fleet.loop, absl::StrCat("server", fleet.engines.size())));
-        fleet.engines.back()->behaviour().crashesOnPart = "bad";
+        fleet.engines.back()->behaviour() = behaviour_;
         fleet.registerEngine(*fleet.engines.back(), "ready");
     }
 
@@ -100,18 +102,13 @@
     int soundAnswered = 0;
 
 private:
+    FakeEngine::Behaviour behaviour_;
     int count_ = 0;
 };
 
-} // namespace
-
-BOOST_AUTO_TEST_SUITE(CrashingPartSuite)
-
-// Guards against requests that share a prompt part and crash one upstream after the other, each of them new, and against
-// refusing the sound requests of the same team, route and first part with them.
-BOOST_AUTO_TEST_CASE(APromptPartThatCrashesUpstreamsIsRefusedEverywhere)
+/// Checks that the fleet has learnt the part within the window after CRASHES_TO_LEARN crashes, and serves sound requests.
+auto checkPartIsRefused(CrashingFleet &setting) -> void
 {
-    CrashingFleet setting;
     setting.sendBothFor(STABLE_WINDOW);
     const BootTime learned
         = setting.crashedAt.size() < CRASHES_TO_LEARN ? BootClock::now() : setting.crashedAt[CRASHES_TO_LEARN - 1] + STABLE_WINDOW;
@@ -124,6 +121,29 @@
     BOOST_TEST(setting.soundAnswered >= setting.soundSent / 2, setting.soundAnswered << " of " << setting.soundSent);
 }
 
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(CrashingPartSuite)
+
+// Guards against requests that share a prompt part and crash one upstream after the other, each of them new, and against
+// refusing the sound requests of the same team, route and first part with them.
+BOOST_AUTO_TEST_CASE(APromptPartThatCrashesUpstreamsIsRefusedEverywhere)
+{
+    CrashingFleet setting;
+    checkPartIsRefused(setting);
+}
+
+// Guards against taking the answer of an upstream that crashes between two events for a whole one, which would clear the
+// part: streams that end with their connection show no difference.
+BOOST_AUTO_TEST_CASE(ACrashThatEndsAStreamInOrderIsACrash)
+{
+    FakeEngine::Behaviour behaviour;
+    behaviour.omitsLength = true;
+    behaviour.crashLooksWhole = true;
+    CrashingFleet setting(behaviour);
+    checkPartIsRefused(setting);
+}
+
 // Guards against a daemon that forgets by its restart which prompt parts crash upstreams.
 BOOST_AUTO_TEST_CASE(ARestartedDaemonLearnsThePartFromTheOthers)
 {
--- a/Tests/Connection/OnlinePathTest.cpp
+++ b/Tests/Connection/OnlinePathTest.cpp
@@ -60,7 +60,7 @@
     FleetState state { "d1" };
     UpstreamTable upstreams { state };
     RetryBudget budget;
-    CrashRegistry crashes { "d1" };
+    CrashSuspects crashes;
     Metrics metrics;
     AllowanceDecision allowance = Admitted {};
 
@@ -478,7 +478,37 @@
         return server->hasReceived();
     };
     BOOST_TEST(std::count_if(dying.begin(), dying.end(), isDead) == 2);
-    BOOST_TEST(daemon.crashes.crashCount(crashFingerprint("blue", CHAT, body), Clock::now()) == 2);
+    BOOST_TEST(daemon.crashes.crashCount(crashFingerprint("blue", CHAT, body), BootClock::now()) == 2);
+}
+
+// Guards against chats that share a message and crash one upstream after the other, each of them new.
+BOOST_AUTO_TEST_CASE(ChatsWithACrashingMessageAreRefused)
+{
+    const auto chat = [](const std::string &first, int number) {
+        return absl::StrCat(R"({"model":"m","messages":[{"role":"system","content":")",
+                            first,
+                            R"("},{"role":"user","content":"question )",
+                            number,
+                            R"("}]})");
+    };
+    std::vector<std::unique_ptr<RawServer>> dying;
+    for (int index = 0; index < 8; ++index) {
+        dying.push_back(std::make_unique<RawServer>("question", ""));
+        addUpstream(dying.back()->address(), UpstreamKind::Model);
+    }
+    daemon.install(data);
+    for (int count = 0; count < 1000; ++count) {
+        daemon.budget.recordRequest(Clock::now());
+    }
+    for (int number = 0; number < 6; ++number) {
+        send(CHAT, chat("bad", number));
+    }
+    const auto isDead = [](const auto &server) {
+        return server->hasReceived();
+    };
+    BOOST_TEST(std::count_if(dying.begin(), dying.end(), isDead) == 3);
+    BOOST_TEST(contains(send(CHAT, chat("bad", 7)).body, "request_crashes_upstreams"));
+    BOOST_TEST(!contains(send(CHAT, chat("good", 8)).body, "request_crashes_upstreams"));
 }
 
 // Guards against an upstream that resets one request and lives on being counted as dead.
@@ -492,7 +522,7 @@
         BOOST_TEST(contains(send(CHAT, body).body, "may_have_run"));
     }
     BOOST_TEST(send(CHAT, body).status == 200);
-    BOOST_TEST(daemon.crashes.crashCount(crashFingerprint("blue", CHAT, body), Clock::now()) == 0);
+    BOOST_TEST(daemon.crashes.crashCount(crashFingerprint("blue", CHAT, body), BootClock::now()) == 0);
 }
 
 // Guards against new work for a leaving upstream.
--- a/Tests/Fakes/FakeEngine.cpp
+++ b/Tests/Fakes/FakeEngine.cpp
@@ -126,6 +126,16 @@
     connections_.clear();
 }
 
+auto FakeEngine::crashInOrder() -> void
+{
+    listener_ = nullptr;
+    for (const auto &connection : connections_) {
+        connection->timer.cancel();
+        connection->channel->close();
+    }
+    connections_.clear();
+}
+
 auto FakeEngine::hasCrashed() const -> bool
 {
     return listener_ == nullptr;
@@ -219,10 +229,13 @@
     }
     connection->channel->send(absl::StrCat("HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n",
                                            commonHeaders(idOf(connection->run->head)),
-                                           "Transfer-Encoding: chunked\r\n\r\n"));
+                                           behaviour_.omitsLength ? "\r\n" : "Transfer-Encoding: chunked\r\n\r\n"));
     if (hasPart(connection->run->head, behaviour_.crashesOnPart)) {
+        if (behaviour_.crashLooksWhole) {
+            connection->channel->send(framed(eventOf(idOf(connection->run->head), first)));
+        }
         // The crash ends the connection whose data handler is running.
-        loop_.post([this] { crash(); });
+        loop_.post([this] { behaviour_.crashLooksWhole ? crashInOrder() : crash(); });
         return;
     }
     sendEvent(connection, first);
@@ -232,24 +245,40 @@
 {
     connection->timer = loop_.at(BootClock::now() + behaviour_.eventPause, [this, connection, number] {
         if (number >= behaviour_.events) {
-            connection->channel->send("0\r\n\r\n");
-            finish(connection);
+            endStream(connection);
             return;
         }
         if (behaviour_.breakAfterEvents > 0 && connection->run->sent >= behaviour_.breakAfterEvents) {
             // Half an event, and then nothing more.
-            connection->channel->send(chunk(absl::StrCat("id: ", number, "\ndata: ha")));
+            connection->channel->send(framed(absl::StrCat("id: ", number, "\ndata: ha")));
             connection->run->isCut = true;
             connection->run = nullptr;
             loop_.post([connection] { connection->channel->abort(); });
             return;
         }
-        connection->channel->send(chunk(eventOf(idOf(connection->run->head), number)));
+        connection->channel->send(framed(eventOf(idOf(connection->run->head), number)));
         ++connection->run->sent;
         sendEvent(connection, number + 1);
     });
 }
 
+auto FakeEngine::framed(const std::string &event) const -> std::string
+{
+    return behaviour_.omitsLength ? event : chunk(event);
+}
+
+auto FakeEngine::endStream(const std::shared_ptr<Connection> &connection) -> void
+{
+    if (behaviour_.omitsLength) {
+        connection->run->isComplete = true;
+        connection->run = nullptr;
+        connection->channel->close();
+        return;
+    }
+    connection->channel->send("0\r\n\r\n");
+    finish(connection);
+}
+
 auto FakeEngine::finish(const std::shared_ptr<Connection> &connection) -> void
 {
     connection->run->isComplete = true;
--- a/Tests/Fakes/FakeEngine.h
+++ b/Tests/Fakes/FakeEngine.h
@@ -30,7 +30,7 @@
         bool sendsStrayAnswer = false;
         /// Bytes that belong to no request follow each answer.
         bool sendsExtraBytes = false;
-        /// Plain answers have no length and end with the connection.
+        /// Answers have neither a length nor chunks and end with the connection.
         bool omitsLength = false;
         /// Requests are read and never answered.
         bool isSilent = false;
@@ -38,6 +38,8 @@
         int status = 200;
         /// Id of a prompt part that crashes the engine right after the head of the answer; empty for none.
         std::string crashesOnPart;
+        /// Such a crash comes after the first event and closes the connections in order instead of resetting them.
+        bool crashLooksWhole = false;
 
         auto operator==(const Behaviour &) const -> bool = default;
     };
@@ -73,6 +75,8 @@
     [[nodiscard]] auto runsOfRequest(const std::string &requestId) const -> std::vector<Run>;
     /// Stops listening and resets all connections, as a crash does.
     auto crash() -> void;
+    /// As crash(), but what was sent still arrives, and connections are closed in order.
+    auto crashInOrder() -> void;
     [[nodiscard]] auto hasCrashed() const -> bool;
 
 private:
@@ -89,6 +93,9 @@
     auto answerPlain(const std::shared_ptr<Connection> &connection) -> void;
     auto beginStream(const std::shared_ptr<Connection> &connection) -> void;
     auto sendEvent(const std::shared_ptr<Connection> &connection, std::int64_t number) -> void;
+    /// An event as part of the body of a stream.
+    [[nodiscard]] auto framed(const std::string &event) const -> std::string;
+    auto endStream(const std::shared_ptr<Connection> &connection) -> void;
     auto finish(const std::shared_ptr<Connection> &connection) -> void;
 
     EventLoop &loop_;
--- a/Tests/Process/PeerDirectoryTest.cpp
+++ b/Tests/Process/PeerDirectoryTest.cpp
@@ -14,6 +14,8 @@
 
 const BootTime NOW = BootTime() + std::chrono::hours(1);
 const std::vector<std::string> THREE = { "a", "b", "c" };
+/// The platform's stableWindowMs: time within which all daemons that hear each other have to know what one has seen.
+constexpr Milliseconds STABLE_WINDOW { 3000 };
 /// Time after which a fleet has exchanged everything, the announcements of its start included.
 constexpr Milliseconds SETTLED { 4000 };
 
@@ -26,18 +28,18 @@
     report.work = { { "u1", { 2, 1 } } };
     report.demand = { { "team", 4.5 } };
     report.jobs = { "job1" };
-    report.crashes = { { "f00d", 1 } };
+    report.crashSuspects = { { "p0123456789abcdef", 2, Milliseconds(70), { { "u1", "0123456789abcdef", Milliseconds(90) } } },
+                             { "r0123456789abcdef", 0, {}, {} } };
     return report;
 }
 
-/// Daemons that all have two online requests and one batch item at u1, and have seen one crash.
+/// Daemons that all have two online requests and one batch item at u1.
 auto loadedFleet(int perDataCentre) -> DirectoryFleet
 {
     DirectoryFleet fleet(THREE, perDataCentre, NOW);
     for (auto &[name, report] : fleet.reports) {
         report.work = { { "u1", { 2, 1 } } };
         report.demand = { { "team", 4.5 } };
-        report.crashes = { { "f00d", 1 } };
     }
     fleet.run(SETTLED);
     return fleet;
@@ -282,7 +284,6 @@
         BOOST_TEST(view.work(fleet.now()).at("u1").online == 2 * 17, name);
         BOOST_TEST(view.work(fleet.now()).at("u1").batch == 17, name);
         BOOST_TEST(view.demand(fleet.now()).at("team") == 4.5 * 17, name);
-        BOOST_TEST(view.crashes("f00d", fleet.now()) == 17, name);
         BOOST_TEST(view.daemonCount(fleet.now()) == 18, name);
         BOOST_TEST(view.hasFullView(fleet.now()), name);
         BOOST_TEST(view.isHeard(fleet.now()), name);
@@ -292,6 +293,66 @@
     }
 }
 
+// Guards against a crash that counts once for each daemon that has seen it or passed it on, and against one that a daemon of
+// another data centre does not hear of.
+BOOST_AUTO_TEST_CASE(EachDaemonKnowsEachCrashOnce)
+{
+    DirectoryFleet fleet(THREE, 6, NOW);
+    fleet.run(SETTLED);
+    const std::string request = crashFingerprint("blue", "/", "{}");
+    for (const auto &[name, view] : fleet.views) {
+        view.crashSuspects().recordCrash({ request, {} }, "u1", fleet.now());
+    }
+    fleet.run(STABLE_WINDOW);
+    for (const auto &[name, view] : fleet.views) {
+        BOOST_TEST(view.crashSuspects().crashCount(request, fleet.now()) == 1, name);
+    }
+    fleet.views.at("c4").crashSuspects().recordCrash({ request, {} }, "u2", fleet.now());
+    fleet.run(STABLE_WINDOW);
+    for (const auto &[name, view] : fleet.views) {
+        BOOST_TEST(view.crashSuspects().crashCount(request, fleet.now()) == 2, name);
+        BOOST_TEST(view.crashSuspects().refusedUntil({ request, {} }, fleet.now()).has_value(), name);
+    }
+}
+
+// Guards against a crashing prompt part that daemons of several data centres find out only together, and that one of them
+// which was cut off or started again does not know, in a data centre whose relays have started again too.
+BOOST_AUTO_TEST_CASE(ACrashingPartIsKnownAfterCutsAndRestarts)
+{
+    DirectoryFleet fleet(THREE, 5, NOW);
+    fleet.run(SETTLED);
+    fleet.isLost = [](const std::string &from, const std::string &to) {
+        return from == "b3" || to == "b3";
+    };
+    fleet.run(STABLE_WINDOW);
+    int count = 0;
+    for (const std::string name : { "a0", "b1", "c2", "c4" }) {
+        ++count;
+        const CrashSubject subject { crashFingerprint("blue", "/", std::to_string(count)), { "shared", "bad" } };
+        fleet.views.at(name).crashSuspects().recordCrash(subject, "u" + std::to_string(count), fleet.now());
+        fleet.run(PeerDirectory::DIGEST_PERIOD);
+    }
+    fleet.views.at("a1").crashSuspects().recordAnswer({ crashFingerprint("blue", "/", "sound"), { "shared", "good" } }, fleet.now());
+    fleet.run(STABLE_WINDOW);
+    const auto isRefused = [&fleet](const std::string &name, const std::string &part) {
+        const CrashSubject subject { crashFingerprint("blue", "/", "new"), { "shared", part } };
+        return fleet.views.at(name).crashSuspects().refusedUntil(subject, fleet.now()).has_value();
+    };
+    for (const auto &[name, view] : fleet.views) {
+        BOOST_TEST(isRefused(name, "bad") == (name != "b3"), name);
+    }
+    fleet.isLost = nullptr;
+    for (int index = 0; index < 5; ++index) {
+        fleet.restart("c" + std::to_string(index));
+        fleet.run(STABLE_WINDOW);
+    }
+    fleet.run(STABLE_WINDOW);
+    for (const auto &[name, view] : fleet.views) {
+        BOOST_TEST(isRefused(name, "bad"), name);
+        BOOST_TEST(!isRefused(name, "good"), name);
+    }
+}
+
 // Guards against a request for a slot that reaches no daemon with batch work there.
 BOOST_AUTO_TEST_CASE(APreemptionReachesAHolder)
 {
--- a/Tests/Support/BatchFleet.cpp
+++ b/Tests/Support/BatchFleet.cpp
@@ -91,7 +91,7 @@
     hooks.isRefused = [](const std::string &, const std::string &, const std::string &) {
         return false;
     };
-    hooks.recordCrash = [this](const std::string &, const std::string &, const std::string &) {
+    hooks.recordCrash = [this](const std::string &, const std::string &, const std::string &, const std::string &) {
         ++recordedCrashes;
     };
     hooks.isAlive = [this](const Upstream &) {
--- a/Tests/Support/DirectoryFleet.cpp
+++ b/Tests/Support/DirectoryFleet.cpp
@@ -27,6 +27,17 @@
     }
 }
 
+auto DirectoryFleet::restart(const std::string &name) -> void
+{
+    DaemonReport &report = reports.at(name);
+    report.incarnation += "'";
+    views.erase(name);
+    views.emplace(name, PeerDirectory(name, report.dataCentre, report.capacity));
+    for (const auto &[other, view] : views) {
+        views.at(name).addMember(other, other, reports[other].dataCentre, reports[other].capacity, now_);
+    }
+}
+
 auto DirectoryFleet::now() const -> BootTime
 {
     return now_;
@@ -71,6 +82,7 @@
     DaemonReport report = reports[name];
     report.sequence = tick_;
     report.cancelledJobs = view.ownCancellations(now_);
+    report.crashSuspects = view.crashSuspects().states(now_);
     view.recordOwnReport(report, now_);
     const std::vector<std::string> relays = view.relaysOf(report.dataCentre, now_);
     for (const Peer *peer : view.reportTargets(now_)) {
--- a/Tests/Support/DirectoryFleet.h
+++ b/Tests/Support/DirectoryFleet.h
@@ -20,6 +20,8 @@
 
     /// Adds a daemon that all others find in the store, and that finds all others.
     auto add(const std::string &name, const std::string &dataCentre, int capacity) -> void;
+    /// Replaces a daemon by one of the same name that knows nothing but the others' records in the store.
+    auto restart(const std::string &name) -> void;
     /// Runs steps until that time has passed.
     auto run(Milliseconds time) -> void;
     [[nodiscard]] auto now() const -> BootTime;
