--- a/Tests/Fakes/FakeEngine.cpp
+++ b/Tests/Fakes/FakeEngine.cpp
@@ -207,7 +207,8 @@
 auto FakeEngine::answerPlain(const std::shared_ptr<Connection> &connection) -> void
 {
     const std::string body = absl::StrCat("answer to ", connection->run->body);
-    const std::string head = absl::StrCat("HTTP/1.1 ", behaviour_.status, " Status\r\n", commonHeaders(idOf(connection->run->head)));
+    const std::string head
+        = absl::StrCat("HTTP/1.1 ", behaviour_.status, " Status\r\n", commonHeaders(idOf(connection->run->head)), limitHeader());
     connection->run->isComplete = true;
     connection->run = nullptr;
     if (behaviour_.omitsLength) {
@@ -229,6 +230,7 @@
     }
     connection->channel->send(absl::StrCat("HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n",
                                            commonHeaders(idOf(connection->run->head)),
+                                           limitHeader(),
                                            behaviour_.omitsLength ? "\r\n" : "Transfer-Encoding: chunked\r\n\r\n"));
     if (hasPart(connection->run->head, behaviour_.crashesOnPart)) {
         if (behaviour_.crashLooksWhole) {
@@ -262,6 +264,11 @@
     });
 }
 
+auto FakeEngine::limitHeader() const -> std::string
+{
+    return behaviour_.limit.empty() ? std::string() : absl::StrCat("Server-Limit: ", behaviour_.limit, "\r\n");
+}
+
 auto FakeEngine::framed(const std::string &event) const -> std::string
 {
     return behaviour_.omitsLength ? event : chunk(event);
--- a/Tests/Fakes/FakeEngine.h
+++ b/Tests/Fakes/FakeEngine.h
@@ -36,6 +36,8 @@
         bool isSilent = false;
         /// Status of all answers.
         int status = 200;
+        /// Requests a second that the engine says it takes; empty when it names no limit.
+        std::string limit;
         /// Id of a prompt part that crashes the engine right after the head of the answer; empty for none.
         std::string crashesOnPart;
         /// Such a crash comes after the first event and closes the connections in order instead of resetting them.
@@ -97,6 +99,7 @@
     [[nodiscard]] auto framed(const std::string &event) const -> std::string;
     auto endStream(const std::shared_ptr<Connection> &connection) -> void;
     auto finish(const std::shared_ptr<Connection> &connection) -> void;
+    [[nodiscard]] auto limitHeader() const -> std::string;
 
     EventLoop &loop_;
     const std::string name_;
