Divide the limit that an upstream names among the daemons

Callers would see: an upstream in need gets more than it takes, and fails.

Cause: no code read Server-Limit, and no part of a daemon knows what the others send to one upstream in a time.

Change: UpstreamLimits keeps the latest statement of each upstream, spread with the reports, digests and summaries, and a token bucket with this daemon's share. The limit is divided among some of the daemons that are alive, by rendezvous hashing, so that each gets whole requests; the rest of it is left to daemons that are not heard, and a share is empty after a restart. Every send takes a token: first attempts, repeats and items. A request that no upstream may get is refused at once, with the time of the next token as Retry-After. Online requests avoid a limited upstream unless its burst is whole; batch items take only that surplus unless urgent.

`serve` knows no such limit: its upstreams have no way to name one.

--- a/Source/Connection/OnlineRun.cpp
+++ b/Source/Connection/OnlineRun.cpp
@@ -77,9 +77,10 @@
     const auto views = parts_.directory.candidates(order_.group);
     const auto choice = chooseForOnline(views, excluded_, now, parts_.random());
     if (!choice || declines_ >= MAXIMUM_DECLINES) {
-        giveUp(mayHaveRun_ ? ResultCode::RetriesExhausted
-               : choice    ? ResultCode::Overloaded
-                           : ResultCode::NoUpstream,
+        const bool isLimited = std::any_of(views.begin(), views.end(), [now](const UpstreamView &view) { return view.usableAt > now; });
+        giveUp(mayHaveRun_           ? ResultCode::RetriesExhausted
+               : choice || isLimited ? ResultCode::Overloaded
+                                     : ResultCode::NoUpstream,
                "no upstream is left");
         return;
     }
--- a/Source/Connection/UpstreamRun.cpp
+++ b/Source/Connection/UpstreamRun.cpp
@@ -35,6 +35,7 @@
 auto UpstreamRun::start() -> void
 {
     parts_.directory.recordStart(order_.upstream, order_.work);
+    parts_.limits.takeToken(order_.upstream, BootClock::now());
     isCounted_ = true;
     const Milliseconds freshness = order_.needsFreshConnection ? FRESH_REUSE_TIME : REUSE_TIME;
     parts_.upstreams.acquire(
@@ -96,6 +97,9 @@
     if (terms_.idleTime) {
         channel_->setUsableFor(std::max(Milliseconds(0), *terms_.idleTime - IDLE_MARGIN));
     }
+    if (!terms_.isMisdirected) {
+        parts_.limits.recordStatement(order_.upstream, terms_.requestLimit, BootClock::now());
+    }
     if (!terms_.isNotRun && !terms_.isMisdirected) {
         handlers_.onHead(head);
     }
--- a/Source/Connection/WireDialect.h
+++ b/Source/Connection/WireDialect.h
@@ -69,6 +69,8 @@
     int waiting = 0;
     int slots = 0;
     bool hasLoad = false;
+    /// Requests a second that the upstream takes from all daemons together at present; unset when it names no limit.
+    std::optional<double> requestLimit;
     /// Time after which the upstream closes an idle connection; unset when it does not say.
     std::optional<Milliseconds> idleTime;
 
--- a/Source/Process/FrontDaemon.cpp
+++ b/Source/Process/FrontDaemon.cpp
@@ -50,10 +50,10 @@
     , peerPool_(loop_, PEER_POOL)
     , peerClient_(loop_, peerPool_)
     , configuration_(loop_, store_, dialect_, peerClient_)
-    , directory_(settings_.dataCentre)
+    , peers_(settings_.name, settings_.dataCentre, settings_.capacity)
+    , directory_(settings_.dataCentre, peers_.upstreamLimits())
     , upstreams_(loop_, store_, dialect_, directory_, peerClient_, settings_.bounds.upstreamDrain)
     , upstreamPool_(loop_, UPSTREAM_POOL)
-    , peers_(settings_.name, settings_.dataCentre, settings_.capacity)
     , peerLink_(loop_,
                 store_,
                 peers_,
@@ -100,6 +100,7 @@
                peerLink_,
                peerClient_,
                peers_.crashSuspects(),
+               peers_.upstreamLimits(),
                retries_,
                metrics_,
                random_,
@@ -222,6 +223,7 @@
     report.work = directory_.ownWork();
     report.demand = allowances_.demand(now);
     report.crashSuspects = peers_.crashSuspects().states(now);
+    report.upstreamLimits = peers_.upstreamLimits().states(now);
     report.cancelledJobs = peers_.ownCancellations(now);
     book_.forEach([this, now, &report](const std::string &id, const OwnedJob &job) {
         const bool isNew = now - job.ownedSince() < ANNOUNCEMENT_TIME;
@@ -237,6 +239,7 @@
     const BootTime now = BootClock::now();
     directory_.setPeerWork(peers_.work(now));
     allowances_.updatePeerDemand(now);
+    peers_.upstreamLimits().setDaemons(peers_.aliveDaemons(now), peers_.aliveFraction(now), now);
     adoption_.checkPeerReports();
 }
 
--- a/Source/Process/FrontDaemon.h
+++ b/Source/Process/FrontDaemon.h
@@ -62,10 +62,10 @@
     ClientPool peerPool_;
     HttpClient peerClient_;
     ConfigurationFollower configuration_;
+    PeerDirectory peers_;
     UpstreamDirectory directory_;
     UpstreamFollower upstreams_;
     ClientPool upstreamPool_;
-    PeerDirectory peers_;
     PeerLink peerLink_;
     AllowanceTable allowances_;
     FreshnessExchange freshness_;
--- a/Source/Process/FrontParts.h
+++ b/Source/Process/FrontParts.h
@@ -30,6 +30,7 @@
     /// Calls to the other daemons.
     HttpClient &peerClient;
     CrashSuspects &crashes;
+    UpstreamLimits &limits;
     RetryBudget &retries;
     Metrics &metrics;
     std::mt19937_64 &random;
--- a/Source/Process/Load/UpstreamDirectory.cpp
+++ b/Source/Process/Load/UpstreamDirectory.cpp
@@ -31,8 +31,9 @@
 
 } // namespace
 
-UpstreamDirectory::UpstreamDirectory(std::string dataCentre)
+UpstreamDirectory::UpstreamDirectory(std::string dataCentre, const UpstreamLimits &limits)
     : dataCentre_(std::move(dataCentre))
+    , limits_(limits)
 {
 }
 
@@ -107,6 +108,8 @@
         view.isLocal = entry.upstream.dataCentre == dataCentre_;
         view.isSuspect = entry.usableUntil.has_value();
         view.ejectedUntil = entry.ejectedUntil;
+        view.usableAt = limits_.usableAt(name);
+        view.spareAt = limits_.spareAt(name);
         views.push_back(std::move(view));
     }
     return views;
--- a/Source/Process/Load/UpstreamDirectory.h
+++ b/Source/Process/Load/UpstreamDirectory.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "Process/Load/UpstreamLimits.h"
 #include "Request/UpstreamView.h"
 #include "Version/Upstream.h"
 
@@ -34,7 +35,8 @@
 class UpstreamDirectory
 {
 public:
-    explicit UpstreamDirectory(std::string dataCentre);
+    /// "limits" must outlive the directory.
+    UpstreamDirectory(std::string dataCentre, const UpstreamLimits &limits);
 
     /// Adds or replaces an upstream.
     auto put(const Upstream &upstream) -> void;
@@ -88,6 +90,7 @@
     [[nodiscard]] auto groupMean(const std::string &group, std::optional<double> Entry::*member, double fallback) const -> double;
 
     const std::string dataCentre_;
+    const UpstreamLimits &limits_;
     std::map<std::string, Entry> entries_;
     WorkCounts ownWork_;
     WorkCounts peerWork_;
--- a/Source/Process/Peers/DaemonReport.cpp
+++ b/Source/Process/Peers/DaemonReport.cpp
@@ -54,6 +54,13 @@
     }
 }
 
+auto appendUpstreamLimits(std::string &text, const std::vector<UpstreamLimit> &limits) -> void
+{
+    for (const UpstreamLimit &limit : limits) {
+        absl::StrAppend(&text, "\nl ", encodeUpstreamLimit(limit));
+    }
+}
+
 auto flag(bool value) -> int
 {
     return value ? 1 : 0;
@@ -79,6 +86,7 @@
         }
         appendCancelledJobs(text, report.cancelledJobs);
         appendCrashSuspects(text, report.crashSuspects);
+        appendUpstreamLimits(text, report.upstreamLimits);
         return text;
     }
 
@@ -92,6 +100,7 @@
         appendJobs(text, digest.jobs);
         appendCancelledJobs(text, digest.cancelledJobs);
         appendCrashSuspects(text, digest.crashSuspects);
+        appendUpstreamLimits(text, digest.upstreamLimits);
         return text;
     }
 
@@ -113,6 +122,7 @@
         appendJobs(text, summary.jobs);
         appendCancelledJobs(text, summary.cancelledJobs);
         appendCrashSuspects(text, summary.crashSuspects);
+        appendUpstreamLimits(text, summary.upstreamLimits);
         return text;
     }
 
@@ -200,30 +210,40 @@
     return true;
 }
 
-auto parseCrashSuspect(std::vector<CrashSuspect> &suspects, const Words &words) -> bool
+/// The text of a line without its first word. Precondition: at least two words.
+auto textAfterTag(const Words &words) -> std::string_view
 {
-    if (words.size() < 2 || words[0] != "s") {
+    const absl::string_view last = words.back();
+    return { words[1].data(), static_cast<std::size_t>(last.data() + last.size() - words[1].data()) };
+}
+
+/// Adds a value that stands behind a tag; false for any other line, and for a malformed value.
+template<typename Value>
+auto parseTagged(std::vector<Value> &values, const char *tag, const Words &words, absl::StatusOr<Value> (*decode)(std::string_view)) -> bool
+{
+    if (words.size() < 2 || words[0] != tag) {
         return false;
     }
-    const absl::string_view last = words.back();
-    const auto suspect = decodeCrashSuspect({ words[1].data(), static_cast<std::size_t>(last.data() + last.size() - words[1].data()) });
-    if (!suspect.ok()) {
+    auto value = decode(textAfterTag(words));
+    if (!value.ok()) {
         return false;
     }
-    suspects.push_back(*suspect);
+    values.push_back(*std::move(value));
     return true;
 }
 
 auto parseLine(DaemonReport &report, const Words &words) -> bool
 {
-    return parseJob(report.jobs, "j", words) || parseJob(report.cancelledJobs, "x", words) || parseCrashSuspect(report.crashSuspects, words)
-           || parseLoadLine(report, words);
+    return parseJob(report.jobs, "j", words) || parseJob(report.cancelledJobs, "x", words)
+           || parseTagged(report.crashSuspects, "s", words, decodeCrashSuspect)
+           || parseTagged(report.upstreamLimits, "l", words, decodeUpstreamLimit) || parseLoadLine(report, words);
 }
 
 auto parseLine(DataCentreDigest &digest, const Words &words) -> bool
 {
-    return parseJobOwner(digest.jobs, words) || parseJob(digest.cancelledJobs, "x", words) || parseCrashSuspect(digest.crashSuspects, words)
-           || parseLoadLine(digest, words);
+    return parseJobOwner(digest.jobs, words) || parseJob(digest.cancelledJobs, "x", words)
+           || parseTagged(digest.crashSuspects, "s", words, decodeCrashSuspect)
+           || parseTagged(digest.upstreamLimits, "l", words, decodeUpstreamLimit) || parseLoadLine(digest, words);
 }
 
 auto parseLine(FleetSummary &summary, const Words &words) -> bool
@@ -238,7 +258,8 @@
         return isValid;
     }
     return parseJobOwner(summary.jobs, words) || parseJob(summary.cancelledJobs, "x", words)
-           || parseCrashSuspect(summary.crashSuspects, words) || parseLoadLine(summary, words);
+           || parseTagged(summary.crashSuspects, "s", words, decodeCrashSuspect)
+           || parseTagged(summary.upstreamLimits, "l", words, decodeUpstreamLimit) || parseLoadLine(summary, words);
 }
 
 auto parseLine(Roster &roster, const Words &words) -> bool
--- a/Source/Process/Peers/DaemonReport.h
+++ b/Source/Process/Peers/DaemonReport.h
@@ -56,6 +56,7 @@
     /// Jobs that the daemon has recently cancelled in the store without their owner.
     std::vector<std::string> cancelledJobs;
     std::vector<CrashSuspect> crashSuspects;
+    std::vector<UpstreamLimit> upstreamLimits;
 
     auto operator==(const DaemonReport &) const -> bool = default;
 };
@@ -108,6 +109,7 @@
     /// Jobs that daemons of this data centre have recently cancelled in the store.
     std::vector<std::string> cancelledJobs;
     std::vector<CrashSuspect> crashSuspects;
+    std::vector<UpstreamLimit> upstreamLimits;
 
     auto operator==(const DataCentreDigest &) const -> bool = default;
 };
@@ -150,6 +152,7 @@
     std::vector<JobOwner> jobs;
     std::vector<std::string> cancelledJobs;
     std::vector<CrashSuspect> crashSuspects;
+    std::vector<UpstreamLimit> upstreamLimits;
 
     auto operator==(const FleetSummary &) const -> bool = default;
 };
--- a/Source/Process/Peers/PeerDirectory.cpp
+++ b/Source/Process/Peers/PeerDirectory.cpp
@@ -70,6 +70,7 @@
     , ownCapacity_(ownCapacity)
     , ownRelayScore_(relayScoreOf(ownName_, ownDataCentre_))
     , probeOffset_(stableHash(ownName_))
+    , upstreamLimits_(std::make_unique<UpstreamLimits>(ownName_))
 {
 }
 
@@ -164,6 +165,7 @@
     addAnnouncements(jobs, Source::Report, now);
     addCancellations(report.cancelledJobs, Source::Report, now);
     crashSuspects_->merge(report.crashSuspects, now);
+    upstreamLimits_->merge(report.upstreamLimits, now);
     return true;
 }
 
@@ -197,6 +199,7 @@
     addAnnouncements(digest.jobs, Source::Digest, now);
     addCancellations(digest.cancelledJobs, Source::Digest, now);
     crashSuspects_->merge(digest.crashSuspects, now);
+    upstreamLimits_->merge(digest.upstreamLimits, now);
     if (!isPreferred(digestSenders_, digest.dataCentre, digest.sender, now)) {
         return false;
     }
@@ -223,6 +226,7 @@
     addAnnouncements(summary.jobs, Source::Summary, now);
     addCancellations(summary.cancelledJobs, Source::Summary, now);
     crashSuspects_->merge(summary.crashSuspects, now);
+    upstreamLimits_->merge(summary.upstreamLimits, now);
     const bool isServing = isFirstRelay(now) && !reporters(now).empty();
     if (isServing || !isPreferred(summarySenders_, ownDataCentre_, summary.sender, now)) {
         return false;
@@ -373,6 +377,7 @@
     };
     load_.removeExpired(now);
     crashSuspects_->removeExpired(now);
+    upstreamLimits_->removeExpired(now);
     std::erase_if(cancellations_, [&isOld](const auto &each) { return isOld(each.second.heardAt); });
     while (cancellations_.size() > MAXIMUM_ANNOUNCEMENTS) {
         cancellations_.erase(cancellations_.begin());
@@ -439,6 +444,7 @@
     digest.jobs = recentAnnouncements(Source::Report, now);
     digest.cancelledJobs = recentCancellations(Source::Own, Source::Report, now);
     digest.crashSuspects = crashSuspects_->states(now);
+    digest.upstreamLimits = upstreamLimits_->states(now);
     for (const std::string &job : own.jobs) {
         digest.jobs.push_back({ job, ownName_ });
     }
@@ -460,6 +466,7 @@
     summary.jobs = recentAnnouncements(Source::Digest, now);
     summary.cancelledJobs = recentCancellations(Source::Own, Source::Digest, now);
     summary.crashSuspects = crashSuspects_->states(now);
+    summary.upstreamLimits = upstreamLimits_->states(now);
     for (const std::string &job : own.jobs) {
         summary.jobs.push_back({ job, ownName_ });
     }
@@ -796,6 +803,11 @@
     return *crashSuspects_;
 }
 
+auto PeerDirectory::upstreamLimits() const -> UpstreamLimits &
+{
+    return *upstreamLimits_;
+}
+
 auto PeerDirectory::reportSentAt(std::uint64_t sequence) const -> std::optional<BootTime>
 {
     return load_.reportSentAt(sequence);
@@ -815,6 +827,17 @@
     return count;
 }
 
+auto PeerDirectory::aliveDaemons(BootTime now) const -> std::vector<std::string>
+{
+    std::vector<std::string> names = { ownName_ };
+    for (const auto &[name, peer] : peers_) {
+        if (isAlive(peer, now) && !peer.isDraining) {
+            names.push_back(name);
+        }
+    }
+    return names;
+}
+
 auto PeerDirectory::aliveFraction(BootTime now) const -> double
 {
     int counted = 1;
--- a/Source/Process/Peers/PeerDirectory.h
+++ b/Source/Process/Peers/PeerDirectory.h
@@ -150,9 +150,13 @@
     [[nodiscard]] auto demand(BootTime now) const -> std::map<std::string, double>;
     /// What is known of requests that crash upstreams, here and at the others.
     [[nodiscard]] auto crashSuspects() const -> CrashSuspects &;
+    /// The limits that upstreams have named, here and at the others.
+    [[nodiscard]] auto upstreamLimits() const -> UpstreamLimits &;
     [[nodiscard]] auto reportSentAt(std::uint64_t sequence) const -> std::optional<BootTime>;
     /// Number of daemons whose demand counts, including this one.
     [[nodiscard]] auto daemonCount(BootTime now) const -> int;
+    /// Names of the daemons that are alive and not about to stop, and this one's.
+    [[nodiscard]] auto aliveDaemons(BootTime now) const -> std::vector<std::string>;
     /// Which part of the daemons whose demand counts is alive, this one included. The others may only be partitioned, and
     /// admit requests on their own.
     [[nodiscard]] auto aliveFraction(BootTime now) const -> double;
@@ -303,6 +307,8 @@
     FleetLoad load_;
     /// Behind a pointer, since it cannot be moved.
     std::unique_ptr<CrashSuspects> crashSuspects_ = std::make_unique<CrashSuspects>();
+    /// Behind a pointer, since others keep references to it.
+    std::unique_ptr<UpstreamLimits> upstreamLimits_;
     std::map<std::string, KnownRoster> rosters_;
     /// Versions that digests and summaries named, by data centre, while they are unknown here.
     std::map<std::string, MissingRoster> missingRosters_;
--- a/Source/Request/BatchPlan.cpp
+++ b/Source/Request/BatchPlan.cpp
@@ -26,7 +26,8 @@
 
 auto availableSlots(const UpstreamView &view, int reserve, BootTime now) -> int
 {
-    if (view.isSuspect || view.ejectedUntil > now) {
+    const BootTime limitedUntil = reserve > 0 ? view.spareAt : view.usableAt;
+    if (view.isSuspect || view.ejectedUntil > now || limitedUntil > now) {
         return 0;
     }
     // The reserve never takes all slots: without online requests, batch work may use at least one.
--- a/Source/Request/BatchPlan.h
+++ b/Source/Request/BatchPlan.h
@@ -18,8 +18,8 @@
 /// visible here.
 auto reservedSlots(Milliseconds propagationDelay) -> int;
 
-/// Slots of one upstream that batch runs may take now; none at a suspect or ejected one. For urgent work the caller
-/// passes a reserve of 0.
+/// Slots of one upstream that batch runs may take now; none at a suspect or ejected one, nor at one whose limit is used up
+/// or, with a reserve, was used by other requests a short time ago. For urgent work the caller passes a reserve of 0.
 auto availableSlots(const UpstreamView &view, int reserve, BootTime now) -> int;
 
 /// Limit on the runs that this daemon starts in one tick. All daemons see the same available slots and learn of each
--- a/Source/Request/OnlineAdmission.cpp
+++ b/Source/Request/OnlineAdmission.cpp
@@ -14,6 +14,19 @@
 /// Retry hint when a group has no usable upstream; a restarted upstream registers within seconds.
 constexpr double NO_UPSTREAM_RETRY_MS = 1000;
 
+/// Time in milliseconds until the first upstream may get a request within the limit that it has named; unset when none has.
+auto limitWaitMs(const std::vector<UpstreamView> &candidates, BootTime now) -> std::optional<double>
+{
+    std::optional<double> shortest;
+    for (const UpstreamView &view : candidates) {
+        if (view.usableAt > now) {
+            const double wait = millisecondsBetween(now, view.usableAt);
+            shortest = std::min(shortest.value_or(wait), wait);
+        }
+    }
+    return shortest;
+}
+
 } // namespace
 
 auto admitOnline(const std::vector<UpstreamView> &candidates, Milliseconds target, std::optional<Milliseconds> callerTimeout, BootTime now)
@@ -21,7 +34,8 @@
 {
     const auto choice = chooseForOnline(candidates, {}, now, 0);
     if (!choice) {
-        return { false, 0, Milliseconds(static_cast<std::int64_t>(NO_UPSTREAM_RETRY_MS)) };
+        const double limitMs = limitWaitMs(candidates, now).value_or(NO_UPSTREAM_RETRY_MS);
+        return { false, 0, Milliseconds(static_cast<std::int64_t>(std::clamp(limitMs, MINIMUM_RETRY_MS, MAXIMUM_RETRY_MS))) };
     }
     double limitMs = target.count() > 0 ? static_cast<double>(target.count()) : choice->expectedMs;
     if (callerTimeout) {
--- a/Source/Request/OnlineChoice.cpp
+++ b/Source/Request/OnlineChoice.cpp
@@ -16,6 +16,8 @@
 constexpr double FULL_COST_MS = 30;
 /// Penalty of a remote data centre: traffic between data centres is charged, and each way takes about a millisecond.
 constexpr double REMOTE_COST_MS = 8;
+/// Penalty of an upstream that has named a limit, unless its whole burst is left: what is left of it is for waves.
+constexpr double LIMITED_COST_MS = 15;
 /// Costs that differ by less than this count as equal, since the view is about 100 ms old.
 constexpr double TIE_BREAK_MS = 4;
 
@@ -38,11 +40,11 @@
     return view.isSuspect ? SUSPECT_RANK : view.ejectedUntil > now ? 1 : 0;
 }
 
-auto costOf(const UpstreamView &view, double tieBreak) -> double
+auto costOf(const UpstreamView &view, double tieBreak, BootTime now) -> double
 {
     const double load = static_cast<double>(view.online + view.batch) / view.slots;
     return expectedWaitMs(view) + view.firstEventMs + FULL_COST_MS * load * load + (view.isLocal ? 0 : REMOTE_COST_MS)
-           + TIE_BREAK_MS * tieBreak;
+           + (view.spareAt > now ? LIMITED_COST_MS : 0) + TIE_BREAK_MS * tieBreak;
 }
 
 auto sampleOf(std::vector<Candidate> candidates) -> std::vector<Candidate>
@@ -56,14 +58,14 @@
     return candidates;
 }
 
-auto bestOf(const std::vector<UpstreamView> &views, const std::vector<Candidate> &local, const std::vector<Candidate> &remote)
+auto bestOf(const std::vector<UpstreamView> &views, const std::vector<Candidate> &local, const std::vector<Candidate> &remote, BootTime now)
     -> std::optional<Candidate>
 {
     std::optional<Candidate> best;
     double bestCost = 0;
     for (const std::vector<Candidate> *group : { &local, &remote }) {
         for (const Candidate &candidate : *group) {
-            const double cost = costOf(views[candidate.index], candidate.tieBreak);
+            const double cost = costOf(views[candidate.index], candidate.tieBreak, now);
             if (!best || candidate.rank < best->rank || (candidate.rank == best->rank && cost < bestCost)) {
                 best = candidate;
                 bestCost = cost;
@@ -100,16 +102,16 @@
     std::vector<Candidate> remote;
     for (std::size_t index = 0; index < candidates.size(); ++index) {
         const UpstreamView &view = candidates[index];
-        if (!excluded.contains(view.name)) {
+        if (!excluded.contains(view.name) && view.usableAt <= now) {
             (view.isLocal ? local : remote).push_back({ index, rankOf(view, now), tieBreaker(random, index) });
         }
     }
     // Most requests find a free slot in the sample; all upstreams are compared only when the sample has none.
-    const auto sampled = bestOf(candidates, sampleOf(local), sampleOf(remote));
+    const auto sampled = bestOf(candidates, sampleOf(local), sampleOf(remote), now);
     if (sampled && sampled->rank == 0 && expectedWaitMs(candidates[sampled->index]) <= 0) {
         return makeChoice(candidates, *sampled);
     }
-    const auto best = bestOf(candidates, local, remote);
+    const auto best = bestOf(candidates, local, remote, now);
     return best ? std::optional(makeChoice(candidates, *best)) : std::nullopt;
 }
 
--- a/Source/Request/UpstreamView.h
+++ b/Source/Request/UpstreamView.h
@@ -27,6 +27,10 @@
     bool isSuspect = false;
     /// Avoided until this time because of recent failures.
     BootTime ejectedUntil;
+    /// For an upstream that has named a limit: from when on this daemon may send it a request, and one that leaves enough for
+    /// others that come soon.
+    BootTime usableAt;
+    BootTime spareAt;
 
     auto operator==(const UpstreamView &) const -> bool = default;
 };
--- a/Tests/Platform/HeaderFormatTest.cpp
+++ b/Tests/Platform/HeaderFormatTest.cpp
@@ -100,11 +100,27 @@
     BOOST_TEST(metadata.running == 3);
     BOOST_TEST(metadata.waiting == 1);
     BOOST_TEST(metadata.slots == 8);
+    BOOST_TEST(!metadata.requestLimit);
     BOOST_TEST(metadata.idleTime->count() == 4000);
     head.status = 421;
     BOOST_TEST(decodeResponseMetadata(head).isMisdirected);
 }
 
+// Guards against taking a malformed limit for one that forbids or allows everything.
+BOOST_AUTO_TEST_CASE(TheLimitOfAnUpstreamIsDecoded)
+{
+    const auto limitOf = [](const std::string &text) {
+        MessageHead head;
+        head.headers.add("Server-Limit", text);
+        return decodeResponseMetadata(head).requestLimit;
+    };
+    BOOST_TEST(*limitOf("2.5") == 2.5);
+    BOOST_TEST(*limitOf("0") == 0);
+    for (const std::string text : { "", "-1", "nan", "inf", "2,5", "many" }) {
+        BOOST_TEST(!limitOf(text), text);
+    }
+}
+
 // Guards against a Retry-After that is rounded to whole seconds or given in milliseconds.
 BOOST_AUTO_TEST_CASE(RetryAfterIsInFractionalSeconds)
 {
--- a/Tests/Process/PeerDirectoryTest.cpp
+++ b/Tests/Process/PeerDirectoryTest.cpp
@@ -30,6 +30,7 @@
     report.jobs = { "job1" };
     report.crashSuspects = { { "p0123456789abcdef", 2, Milliseconds(70), { { "u1", "0123456789abcdef", Milliseconds(90) } } },
                              { "r0123456789abcdef", 0, {}, {} } };
+    report.upstreamLimits = { { "u1", 2.5, Milliseconds(70) }, { "u2", {}, Milliseconds(90) } };
     return report;
 }
 
--- a/Tests/Process/UpstreamDirectoryTest.cpp
+++ b/Tests/Process/UpstreamDirectoryTest.cpp
@@ -21,7 +21,8 @@
 
 auto makeDirectory() -> UpstreamDirectory
 {
-    UpstreamDirectory directory("east-a");
+    static const UpstreamLimits NO_LIMITS("d1");
+    UpstreamDirectory directory("east-a", NO_LIMITS);
     directory.put(makeUpstream("a"));
     directory.put(makeUpstream("b"));
     return directory;
--- a/Tests/Request/BatchPlanTest.cpp
+++ b/Tests/Request/BatchPlanTest.cpp
@@ -87,6 +87,17 @@
     }
 }
 
+// Guards against batch items that take the limit of an upstream from online requests, and urgent ones that never get any.
+BOOST_AUTO_TEST_CASE(BatchTakesTheSurplusOfALimit)
+{
+    UpstreamView view = makeView("limited", 0, 0);
+    view.usableAt = VIEW_TIME;
+    view.spareAt = VIEW_TIME + Milliseconds(500);
+    BOOST_TEST(BatchPlan::availableSlots(view, 1, VIEW_TIME) == 0);
+    BOOST_TEST(BatchPlan::availableSlots(view, 0, VIEW_TIME) == 8);
+    BOOST_TEST(BatchPlan::availableSlots(view, 1, VIEW_TIME + Milliseconds(500)) == 7);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace poplardock
--- a/Tests/Request/OnlineAdmissionTest.cpp
+++ b/Tests/Request/OnlineAdmissionTest.cpp
@@ -57,6 +57,19 @@
     BOOST_TEST(!admitOnline({}, TARGET, std::nullopt, NOW).isAdmitted);
 }
 
+// Guards against requests that wait for upstreams whose limits are used up, and against callers who come back long after the
+// first of them may get a request again. Load pattern: a wave beyond the limits of all upstreams.
+BOOST_AUTO_TEST_CASE(RequestsBeyondAllLimitsAreRefusedAtOnce)
+{
+    std::vector<UpstreamView> views = { makeView("a", 0, 0), makeView("b", 0, 0) };
+    views[0].usableAt = VIEW_TIME + Milliseconds(900);
+    views[1].usableAt = VIEW_TIME + Milliseconds(400);
+    const Admission refused = admitOnline(views, Milliseconds(300), {}, VIEW_TIME);
+    BOOST_TEST(!refused.isAdmitted);
+    BOOST_TEST(refused.retryAfter->count() == 400);
+    BOOST_TEST(admitOnline(views, Milliseconds(300), {}, VIEW_TIME + Milliseconds(400)).isAdmitted);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace poplardock
--- a/Tests/Request/OnlineChoiceTest.cpp
+++ b/Tests/Request/OnlineChoiceTest.cpp
@@ -94,6 +94,21 @@
     BOOST_TEST(countChoices({ remote, localView("local", 8, 0) }, {})["remote"] == 2000);
 }
 
+// Guards against spending the burst of a limited upstream in calm, so that nothing is left of it for a wave, and against
+// leaving its limit unused. Load pattern: calm between waves.
+BOOST_AUTO_TEST_CASE(ALimitedUpstreamIsUsedFromItsSurplus)
+{
+    std::vector<UpstreamView> views = { makeView("free", 2, 0), makeView("limited", 0, 0) };
+    views[1].usableAt = VIEW_TIME - Milliseconds(1);
+    views[1].spareAt = VIEW_TIME + Milliseconds(500);
+    BOOST_TEST(chooseForOnline(views, {}, VIEW_TIME, 0)->index == 0);
+    views[1].spareAt = VIEW_TIME;
+    BOOST_TEST(chooseForOnline(views, {}, VIEW_TIME, 0)->index == 1);
+    views[1].usableAt = VIEW_TIME + Milliseconds(1);
+    views[0].online = 20;
+    BOOST_TEST(chooseForOnline(views, {}, VIEW_TIME, 0)->index == 0);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace poplardock
--- a/Tests/Support/DirectoryFleet.cpp
+++ b/Tests/Support/DirectoryFleet.cpp
@@ -83,6 +83,8 @@
     report.sequence = tick_;
     report.cancelledJobs = view.ownCancellations(now_);
     report.crashSuspects = view.crashSuspects().states(now_);
+    report.upstreamLimits = view.upstreamLimits().states(now_);
+    view.upstreamLimits().setDaemons(view.aliveDaemons(now_), view.aliveFraction(now_), now_);
     view.recordOwnReport(report, now_);
     const std::vector<std::string> relays = view.relaysOf(report.dataCentre, now_);
     for (const Peer *peer : view.reportTargets(now_)) {
