Run an item again however often upstreams crash under it

Callers would see: after a burst of crashes an item of a job is never placed again, though all is calm and there is room; its job stays open until the item is given up.

Cause: JobRunner did not start an item any more after two crashes of upstreams that had run it. Items never cause such crashes; several crashes in a row just met it.

Change: the number of crashes does not matter to items, and a crash under an item is not evidence against it. An item whose attempts break off before the first event is started again after 0.3 s, then twice as long each time, 2.4 s at most.

Result: JobServiceTest/AnItemUnderWhichUpstreamsCrashedIsCompleted (four crashes) stopped "after 2 crashes" before, and passes. `serve` is unchanged: its items end as failed, with the reason, after two crashes; that is a result, not an item that is never placed, and its tests ask for it (BatchDispatcherTest/ItemEndsAfterTwoUpstreamCrashes).

--- a/Source/Connection/UpstreamRun.cpp
+++ b/Source/Connection/UpstreamRun.cpp
@@ -226,8 +226,8 @@
 
 auto UpstreamRun::finishLost() -> void
 {
-    // A request that crashes upstreams does so as its answer begins.
-    if (eventCount_ > 1) {
+    // A request that crashes upstreams does so as its answer begins; an item of a job never does.
+    if (order_.work == Work::Batch || eventCount_ > 1) {
         finish(RunEnd::Lost);
         return;
     }
--- a/Source/Process/Batch/JobRunner.cpp
+++ b/Source/Process/Batch/JobRunner.cpp
@@ -22,8 +22,9 @@
 constexpr Milliseconds DECLINED_BACKOFF { 100 };
 constexpr Milliseconds FAILURE_BACKOFF { 300 };
 constexpr Milliseconds PREEMPTION_BACKOFF { 30 };
-/// Crashes of upstreams caused by an item after which it is not run again.
-constexpr int ITEM_CRASH_LIMIT = 2;
+/// How often FAILURE_BACKOFF doubles at most. An item is run again however often upstreams crash under it: it never causes
+/// the crash, and it is owed until it is given up.
+constexpr int MAXIMUM_BACKOFF_DOUBLINGS = 3;
 /// Weight of one completed attempt in the moving averages.
 constexpr double SAMPLE_WEIGHT = 0.1;
 /// An item that has less than this fraction of its expected duration left is late in any case.
@@ -152,7 +153,7 @@
         }
         std::optional<bool> mayStart;
         for (const ItemProgress &item : job.items()) {
-            if (item.phase != ItemPhase::Waiting || item.notBefore > now || item.crashes >= ITEM_CRASH_LIMIT) {
+            if (item.phase != ItemPhase::Waiting || item.notBefore > now) {
                 continue;
             }
             if (!mayStart) {
@@ -295,9 +296,8 @@
     }
     if (end != RunEnd::Complete) {
         // The next attempt resumes after the last event.
-        const std::string fingerprint = crashFingerprint(job->record().team, item->item.path, item->item.body);
-        item->crashes = context_.crashes.crashCount(fingerprint, BootClock::now());
-        requeue(key, FAILURE_BACKOFF, "lost");
+        item->losses = active->second.attempt->hasFirst() ? 0 : item->losses + 1;
+        requeue(key, FAILURE_BACKOFF * (1 << std::clamp(item->losses - 1, 0, MAXIMUM_BACKOFF_DOUBLINGS)), "lost");
         return;
     }
     const ServingVersionPointer version = context_.version();
--- a/Source/Process/Batch/OwnedJob.h
+++ b/Source/Process/Batch/OwnedJob.h
@@ -29,8 +29,8 @@
     int eventCount = 0;
     /// Responses with a server error.
     int failures = 0;
-    /// Upstream crashes that this daemon and its peers attribute to requests with the item's crashFingerprint().
-    int crashes = 0;
+    /// Attempts in a row that broke off before their first event.
+    int losses = 0;
     /// Earliest time of the next attempt.
     BootTime notBefore;
 
--- a/Tests/Connection/JobServiceTest.cpp
+++ b/Tests/Connection/JobServiceTest.cpp
@@ -527,6 +527,39 @@
     }
 }
 
+// Guards against a batch item that is never placed again because upstreams crashed while they ran it: the crashes were not
+// its fault, and it is still owed.
+BOOST_AUTO_TEST_CASE(AnItemUnderWhichUpstreamsCrashedIsCompleted)
+{
+    constexpr int CRASHES = 4;
+    constexpr Milliseconds CRASH_TIME { 5000 };
+    PlatformFleet fleet(2, 1);
+    const auto runner = [&fleet] {
+        const auto found = std::find_if(fleet.engines.begin(), fleet.engines.end(), [](const auto &engine) {
+            const auto runs = engine->runsOfRequest("10b1-0");
+            return !engine->hasCrashed() && !runs.empty() && !runs.back().isCut && !runs.back().isComplete;
+        });
+        return found == fleet.engines.end() ? nullptr : found->get();
+    };
+    fleet.engines.front()->behaviour().eventPause = Milliseconds(2000);
+    BOOST_REQUIRE(fleet.call(0, PlatformFleet::submission("10b1", 1, "key1")));
+    for (int crash = 0; crash < CRASHES; ++crash) {
+        BOOST_REQUIRE_MESSAGE(fleet.runUntil([&runner] { return runner() != nullptr; }, CRASH_TIME), "after " << crash << " crashes");
+        FakeEngine *crashed = runner();
+        const bool isLast = crash + 1 == CRASHES;
+        fleet.engines.push_back(std::make_unique<FakeEngine>(fleet.loop, absl::StrCat("server", crash + 1)));
+        fleet.engines.back()->behaviour().eventPause = isLast ? Milliseconds(5) : Milliseconds(2000);
+        fleet.registerEngine(*fleet.engines.back(), "ready");
+        fleet.runFor(Milliseconds(200));
+        crashed->crash();
+        fleet.store.remove("servers", crashed->name());
+    }
+    BOOST_TEST(fleet.runUntil([&fleet] { return fleet.results(1, "10b1", "key1").size() == 1; }, CRASH_TIME));
+    const auto results = fleet.results(1, "10b1", "key1");
+    BOOST_REQUIRE(results.size() == 1);
+    BOOST_TEST(results.front().isCompleted);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace poplardock
