Describe result code 3007 as its page does

Operators saw: `docs/result-codes.md` and the descriptions in answers disagreed about 3007. Cause: reworded the page, not the table that it is made from. Change: the table has the page's words. Result: ResultCodeTest passes.

--- a/Source/Request/ResultCode.cpp
+++ b/Source/Request/ResultCode.cpp
@@ -58,7 +58,7 @@
           "request_crashes_upstreams",
           422,
           NotRun,
-          "Two upstreams died while they ran this request; it is refused." },
+          "Upstreams crashed while they ran this request, or others with the same part of a prompt; it is refused." },
         { ResultCode::ClaimUnavailable, "claim_unavailable", 503, NotRun, "The idempotency key could not be claimed in the store." },
         { ResultCode::ClaimPending, "claim_pending", 409, MayHaveRun, "The idempotency key was used and no answer is recorded." },
         { ResultCode::ClaimConflict, "claim_conflict", 422, NotRun, "The idempotency key was used with another request." },
