Borrow tokens of a limit from daemons that do not use theirs

Callers would see: batch items that wait although their upstream takes more requests than it gets, when one daemon has all the jobs.

Cause: the limit is divided among daemons whether they have work or not, and in JobRunner a token of this daemon counted as room that all daemons share, so that in a fleet of 67 it was used by one of them in 67 ticks.

Change: a daemon with a shortage (items wait and no upstream has room, or an online request is refused) asks one other holder after the other for a token. The lender gives one up only while its whole burst is there, and before it answers; the borrower takes an answer for 0.2 s and may use the token for 0.3 s. So losses, copies and restarts add no tokens. Bursts together are a little smaller in return (1.5 s of the limit, from 1.7 s). Runs at a limited upstream are bounded by the daemon's own tokens only.

UpstreamLimitsTest: 1 to 67 daemons, one or half of them busy, never above the rule and at least half of the limit used; 50 seeds with a third of the messages lost and 20 restarts each. BatchPlanTest, PeerDirectoryTest (encoding), LimitedUpstreamTest pass.

--- a/Source/Connection/FrontService.cpp
+++ b/Source/Connection/FrontService.cpp
@@ -136,6 +136,11 @@
                                      : std::nullopt;
     const Admission admission = admitOnline(views, route.target, left, now);
     if (!admission.isAdmitted) {
+        for (const UpstreamView &view : views) {
+            if (view.usableAt > now) {
+                parts_.limits.recordShortage(view.name, now);
+            }
+        }
         refuse(caller,
                terms,
                views.empty() ? ResultCode::NoUpstream : ResultCode::Overloaded,
--- a/Source/Process/Batch/JobRunner.cpp
+++ b/Source/Process/Batch/JobRunner.cpp
@@ -175,6 +175,9 @@
 {
     auto views = context_.directory.candidates(group);
     const int reserve = BatchPlan::reservedSlots(context_.peers.propagationDelay());
+    for (const std::string &upstream : BatchPlan::limitingUpstreams(views, reserve, now)) {
+        context_.limits.recordShortage(upstream, now);
+    }
     const double tickFraction = static_cast<double>(TICK_PERIOD.count()) / static_cast<double>(context_.peers.propagationDelay().count());
     std::uniform_real_distribution<double> uniform;
     int starts = BatchPlan::startsPerTick(views, reserve, context_.peers.daemonCount(now), tickFraction, uniform(context_.random), now);
--- a/Source/Process/FrontDaemon.cpp
+++ b/Source/Process/FrontDaemon.cpp
@@ -170,6 +170,7 @@
         }
         EventLog::write("store_calls", { { "total", calls } });
     });
+    loanTimer_ = loop_.every(UpstreamLimits::LOAN_REQUEST_PERIOD, [this] { requestLoan(); });
     lastCheckAt_ = BootClock::now();
     checkTimer_ = loop_.every(CHECK_PERIOD, [this] {
         checkPauses();
@@ -234,6 +235,15 @@
     return report;
 }
 
+auto FrontDaemon::requestLoan() -> void
+{
+    const auto request = peers_.upstreamLimits().loanRequest(BootClock::now());
+    const Peer *lender = request ? peers_.find(request->lender) : nullptr;
+    if (lender != nullptr) {
+        peerLink_.send(lender->address, LimitTokenRequest { request->upstream });
+    }
+}
+
 auto FrontDaemon::takePeerReports() -> void
 {
     const BootTime now = BootClock::now();
@@ -275,6 +285,16 @@
     {
         allowances.handleResponse(answer);
     }
+    auto operator()(const LimitTokenRequest &request) const -> void
+    {
+        if (peers.upstreamLimits().lend(request.upstream, BootClock::now())) {
+            link.send(sender, LimitTokenGrant { request.upstream });
+        }
+    }
+    auto operator()(const LimitTokenGrant &grant) const -> void
+    {
+        peers.upstreamLimits().addLoan(grant.upstream, BootClock::now());
+    }
     auto operator()(const FreshnessRequest &request) const -> void
     {
         freshness.handleRequest(request, sender);
--- a/Source/Process/FrontDaemon.h
+++ b/Source/Process/FrontDaemon.h
@@ -41,6 +41,8 @@
 private:
     auto startTimers() -> void;
     [[nodiscard]] auto ownReport() -> DaemonReport;
+    /// Asks another daemon for a token of an upstream's limit if this daemon's share does not suffice.
+    auto requestLoan() -> void;
     auto takePeerReports() -> void;
     auto takePeerMessage(const std::string &sender, const PeerMessage &message) -> void;
     auto answerPeer(const std::shared_ptr<CallerExchange> &exchange) -> void;
@@ -88,6 +90,7 @@
     bool wasReady_ = false;
     Timer logTimer_;
     Timer callsTimer_;
+    Timer loanTimer_;
     Timer checkTimer_;
     Timer stopTimer_;
 };
--- a/Source/Process/Load/UpstreamLimits.cpp
+++ b/Source/Process/Load/UpstreamLimits.cpp
@@ -9,6 +9,9 @@
 
 #include <algorithm>
 #include <cmath>
+#include <iterator>
+#include <tuple>
+#include <utility>
 
 namespace poplardock {
 
@@ -17,7 +20,7 @@
 /// The shares together refill at the limit; their bursts together are what the limit allows in BURST_TIME, and BURST_REQUESTS
 /// more. The platform takes one and a half times the limit and five requests more in any 4 s; a little is left for requests
 /// that are delayed on their way and arrive closer together.
-constexpr std::chrono::duration<double> BURST_TIME { 1.7 };
+constexpr std::chrono::duration<double> BURST_TIME { 1.5 };
 constexpr double BURST_REQUESTS = 4;
 /// Daemons that divide a limit, beyond one for each request a second. No more than the burst, which gives each a request.
 constexpr double EXTRA_HOLDERS = 3;
@@ -34,6 +37,12 @@
 /// statement look later at the recipient.
 constexpr Milliseconds STATEMENT_RESOLUTION { 100 };
 constexpr std::chrono::seconds RETENTION { 60 };
+/// Time for which a shortage counts after it was last recorded.
+constexpr Milliseconds SHORTAGE_TIME { 200 };
+/// Time between two requests for a token of the same upstream, and for which the answer to one is awaited.
+constexpr Milliseconds LOAN_REQUEST_INTERVAL { 200 };
+/// A borrowed token that is not used within this time is lost, so that the bursts of borrowers add little to those of holders.
+constexpr Milliseconds LOAN_TIME { 300 };
 constexpr std::size_t MAXIMUM_NAME_LENGTH = 256;
 constexpr const char *NO_LIMIT = "-";
 
@@ -42,6 +51,30 @@
     return std::chrono::duration<double>(to - from).count();
 }
 
+/// Requests per second that the living daemons divide.
+auto dividedLimit(double perSecond, double aliveFraction) -> double
+{
+    return std::max(perSecond, LEAST_PER_SECOND) * aliveFraction;
+}
+
+/// The daemons that divide a limit of an upstream, in rendezvous order.
+auto holdersOf(const std::string &upstream, double limit, const std::vector<std::string> &daemons) -> std::vector<std::string>
+{
+    std::vector<std::pair<std::uint64_t, const std::string *>> weights;
+    weights.reserve(daemons.size());
+    for (const std::string &daemon : daemons) {
+        weights.emplace_back(stableHash(absl::StrCat("limit/", upstream, "/", daemon)), &daemon);
+    }
+    const auto count = static_cast<std::ptrdiff_t>(std::min(limit + EXTRA_HOLDERS, static_cast<double>(daemons.size())));
+    const auto isPreferred = [](const auto &a, const auto &b) {
+        return std::tie(a.first, *a.second) > std::tie(b.first, *b.second);
+    };
+    std::partial_sort(weights.begin(), weights.begin() + count, weights.end(), isPreferred);
+    std::vector<std::string> holders;
+    std::transform(weights.begin(), weights.begin() + count, std::back_inserter(holders), [](const auto &each) { return *each.second; });
+    return holders;
+}
+
 } // namespace
 
 auto encodeUpstreamLimit(const UpstreamLimit &limit) -> std::string
@@ -75,20 +108,12 @@
                   const std::vector<std::string> &aliveDaemons,
                   double aliveFraction) -> LimitShare
 {
-    const double limit = std::max(perSecond, LEAST_PER_SECOND) * aliveFraction;
-    const auto holders = static_cast<std::size_t>(std::min(limit + EXTRA_HOLDERS, static_cast<double>(aliveDaemons.size())));
-    const auto weightOf = [&upstream](const std::string &daemon) {
-        return std::pair(stableHash(absl::StrCat("limit/", upstream, "/", daemon)), daemon);
-    };
-    const auto ownWeight = weightOf(ownName);
-    const auto isPreferred = [&](const std::string &daemon) {
-        return weightOf(daemon) > ownWeight;
-    };
-    const auto rank = std::count_if(aliveDaemons.begin(), aliveDaemons.end(), isPreferred);
-    if (rank >= static_cast<std::ptrdiff_t>(holders)) {
+    const double limit = dividedLimit(perSecond, aliveFraction);
+    const std::vector<std::string> holders = holdersOf(upstream, limit, aliveDaemons);
+    if (std::find(holders.begin(), holders.end(), ownName) == holders.end()) {
         return {};
     }
-    const auto parts = static_cast<double>(holders);
+    const auto parts = static_cast<double>(holders.size());
     return { limit / parts, std::max(1.0, (limit * BURST_TIME.count() + BURST_REQUESTS * aliveFraction) / parts) };
 }
 
@@ -155,12 +180,77 @@
 auto UpstreamLimits::takeToken(const std::string &upstream, BootTime now) -> void
 {
     const auto found = entries_.find(upstream);
-    if (found != entries_.end() && found->second.perSecond) {
-        refill(found->second, now);
-        found->second.tokens -= 1;
+    if (found == entries_.end() || !found->second.perSecond) {
+        return;
+    }
+    Entry &entry = found->second;
+    const auto loanUntil = std::exchange(entry.loanUntil, std::nullopt);
+    if (loanUntil && now <= *loanUntil) {
+        return;
+    }
+    refill(entry, now);
+    entry.tokens -= 1;
+}
+
+auto UpstreamLimits::recordShortage(const std::string &upstream, BootTime now) -> void
+{
+    const auto found = entries_.find(upstream);
+    if (found != entries_.end()) {
+        found->second.shortageUntil = now + SHORTAGE_TIME;
     }
 }
 
+auto UpstreamLimits::loanRequest(BootTime now) -> std::optional<LoanRequest>
+{
+    std::pair<const std::string, Entry> *next = nullptr;
+    for (auto &each : entries_) {
+        Entry &entry = each.second;
+        if (entry.loanUntil && *entry.loanUntil < now) {
+            entry.loanUntil.reset();
+        }
+        const bool isShort = entry.perSecond && !entry.loanUntil && entry.shortageUntil > now;
+        if (isShort && entry.nextLoanRequestAt <= now && (next == nullptr || entry.nextLoanRequestAt < next->second.nextLoanRequestAt)) {
+            next = &each;
+        }
+    }
+    if (next == nullptr) {
+        return std::nullopt;
+    }
+    auto &[upstream, entry] = *next;
+    entry.nextLoanRequestAt = now + LOAN_REQUEST_INTERVAL;
+    std::vector<std::string> lenders = holdersOf(upstream, dividedLimit(*entry.perSecond, aliveFraction_), aliveDaemons_);
+    std::erase(lenders, ownName_);
+    if (lenders.empty()) {
+        return std::nullopt;
+    }
+    entry.loanExpectedUntil = entry.nextLoanRequestAt;
+    return LoanRequest { upstream, lenders[entry.lendersAsked++ % lenders.size()] };
+}
+
+auto UpstreamLimits::lend(const std::string &upstream, BootTime now) -> bool
+{
+    const auto found = entries_.find(upstream);
+    if (found == entries_.end() || !found->second.perSecond || found->second.loanUntil || spareAt(upstream) > now) {
+        return false;
+    }
+    takeToken(upstream, now);
+    return true;
+}
+
+auto UpstreamLimits::addLoan(const std::string &upstream, BootTime now) -> void
+{
+    const auto found = entries_.find(upstream);
+    if (found == entries_.end()) {
+        return;
+    }
+    const auto expectedUntil = std::exchange(found->second.loanExpectedUntil, std::nullopt);
+    if (!expectedUntil || *expectedUntil < now) {
+        return;
+    }
+    found->second.loanUntil = now + LOAN_TIME;
+    found->second.nextLoanRequestAt = now;
+}
+
 auto UpstreamLimits::availableAt(const std::string &upstream, bool isWholeBurst) const -> BootTime
 {
     const auto found = entries_.find(upstream);
@@ -168,6 +258,9 @@
         return {};
     }
     const Entry &entry = found->second;
+    if (entry.loanUntil) {
+        return entry.refilledAt;
+    }
     const double wanted = isWholeBurst ? std::max(1.0, entry.share.burst) : 1;
     if (wanted > entry.share.burst) {
         return BootTime::max();
--- a/Source/Process/Load/UpstreamLimits.h
+++ b/Source/Process/Load/UpstreamLimits.h
@@ -52,7 +52,9 @@
 /// The limits that upstreams in need have named, and this daemon's share of each as a token bucket.
 ///
 /// Daemons tell each other the latest statement of each upstream, so all of them keep to a limit that any of them has
-/// heard of. Shares need no further message: each daemon works out its own one from the daemons that are alive.
+/// heard of. Shares need no further message: each daemon works out its own one from the daemons that are alive. A daemon
+/// whose work exceeds its share borrows tokens from daemons that do not use theirs, one at a time: the lender gives its
+/// token up before the borrower has it, so a lost message wastes a token and never makes one.
 /// Bounded in size; statements expire after a minute without a newer one.
 /// Times are passed in, so that tests need no clock. Thread safety: the loop's thread only.
 class UpstreamLimits
@@ -62,6 +64,17 @@
     static constexpr std::size_t MAXIMUM_LIMITS = 1024;
     /// Limits in one periodic message to another daemon.
     static constexpr std::size_t MAXIMUM_SENT_LIMITS = 128;
+    /// How often loanRequest() is to be called.
+    static constexpr Milliseconds LOAN_REQUEST_PERIOD { 50 };
+
+    /// A token to ask another daemon for.
+    struct LoanRequest
+    {
+        std::string upstream;
+        std::string lender;
+
+        auto operator==(const LoanRequest &) const -> bool = default;
+    };
 
     explicit UpstreamLimits(std::string ownName);
 
@@ -74,6 +87,17 @@
     /// From when on the whole burst is available, so that a request takes nothing from others that come soon.
     [[nodiscard]] auto spareAt(const std::string &upstream) const -> BootTime;
 
+    /// Records that work is waiting that the upstream would get if this daemon had a token for it.
+    auto recordShortage(const std::string &upstream, BootTime now) -> void;
+    /// Drops borrowed tokens that were not used in time, and selects the token to ask for next: of the upstreams with a
+    /// recent shortage, the one that has waited longest. Unset when there is none.
+    auto loanRequest(BootTime now) -> std::optional<LoanRequest>;
+    /// Gives up a token for another daemon. False when the whole burst is not available, since this daemon may soon need
+    /// what is left.
+    auto lend(const std::string &upstream, BootTime now) -> bool;
+    /// Adds a token that another daemon has given up; ignored unless it was asked for a short time ago.
+    auto addLoan(const std::string &upstream, BootTime now) -> void;
+
     /// Sets the daemons that are alive, with this one; see limitShareOf().
     auto setDaemons(std::vector<std::string> aliveDaemons, double aliveFraction, BootTime now) -> void;
     /// What to tell the other daemons in a periodic message: limits that have changed a short time ago and, at intervals,
@@ -94,6 +118,16 @@
         /// Tokens at the time of the last refill; below 0 after requests that could not wait.
         double tokens = 0;
         BootTime refilledAt;
+        /// Until when the last recorded shortage counts.
+        BootTime shortageUntil;
+        /// A request that is granted may be followed by the next one at once.
+        BootTime nextLoanRequestAt;
+        /// Until when the answer to the last request is taken; unset once it has come.
+        std::optional<BootTime> loanExpectedUntil;
+        /// Daemons asked so far.
+        std::size_t lendersAsked = 0;
+        /// Until when a borrowed token may be used; unset without one.
+        std::optional<BootTime> loanUntil;
     };
 
     auto learn(const std::string &upstream, std::optional<double> perSecond, BootTime statedAt, BootTime now) -> void;
--- a/Source/Process/Peers/DaemonReport.cpp
+++ b/Source/Process/Peers/DaemonReport.cpp
@@ -18,6 +18,8 @@
 constexpr const char *PREEMPTION_TAG = "yield2";
 constexpr const char *TOKEN_REQUEST_TAG = "token1";
 constexpr const char *TOKEN_RESPONSE_TAG = "tokenanswer1";
+constexpr const char *LIMIT_TOKEN_REQUEST_TAG = "limittoken1";
+constexpr const char *LIMIT_TOKEN_GRANT_TAG = "limittokengrant1";
 constexpr const char *FRESHNESS_REQUEST_TAG = "fresh1";
 constexpr const char *FRESHNESS_RESPONSE_TAG = "freshanswer1";
 
@@ -157,6 +159,16 @@
             TOKEN_RESPONSE_TAG, " ", response.correlationId, " ", static_cast<int>(response.outcome), " ", response.retryAfter.count());
     }
 
+    auto operator()(const LimitTokenRequest &request) const -> std::string
+    {
+        return absl::StrCat(LIMIT_TOKEN_REQUEST_TAG, " ", request.upstream);
+    }
+
+    auto operator()(const LimitTokenGrant &grant) const -> std::string
+    {
+        return absl::StrCat(LIMIT_TOKEN_GRANT_TAG, " ", grant.upstream);
+    }
+
     auto operator()(const FreshnessRequest &request) const -> std::string
     {
         return absl::StrCat(FRESHNESS_REQUEST_TAG, " ", request.correlationId);
@@ -301,6 +313,12 @@
     if (words.size() == 2 && words[0] == ROSTER_REQUEST_TAG) {
         return RosterRequest { std::string(words[1]) };
     }
+    if (words.size() == 2 && words[0] == LIMIT_TOKEN_REQUEST_TAG) {
+        return LimitTokenRequest { std::string(words[1]) };
+    }
+    if (words.size() == 2 && words[0] == LIMIT_TOKEN_GRANT_TAG) {
+        return LimitTokenGrant { std::string(words[1]) };
+    }
     TokenRequest tokenRequest;
     if (words.size() == 3 && words[0] == TOKEN_REQUEST_TAG && absl::SimpleAtoi(words[2], &tokenRequest.correlationId)) {
         tokenRequest.team = std::string(words[1]);
--- a/Source/Process/Peers/DaemonReport.h
+++ b/Source/Process/Peers/DaemonReport.h
@@ -196,6 +196,22 @@
     auto operator==(const TokenResponse &) const -> bool = default;
 };
 
+/// Requests a token of an upstream's limit from a daemon that may have one to spare. Answered only if it has.
+struct LimitTokenRequest
+{
+    std::string upstream;
+
+    auto operator==(const LimitTokenRequest &) const -> bool = default;
+};
+
+/// A token of an upstream's limit, which the sender has given up for the recipient.
+struct LimitTokenGrant
+{
+    std::string upstream;
+
+    auto operator==(const LimitTokenGrant &) const -> bool = default;
+};
+
 /// Queries the age of a daemon's view of the configuration, and the revisions that it knows.
 struct FreshnessRequest
 {
@@ -220,6 +236,8 @@
                                  PreemptionRequest,
                                  TokenRequest,
                                  TokenResponse,
+                                 LimitTokenRequest,
+                                 LimitTokenGrant,
                                  FreshnessRequest,
                                  FreshnessResponse>;
 
--- a/Source/Request/BatchPlan.cpp
+++ b/Source/Request/BatchPlan.cpp
@@ -17,6 +17,22 @@
 /// view choose different upstreams.
 constexpr double TIE_BREAK_WEIGHT = 0.15;
 
+auto hasLimit(const UpstreamView &view) -> bool
+{
+    return view.usableAt != BootTime();
+}
+
+/// Slots that batch work may take as far as the upstream's limit on requests allows it.
+auto freeSlots(const UpstreamView &view, int reserve, BootTime now) -> int
+{
+    if (view.isSuspect || view.ejectedUntil > now) {
+        return 0;
+    }
+    // The reserve never takes all slots: without online requests, batch work may use at least one.
+    const int reserved = std::min(reserve, view.slots - 1);
+    return std::max(0, view.slots - reserved - view.online - view.batch);
+}
+
 } // namespace
 
 auto reservedSlots(Milliseconds propagationDelay) -> int
@@ -27,22 +43,35 @@
 auto availableSlots(const UpstreamView &view, int reserve, BootTime now) -> int
 {
     const BootTime limitedUntil = reserve > 0 ? view.spareAt : view.usableAt;
-    if (view.isSuspect || view.ejectedUntil > now || limitedUntil > now) {
-        return 0;
+    return limitedUntil > now ? 0 : freeSlots(view, reserve, now);
+}
+
+auto limitingUpstreams(const std::vector<UpstreamView> &views, int reserve, BootTime now) -> std::vector<std::string>
+{
+    std::vector<std::string> limiting;
+    for (const UpstreamView &view : views) {
+        if (availableSlots(view, reserve, now) > 0) {
+            return {};
+        }
+        if (hasLimit(view) && freeSlots(view, reserve, now) > 0) {
+            limiting.push_back(view.name);
+        }
     }
-    // The reserve never takes all slots: without online requests, batch work may use at least one.
-    const int reserved = std::min(reserve, view.slots - 1);
-    return std::max(0, view.slots - reserved - view.online - view.batch);
+    return limiting;
 }
 
 auto startsPerTick(
     const std::vector<UpstreamView> &views, int reserve, int daemons, double tickFraction, double roundingRandom, BootTime now) -> int
 {
-    int available = 0;
+    int shared = 0;
+    // A token of a limit is this daemon's own: no other daemon starts a run with it.
+    int owned = 0;
     for (const UpstreamView &view : views) {
-        available += availableSlots(view, reserve, now);
+        const int available = availableSlots(view, reserve, now);
+        shared += hasLimit(view) ? 0 : available;
+        owned += hasLimit(view) ? std::min(1, available) : 0;
     }
-    const double expectedStarts = static_cast<double>(available) / std::max(1, daemons) * std::min(1.0, tickFraction);
+    const double expectedStarts = owned + static_cast<double>(shared) / std::max(1, daemons) * std::min(1.0, tickFraction);
     return static_cast<int>(std::floor(expectedStarts + roundingRandom));
 }
 
--- a/Source/Request/BatchPlan.h
+++ b/Source/Request/BatchPlan.h
@@ -4,6 +4,7 @@
 
 #include <cstdint>
 #include <optional>
+#include <string>
 #include <vector>
 
 namespace poplardock {
@@ -22,9 +23,14 @@
 /// or, with a reserve, was used by other requests a short time ago. For urgent work the caller passes a reserve of 0.
 auto availableSlots(const UpstreamView &view, int reserve, BootTime now) -> int;
 
+/// The upstreams whose limit alone keeps batch runs from starting now: those with a free slot but no token, as long as no
+/// upstream has an available slot. Empty otherwise.
+auto limitingUpstreams(const std::vector<UpstreamView> &views, int reserve, BootTime now) -> std::vector<std::string>;
+
 /// Limit on the runs that this daemon starts in one tick. All daemons see the same available slots and learn of each
 /// other's starts only with the next reports, so each takes an equal share of the slots per propagation delay.
-/// "tickFraction" is the length of a tick as a fraction of that delay. A share need not be a whole number
+/// "tickFraction" is the length of a tick as a fraction of that delay. A token of an upstream's limit belongs to this daemon,
+/// so one run at each upstream that has named a limit comes on top. A share need not be a whole number
 /// of runs: "roundingRandom" (0 to 1) decides whether it is rounded up, so that a single free slot is taken by about one
 /// daemon and not by all.
 auto startsPerTick(
--- a/Tests/Process/PeerDirectoryTest.cpp
+++ b/Tests/Process/PeerDirectoryTest.cpp
@@ -93,6 +93,8 @@
         survives(Roster { "east-a", 77, { { "daemon-a", "1:1", "i1", 9, true, false }, { "daemon-b", "1:2", "i2", 50, false, true } } }));
     BOOST_TEST(survives(RosterRequest { "east-a" }));
     BOOST_TEST(survives(PreemptionRequest { "u1", 2 }));
+    BOOST_TEST(survives(LimitTokenRequest { "u1" }));
+    BOOST_TEST(survives(LimitTokenGrant { "u1" }));
     BOOST_TEST(survives(FreshnessResponse { 4, { 3, Milliseconds(2), 1 } }));
 }
 
@@ -114,7 +116,9 @@
                                     "summary1 a i 1 2 3 4 5\nr z 1 -2",
                                     "roster1 x z",
                                     "roster1 1 z\nm b 1:1 i x 0 1",
-                                    "rosterquestion1" }) {
+                                    "rosterquestion1",
+                                    "limittoken1",
+                                    "limittokengrant1 u1 2" }) {
         BOOST_TEST(!decodePeerMessage(text).ok(), text);
     }
 }
--- a/Tests/Process/UpstreamLimitsTest.cpp
+++ b/Tests/Process/UpstreamLimitsTest.cpp
@@ -5,7 +5,11 @@
 #include <absl/strings/str_cat.h>
 #include <boost/test/unit_test.hpp>
 
+#include <algorithm>
 #include <cmath>
+#include <functional>
+#include <map>
+#include <random>
 
 namespace poplardock {
 
@@ -37,6 +41,98 @@
     return names;
 }
 
+/// Daemons that know the limit of one upstream and lend each other tokens. All tokens are used by the busy ones.
+class LendingFleet
+{
+public:
+    LendingFleet(int daemonCount, double perSecond)
+        : perSecond_(perSecond)
+        , names_(daemonNames(daemonCount))
+    {
+        for (const std::string &name : names_) {
+            restart(name);
+        }
+    }
+
+    /// Replaces a daemon by one that knows nothing but what the others tell it.
+    auto restart(const std::string &name) -> void
+    {
+        limits_.erase(name);
+        UpstreamLimits &limits = limits_.try_emplace(name, name).first->second;
+        limits.setDaemons(names_, 1, now_);
+        limits.merge({ { "u1", perSecond_, Milliseconds(0) } }, now_);
+    }
+
+    auto run(Milliseconds time) -> void
+    {
+        for (const BootTime end = now_ + time; now_ < end; now_ += UpstreamLimits::LOAN_REQUEST_PERIOD) {
+            for (const std::string &name : busy) {
+                sendAll(limits_.at(name));
+            }
+            for (const std::string &name : names_) {
+                exchangeLoan(name);
+            }
+        }
+    }
+
+    /// Requests that the upstream has got since that time.
+    [[nodiscard]] auto countSince(BootTime from) const -> std::ptrdiff_t
+    {
+        return std::count_if(sends_.begin(), sends_.end(), [from](BootTime at) { return at >= from; });
+    }
+
+    [[nodiscard]] auto mostInWindow() const -> std::ptrdiff_t
+    {
+        std::ptrdiff_t most = 0;
+        for (const BootTime from : sends_) {
+            const auto isInside = [from](BootTime at) {
+                return at >= from && at - from < LIMIT_WINDOW;
+            };
+            most = std::max(most, std::count_if(sends_.begin(), sends_.end(), isInside));
+        }
+        return most;
+    }
+
+    [[nodiscard]] auto now() const -> BootTime
+    {
+        return now_;
+    }
+
+    std::vector<std::string> busy;
+    /// Called for each message.
+    std::function<bool()> isLost = [] {
+        return false;
+    };
+    bool areGrantsDoubled = false;
+
+private:
+    auto sendAll(UpstreamLimits &limits) -> void
+    {
+        while (limits.usableAt("u1") <= now_) {
+            limits.takeToken("u1", now_);
+            sends_.push_back(now_);
+        }
+        limits.recordShortage("u1", now_);
+    }
+
+    auto exchangeLoan(const std::string &borrower) -> void
+    {
+        const auto request = limits_.at(borrower).loanRequest(now_);
+        if (!request || isLost() || !limits_.at(request->lender).lend(request->upstream, now_) || isLost()) {
+            return;
+        }
+        for (int copy = 0; copy < (areGrantsDoubled ? 2 : 1); ++copy) {
+            limits_.at(borrower).addLoan(request->upstream, now_);
+        }
+    }
+
+    const double perSecond_;
+    const std::vector<std::string> names_;
+    BootTime now_ = NOW;
+    std::map<std::string, UpstreamLimits> limits_;
+    std::vector<BootTime> sends_;
+};
+
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(UpstreamLimitsSuite)
@@ -63,6 +159,66 @@
     }
 }
 
+// Guards against a limit that is hardly used because its shares lie with daemons that have no work, and against borrowed
+// tokens that add to the limit. Load pattern: a few of many daemons have all the work.
+BOOST_AUTO_TEST_CASE(BorrowedTokensStayWithinTheLimit)
+{
+    for (const int count : { 1, 2, 3, 15, 67 }) {
+        for (const double perSecond : { 0.5, 2.0, 20.0 }) {
+            for (const bool areManyBusy : { false, true }) {
+                LendingFleet fleet(count, perSecond);
+                fleet.busy = areManyBusy ? daemonNames(1 + count / 2) : std::vector<std::string> { "d0" };
+                fleet.areGrantsDoubled = areManyBusy;
+                fleet.run(Milliseconds(30000));
+                BOOST_TEST(fleet.mostInWindow() <= allowed(perSecond), count << " daemons, limit " << perSecond);
+                BOOST_TEST(static_cast<double>(fleet.countSince(fleet.now() - Milliseconds(20000))) >= perSecond * 20 / 2,
+                           count << " daemons, limit " << perSecond << ": " << fleet.countSince(fleet.now() - Milliseconds(20000)));
+            }
+        }
+    }
+}
+
+// Guards against tokens that are counted twice when messages are lost or daemons restart while one is on its way.
+BOOST_AUTO_TEST_CASE(LossesAndRestartsAddNoTokens)
+{
+    for (unsigned seed = 0; seed < 50; ++seed) {
+        std::mt19937 random(seed);
+        LendingFleet fleet(9, 2);
+        fleet.busy = { "d0", "d4" };
+        fleet.isLost = [&random] {
+            return random() % 3 == 0;
+        };
+        for (int change = 0; change < 20; ++change) {
+            fleet.run(Milliseconds(100 + random() % 2000));
+            fleet.restart(absl::StrCat("d", random() % 9));
+        }
+        BOOST_TEST(fleet.mostInWindow() <= allowed(2), "seed " << seed);
+    }
+}
+
+// Guards against a token that was granted too late, to a daemon that does not need it any more.
+BOOST_AUTO_TEST_CASE(ALoanExpires)
+{
+    UpstreamLimits limits("d0");
+    limits.setDaemons({ "d0", "d1" }, 1, NOW);
+    limits.merge({ { "u1", 1.0, Milliseconds(0) } }, NOW);
+    const auto usableAt = limits.usableAt("u1");
+    limits.addLoan("u1", NOW);
+    BOOST_TEST((limits.usableAt("u1") == usableAt));
+    BOOST_TEST(!limits.loanRequest(NOW));
+    limits.recordShortage("u1", NOW);
+    BOOST_TEST((limits.loanRequest(NOW) == UpstreamLimits::LoanRequest { "u1", "d1" }));
+    limits.addLoan("u1", NOW + Milliseconds(100));
+    BOOST_TEST((limits.usableAt("u1") <= NOW + Milliseconds(100)));
+    BOOST_TEST(!limits.lend("u1", NOW + Milliseconds(100)));
+    static_cast<void>(limits.loanRequest(NOW + Milliseconds(500)));
+    BOOST_TEST((limits.usableAt("u1") == usableAt));
+    limits.recordShortage("u1", NOW + Milliseconds(500));
+    BOOST_TEST(limits.loanRequest(NOW + Milliseconds(500)).has_value());
+    limits.addLoan("u1", NOW + Milliseconds(1500));
+    BOOST_TEST((limits.usableAt("u1") == usableAt));
+}
+
 // Guards against a limit that each side of a cut uses whole.
 BOOST_AUTO_TEST_CASE(TheSidesOfACutDivideTheLimit)
 {
--- a/Tests/Request/BatchPlanTest.cpp
+++ b/Tests/Request/BatchPlanTest.cpp
@@ -98,6 +98,33 @@
     BOOST_TEST(BatchPlan::availableSlots(view, 1, VIEW_TIME + Milliseconds(500)) == 7);
 }
 
+// Load pattern: all upstreams of a group have named a limit and one of many daemons has the jobs. Guards against tokens of
+// a daemon that it hardly uses, as if the other daemons were to start runs with them too.
+BOOST_AUTO_TEST_CASE(TokensOfALimitAreNotSharedWithOtherDaemons)
+{
+    UpstreamView view = makeView("limited", 0, 0);
+    view.usableAt = VIEW_TIME - Milliseconds(1);
+    view.spareAt = VIEW_TIME - Milliseconds(1);
+    BOOST_TEST(BatchPlan::startsPerTick({ view }, 1, 67, 0.25, 0, VIEW_TIME) == 1);
+    BOOST_TEST(BatchPlan::startsPerTick({ view, view }, 1, 67, 0.25, 0, VIEW_TIME) == 2);
+    view.online = 8;
+    BOOST_TEST(BatchPlan::startsPerTick({ view }, 1, 67, 0.25, 0, VIEW_TIME) == 0);
+}
+
+// Guards against tokens that are borrowed for upstreams that cannot take a run, or while other upstreams have room.
+BOOST_AUTO_TEST_CASE(OnlyLimitsThatKeepRunsFromStartingCount)
+{
+    UpstreamView view = makeView("limited", 0, 0);
+    view.usableAt = VIEW_TIME + Milliseconds(500);
+    view.spareAt = VIEW_TIME + Milliseconds(900);
+    UpstreamView full = view;
+    full.online = 8;
+    const UpstreamView unlimited = makeView("unlimited", 0, 0);
+    BOOST_TEST(BatchPlan::limitingUpstreams({ view, full }, 1, VIEW_TIME) == std::vector<std::string> { "limited" });
+    BOOST_TEST(BatchPlan::limitingUpstreams({ view, unlimited }, 1, VIEW_TIME).empty());
+    BOOST_TEST(BatchPlan::limitingUpstreams({ view, makeView("busy", 8, 0) }, 1, VIEW_TIME).size() == 1U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace poplardock
