Keep the limit of an upstream that declines requests

Callers would see: an upstream in need that is full gets everything that it asked to be spared. Found by reading: a 503 that says "not run" and names no limit counted as its withdrawal, in the whole fleet.

Change: only an answer to a request that ran withdraws a limit. The engine of the tests counts declined requests, and the checks of LimitedFleet count them too, which is stricter than before. Result: LimitedUpstreamTest/ADeclinedRequestDoesNotWithdrawTheLimit failed without the change (168 requests in 4 s where 17 are allowed) and passes; the other cases of it, LimitedBatchTest and FrontDaemonTest pass.

--- a/Source/Connection/UpstreamRun.cpp
+++ b/Source/Connection/UpstreamRun.cpp
@@ -97,7 +97,9 @@
     if (terms_.idleTime) {
         channel_->setUsableFor(std::max(Milliseconds(0), *terms_.idleTime - IDLE_MARGIN));
     }
-    if (!terms_.isMisdirected) {
+    // An upstream that declines a request without naming a limit has not withdrawn the one that it named before.
+    const bool isStatement = terms_.requestLimit.has_value() || !terms_.isNotRun;
+    if (isStatement && !terms_.isMisdirected) {
         parts_.limits.recordStatement(order_.upstream, terms_.requestLimit, BootClock::now());
     }
     if (!terms_.isNotRun && !terms_.isMisdirected) {
--- a/Tests/Connection/LimitedUpstreamTest.cpp
+++ b/Tests/Connection/LimitedUpstreamTest.cpp
@@ -55,6 +55,16 @@
     BOOST_TEST(!third->headers.valueOf("Retry-After").empty());
 }
 
+// Guards against a limit that is forgotten because the upstream, full, declines requests without naming it again.
+BOOST_AUTO_TEST_CASE(ADeclinedRequestDoesNotWithdrawTheLimit)
+{
+    LimitedFleet setting(1);
+    setting.sendFor(STABLE_WINDOW);
+    setting.limited().behaviour().declines = true;
+    setting.sendFor(LIMIT_WINDOW);
+    BOOST_TEST(setting.mostInWindow(setting.namedAt + STABLE_WINDOW) <= LimitedFleet::allowed());
+}
+
 // Guards against batch items that go to a limited upstream beside the online requests that keep to its limit.
 BOOST_AUTO_TEST_CASE(BatchItemsKeepToTheLimit)
 {
--- a/Tests/Fakes/FakeEngine.cpp
+++ b/Tests/Fakes/FakeEngine.cpp
@@ -96,6 +96,11 @@
     return runs;
 }
 
+auto FakeEngine::arrivals() const -> const std::vector<BootTime> &
+{
+    return arrivals_;
+}
+
 auto FakeEngine::runsOf(const std::string &requestId) const -> int
 {
     int count = 0;
@@ -175,6 +180,7 @@
             "HTTP/1.1 421 Misdirected Request\r\nInstance-Id: ", name_, "\r\nRequest-Id: ", idOf(head), "\r\nContent-Length: 0\r\n\r\n"));
         return;
     }
+    arrivals_.push_back(BootClock::now());
     if (behaviour_.declines) {
         connection->channel->send(absl::StrCat(
             "HTTP/1.1 503 Service Unavailable\r\nNot-Executed: 1\r\nRequest-Id: ", idOf(head), "\r\nContent-Length: 0\r\n\r\n"));
--- a/Tests/Fakes/FakeEngine.h
+++ b/Tests/Fakes/FakeEngine.h
@@ -72,6 +72,8 @@
     [[nodiscard]] auto address() const -> std::string;
     [[nodiscard]] auto behaviour() -> Behaviour &;
     [[nodiscard]] auto runs() const -> std::vector<Run>;
+    /// When requests arrived, the declined ones included and those that were meant for another server left out.
+    [[nodiscard]] auto arrivals() const -> const std::vector<BootTime> &;
     /// Runs of one request.
     [[nodiscard]] auto runsOf(const std::string &requestId) const -> int;
     [[nodiscard]] auto runsOfRequest(const std::string &requestId) const -> std::vector<Run>;
@@ -107,6 +109,7 @@
     Behaviour behaviour_;
     std::vector<std::shared_ptr<Connection>> connections_;
     std::vector<std::shared_ptr<Run>> runs_;
+    std::vector<BootTime> arrivals_;
 };
 
 } // namespace poplardock
--- a/Tests/Support/LimitedFleet.h
+++ b/Tests/Support/LimitedFleet.h
@@ -58,14 +58,14 @@
     /// The most requests that the limited engine got in any window that began at that time or later.
     auto mostInWindow(BootTime from) -> std::ptrdiff_t
     {
-        const std::vector<FakeEngine::Run> runs = limited().runs();
+        const std::vector<BootTime> &arrivals = limited().arrivals();
         std::ptrdiff_t most = 0;
-        for (const FakeEngine::Run &first : runs) {
-            if (first.startedAt >= from) {
-                const auto isInside = [&first](const FakeEngine::Run &each) {
-                    return each.startedAt >= first.startedAt && each.startedAt - first.startedAt < LIMIT_WINDOW;
+        for (const BootTime first : arrivals) {
+            if (first >= from) {
+                const auto isInside = [first](BootTime each) {
+                    return each >= first && each - first < LIMIT_WINDOW;
                 };
-                most = std::max(most, std::count_if(runs.begin(), runs.end(), isInside));
+                most = std::max(most, std::count_if(arrivals.begin(), arrivals.end(), isInside));
             }
         }
         return most;
@@ -74,8 +74,8 @@
     /// Requests that the limited engine has got since that time.
     auto countSince(BootTime from) -> std::ptrdiff_t
     {
-        const std::vector<FakeEngine::Run> runs = limited().runs();
-        return std::count_if(runs.begin(), runs.end(), [from](const FakeEngine::Run &each) { return each.startedAt >= from; });
+        const std::vector<BootTime> &arrivals = limited().arrivals();
+        return std::count_if(arrivals.begin(), arrivals.end(), [from](BootTime each) { return each >= from; });
     }
 
     static auto allowed() -> double
