Run an item of serve again however often upstreams crash under it

Callers saw, on a system like ours, and would see with `serve`: after a burst of crashes an item ends as failed (request_crashes_upstreams), though it is sound, all is calm and there is room.

Cause: two crashes under an item ended it, each counted as one of its three attempts, and it was refused if an online request with the same text was.

Change: a crash is counted, but it is no attempt and excludes no upstream; the next attempt waits 1 s, then twice as long after each crash, 32 s at most. Items run alone at an upstream after a crash, as before. They are neither refused nor evidence, so two hooks of the dispatcher go.

Tests replaced, since they asked for the opposite: BatchDispatcherTest/ItemEndsAfterTwoUpstreamCrashes is now AnItemUnderWhichUpstreamsCrashedIsCompleted (four crashes, the time between them, all 20 items done, one further attempt); ChunkTransitionTest/TooManyAttemptsOrCrashesFailAnItem is now TooManyFailedAttemptsFailAnItem, with the same checks of attempts, and CrashesOfUpstreamsDoNotFailAnItem (20 crashes; an item that may not be repeated still has one attempt).

--- a/Source/Process/BatchDispatcher.cpp
+++ b/Source/Process/BatchDispatcher.cpp
@@ -29,18 +29,12 @@
 constexpr double DEFAULT_FIRST_TOKEN_TARGET_MS = 1000;
 constexpr double INITIAL_ITEM_SECONDS = 1;
 constexpr double ITEM_SECONDS_WEIGHT = 0.1;
-constexpr const char *CHAT_PATH = "/v1/chat/completions";
 
 auto poolOf(const BatchJob &job) -> const std::string &
 {
     return job.model.empty() ? job.path : job.model;
 }
 
-auto pathOf(const BatchJob &job) -> std::string
-{
-    return job.model.empty() ? job.path : CHAT_PATH;
-}
-
 /// All upstreams of the fleet that can run the job's items and are not draining.
 auto upstreamsFor(const BatchJob &job, const Configuration &configuration) -> std::vector<std::string>
 {
@@ -390,17 +384,8 @@
 
 auto BatchDispatcher::runItem(const Attempt &attempt) -> ItemAttemptResult
 {
-    const std::string path = pathOf(attempt.job->job);
-    if (hooks_.isRefused(attempt.job->job.team, path, attempt.body)) {
-        return ItemFailed { ResultCode::RequestCrashesUpstreams, {} };
-    }
-    ItemAttemptResult result = BatchItemAttempt::run(
+    return BatchItemAttempt::run(
         attempt.upstream, attempt.job->job, attempt.body, Clock::now() + options_.attemptTimeout, attempt.stop.get_token(), hooks_.isAlive);
-    const auto *failed = std::get_if<AttemptFailed>(&result);
-    if (failed != nullptr && failed->isCrash) {
-        hooks_.recordCrash(attempt.upstream.name, attempt.job->job.team, path, attempt.body);
-    }
-    return result;
 }
 
 auto BatchDispatcher::finishAttempt(const AttemptPointer &attempt, const ItemAttemptResult &result) -> void
--- a/Source/Process/BatchDispatcher.h
+++ b/Source/Process/BatchDispatcher.h
@@ -39,11 +39,6 @@
         std::function<std::string()> incarnation;
         /// Load of an upstream of the configuration. The dispatcher computes "onlineExpected" itself.
         std::function<ObservedLoad(const std::string &upstream)> loadOf;
-        /// True for a request that is refused because it crashed upstreams.
-        std::function<bool(const std::string &team, const std::string &path, const std::string &body)> isRefused;
-        /// Records that an upstream crashed while it ran the request.
-        std::function<void(const std::string &upstream, const std::string &team, const std::string &path, const std::string &body)>
-            recordCrash;
         /// Probes whether an upstream still responds after it closed a connection during a request.
         std::function<bool(const Upstream &upstream)> isAlive = BatchItemAttempt::probe;
     };
--- a/Source/Process/Daemon.cpp
+++ b/Source/Process/Daemon.cpp
@@ -257,12 +257,6 @@
     hooks.loadOf = [this](const std::string &upstream) {
         return loadOf(upstream);
     };
-    hooks.isRefused = [this](const std::string &team, const std::string &path, const std::string &body) {
-        return crashes.refusedUntil({ crashFingerprint(team, path, body), {} }, BootClock::now()).has_value();
-    };
-    hooks.recordCrash = [this](const std::string &upstream, const std::string &team, const std::string &path, const std::string &body) {
-        crashes.recordCrash({ crashFingerprint(team, path, body), {} }, upstream, BootClock::now());
-    };
     dispatcher = std::make_unique<BatchDispatcher>(jobStore, state, metrics, options, hooks);
     yieldSender = std::make_unique<PreemptionNotifier>(
         state, peers, settings.region, [this](const std::string &upstream) { dispatcher->preempt(upstream); });
--- a/Source/Process/HeldChunk.cpp
+++ b/Source/Process/HeldChunk.cpp
@@ -8,6 +8,9 @@
 
 /// Delay of the next attempt of an item after an upstream could not be reached.
 constexpr Milliseconds UNREACHABLE_BACKOFF { 200 };
+/// Delay of the next attempt of an item after the first crash of an upstream under it. It doubles with each further crash.
+constexpr Milliseconds CRASH_BACKOFF { 1000 };
+constexpr int MAXIMUM_CRASH_BACKOFF_DOUBLINGS = 5;
 
 } // namespace
 
@@ -192,6 +195,11 @@
     lastWriteAt_ = now;
     for (const auto &[index, outcome] : write_->outcomes) {
         localItems_[index] = {};
+        const auto *failed = std::get_if<AttemptFailed>(&outcome);
+        if (failed != nullptr && failed->isCrash) {
+            const int doublings = std::clamp(stored_.chunk.items[index].crashes - 1, 0, MAXIMUM_CRASH_BACKOFF_DOUBLINGS);
+            localItems_[index].notBefore = now + CRASH_BACKOFF * (1 << doublings);
+        }
     }
     for (const std::size_t index : write_->starts) {
         localItems_[index].isStartedUnsent = true;
--- a/Source/Request/ChunkTransition.cpp
+++ b/Source/Request/ChunkTransition.cpp
@@ -56,19 +56,19 @@
 
     auto operator()(const AttemptFailed &outcome) const -> void
     {
-        ++item.attempts;
-        item.crashes += outcome.isCrash ? 1 : 0;
+        (outcome.isCrash ? item.crashes : item.attempts) += 1;
         if (outcome.mayHaveRun && !isRetryable) {
             failItem(item, ResultCode::ItemMayHaveRun, outcome.reason);
-        } else if (item.crashes >= MAXIMUM_CRASHES) {
-            failItem(item, ResultCode::RequestCrashesUpstreams, outcome.reason);
-        } else if (item.attempts >= MAXIMUM_ATTEMPTS) {
+            return;
+        }
+        item.state = ItemState::Waiting;
+        if (outcome.isCrash) {
+            return;
+        }
+        if (item.attempts >= MAXIMUM_ATTEMPTS) {
             failItem(item, ResultCode::ItemAttemptsExhausted, outcome.reason);
-        } else {
-            item.state = ItemState::Waiting;
-            if (std::find(item.excluded.begin(), item.excluded.end(), outcome.upstream) == item.excluded.end()) {
-                item.excluded.push_back(outcome.upstream);
-            }
+        } else if (std::find(item.excluded.begin(), item.excluded.end(), outcome.upstream) == item.excluded.end()) {
+            item.excluded.push_back(outcome.upstream);
         }
     }
 
--- a/Source/Request/ChunkTransition.h
+++ b/Source/Request/ChunkTransition.h
@@ -13,8 +13,6 @@
 
 /// Failed attempts after which an item fails.
 constexpr int MAXIMUM_ATTEMPTS = 3;
-/// Upstream crashes after which an item fails.
-constexpr int MAXIMUM_CRASHES = 2;
 
 /// Proof of the right to change a chunk, as obtained by its holder.
 struct ChunkLease
@@ -42,8 +40,8 @@
     auto operator==(const ItemFailed &) const -> bool = default;
 };
 
-/// An attempt at this upstream failed. The item returns to waiting unless it has reached the limit of attempts or
-/// crashes, or it may have run and is not retryable.
+/// An attempt at this upstream failed. The item returns to waiting unless it has reached the limit of attempts, or it may
+/// have run and is not retryable. A crash of the upstream is not the item's doing and does not count as an attempt.
 struct AttemptFailed
 {
     std::string upstream;
--- a/Tests/Process/BatchDispatcherTest.cpp
+++ b/Tests/Process/BatchDispatcherTest.cpp
@@ -263,9 +263,12 @@
     run(R"({"refuse_status":500})", ResultCode::ItemAttemptsExhausted, 3);
 }
 
-// Guards against an item that crashes one upstream after another, and against attributing the crashes to other items.
-BOOST_AUTO_TEST_CASE(ItemEndsAfterTwoUpstreamCrashes)
+// Guards against an item that is never run again because upstreams crashed under it, and against runs of it in quick
+// succession while they do. Load pattern: each upstream crashes whenever it runs one item, until all are repaired.
+BOOST_AUTO_TEST_CASE(AnItemUnderWhichUpstreamsCrashedIsCompleted)
 {
+    // More than the failed attempts after which an item ends.
+    constexpr int CRASHES = 4;
     BatchFleet fleet(1, 3);
     fleet.areUpstreamsDown = true;
     for (const auto &upstream : fleet.upstreams) {
@@ -274,11 +277,19 @@
     }
     const auto submission = BatchFleet::modelJob("job", 20);
     accept(fleet, submission);
+    const TimePoint started = Clock::now();
     fleet.startAll();
-    BOOST_TEST(fleet.awaitEnd("t", "job").doneItems == 19);
-    BOOST_TEST((readAll(fleet, submission)[7].error == ResultCode::RequestCrashesUpstreams));
-    BOOST_TEST(fleet.receivedCount("item-7.") == 2);
-    BOOST_TEST(fleet.recordedCrashes == 2);
+    BOOST_REQUIRE(BatchFleet::await([&] { return fleet.receivedCount("item-7.") >= CRASHES; }));
+    // 1 s after the first crash, and twice as long after each further one.
+    BOOST_TEST((Clock::now() - started >= std::chrono::seconds(1 + 2 + 4)));
+    for (const auto &upstream : fleet.upstreams) {
+        BOOST_REQUIRE(upstream->setFaults(R"({"crash_on":""})").ok());
+    }
+    const BatchJob job = fleet.awaitEnd("t", "job");
+    BOOST_TEST(job.doneItems == 20);
+    BOOST_TEST(job.failedItems == 0);
+    BOOST_TEST((readAll(fleet, submission)[7].error == ResultCode::Ok));
+    BOOST_TEST(fleet.receivedCount("item-7.") == CRASHES + 1);
 }
 
 // Guards against batch streams that continue while online requests wait, and against losing the aborted items.
--- a/Tests/Request/ChunkTransitionTest.cpp
+++ b/Tests/Request/ChunkTransitionTest.cpp
@@ -212,26 +212,47 @@
 }
 
 // Guards against a job that never ends because every attempt at one of its items fails.
-BOOST_AUTO_TEST_CASE(TooManyAttemptsOrCrashesFailAnItem)
+BOOST_AUTO_TEST_CASE(TooManyFailedAttemptsFailAnItem)
 {
-    const auto leased = ChunkTransition::lease(chunkOf(2, true), HOLDERS[0]);
+    const auto leased = ChunkTransition::lease(chunkOf(1, true), HOLDERS[0]);
     const ChunkLease lease { HOLDERS[0], leased->epoch };
     absl::StatusOr<BatchChunk> chunk = *leased;
     for (int attempt = 0; attempt < MAXIMUM_ATTEMPTS; ++attempt) {
         BOOST_TEST(!chunk->items[0].hasEnded());
-        ItemOutcomes outcomes = { { 0, AttemptFailed { "u", true, false, "500" } } };
-        if (!chunk->items[1].hasEnded()) {
-            outcomes.emplace(1, AttemptFailed { "u", true, true, "died" });
-        }
-        chunk = ChunkTransition::commit(*chunk, lease, outcomes);
+        chunk = ChunkTransition::commit(*chunk, lease, { { 0, AttemptFailed { "u", true, false, "500" } } });
         BOOST_REQUIRE(chunk.ok());
     }
     BOOST_TEST((chunk->items[0].error == ResultCode::ItemAttemptsExhausted));
-    BOOST_TEST((chunk->items[1].error == ResultCode::RequestCrashesUpstreams));
-    BOOST_TEST(chunk->items[1].crashes == MAXIMUM_CRASHES);
     BOOST_TEST(chunk->items[0].excluded.size() == 1U);
 }
 
+// Guards against an item that ends, or may not run at any upstream, because upstreams crashed while they ran it.
+BOOST_AUTO_TEST_CASE(CrashesOfUpstreamsDoNotFailAnItem)
+{
+    const auto leased = ChunkTransition::lease(chunkOf(2, true), HOLDERS[0]);
+    const ChunkLease lease { HOLDERS[0], leased->epoch };
+    absl::StatusOr<BatchChunk> chunk = *leased;
+    constexpr int CRASHES = 20;
+    for (int crash = 0; crash < CRASHES; ++crash) {
+        chunk = ChunkTransition::commit(*chunk, lease, { { 0, AttemptFailed { "u", true, true, "died" } } });
+        BOOST_REQUIRE(chunk.ok());
+        BOOST_TEST((chunk->items[0].state == ItemState::Waiting));
+    }
+    BOOST_TEST(chunk->items[0].crashes == CRASHES);
+    BOOST_TEST(chunk->items[0].attempts == 0);
+    BOOST_TEST(chunk->items[0].excluded.empty());
+    chunk = ChunkTransition::commit(*chunk, lease, { { 0, ItemCompleted { "r" } } });
+    BOOST_REQUIRE(chunk.ok());
+    BOOST_TEST((chunk->items[0].state == ItemState::Done));
+    // An item that may not be repeated has one attempt, whatever ended it.
+    const auto once = ChunkTransition::lease(chunkOf(1, false), HOLDERS[0]);
+    const ChunkLease onceLease { HOLDERS[0], once->epoch };
+    const auto started = ChunkTransition::start(*once, onceLease, { 0 });
+    const auto ended = ChunkTransition::commit(*started, onceLease, { { 0, AttemptFailed { "u", true, true, "died" } } });
+    BOOST_REQUIRE(ended.ok());
+    BOOST_TEST((ended->items[0].error == ResultCode::ItemMayHaveRun));
+}
+
 // Guards against running a non-retryable item again that a lost holder may have sent.
 BOOST_AUTO_TEST_CASE(StartedItemsOfALostHolderFail)
 {
--- a/Tests/Support/BatchFleet.cpp
+++ b/Tests/Support/BatchFleet.cpp
@@ -88,12 +88,6 @@
     hooks.loadOf = [](const std::string &) {
         return ObservedLoad {};
     };
-    hooks.isRefused = [](const std::string &, const std::string &, const std::string &) {
-        return false;
-    };
-    hooks.recordCrash = [this](const std::string &, const std::string &, const std::string &, const std::string &) {
-        ++recordedCrashes;
-    };
     hooks.isAlive = [this](const Upstream &) {
         return !areUpstreamsDown;
     };
--- a/Tests/Support/BatchFleet.h
+++ b/Tests/Support/BatchFleet.h
@@ -65,7 +65,6 @@
     std::vector<std::unique_ptr<BatchDaemon>> daemons;
     /// While set, the probe reports all upstreams as down.
     std::atomic<bool> areUpstreamsDown = false;
-    std::atomic<int> recordedCrashes = 0;
 };
 
 } // namespace poplardock
