Do not take a job over on a claim that was replaced

Cause: a daemon that takes a job over closes the result log to the former owner with an empty entry. A daemon whose own claim had been replaced meanwhile, while it waited for the progress, closed the log after the later owner had done so, and listed results that the later owner did not know.

Change: the entry names the version of the record by which its author became the owner, and whoever finds a higher one ends its takeover. No further call. Entries of earlier builds have no version and count as 0; earlier builds read the new entries as empty ones.

--- a/Source/Process/Batch/JobRepository.cpp
+++ b/Source/Process/Batch/JobRepository.cpp
@@ -1,16 +1,21 @@
 #include "Process/Batch/JobRepository.h"
 
 #include "Process/EventLog.h"
+#include "Process/Json.h"
 
 #include <absl/strings/str_cat.h>
 #include <absl/strings/str_format.h>
 
+#include <algorithm>
+
 namespace poplardock {
 
 namespace {
 
 constexpr const char *PAYLOAD_KIND = "payloads";
 constexpr const char *LOG_KIND_PREFIX = "results-";
+/// Field of an entry of a result log: the claim of the owner that fenced the log with it.
+constexpr const char *FENCE_FIELD = "fence";
 /// Fraction of the store's largest value that the unencoded bodies of one payload may take. Base64 adds a third; the
 /// rest is left for headers.
 constexpr double PAYLOAD_FRACTION = 0.6;
@@ -32,6 +37,13 @@
     return absl::StrCat(LOG_KIND_PREFIX, id);
 }
 
+/// The fence of an entry; 0 for one that has none.
+auto fenceOf(const std::string &spec) -> absl::StatusOr<std::int64_t>
+{
+    const auto json = Json::parseObject(spec);
+    return json.ok() ? Json::optionalInteger(**json, FENCE_FIELD, 0) : json.status();
+}
+
 } // namespace
 
 struct JobRepository::Submission
@@ -197,6 +209,14 @@
                 handler(results.status());
                 return;
             }
+            if (results->empty()) {
+                const auto fence = fenceOf(object.spec);
+                if (!fence.ok()) {
+                    handler(fence.status());
+                    return;
+                }
+                log.fence = std::max(log.fence, static_cast<std::uint64_t>(*fence));
+            }
             log.results.insert(log.results.end(), results->begin(), results->end());
             ++log.nextEntryNumber;
         }
@@ -206,11 +226,23 @@
 
 auto JobRepository::append(const std::string &id, std::size_t entryNumber, const std::vector<JobResult> &results, AppendHandler handler)
     -> void
+{
+    createEntry(id, entryNumber, adapter_.encodeResults(results.size(), 0, results), std::move(handler));
+}
+
+auto JobRepository::appendFence(const std::string &id, std::size_t entryNumber, std::uint64_t claimVersion, AppendHandler handler) -> void
+{
+    JsonObject spec;
+    spec.set(FENCE_FIELD, claimVersion);
+    createEntry(id, entryNumber, Json::toText(spec), std::move(handler));
+}
+
+auto JobRepository::createEntry(const std::string &id, std::size_t entryNumber, const std::string &spec, AppendHandler handler) -> void
 {
     StoredObject entry;
     entry.kind = logKind(id);
     entry.name = entryName(entryNumber);
-    entry.spec = adapter_.encodeResults(results.size(), 0, results);
+    entry.spec = spec;
     store_.create(entry, [handler = std::move(handler)](const absl::StatusOr<StoredObject> &created) { handler(created.status()); });
 }
 
--- a/Source/Process/Batch/JobRepository.h
+++ b/Source/Process/Batch/JobRepository.h
@@ -32,6 +32,8 @@
     {
         std::vector<JobResult> results;
         std::size_t nextEntryNumber = 0;
+        /// The highest record version of the owners that have fenced the log; 0 before the first takeover.
+        std::uint64_t fence = 0;
 
         auto operator==(const ResultLog &) const -> bool = default;
     };
@@ -59,6 +61,9 @@
     auto replace(const JobRecord &record, RecordHandler handler) -> void;
     auto readItems(const JobRecord &record, ItemsHandler handler) -> void;
     auto readResultLog(const std::string &id, ResultLogHandler handler) -> void;
+    /// Creates an entry without results, after which appends of former owners fail. "claimVersion" is the version of the
+    /// record that made the caller the owner.
+    auto appendFence(const std::string &id, std::size_t entryNumber, std::uint64_t claimVersion, AppendHandler handler) -> void;
     /// Creates one entry of the result log.
     auto append(const std::string &id, std::size_t entryNumber, const std::vector<JobResult> &results, AppendHandler handler) -> void;
     /// Removes all objects of a job, the record last.
@@ -67,6 +72,7 @@
 private:
     struct Submission;
 
+    auto createEntry(const std::string &id, std::size_t entryNumber, const std::string &spec, AppendHandler handler) -> void;
     auto writeNext(const std::shared_ptr<Submission> &submission) -> void;
     auto readPayload(const JobRecord &record, std::size_t number, const std::shared_ptr<std::vector<JobItem>> &found, ItemsHandler handler)
         -> void;
--- a/Source/Process/Batch/JobTakeover.cpp
+++ b/Source/Process/Batch/JobTakeover.cpp
@@ -435,22 +435,29 @@
                 scheduleRetry(record.id);
                 return;
             }
+            if (found->fence > record.version) {
+                // Another daemon has replaced this one in the record and closed the log to it.
+                endTakeover(record.id, "log", absl::AbortedError("another daemon has taken the job over meanwhile"));
+                return;
+            }
             JobRepository::ResultLog log = *found;
             if (log.results.size() >= items.size()) {
                 completeTakeover(record, items, log, progress);
                 return;
             }
-            repository_.append(
-                record.id, log.nextEntryNumber, {}, [this, record, items, log, progress, attemptsLeft](const absl::Status &status) {
-                    if (status.ok()) {
-                        JobRepository::ResultLog fenced = log;
-                        ++fenced.nextEntryNumber;
-                        completeTakeover(record, items, fenced, progress);
-                        return;
-                    }
-                    // The former owner appended first, or the response was lost: reads the log again to find out.
-                    fenceResultLog(record, items, progress, attemptsLeft - 1);
-                });
+            repository_.appendFence(record.id,
+                                    log.nextEntryNumber,
+                                    record.version,
+                                    [this, record, items, log, progress, attemptsLeft](const absl::Status &status) {
+                                        if (status.ok()) {
+                                            JobRepository::ResultLog fenced = log;
+                                            ++fenced.nextEntryNumber;
+                                            completeTakeover(record, items, fenced, progress);
+                                            return;
+                                        }
+                                        // The former owner appended first, or the response was lost: reads the log again to find out.
+                                        fenceResultLog(record, items, progress, attemptsLeft - 1);
+                                    });
         });
 }
 
--- a/Source/Process/Batch/JobTakeover.h
+++ b/Source/Process/Batch/JobTakeover.h
@@ -80,8 +80,8 @@
     /// Requests the progress of the items from the former owner, then loads the job.
     auto fetchProgress(const JobRecord &record, const std::string &formerOwner) -> void;
     auto loadItems(const JobRecord &record, const std::string &progress) -> void;
-    /// Fences off the former owner: an empty entry takes the next number of the result log, so that a later append of
-    /// that owner fails.
+    /// Fences off the former owner: an entry without results takes the next number of the result log, so that a later append
+    /// of that owner fails. Ends the takeover if a later owner has done so already: the claim of this daemon was replaced.
     auto fenceResultLog(const JobRecord &record, const std::vector<JobItem> &items, const std::string &progress, int attemptsLeft) -> void;
     auto completeTakeover(const JobRecord &record,
                           const std::vector<JobItem> &items,
--- a/Tests/Connection/JobServiceTest.cpp
+++ b/Tests/Connection/JobServiceTest.cpp
@@ -5,6 +5,7 @@
 #include "Support/PlatformFleet.h"
 #include "platform/Adapter.h"
 
+#include <Poco/Net/ServerSocket.h>
 #include <absl/strings/str_cat.h>
 #include <boost/test/unit_test.hpp>
 
@@ -472,6 +473,35 @@
     BOOST_TEST(unsure->status == 503);
 }
 
+// Guards against two owners, both of which have closed the result log to the owner before them: the claim of one was
+// replaced while it waited for the former owner, and what it lists is read and then missing at the later owner.
+BOOST_AUTO_TEST_CASE(AReplacedClaimMakesNoOwner)
+{
+    PlatformFleet fleet(1, 1);
+    fleet.engines[0]->behaviour().events = 1000;
+    fleet.engines[0]->behaviour().eventPause = Milliseconds(20);
+    BOOST_TEST(fleet.call(0, PlatformFleet::submission("j20", 2, "key1"))->status == 202);
+    fleet.runFor(Milliseconds(300));
+    // The former owner accepts the connection and never answers.
+    const Poco::Net::ServerSocket silent(Poco::Net::SocketAddress("127.0.0.1", 0));
+    fleet.store.put(
+        "members", "former", absl::StrCat(R"({"peers":")", silent.address().toString(), R"(","data_centre":"east-a","capacity":1})"));
+    JobRecord formers = storedRecord(fleet, "j20");
+    const std::string taker = formers.owner;
+    formers.owner = "former";
+    fleet.store.put("jobs", "j20", toStored(formers).spec);
+    BOOST_REQUIRE(fleet.runUntil([&] { return storedRecord(fleet, "j20").owner == taker; }, std::chrono::seconds(30)));
+    const std::size_t runs = fleet.engines[0]->runs().size();
+    JobRecord laters = storedRecord(fleet, "j20");
+    laters.owner = "later";
+    const std::uint64_t claim = fleet.store.put("jobs", "j20", toStored(laters).spec);
+    fleet.store.put("results-j20", "000000", absl::StrCat(R"({"fence":)", claim, "}"));
+    // Until the daemon finds that nobody hears the later owner.
+    fleet.runFor(Milliseconds(1500));
+    BOOST_TEST(fleet.store.countOf("results-j20") == 1);
+    BOOST_TEST(fleet.engines[0]->runs().size() == runs);
+}
+
 // Guards against work that is lost when a daemon shuts down: the next owner goes on where it stopped.
 BOOST_AUTO_TEST_CASE(AJobOfALeavingDaemonIsHandedOver)
 {
