Count daemons that were just found in the store as alive

Cause: until a daemon hears of the others it takes itself for the only one. As home it admits the whole rate and ten tokens, as one that has no home its share is the whole rate, and of an upstream's limit it takes the whole, too. With 56 daemons that start at the same moment this adds up until the first reports.

Change: a daemon that was found in the store less than 3 s ago and was not heard yet counts as alive with as much demand as one's own. It divides allowances and limits, homes are selected from it, too, and a daemon acts as home only when it hears more daemons than it presumes.

--- a/Source/Process/Load/AllowanceTable.cpp
+++ b/Source/Process/Load/AllowanceTable.cpp
@@ -46,6 +46,9 @@
         // has just started does not know yet how many others it shares the allowance with.
         const double accrued = team.ratePerSecond * std::chrono::duration<double>(now - startedAt_).count();
         entry->second.capTokens(isHomeBucket ? std::min(HOME_EXTRA_BURST, accrued) : 0);
+        if (!isHomeBucket) {
+            updateShare(entry->second, 0, now);
+        }
     }
     entry->second.setLimit(limits, now);
     return entry->second.tryAcquire(now);
@@ -53,7 +56,7 @@
 
 auto AllowanceTable::isHome(const std::string &homeName, BootTime now) const -> bool
 {
-    return homeName == ownName_ && !peers_.isIsolated(now);
+    return homeName == ownName_ && !peers_.isIsolated(now) && peers_.daemonCount(now) > peers_.presumedCount(now);
 }
 
 auto AllowanceTable::tryAcquire(const Team &team, Handler handler) -> void
@@ -148,12 +151,17 @@
 auto AllowanceTable::updatePeerDemand(BootTime now) -> void
 {
     aliveFraction_ = peers_.aliveFraction(now);
-    const int daemons = peers_.daemonCount(now);
     const std::map<std::string, double> demand = peers_.demand(now);
     for (auto &[team, share] : shares_) {
         const auto others = demand.find(team);
-        share.setPeerDemand(others == demand.end() ? 0 : others->second, daemons, now);
+        updateShare(share, others == demand.end() ? 0 : others->second, now);
     }
 }
 
+auto AllowanceTable::updateShare(AllowanceShare &share, double reportedDemand, BootTime now) const -> void
+{
+    const int presumed = peers_.presumedCount(now);
+    share.setPeerDemand(reportedDemand + share.demand(now) * presumed, peers_.daemonCount(now) + presumed, now);
+}
+
 } // namespace poplardock
--- a/Source/Process/Load/AllowanceTable.h
+++ b/Source/Process/Load/AllowanceTable.h
@@ -49,11 +49,15 @@
         Timer timeout;
     };
 
-    /// Whether "homeName" is this daemon and it is not isolated from all others.
+    /// Whether "homeName" is this daemon and it hears the others: it is not isolated from them, and does not know most of them
+    /// from the store only.
     [[nodiscard]] auto isHome(const std::string &homeName, BootTime now) const -> bool;
     auto tryAcquireFrom(std::map<std::string, AllowanceShare> &buckets, const Team &team, bool isHomeBucket, BootTime now)
         -> std::optional<Milliseconds>;
 
+    /// Takes the daemons that are only presumed to be alive to have as much demand as this one: after a restart of the whole
+    /// fleet, each daemon is the only one that it hears.
+    auto updateShare(AllowanceShare &share, double reportedDemand, BootTime now) const -> void;
     /// Notes whether the home of a team admits requests by itself, so that this daemon's share must not do so as well.
     auto setHomeSilent(const std::string &team, bool isSilent, BootTime now) -> void;
 
--- a/Source/Process/Peers/PeerDirectory.cpp
+++ b/Source/Process/Peers/PeerDirectory.cpp
@@ -475,10 +475,12 @@
 
 auto PeerDirectory::mayRelay(const Peer &peer, BootTime now) const -> bool
 {
-    if (peer.isDraining) {
-        return false;
-    }
-    return isAlive(peer, now) || (!peer.isUnlisted && peer.incarnation.empty() && now - peer.addedAt < PRESUMED_ALIVE);
+    return !peer.isDraining && (isAlive(peer, now) || isPresumedAlive(peer, now));
+}
+
+auto PeerDirectory::isPresumedAlive(const Peer &peer, BootTime now) -> bool
+{
+    return !peer.isUnlisted && peer.incarnation.empty() && now - peer.addedAt < PRESUMED_ALIVE;
 }
 
 auto PeerDirectory::isPassedOver(const std::string &name, BootTime now) const -> bool
@@ -831,13 +833,19 @@
 {
     std::vector<std::string> names = { ownName_ };
     for (const auto &[name, peer] : peers_) {
-        if (isAlive(peer, now) && !peer.isDraining) {
+        if (mayRelay(peer, now)) {
             names.push_back(name);
         }
     }
     return names;
 }
 
+auto PeerDirectory::presumedCount(BootTime now) const -> int
+{
+    return static_cast<int>(
+        std::count_if(peers_.begin(), peers_.end(), [now](const auto &each) { return isPresumedAlive(each.second, now); }));
+}
+
 auto PeerDirectory::aliveFraction(BootTime now) const -> double
 {
     int counted = 1;
@@ -899,7 +907,7 @@
     if (allowanceHomes_.size() > MAXIMUM_CACHED_HOMES) {
         allowanceHomes_.clear();
     }
-    std::string home = selectHome(team, [this, now](const Peer &peer) { return countsForDemand(peer, now); });
+    std::string home = selectHome(team, [this, now](const Peer &peer) { return countsForDemand(peer, now) || isPresumedAlive(peer, now); });
     allowanceHomes_[team] = { home, now + HOME_CACHE_TIME };
     return home;
 }
--- a/Source/Process/Peers/PeerDirectory.h
+++ b/Source/Process/Peers/PeerDirectory.h
@@ -155,7 +155,10 @@
     [[nodiscard]] auto reportSentAt(std::uint64_t sequence) const -> std::optional<BootTime>;
     /// Number of daemons whose demand counts, including this one.
     [[nodiscard]] auto daemonCount(BootTime now) const -> int;
-    /// Names of the daemons that are alive and not about to stop, and this one's.
+    /// Number of daemons that were found in the store a short time ago and have not been heard yet: most of the fleet, right
+    /// after the start of this daemon.
+    [[nodiscard]] auto presumedCount(BootTime now) const -> int;
+    /// Names of the daemons that are alive, or presumed to be, and not about to stop, and this one's.
     [[nodiscard]] auto aliveDaemons(BootTime now) const -> std::vector<std::string>;
     /// Which part of the daemons whose demand counts is alive, this one included. The others may only be partitioned, and
     /// admit requests on their own.
@@ -180,7 +183,8 @@
     /// Forgets announcements and senders that are too old to matter.
     auto removeExpired(BootTime now) -> void;
 
-    /// The daemon that holds a team's bucket, selected from all daemons whose demand counts. A daemon that was not seen for
+    /// The daemon that holds a team's bucket, selected from all daemons whose demand counts or that are presumed to be alive, so
+    /// that daemons that start together select the same one. A daemon that was not seen for
     /// a short time keeps its buckets, since it may still be granting tokens.
     [[nodiscard]] auto allowanceHomeOf(const std::string &team, BootTime now) const -> std::string;
     /// Whether other daemons are known but none is alive.
@@ -285,6 +289,8 @@
     [[nodiscard]] auto recentCancellations(Source firstSource, Source lastSource, BootTime now) const -> std::vector<std::string>;
     [[nodiscard]] auto ownRoster(const DaemonReport &own, const std::string &ownAddress, BootTime now) const -> Roster;
     [[nodiscard]] auto mayRelay(const Peer &peer, BootTime now) const -> bool;
+    /// Whether a daemon that was found in the store a short time ago, and has not been heard yet, counts as alive.
+    [[nodiscard]] static auto isPresumedAlive(const Peer &peer, BootTime now) -> bool;
     [[nodiscard]] auto isPassedOver(const std::string &name, BootTime now) const -> bool;
     [[nodiscard]] auto rankRelays(const std::string &dataCentre, BootTime now) const -> std::vector<std::string>;
     /// The daemons that would be relays if all were alive, and one more of this data centre, another in each round.
--- a/Tests/Process/AllowanceTableTest.cpp
+++ b/Tests/Process/AllowanceTableTest.cpp
@@ -17,6 +17,14 @@
 public:
     /// "uptime": time for which the daemons run before the first request.
     DaemonTables(int count, Milliseconds uptime)
+        : DaemonTables(count)
+    {
+        loop.runUntil(BootClock::now() + uptime);
+        exchangeReports();
+    }
+
+    /// Daemons that have just started and have not heard of each other.
+    explicit DaemonTables(int count)
     {
         for (int index = 0; index < count; ++index) {
             const std::string name = "d" + std::to_string(index);
@@ -26,8 +34,17 @@
                     deliver(name, address, message);
                 }));
         }
-        loop.runUntil(BootClock::now() + uptime);
-        exchangeReports();
+    }
+
+    /// All daemons find all others in the store, as after a restart of the whole fleet.
+    auto listMembers() -> void
+    {
+        for (const auto &directory : directories) {
+            for (std::size_t index = 0; index < directories.size(); ++index) {
+                const std::string name = "d" + std::to_string(index);
+                directory->addMember(name, name, {}, 1, BootClock::now());
+            }
+        }
     }
 
     /// Delivers each daemon's demand to all daemons.
@@ -92,6 +109,20 @@
         return admitted;
     }
 
+    /// Sends three requests of the team to each daemon and appends the times of those admitted.
+    auto sendToAll(std::vector<BootTime> &admitted) -> void
+    {
+        for (const auto &table : tables) {
+            for (int request = 0; request < 3; ++request) {
+                table->tryAcquire(team, [&admitted](std::optional<Milliseconds> wait) {
+                    if (!wait) {
+                        admitted.push_back(BootClock::now());
+                    }
+                });
+            }
+        }
+    }
+
 private:
     std::uint64_t sequence_ = 0;
 
@@ -140,15 +171,7 @@
 {
     for (const BootTime end = BootClock::now() + time; BootClock::now() < end;) {
         tables.exchangeReports();
-        for (const auto &table : tables.tables) {
-            for (int request = 0; request < 3; ++request) {
-                table->tryAcquire(tables.team, [&admitted](std::optional<Milliseconds> wait) {
-                    if (!wait) {
-                        admitted.push_back(BootClock::now());
-                    }
-                });
-            }
-        }
+        tables.sendToAll(admitted);
         tables.loop.runUntil(BootClock::now() + Milliseconds(100));
     }
 }
@@ -209,6 +232,28 @@
     BOOST_TEST(admitted <= 4);
 }
 
+// Guards against daemons that restart at the same moment and each admit the whole rate, as home or from a share, until they
+// hear of each other. Load pattern: all daemons are killed while a team asks for many times its rate. The bound is the one
+// that the platform states for any window.
+BOOST_AUTO_TEST_CASE(ARestartedFleetStaysWithinTheAllowance)
+{
+    DaemonTables tables(40);
+    tables.team = { "team", 20, 20, {} };
+    tables.listMembers();
+    std::vector<BootTime> admitted;
+    constexpr int STEPS_BEFORE_REPORTS = 8;
+    for (int step = 0; step < STEPS_BEFORE_REPORTS; ++step) {
+        tables.sendToAll(admitted);
+        for (const auto &table : tables.tables) {
+            table->updatePeerDemand(BootClock::now());
+        }
+        tables.loop.runUntil(BootClock::now() + Milliseconds(100));
+    }
+    sendMany(tables, Milliseconds(3500), admitted);
+    BOOST_TEST(mostInWindow(admitted) <= boundOf(tables.team));
+    BOOST_TEST(mostInWindow(admitted) >= tables.team.ratePerSecond * WINDOW_SECONDS * 0.5);
+}
+
 // Guards against a fleet whose halves do not reach each other and admit the whole rate at the home and half of it from
 // the shares beyond the home. Load pattern: a team that asks for many times its rate at all daemons. The bound is the one
 // that the platform states for any window, a tenth and 20 requests above rate and burst.
--- a/Tests/Process/UpstreamLimitsTest.cpp
+++ b/Tests/Process/UpstreamLimitsTest.cpp
@@ -335,6 +335,24 @@
     }
 }
 
+// Guards against daemons that restart at the same moment and each take themselves for the only one.
+BOOST_AUTO_TEST_CASE(ARestartedFleetDividesTheLimit)
+{
+    DirectoryFleet fleet({ "a", "b", "c" }, 5, NOW);
+    fleet.run(Milliseconds(4000));
+    for (const std::string dataCentre : { "a", "b", "c" }) {
+        for (int index = 0; index < 5; ++index) {
+            fleet.restart(absl::StrCat(dataCentre, index));
+        }
+    }
+    double most = 0;
+    for (const auto &[name, view] : fleet.views) {
+        const LimitShare share = limitShareOf("u1", 2, name, view.aliveDaemons(fleet.now()), view.aliveFraction(fleet.now()));
+        most += share.burst + share.perSecond * LIMIT_WINDOW.count();
+    }
+    BOOST_TEST(most <= allowed(2));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace poplardock
