--- a/Source/Process/FrontDaemon.cpp
+++ b/Source/Process/FrontDaemon.cpp
@@ -240,6 +240,7 @@
     const auto request = peers_.upstreamLimits().loanRequest(BootClock::now());
     const Peer *lender = request ? peers_.find(request->lender) : nullptr;
     if (lender != nullptr) {
+        metrics_.count("limit_tokens_requested");
         peerLink_.send(lender->address, LimitTokenRequest { request->upstream });
     }
 }
@@ -265,6 +266,7 @@
     const ServingVersionPointer &version;
     const PeerDirectory &peers;
     PeerLink &link;
+    Metrics &metrics;
     std::mt19937_64 &random;
 
     auto operator()(const PreemptionRequest &request) const -> void
@@ -288,6 +290,7 @@
     auto operator()(const LimitTokenRequest &request) const -> void
     {
         if (peers.upstreamLimits().lend(request.upstream, BootClock::now())) {
+            metrics.count("limit_tokens_lent");
             link.send(sender, LimitTokenGrant { request.upstream });
         }
     }
@@ -313,8 +316,9 @@
 
 auto FrontDaemon::takePeerMessage(const std::string &sender, const PeerMessage &message) -> void
 {
-    std::visit(PeerMessageVisitor { sender, runner_, allowances_, freshness_, configuration_.version(), peers_, peerLink_, random_ },
-               message);
+    std::visit(
+        PeerMessageVisitor { sender, runner_, allowances_, freshness_, configuration_.version(), peers_, peerLink_, metrics_, random_ },
+        message);
 }
 
 auto FrontDaemon::answerPeer(const std::shared_ptr<CallerExchange> &exchange) -> void
--- a/Source/Process/Load/AllowanceTable.cpp
+++ b/Source/Process/Load/AllowanceTable.cpp
@@ -47,7 +47,7 @@
         const double accrued = team.ratePerSecond * std::chrono::duration<double>(now - startedAt_).count();
         entry->second.capTokens(isHomeBucket ? std::min(HOME_EXTRA_BURST, accrued) : 0);
         if (!isHomeBucket) {
-            updateShare(entry->second, 0, now);
+            updateShare(entry->second, 0, peers_.daemonCount(now), peers_.presumedCount(now), now);
         }
     }
     entry->second.setLimit(limits, now);
@@ -151,17 +151,18 @@
 auto AllowanceTable::updatePeerDemand(BootTime now) -> void
 {
     aliveFraction_ = peers_.aliveFraction(now);
+    const int heard = peers_.daemonCount(now);
+    const int presumed = peers_.presumedCount(now);
     const std::map<std::string, double> demand = peers_.demand(now);
     for (auto &[team, share] : shares_) {
         const auto others = demand.find(team);
-        updateShare(share, others == demand.end() ? 0 : others->second, now);
+        updateShare(share, others == demand.end() ? 0 : others->second, heard, presumed, now);
     }
 }
 
-auto AllowanceTable::updateShare(AllowanceShare &share, double reportedDemand, BootTime now) const -> void
+auto AllowanceTable::updateShare(AllowanceShare &share, double reportedDemand, int heard, int presumed, BootTime now) -> void
 {
-    const int presumed = peers_.presumedCount(now);
-    share.setPeerDemand(reportedDemand + share.demand(now) * presumed, peers_.daemonCount(now) + presumed, now);
+    share.setPeerDemand(reportedDemand + share.demand(now) * presumed, heard + presumed, now);
 }
 
 } // namespace poplardock
--- a/Source/Process/Load/AllowanceTable.h
+++ b/Source/Process/Load/AllowanceTable.h
@@ -55,9 +55,9 @@
     auto tryAcquireFrom(std::map<std::string, AllowanceShare> &buckets, const Team &team, bool isHomeBucket, BootTime now)
         -> std::optional<Milliseconds>;
 
-    /// Takes the daemons that are only presumed to be alive to have as much demand as this one: after a restart of the whole
-    /// fleet, each daemon is the only one that it hears.
-    auto updateShare(AllowanceShare &share, double reportedDemand, BootTime now) const -> void;
+    /// Adjusts a share to the demand that the heard daemons have reported. Each of the "presumed" daemons, which are not heard
+    /// yet, is taken to have as much demand as this one: right after a restart of the whole fleet, a daemon hears nobody.
+    static auto updateShare(AllowanceShare &share, double reportedDemand, int heard, int presumed, BootTime now) -> void;
     /// Notes whether the home of a team admits requests by itself, so that this daemon's share must not do so as well.
     auto setHomeSilent(const std::string &team, bool isSilent, BootTime now) -> void;
 
--- a/Source/Request/BatchPlan.cpp
+++ b/Source/Request/BatchPlan.cpp
@@ -22,7 +22,7 @@
     return view.usableAt != BootTime();
 }
 
-/// Slots that batch work may take as far as the upstream's limit on requests allows it.
+/// Slots that batch work may take, a limit on requests left aside.
 auto freeSlots(const UpstreamView &view, int reserve, BootTime now) -> int
 {
     if (view.isSuspect || view.ejectedUntil > now) {
