--- a/Tests/Connection/CrashingPartTest.cpp
+++ b/Tests/Connection/CrashingPartTest.cpp
@@ -44,14 +44,17 @@
     /// Replaces engines that have crashed since the last call, and notes when they did.
     auto replaceCrashed() -> void
     {
-        for (std::size_t index = 0; index < fleet.engines.size(); ++index) {
-            const FakeEngine &engine = *fleet.engines[index];
-            if (engine.hasCrashed() && crashed.insert(engine.name()).second) {
-                crashedAt.push_back(BootClock::now());
-                fleet.store.remove("servers", engine.name());
-                addEngine();
+        std::vector<std::string> found;
+        for (const auto &engine : fleet.engines) {
+            if (engine->hasCrashed() && crashed.insert(engine->name()).second) {
+                found.push_back(engine->name());
             }
         }
+        for (const std::string &name : found) {
+            crashedAt.push_back(BootClock::now());
+            fleet.store.remove("servers", name);
+            addEngine();
+        }
     }
 
     auto send(std::size_t daemon, const std::string &parts, const std::string &id) -> std::optional<HttpResult>
