Let the last probes of the soak end before the check

Cause, from the logs: the requests are probes that the test sends after the faults to see that all daemons serve. It sends further ones until each daemon has answered one, and then checks at once, while the last ones are under way; the daemon had answered q759 in the last line of its log. Change: the soak waits for the last probes and fails if one does not end.

--- a/Tests/Failure/FrontSoakTest.cpp
+++ b/Tests/Failure/FrontSoakTest.cpp
@@ -81,6 +81,10 @@
         const bool areServing = runLoopUntil(
             loop_, [this] { return isServing(); }, START_TIME);
         BOOST_TEST(areServing, "seed " << seed_ << ": a daemon does not serve after the faults");
+        // Further probes may have been sent before the answers of the first ones arrived.
+        const bool areProbesDone = runLoopUntil(
+            loop_, [this] { return callers_.areAllDone(); }, START_TIME);
+        BOOST_TEST((areProbesDone || !areDone), "seed " << seed_ << ": a probe after the faults is still open");
         isHealed_ = areDone && areServing;
     }
 
