--- a/Tests/Process/CrashSuspectsTest.cpp
+++ b/Tests/Process/CrashSuspectsTest.cpp
@@ -39,6 +39,7 @@
 
 BOOST_AUTO_TEST_SUITE(CrashSuspectsSuite)
 
+// Guards against a request that crashes one upstream after the other, and against one that is refused for ever.
 BOOST_AUTO_TEST_CASE(TwoCrashesRefuseARequestAndExpire)
 {
     const CrashSubject request { crashFingerprint("blue", "/v1/chat/completions", "{}"), {} };
--- a/Tests/Process/UpstreamLimitsTest.cpp
+++ b/Tests/Process/UpstreamLimitsTest.cpp
@@ -287,6 +287,7 @@
     BOOST_TEST((limits.usableAt("u4999") != BootTime()));
 }
 
+// Guards against limits that are taken from malformed messages of other daemons, and fields lost on their way.
 BOOST_AUTO_TEST_CASE(MalformedLimitsAreRejected)
 {
     for (const std::string text :
