Tell a restarted daemon at once which upstreams are limited

Change: whoever learns of a new incarnation names all limits for a second. Result: PeerDirectoryTest/ARestartedDaemonLearnsAtOnceWhatIsLimited: three of five daemons did not know the limit 0.6 s after their start; passes. UpstreamLimitsTest and LimitedUpstreamTest pass.

--- a/Source/Process/Load/UpstreamLimits.cpp
+++ b/Source/Process/Load/UpstreamLimits.cpp
@@ -292,13 +292,19 @@
     }
 }
 
+auto UpstreamLimits::announceAll(BootTime now) -> void
+{
+    announceAllUntil_ = now + ANNOUNCEMENT_TIME;
+}
+
 auto UpstreamLimits::states(BootTime now) const -> std::vector<UpstreamLimit>
 {
     std::vector<UpstreamLimit> states;
     for (const auto &[upstream, entry] : entries_) {
         // Spreads the limits over the period.
         const Milliseconds phase(static_cast<std::int64_t>(stableHash(upstream) % static_cast<std::uint64_t>(REFRESH_PERIOD.count())));
-        const bool isDue = now - entry.changedAt < ANNOUNCEMENT_TIME || (now.time_since_epoch() + phase) % REFRESH_PERIOD < REFRESH_WINDOW;
+        const bool isDue = now < announceAllUntil_ || now - entry.changedAt < ANNOUNCEMENT_TIME
+                           || (now.time_since_epoch() + phase) % REFRESH_PERIOD < REFRESH_WINDOW;
         if (isDue && states.size() < MAXIMUM_SENT_LIMITS) {
             states.push_back({ upstream, entry.perSecond, std::chrono::duration_cast<Milliseconds>(now - entry.statedAt) });
         }
--- a/Source/Process/Load/UpstreamLimits.h
+++ b/Source/Process/Load/UpstreamLimits.h
@@ -100,8 +100,10 @@
 
     /// Sets the daemons that are alive, with this one; see limitShareOf().
     auto setDaemons(std::vector<std::string> aliveDaemons, double aliveFraction, BootTime now) -> void;
-    /// What to tell the other daemons in a periodic message: limits that have changed a short time ago and, at intervals,
-    /// the others.
+    /// Has states() name all limits for a short time, for a daemon that has just started.
+    auto announceAll(BootTime now) -> void;
+    /// What to tell the other daemons in a periodic message: limits that have changed a short time ago and, at intervals and
+    /// after announceAll(), the others.
     [[nodiscard]] auto states(BootTime now) const -> std::vector<UpstreamLimit>;
     /// Adds what another daemon knows; the newer statement of an upstream counts.
     auto merge(const std::vector<UpstreamLimit> &states, BootTime now) -> void;
@@ -142,6 +144,8 @@
     std::vector<std::string> aliveDaemons_;
     double aliveFraction_ = 1;
     std::map<std::string, Entry> entries_;
+    /// Until when states() names all limits.
+    BootTime announceAllUntil_;
 };
 
 } // namespace poplardock
--- a/Source/Process/Peers/PeerDirectory.cpp
+++ b/Source/Process/Peers/PeerDirectory.cpp
@@ -140,6 +140,7 @@
     peer.lastSeenAt = std::max(peer.lastSeenAt, seenAt);
     if (before.incarnation != peer.incarnation) {
         crashSuspects_->announceRefused(seenAt);
+        upstreamLimits_->announceAll(seenAt);
     }
     if (isChanged) {
         handleChange();
--- a/Tests/Process/PeerDirectoryTest.cpp
+++ b/Tests/Process/PeerDirectoryTest.cpp
@@ -608,6 +608,22 @@
     }
 }
 
+// Guards against a daemon that uses up the limit of an upstream after each restart, because it learns only at intervals what
+// the others have known for long.
+BOOST_AUTO_TEST_CASE(ARestartedDaemonLearnsAtOnceWhatIsLimited)
+{
+    for (const std::string name : { "a0", "a3", "b1", "b5", "c2" }) {
+        DirectoryFleet fleet(THREE, 6, NOW);
+        fleet.run(SETTLED);
+        const std::string upstream = absl::StrCat("limited-", name);
+        fleet.views.at("c0").upstreamLimits().recordStatement(upstream, 2, fleet.now());
+        fleet.run(Milliseconds(3100));
+        fleet.restart(name);
+        fleet.run(Milliseconds(600));
+        BOOST_TEST((fleet.views.at(name).upstreamLimits().usableAt(upstream) != BootTime()), name);
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace poplardock
