--- a/Tests/Connection/CrashingPartTest.cpp
+++ b/Tests/Connection/CrashingPartTest.cpp
@@ -17,6 +17,7 @@
 /// Crashes after which the fleet has to know the part, and requests with it that may reach an engine from then on.
 constexpr std::size_t CRASHES_TO_LEARN = 5;
 constexpr int STRAY_REQUESTS = 3;
+constexpr int REQUESTS_PER_ENGINE = 3;
 
 /// Daemons before engines that crash on one prompt part, and callers that send it in ever new requests, among sound
 /// requests with the same key, route and first part. Crashed engines are replaced under another name and address.
@@ -57,11 +58,46 @@
         }
     }
 
-    auto send(std::size_t daemon, const std::string &parts, const std::string &id) -> std::optional<HttpResult>
+    static auto request(const std::string &parts, const std::string &id) -> HttpCall
     {
         HttpCall call = PlatformFleet::streamRequest("/resumed/x", id, "key1");
         call.headers.add("Prompt-Prefix", absl::StrCat(parts, ",own-", id, ":250"));
-        return fleet.call(daemon, call);
+        return call;
+    }
+
+    auto send(std::size_t daemon, const std::string &parts, const std::string &id) -> std::optional<HttpResult>
+    {
+        return fleet.call(daemon, request(parts, id));
+    }
+
+    /// Crashes all engines at the same moment, while each is about to answer some sound requests with one part in common.
+    auto crashAll() -> void
+    {
+        for (const auto &engine : fleet.engines) {
+            engine->behaviour().eventPause = STABLE_WINDOW;
+        }
+        for (int index = 0; index < REQUESTS_PER_ENGINE * ENGINES; ++index) {
+            const std::string id = absl::StrCat("lost", count_++);
+            fleet.post(static_cast<std::size_t>(index) % DAEMONS, request(absl::StrCat("shared:200,part", index % 5, ":50"), id));
+        }
+        fleet.runFor(REQUEST_INTERVAL);
+        for (const auto &engine : fleet.engines) {
+            if (!engine->hasCrashed()) {
+                engine->crash();
+            }
+        }
+    }
+
+    /// Sends sound requests at each daemon in turn for that time.
+    auto sendSoundFor(Milliseconds time) -> void
+    {
+        for (const BootTime end = BootClock::now() + time; BootClock::now() < end;) {
+            const std::string id = absl::StrCat("n", count_++);
+            ++soundSent;
+            const std::size_t daemon = static_cast<std::size_t>(count_) % DAEMONS;
+            soundAnswered += answers(send(daemon, absl::StrCat("shared:200,part", count_ % 5, ":50"), id)) ? 1 : 0;
+            fleet.runFor(REQUEST_INTERVAL);
+        }
     }
 
     static auto answers(const std::optional<HttpResult> &result) -> bool
@@ -168,6 +204,20 @@
     }
 }
 
+// Guards against sound requests that stay refused because all upstreams crashed at once, for another reason, under requests
+// with the same part: no answer was left that could clear it.
+BOOST_AUTO_TEST_CASE(SoundRequestsReturnAfterAllUpstreamsCrashedAtOnce)
+{
+    CrashingFleet setting;
+    setting.crashAll();
+    setting.replaceCrashed();
+    setting.sendSoundFor(2 * STABLE_WINDOW);
+    setting.soundSent = 0;
+    setting.soundAnswered = 0;
+    setting.sendSoundFor(STABLE_WINDOW);
+    BOOST_TEST(setting.soundAnswered == setting.soundSent, setting.soundAnswered << " of " << setting.soundSent);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace poplardock
--- a/Tests/Support/PlatformFleet.cpp
+++ b/Tests/Support/PlatformFleet.cpp
@@ -138,6 +138,11 @@
     return result == nullptr ? std::nullopt : std::optional(*result);
 }
 
+auto PlatformFleet::post(std::size_t daemon, const HttpCall &request) -> void
+{
+    client_.call(daemons[daemon]->callersAddress(), request, BootClock::now() + CALL_TIME, [](const HttpCallOutcome &) {});
+}
+
 auto PlatformFleet::isReady(std::size_t daemon) -> bool
 {
     std::optional<HttpCallOutcome> outcome;
--- a/Tests/Support/PlatformFleet.h
+++ b/Tests/Support/PlatformFleet.h
@@ -49,6 +49,8 @@
     auto call(std::size_t daemon, const HttpCall &call) -> std::optional<HttpResult>;
     /// As call(), for "IP:port".
     auto callAddress(const std::string &address, const HttpCall &call) -> std::optional<HttpResult>;
+    /// Sends a request whose answer does not matter, without running the loop.
+    auto post(std::size_t daemon, const HttpCall &call) -> void;
     auto isReady(std::size_t daemon) -> bool;
     /// All results of a job as the daemon gives them out.
     auto results(std::size_t daemon, const std::string &job, const std::string &key) -> std::vector<JobResult>;
