Try refused requests again, one in the fleet at a time

Cause: a refused part was tried again after 5 and 60 s with three and four crashes, with more not within ten minutes; only an answer to a request with it could clear it, and none was let through. One event that takes many upstreams passes that number at once. Change: a refused part is tried 2, 10 and 60 s after its last crash, a refused request once after 60 s, whatever the number of crashes. A trial is one request; the right to send it passes from daemon to daemon each second, so a part that does crash upstreams costs one of them for each trial. In serve any daemon that gets such a request may try it. APartWithFewCrashesIsTriedAgain asked that the refusal itself ends after 5 and 60 s, which let all daemons send such requests at the same time; ARefusedPartIsTriedAFewTimes asks for the trials instead, for no more than one at a time and three in all.

--- a/Source/Connection/FrontService.cpp
+++ b/Source/Connection/FrontService.cpp
@@ -1,6 +1,5 @@
 #include "Connection/FrontService.h"
 
-#include "Connection/OnlineRun.h"
 #include "Connection/Refusal.h"
 #include "Process/EventLog.h"
 #include "Request/OnlineAdmission.h"
@@ -96,66 +95,62 @@
         onJob_({ caller, *job, terms, team, isOnJobRoute ? route : nullptr, version });
         return;
     }
-    const CrashSubject subject { crashFingerprint(team, caller->head().target, caller->body()), terms.sharedParts };
+    OnlineRun::Order order;
+    order.caller = caller;
+    order.version = version;
+    order.route = route;
+    order.team = team;
+    order.terms = terms;
+    order.subject = { crashFingerprint(team, caller->head().target, caller->body()), terms.sharedParts };
     // Before the allowance, so that requests that are never served take nothing from the team's sound ones.
-    if (const auto until = parts_.crashes.refusedUntil(subject, BootClock::now())) {
-        refuse(caller,
-               terms,
-               ResultCode::RequestCrashesUpstreams,
-               absl::StrCat(subject.request.substr(0, 16), " ", absl::StrJoin(subject.parts, ",")),
-               std::chrono::ceil<Milliseconds>(*until - BootClock::now()));
-        return;
+    const BootTime now = BootClock::now();
+    if (const auto refusedUntil = parts_.crashes.refusedUntil(order.subject, now)) {
+        const std::string suspects = absl::StrCat(order.subject.request.substr(0, 16), " ", absl::StrJoin(order.subject.parts, ","));
+        order.isCrashTrial = parts_.peers.startCrashTrial(order.subject, now);
+        if (!order.isCrashTrial) {
+            refuse(caller, terms, ResultCode::RequestCrashesUpstreams, suspects, std::chrono::ceil<Milliseconds>(*refusedUntil - now));
+            return;
+        }
+        parts_.metrics.count("crash_trials");
+        EventLog::write("crash_trial", { { "request", terms.requestId }, { "suspects", suspects } });
     }
     if (identity.team == nullptr) {
-        admit(caller, version, *route, terms, team, subject);
+        admit(std::move(order));
         return;
     }
-    allowances_.tryAcquire(identity.team->team, [this, caller, version, route, terms, team, subject](std::optional<Milliseconds> wait) {
-        if (caller->isGone()) {
+    allowances_.tryAcquire(identity.team->team, [this, order](std::optional<Milliseconds> wait) {
+        if (order.caller->isGone()) {
             return;
         }
         if (wait) {
-            refuse(caller, terms, ResultCode::AllowanceExceeded, "team " + team, wait);
+            refuse(order.caller, order.terms, ResultCode::AllowanceExceeded, "team " + order.team, wait);
         } else {
-            admit(caller, version, *route, terms, team, subject);
+            admit(order);
         }
     });
 }
 
-auto FrontService::admit(const std::shared_ptr<CallerExchange> &caller,
-                         const ServingVersionPointer &version,
-                         const ServiceRoute &route,
-                         const RequestTerms &terms,
-                         const std::string &team,
-                         const CrashSubject &subject) -> void
+auto FrontService::admit(OnlineRun::Order order) -> void
 {
-    const std::string group = groupOf(route, parts_.random());
+    order.group = groupOf(*order.route, parts_.random());
     const BootTime now = BootClock::now();
-    const auto views = parts_.directory.candidates(group);
-    const auto left = terms.patience ? std::optional(*terms.patience - std::chrono::duration_cast<Milliseconds>(now - caller->receivedAt()))
-                                     : std::nullopt;
-    const Admission admission = admitOnline(views, route.target, left, now);
+    const auto views = parts_.directory.candidates(order.group);
+    const auto passed = std::chrono::duration_cast<Milliseconds>(now - order.caller->receivedAt());
+    const auto left = order.terms.patience ? std::optional(*order.terms.patience - passed) : std::nullopt;
+    const Admission admission = admitOnline(views, order.route->target, left, now);
     if (!admission.isAdmitted) {
         for (const UpstreamView &view : views) {
             if (view.usableAt > now) {
                 parts_.limits.recordShortage(view.name, now);
             }
         }
-        refuse(caller,
-               terms,
+        refuse(order.caller,
+               order.terms,
                views.empty() ? ResultCode::NoUpstream : ResultCode::Overloaded,
                "expected after " + std::to_string(static_cast<int>(admission.expectedMs)) + " ms",
                admission.retryAfter);
         return;
     }
-    OnlineRun::Order order;
-    order.caller = caller;
-    order.version = version;
-    order.route = &route;
-    order.group = group;
-    order.team = team;
-    order.terms = terms;
-    order.subject = subject;
     std::make_shared<OnlineRun>(parts_, std::move(order))->start();
 }
 
--- a/Source/Connection/FrontService.h
+++ b/Source/Connection/FrontService.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "Connection/CallerExchange.h"
+#include "Connection/OnlineRun.h"
 #include "Process/FrontParts.h"
 #include "Process/Load/AllowanceTable.h"
 #include "Request/ResultCode.h"
@@ -46,12 +47,8 @@
                 ResultCode code,
                 const std::string &message,
                 std::optional<Milliseconds> retryAfter = std::nullopt) -> void;
-    auto admit(const std::shared_ptr<CallerExchange> &caller,
-               const ServingVersionPointer &version,
-               const ServiceRoute &route,
-               const RequestTerms &terms,
-               const std::string &team,
-               const CrashSubject &subject) -> void;
+    /// Starts the run of a request that its team may make; the order lacks only the group.
+    auto admit(OnlineRun::Order order) -> void;
 
     FrontParts &parts_;
     AllowanceTable &allowances_;
--- a/Source/Connection/OnlinePath.cpp
+++ b/Source/Connection/OnlinePath.cpp
@@ -185,10 +185,18 @@
 
 auto OnlinePath::refuse(const OnlineRequest &request) const -> std::optional<RequestError>
 {
-    if (parts_.crashes.refusedUntil(crashSubjectOf(request), BootClock::now())) {
-        return RequestError { ResultCode::RequestCrashesUpstreams, {} };
+    const CrashSubject subject = crashSubjectOf(request);
+    const BootTime now = BootClock::now();
+    if (!parts_.crashes.refusedUntil(subject, now)) {
+        return std::nullopt;
     }
-    return std::nullopt;
+    // Any daemon that gets such a request may try it: those of one team run at few daemons.
+    const auto trial = parts_.crashes.dueTrial(subject, now);
+    if (trial && parts_.crashes.startTrial(*trial, now)) {
+        parts_.metrics.count("online_crash_trials");
+        return std::nullopt;
+    }
+    return RequestError { ResultCode::RequestCrashesUpstreams, {} };
 }
 
 auto OnlinePath::refuseIfOverloadedNow(const OnlineRequest &request) const -> std::optional<RequestError>
--- a/Source/Connection/OnlineRun.cpp
+++ b/Source/Connection/OnlineRun.cpp
@@ -70,7 +70,8 @@
 auto OnlineRun::tryNext() -> void
 {
     const BootTime now = BootClock::now();
-    if (parts_.crashes.refusedUntil(order_.subject, now)) {
+    const bool isTrial = order_.isCrashTrial && attempts_ == 0;
+    if (!isTrial && parts_.crashes.refusedUntil(order_.subject, now)) {
         giveUp(mayHaveRun_ ? ResultCode::RetriesExhausted : ResultCode::RequestCrashesUpstreams, "such requests crash upstreams");
         return;
     }
--- a/Source/Connection/OnlineRun.h
+++ b/Source/Connection/OnlineRun.h
@@ -31,6 +31,8 @@
         RequestTerms terms;
         /// What the crash of an upstream is attributed to.
         CrashSubject subject;
+        /// The first attempt is made although the request is refused as one that crashes upstreams.
+        bool isCrashTrial = false;
     };
 
     OnlineRun(FrontParts &parts, Order order);
--- a/Source/Process/CrashSuspects.cpp
+++ b/Source/Process/CrashSuspects.cpp
@@ -22,8 +22,15 @@
 constexpr std::size_t REQUEST_CRASH_LIMIT = 2;
 constexpr std::size_t PART_CRASH_LIMIT = 3;
 constexpr std::size_t PART_REQUEST_LIMIT = 2;
-/// A part with just the limit of crashes, or one more, may have met them by coincidence, and is tried again after this time.
-constexpr std::array<Milliseconds, 2> PART_RETRY_TIMES = { Milliseconds(5000), Milliseconds(60000) };
+/// Times from the last crash to the next trial of a suspect. A request has one trial only: a caller that repeats one that
+/// crashes upstreams should cost few of them.
+constexpr std::array<Milliseconds, 3> PART_TRIAL_TIMES = { Milliseconds(2000), Milliseconds(10000), Milliseconds(60000) };
+constexpr std::array<Milliseconds, 1> REQUEST_TRIAL_TIMES = { Milliseconds(60000) };
+/// Crashes that lie further apart, once the suspect is refused, are those of separate trials.
+constexpr Milliseconds TRIAL_SEPARATION { 1500 };
+/// Time for which a daemon may send a due trial before it is the turn of another one, which may get more such requests.
+/// It exceeds the time in which the outcome reaches the fleet, so that two trials seldom overlap.
+constexpr Milliseconds TRIAL_TURN { 1000 };
 /// Time for which a change is sent, so that the loss of a datagram does no harm.
 constexpr Milliseconds ANNOUNCEMENT_TIME { 1000 };
 /// How often a refused suspect is sent without a change, and for how long each time: at least the period of the messages.
@@ -59,11 +66,16 @@
     return std::string(1, PART_PREFIX) + digestOf(part);
 }
 
-/// The keys of the request and of its parts.
+/// The keys of the request and of its parts, each once.
 auto keysOf(const CrashSubject &subject) -> std::vector<std::string>
 {
     std::vector<std::string> keys = { requestKey(subject.request) };
-    std::transform(subject.parts.begin(), subject.parts.end(), std::back_inserter(keys), partKey);
+    for (const std::string &part : subject.parts) {
+        const std::string key = partKey(part);
+        if (std::find(keys.begin(), keys.end(), key) == keys.end()) {
+            keys.push_back(key);
+        }
+    }
     return keys;
 }
 
@@ -77,6 +89,20 @@
     return key.size() == DIGEST_LENGTH + 1 && (key.front() == PART_PREFIX || key.front() == REQUEST_PREFIX);
 }
 
+auto crashLimitOf(const std::string &key) -> std::size_t
+{
+    return isPart(key) ? PART_CRASH_LIMIT : REQUEST_CRASH_LIMIT;
+}
+
+/// Time from the last crash of a suspect to its next trial after that many; unset if there is to be none.
+auto trialTimeOf(const std::string &key, std::size_t trials) -> std::optional<Milliseconds>
+{
+    if (isPart(key)) {
+        return trials < PART_TRIAL_TIMES.size() ? std::optional(PART_TRIAL_TIMES.at(trials)) : std::nullopt;
+    }
+    return trials < REQUEST_TRIAL_TIMES.size() ? std::optional(REQUEST_TRIAL_TIMES.at(trials)) : std::nullopt;
+}
+
 auto ageOf(BootTime at, BootTime now) -> Milliseconds
 {
     return std::max(Milliseconds(0), std::chrono::duration_cast<Milliseconds>(now - at));
@@ -216,7 +242,7 @@
     }
 }
 
-auto CrashSuspects::refused() const -> const std::map<std::string, BootTime> &
+auto CrashSuspects::refused() const -> const std::map<std::string, Refusal> &
 {
     if (refused_) {
         return *refused_;
@@ -226,7 +252,7 @@
     std::set<int> explained;
     while (auto culprit = findCulprit(numbers, explained)) {
         explained.merge(culprit->crashes);
-        refused_->emplace(culprit->key, culprit->refusedUntil);
+        refused_->emplace(culprit->key, culprit->refusal);
     }
     return *refused_;
 }
@@ -268,8 +294,7 @@
                 requests.insert(sighting.request);
             }
         }
-        const std::size_t limit = isPart(key) ? PART_CRASH_LIMIT : REQUEST_CRASH_LIMIT;
-        if (crashes.size() < limit || (isPart(key) && requests.size() < PART_REQUEST_LIMIT)) {
+        if (crashes.size() < crashLimitOf(key) || (isPart(key) && requests.size() < PART_REQUEST_LIMIT)) {
             continue;
         }
         // Among equals a part, which explains more requests, and of parts the deeper one, which fewer sound requests share.
@@ -285,14 +310,26 @@
             best->crashes.insert(number);
             times.push_back(at);
         }
-        std::sort(times.rbegin(), times.rend());
-        const std::size_t excess = crashes.size() - limit;
-        const bool isTriedAgain = isPart(key) && excess < PART_RETRY_TIMES.size();
-        best->refusedUntil = isTriedAgain ? times.front() + PART_RETRY_TIMES.at(excess) : times[limit - 1] + RETENTION;
+        std::sort(times.begin(), times.end());
+        best->refusal = refusalOf(key, times);
     }
     return best;
 }
 
+auto CrashSuspects::refusalOf(const std::string &key, const std::vector<BootTime> &times) -> Refusal
+{
+    const std::size_t limit = crashLimitOf(key);
+    std::size_t trials = 0;
+    for (std::size_t index = limit; index < times.size(); ++index) {
+        trials += times[index] - times[index - 1] > TRIAL_SEPARATION ? 1 : 0;
+    }
+    Refusal refusal { times[times.size() - limit] + RETENTION, std::nullopt };
+    if (const auto time = trialTimeOf(key, trials)) {
+        refusal.trialAt = times.back() + *time;
+    }
+    return refusal;
+}
+
 auto CrashSuspects::recordCrash(const CrashSubject &subject, const std::string &upstream, BootTime now) -> void
 {
     const std::lock_guard lock(mutex_);
@@ -325,23 +362,59 @@
     }
 }
 
-auto CrashSuspects::refusedUntil(const CrashSubject &subject, BootTime now) const -> std::optional<BootTime>
+auto CrashSuspects::refusedKeysOf(const CrashSubject &subject, BootTime now) const -> std::vector<std::string>
 {
-    const std::lock_guard lock(mutex_);
-    std::optional<BootTime> until;
-    const std::map<std::string, BootTime> &refusals = refused();
+    const std::map<std::string, Refusal> &refusals = refused();
     if (refusals.empty()) {
-        return until;
+        return {};
     }
-    for (const std::string &key : keysOf(subject)) {
+    std::vector<std::string> keys = keysOf(subject);
+    std::erase_if(keys, [&refusals, now](const std::string &key) {
         const auto found = refusals.find(key);
-        if (found != refusals.end() && found->second > now) {
-            until = std::max(until.value_or(now), found->second);
-        }
+        return found == refusals.end() || found->second.until <= now;
+    });
+    return keys;
+}
+
+auto CrashSuspects::refusedUntil(const CrashSubject &subject, BootTime now) const -> std::optional<BootTime>
+{
+    const std::lock_guard lock(mutex_);
+    std::optional<BootTime> until;
+    for (const std::string &key : refusedKeysOf(subject, now)) {
+        const Refusal &refusal = refused().at(key);
+        // An answer to a trial ends the refusal.
+        const BootTime end = refusal.trialAt ? std::max(*refusal.trialAt, now) + TRIAL_TURN : refusal.until;
+        until = std::max(until.value_or(now), end);
     }
     return until;
 }
 
+auto CrashSuspects::dueTrial(const CrashSubject &subject, BootTime now) const -> std::optional<CrashTrial>
+{
+    const std::lock_guard lock(mutex_);
+    const std::vector<std::string> keys = refusedKeysOf(subject, now);
+    if (keys.size() != 1) {
+        return std::nullopt;
+    }
+    const std::string &key = keys.front();
+    const std::optional<BootTime> trialAt = refused().at(key).trialAt;
+    if (!trialAt || now < *trialAt || now < suspects_.at(key).trialUntil) {
+        return std::nullopt;
+    }
+    return CrashTrial { key, absl::StrCat("trial/", key, "/", (now - *trialAt) / TRIAL_TURN) };
+}
+
+auto CrashSuspects::startTrial(const CrashTrial &trial, BootTime now) -> bool
+{
+    const std::lock_guard lock(mutex_);
+    const auto found = suspects_.find(trial.suspect);
+    if (found == suspects_.end() || now < found->second.trialUntil) {
+        return false;
+    }
+    found->second.trialUntil = now + TRIAL_TURN;
+    return true;
+}
+
 auto CrashSuspects::isSuspect(const CrashSubject &subject) const -> bool
 {
     const std::lock_guard lock(mutex_);
--- a/Source/Process/CrashSuspects.h
+++ b/Source/Process/CrashSuspects.h
@@ -57,6 +57,17 @@
     auto operator==(const CrashSuspect &) const -> bool = default;
 };
 
+/// That a refused suspect is due to be tried again: by one request in the whole fleet, which shows whether it is sound.
+struct CrashTrial
+{
+    /// Key of the suspect.
+    std::string suspect;
+    /// Key for the selection of the daemon whose turn it is; all daemons name the same one at the same time.
+    std::string turn;
+
+    auto operator==(const CrashTrial &) const -> bool = default;
+};
+
 /// The text of a suspect, without line breaks. Precondition: names of upstreams contain no white space. Thread-safe.
 auto encodeCrashSuspect(const CrashSuspect &suspect) -> std::string;
 /// Errors: InvalidArgument for anything that encodeCrashSuspect() does not write. Thread-safe.
@@ -68,8 +79,11 @@
 /// All requests that were beginning their answer at an upstream that crashed are suspects, with all their shared parts. A
 /// whole answer clears its parts. Of the remaining suspects, those that explain the most crashes are refused: a crash
 /// that is explained by one of them does not count against the others, which only happened to run there. A request is
-/// refused after two crashes, a prompt part after three crashes under at least two different requests. A part with few
-/// crashes may be sound; it is tried again after a time that grows with their number.
+/// refused after two crashes, a prompt part after three crashes under at least two different requests.
+///
+/// Crashes that have another cause, such as a power cut that takes all upstreams at once, can have a sound suspect refused,
+/// and then no answer clears it any more. So refused suspects are tried again, by one request at a time and at growing
+/// intervals, a few times only: each trial of a suspect that does crash upstreams costs one of them.
 ///
 /// Daemons exchange what they know; states merge in any order, and each crash of an upstream counts once, however many
 /// daemons have seen it. Bounded in size; each crash expires after ten minutes.
@@ -89,8 +103,13 @@
     auto recordCrash(const CrashSubject &subject, const std::string &upstream, BootTime now) -> void;
     /// Records that an upstream has answered the request whole.
     auto recordAnswer(const CrashSubject &subject, BootTime now) -> void;
-    /// Until when the request is to be refused; unset if it is not.
+    /// Until when the request is to be refused, which may end earlier; unset if it is not.
     [[nodiscard]] auto refusedUntil(const CrashSubject &subject, BootTime now) const -> std::optional<BootTime>;
+    /// The trial for which the refused request may serve; unset if none is due, if this daemon awaits the outcome of one, and
+    /// if the request has more than one refused suspect.
+    [[nodiscard]] auto dueTrial(const CrashSubject &subject, BootTime now) const -> std::optional<CrashTrial>;
+    /// Records that a request is sent as a trial. False if one of this daemon is under way already.
+    auto startTrial(const CrashTrial &trial, BootTime now) -> bool;
     /// Whether crashes were recorded for the request or one of its parts, so that an answer to it is evidence.
     [[nodiscard]] auto isSuspect(const CrashSubject &subject) const -> bool;
     /// Crashes under the request of that fingerprint, whatever explains them.
@@ -120,16 +139,24 @@
         std::optional<BootTime> answeredAt;
         /// When this daemon last learned something of it.
         BootTime changedAt;
+        /// Until when the outcome of this daemon's last trial is awaited.
+        BootTime trialUntil;
         std::vector<Sighting> sightings;
     };
     /// Numbers of the crashes, by upstream and time of a sighting.
     using CrashNumbers = std::map<std::pair<std::string, BootTime>, int>;
+    /// Until when a suspect is refused, and from when it may be tried; unset when it has been tried often enough.
+    struct Refusal
+    {
+        BootTime until;
+        std::optional<BootTime> trialAt;
+    };
     /// A suspect that is refused because of some crashes.
     struct Culprit
     {
         std::string key;
         std::set<int> crashes;
-        BootTime refusedUntil;
+        Refusal refusal;
     };
 
     /// Returns whether it was new.
@@ -141,8 +168,11 @@
     auto dropExpired(BootTime now) -> void;
     /// Bounds the number of suspects after a change.
     auto dropExcess(BootTime now) -> void;
-    /// The refused suspects, each with the time until which it is refused.
-    auto refused() const -> const std::map<std::string, BootTime> &;
+    auto refused() const -> const std::map<std::string, Refusal> &;
+    /// The refused suspects among the request and its parts.
+    [[nodiscard]] auto refusedKeysOf(const CrashSubject &subject, BootTime now) const -> std::vector<std::string>;
+    /// Precondition: "times", those of the crashes of the suspect, are sorted and reach the limit for it.
+    [[nodiscard]] static auto refusalOf(const std::string &key, const std::vector<BootTime> &times) -> Refusal;
     [[nodiscard]] auto numberCrashes() const -> CrashNumbers;
     /// The suspect with the most crashes beside the explained ones, if they are enough to refuse it.
     [[nodiscard]] auto findCulprit(const CrashNumbers &numbers, const std::set<int> &explained) const -> std::optional<Culprit>;
@@ -152,7 +182,7 @@
     /// Until when states() names the refused suspects.
     BootTime announceRefusedUntil_;
     /// The value of refused(), computed when it is next needed after a change: crashes come in bursts.
-    mutable std::optional<std::map<std::string, BootTime>> refused_;
+    mutable std::optional<std::map<std::string, Refusal>> refused_;
 };
 
 } // namespace poplardock
--- a/Source/Process/Peers/PeerDirectory.cpp
+++ b/Source/Process/Peers/PeerDirectory.cpp
@@ -809,6 +809,12 @@
     return *crashSuspects_;
 }
 
+auto PeerDirectory::startCrashTrial(const CrashSubject &subject, BootTime now) const -> bool
+{
+    const auto trial = crashSuspects_->dueTrial(subject, now);
+    return trial && homeOf(trial->turn, now) == ownName_ && crashSuspects_->startTrial(*trial, now);
+}
+
 auto PeerDirectory::upstreamLimits() const -> UpstreamLimits &
 {
     return *upstreamLimits_;
--- a/Source/Process/Peers/PeerDirectory.h
+++ b/Source/Process/Peers/PeerDirectory.h
@@ -150,6 +150,9 @@
     [[nodiscard]] auto demand(BootTime now) const -> std::map<std::string, double>;
     /// What is known of requests that crash upstreams, here and at the others.
     [[nodiscard]] auto crashSuspects() const -> CrashSuspects &;
+    /// Whether this daemon may send a refused request all the same, to find out whether it is sound; records that it does then.
+    /// One daemon after the other has its turn, so that one such request at a time is sent in the fleet.
+    auto startCrashTrial(const CrashSubject &subject, BootTime now) const -> bool;
     /// The limits that upstreams have named, here and at the others.
     [[nodiscard]] auto upstreamLimits() const -> UpstreamLimits &;
     [[nodiscard]] auto reportSentAt(std::uint64_t sequence) const -> std::optional<BootTime>;
--- a/Tests/Connection/OnlinePathTest.cpp
+++ b/Tests/Connection/OnlinePathTest.cpp
@@ -4,6 +4,7 @@
 #include "Fakes/FakePlatform.h"
 #include "Fakes/FakeUpstream.h"
 #include "Process/JsonClient.h"
+#include "Request/ChatBody.h"
 #include "Support/RawServer.h"
 
 #include <Poco/Net/StreamSocket.h>
@@ -511,6 +512,24 @@
     BOOST_TEST(!contains(send(CHAT, chat("good", 8)).body, "request_crashes_upstreams"));
 }
 
+// Guards against sound chats that stay refused because all upstreams crashed at once under chats with the same message.
+BOOST_AUTO_TEST_CASE(ChatsReturnAfterAllUpstreamsCrashedAtOnce)
+{
+    addFake(UpstreamKind::Model);
+    daemon.install(data);
+    const std::string chat = R"({"model":"m","messages":[{"role":"system","content":"rules"},{"role":"user","content":"question"}]})";
+    const std::vector<std::string> shared = std::get<ChatBody>(parseChatBody(chat)).sharedParts;
+    const BootTime crashedAt = BootClock::now() - std::chrono::seconds(1);
+    for (int crash = 0; crash < 10; ++crash) {
+        daemon.crashes.recordCrash({ crashFingerprint("blue", CHAT, absl::StrCat(crash)), shared }, absl::StrCat("u", crash), crashedAt);
+    }
+    BOOST_TEST(contains(send(CHAT, chat).body, "request_crashes_upstreams"));
+    std::this_thread::sleep_until(crashedAt + std::chrono::seconds(3));
+    BOOST_TEST(send(CHAT, chat).status == 200);
+    BOOST_TEST(!daemon.crashes.isSuspect({ {}, shared }));
+    BOOST_TEST(send(CHAT, chat).status == 200);
+}
+
 // Guards against an upstream that resets one request and lives on being counted as dead.
 BOOST_AUTO_TEST_CASE(ResetByALivingUpstreamIsNoDeath)
 {
--- a/Tests/Process/CrashSuspectsFleetTest.cpp
+++ b/Tests/Process/CrashSuspectsFleetTest.cpp
@@ -20,6 +20,9 @@
 constexpr std::size_t CRASHES_TO_LEARN = 5;
 constexpr int STRAY_REQUESTS = 3;
 constexpr const char *BAD_PART = "bad";
+constexpr int MASS_CRASH_SECOND = 8;
+/// Twice the window, within which sound requests have to return.
+constexpr int RECOVERY_SECONDS = 6;
 
 /// A fleet of daemons before upstreams that crash whenever they begin an answer to a request with one prompt part, among
 /// sound requests that share its other parts. Simulated without a network; crashed upstreams are back after some seconds.
@@ -77,7 +80,16 @@
         }
     }
 
+    /// Crashes all upstreams at the same moment, whatever they run.
+    auto crashAll() -> void
+    {
+        for (SimulatedUpstream &upstream : upstreams_) {
+            endAllRuns(upstream, fleet.now());
+        }
+    }
+
     DirectoryFleet fleet;
+    /// Crashes under the part.
     std::vector<BootTime> crashes;
     /// Requests with the part that were sent to an upstream by a daemon that counts.
     std::vector<BootTime> badSends;
@@ -142,7 +154,8 @@
 
     auto send(Run run, BootTime now) -> void
     {
-        const bool isRefused = suspectsOf(run.daemon).refusedUntil(run.subject, now).has_value();
+        const bool isRefused = suspectsOf(run.daemon).refusedUntil(run.subject, now).has_value()
+                               && (run.attempts > 0 || !fleet.views.at(run.daemon).startCrashTrial(run.subject, now));
         if (!run.isBad && run.attempts == 0) {
             ++soundArrived;
             soundRefused += isRefused ? 1 : 0;
@@ -180,10 +193,14 @@
 
     auto crash(SimulatedUpstream &upstream, int id, BootTime now) -> void
     {
-        if (!upstream.runs.contains(id)) {
-            return;
+        if (upstream.runs.contains(id)) {
+            crashes.push_back(now);
+            endAllRuns(upstream, now);
         }
-        crashes.push_back(now);
+    }
+
+    auto endAllRuns(SimulatedUpstream &upstream, BootTime now) -> void
+    {
         upstream.downUntil = now + DOWN_TIME;
         const auto runs = std::exchange(upstream.runs, {});
         for (const auto &[number, run] : runs) {
@@ -225,8 +242,8 @@
 BOOST_AUTO_TEST_SUITE(CrashSuspectsFleetSuite)
 
 // Guards against a part that goes on crashing upstreams, and against sound requests that are refused because they share
-// their other parts with it, while daemons restart or are cut off. Load pattern: requests with the part and sound ones come
-// at any daemon, no two alike; the part stands before, between or behind the shared ones.
+// their other parts with it, while daemons restart or are cut off or all upstreams crash for another reason. Load pattern: requests with
+// the part and sound ones come at any daemon, no two alike; the part stands before, between or behind the shared ones.
 BOOST_AUTO_TEST_CASE(OnlyTheCrashingPartIsRefused)
 {
     for (unsigned seed = 1; seed <= 60; ++seed) {
@@ -240,7 +257,11 @@
             if (seed % 4 == 2 && (second == 6 || second == 12)) {
                 simulation.setCut(second == 6);
             }
-            if (second == 10) {
+            const bool isMassCrash = seed % 4 == 3;
+            if (isMassCrash && second == MASS_CRASH_SECOND) {
+                simulation.crashAll();
+            }
+            if (second == (isMassCrash ? MASS_CRASH_SECOND + RECOVERY_SECONDS : 10)) {
                 simulation.soundArrived = 0;
                 simulation.soundRefused = 0;
             }
--- a/Tests/Process/CrashSuspectsTest.cpp
+++ b/Tests/Process/CrashSuspectsTest.cpp
@@ -170,27 +170,76 @@
     BOOST_TEST(isRefused(suspects, subject(9, { "shared", "other" }), NOW));
 }
 
-// Guards against a sound part that is refused for long because a series of crashes met its only requests.
-BOOST_AUTO_TEST_CASE(APartWithFewCrashesIsTriedAgain)
+// Guards against a sound part that is refused for long because a series of crashes met its only requests, and against trials
+// that cost many upstreams: one at a time, at growing intervals, and three in all.
+BOOST_AUTO_TEST_CASE(ARefusedPartIsTriedAFewTimes)
 {
     CrashSuspects suspects;
+    const CrashSubject request = subject(9, { "rare" });
     for (int crash = 0; crash < 3; ++crash) {
         suspects.recordCrash(subject(crash, { "rare" }), absl::StrCat("u", crash), NOW);
     }
-    BOOST_TEST(isRefused(suspects, subject(9, { "rare" }), NOW + std::chrono::seconds(4)));
-    const BootTime later = NOW + std::chrono::seconds(6);
-    BOOST_TEST(!isRefused(suspects, subject(9, { "rare" }), later));
-    CrashSuspects crashedAgain;
-    crashedAgain.merge(sent(suspects.allStates(later)), later);
-    crashedAgain.recordCrash(subject(4, { "rare" }), "u4", later);
-    BOOST_TEST(isRefused(crashedAgain, subject(9, { "rare" }), later + std::chrono::seconds(59)));
-    BOOST_TEST(!isRefused(crashedAgain, subject(9, { "rare" }), later + std::chrono::seconds(61)));
-    crashedAgain.recordCrash(subject(5, { "rare" }), "u5", later + std::chrono::seconds(61));
-    BOOST_TEST(isRefused(crashedAgain, subject(9, { "rare" }), later + std::chrono::minutes(9)));
-    BOOST_TEST(!isRefused(crashedAgain, subject(9, { "rare" }), later + std::chrono::minutes(11)));
-    suspects.recordAnswer(subject(4, { "rare" }), later);
-    suspects.recordCrash(subject(5, { "rare" }), "u4", later + STEP);
-    BOOST_TEST(!isRefused(suspects, subject(9, { "rare" }), later + STEP));
+    BootTime last = NOW;
+    for (const Milliseconds wait : { Milliseconds(2000), Milliseconds(10000), Milliseconds(60000) }) {
+        BOOST_TEST(!suspects.dueTrial(request, last + wait - Milliseconds(1)).has_value());
+        const BootTime due = last + wait;
+        CrashSuspects other;
+        other.merge(sent(suspects.allStates(due)), due);
+        const auto trial = suspects.dueTrial(request, due);
+        BOOST_REQUIRE(trial.has_value());
+        BOOST_TEST((other.dueTrial(subject(10, { "rare" }), due + Milliseconds(500)) == trial));
+        BOOST_TEST(isRefused(suspects, request, due));
+        BOOST_TEST(suspects.startTrial(*trial, due));
+        BOOST_TEST(!suspects.startTrial(*trial, due));
+        BOOST_TEST(!suspects.dueTrial(request, due + Milliseconds(900)).has_value());
+        // Without an outcome it becomes the turn of another daemon.
+        const auto next = suspects.dueTrial(request, due + Milliseconds(1000));
+        BOOST_REQUIRE(next.has_value());
+        BOOST_TEST(next->turn != trial->turn);
+        last = due + Milliseconds(300);
+        suspects.recordCrash(subject(static_cast<int>(wait.count()), { "rare" }), absl::StrCat("v", wait.count()), last);
+    }
+    BOOST_TEST(!suspects.dueTrial(request, last + std::chrono::minutes(9)).has_value());
+    BOOST_TEST(isRefused(suspects, request, last + std::chrono::minutes(8)));
+    BOOST_TEST(!isRefused(suspects, request, last + std::chrono::minutes(10)));
+    suspects.recordAnswer(subject(4, { "rare" }), last);
+    suspects.recordCrash(subject(5, { "rare" }), "w", last + STEP);
+    BOOST_TEST(!isRefused(suspects, request, last + STEP));
+}
+
+// Guards against a sound part that is refused for long because many upstreams crashed at once for another reason, and
+// against trials by requests that may crash an upstream for another part that is refused too.
+BOOST_AUTO_TEST_CASE(APartWithManyCrashesAtOnceIsTriedAgain)
+{
+    CrashSuspects suspects;
+    for (int crash = 0; crash < 20; ++crash) {
+        suspects.recordCrash(subject(crash, { "common" }), absl::StrCat("u", crash), NOW + Milliseconds(crash));
+    }
+    for (int crash = 0; crash < 4; ++crash) {
+        suspects.recordCrash(subject(100 + crash, { "bad" }), absl::StrCat("v", crash), NOW);
+    }
+    const BootTime due = NOW + std::chrono::seconds(3);
+    BOOST_TEST(suspects.dueTrial(subject(50, { "common" }), due).has_value());
+    BOOST_TEST(!suspects.dueTrial(subject(51, { "common", "bad" }), due).has_value());
+    BOOST_TEST(!suspects.dueTrial(subject(52, { "sound" }), due).has_value());
+    suspects.recordAnswer(subject(50, { "common" }), due);
+    BOOST_TEST(!isRefused(suspects, subject(53, { "common" }), due));
+    BOOST_TEST(isRefused(suspects, subject(54, { "common", "bad" }), due));
+}
+
+// Guards against a sound request, asked by many callers in the same words, that is refused for long after two crashes, and
+// against one that crashes upstreams and costs more than one of them in ten minutes.
+BOOST_AUTO_TEST_CASE(ARefusedRequestIsTriedOnce)
+{
+    CrashSuspects suspects;
+    const CrashSubject request { crashFingerprint("blue", "/", "{}"), {} };
+    suspects.recordCrash(request, "u1", NOW);
+    suspects.recordCrash(request, "u2", NOW);
+    BOOST_TEST(!suspects.dueTrial(request, NOW + std::chrono::seconds(59)).has_value());
+    const BootTime due = NOW + std::chrono::seconds(61);
+    BOOST_TEST(suspects.dueTrial(request, due).has_value());
+    suspects.recordCrash(request, "u3", due);
+    BOOST_TEST(!suspects.dueTrial(request, due + std::chrono::minutes(9)).has_value());
 }
 
 // Guards against a part that stays refused at one daemon although another one has had an answer to it, and against old
