Let servers of the soak name limits and crash on a prompt part

The limit of an upstream and the part that crashes upstreams are known to several daemons only by their messages; so far they were tested with several daemons in one process, cut off and restarted one way at a time. In the soak the daemons are processes, with faults in series that overlap: one server at a time names a limit, and in each fourth seed requests with a crashing part come beside the others. A crashed server refuses connections now; its proxy accepted and reset them before, so that no crash was ever recognized as one. Seeds keep their order of faults.

--- a/Tests/Fakes/FakeEngine.cpp
+++ b/Tests/Fakes/FakeEngine.cpp
@@ -123,22 +123,30 @@
 
 auto FakeEngine::crash() -> void
 {
-    listener_ = nullptr;
-    for (const auto &connection : connections_) {
-        connection->timer.cancel();
-        connection->channel->abort();
-    }
-    connections_.clear();
+    closeAll([](Channel &channel) { channel.abort(); });
 }
 
 auto FakeEngine::crashInOrder() -> void
+{
+    closeAll([](Channel &channel) { channel.close(); });
+}
+
+auto FakeEngine::closeAll(const std::function<void(Channel &)> &close) -> void
 {
     listener_ = nullptr;
     for (const auto &connection : connections_) {
         connection->timer.cancel();
-        connection->channel->close();
+        close(*connection->channel);
     }
     connections_.clear();
+    if (onCrash_) {
+        onCrash_();
+    }
+}
+
+auto FakeEngine::setCrashHandler(std::function<void()> handler) -> void
+{
+    onCrash_ = std::move(handler);
 }
 
 auto FakeEngine::hasCrashed() const -> bool
--- a/Tests/Fakes/FakeEngine.h
+++ b/Tests/Fakes/FakeEngine.h
@@ -4,6 +4,7 @@
 #include "Connection/Io/MessageReader.h"
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <memory>
 #include <string>
@@ -82,6 +83,8 @@
     /// As crash(), but what was sent still arrives, and connections are closed in order.
     auto crashInOrder() -> void;
     [[nodiscard]] auto hasCrashed() const -> bool;
+    /// The handler is called at the end of each crash.
+    auto setCrashHandler(std::function<void()> handler) -> void;
 
 private:
     struct Connection
@@ -102,10 +105,12 @@
     auto endStream(const std::shared_ptr<Connection> &connection) -> void;
     auto finish(const std::shared_ptr<Connection> &connection) -> void;
     [[nodiscard]] auto limitHeader() const -> std::string;
+    auto closeAll(const std::function<void(Channel &)> &close) -> void;
 
     EventLoop &loop_;
     const std::string name_;
     std::unique_ptr<Listener> listener_;
+    std::function<void()> onCrash_;
     Behaviour behaviour_;
     std::vector<std::shared_ptr<Connection>> connections_;
     std::vector<std::shared_ptr<Run>> runs_;
--- a/Tests/Support/FrontProcesses.cpp
+++ b/Tests/Support/FrontProcesses.cpp
@@ -117,8 +117,23 @@
     Engine engine;
     engine.server = std::make_unique<FakeEngine>(loop, absl::StrCat("engine", engines.size()));
     engine.proxy = std::make_unique<LoopbackProxy>(loop, addressAt(0), engine.server->address());
+    engine.server->setCrashHandler([this, index = engines.size()] {
+        engines[index].leftAt = BootClock::now();
+        engines[index].hasCrashed = true;
+        engines[index].proxy->close();
+    });
     registerEngine(engine, "ready");
     engines.push_back(std::move(engine));
+    resetBehaviour(engines.size() - 1);
+}
+
+auto FrontProcesses::resetBehaviour(std::size_t engine) -> void
+{
+    FakeEngine::Behaviour &behaviour = engines[engine].server->behaviour();
+    const std::string limit = behaviour.limit;
+    behaviour = {};
+    behaviour.limit = limit;
+    behaviour.crashesOnPart = CRASHING_PART;
 }
 
 auto FrontProcesses::registerEngine(const Engine &engine, const std::string &state) -> void
@@ -134,13 +149,7 @@
 
 auto FrontProcesses::crashEngine(std::size_t engine) -> void
 {
-    engines[engine].leftAt = BootClock::now();
-    engines[engine].hasCrashed = true;
     engines[engine].server->crash();
-    LoopbackProxy::Faults refused;
-    refused.refuses = true;
-    engines[engine].proxy->setFaults(refused);
-    engines[engine].proxy->resetConnections();
 }
 
 auto FrontProcesses::removeEntry(std::size_t engine) -> void
--- a/Tests/Support/FrontProcesses.h
+++ b/Tests/Support/FrontProcesses.h
@@ -18,6 +18,9 @@
 class FrontProcesses
 {
 public:
+    /// Id of the prompt part on which engines crash.
+    static constexpr const char *CRASHING_PART = "bad";
+
     /// One daemon. It keeps its name and addresses over restarts.
     struct Daemon
     {
@@ -51,6 +54,8 @@
     /// The engine announces its leave.
     auto beginLeave(std::size_t engine) -> void;
     auto crashEngine(std::size_t engine) -> void;
+    /// Ends all misbehaviour of the engine but its crashes on CRASHING_PART, and keeps its limit.
+    auto resetBehaviour(std::size_t engine) -> void;
     /// Removes the engine's entry from the store.
     auto removeEntry(std::size_t engine) -> void;
     /// Engines that have neither left nor crashed.
--- a/Tests/Support/LoopbackProxy.cpp
+++ b/Tests/Support/LoopbackProxy.cpp
@@ -19,11 +19,12 @@
         throw std::runtime_error(std::string(listener.status().message()));
     }
     listener_ = *std::move(listener);
+    address_ = listener_->address();
 }
 
 auto LoopbackProxy::address() const -> std::string
 {
-    return listener_->address();
+    return address_;
 }
 
 auto LoopbackProxy::setFaults(const Faults &faults) -> void
@@ -42,6 +43,12 @@
     }
 }
 
+auto LoopbackProxy::close() -> void
+{
+    listener_ = nullptr;
+    resetConnections();
+}
+
 auto LoopbackProxy::accept(std::shared_ptr<Channel> near) -> void
 {
     if (faults_.refuses) {
--- a/Tests/Support/LoopbackProxy.h
+++ b/Tests/Support/LoopbackProxy.h
@@ -34,6 +34,8 @@
     auto setFaults(const Faults &faults) -> void;
     /// Resets all connections that are open now.
     auto resetConnections() -> void;
+    /// As a crash of the target: resets all connections and does not listen any more.
+    auto close() -> void;
 
 private:
     struct Piece
@@ -66,6 +68,7 @@
 
     EventLoop &loop_;
     const std::string target_;
+    std::string address_;
     Faults faults_;
     std::list<std::shared_ptr<Link>> links_;
     std::unique_ptr<Listener> listener_;
--- a/Tests/Support/SoakCallers.cpp
+++ b/Tests/Support/SoakCallers.cpp
@@ -14,6 +14,10 @@
 constexpr Milliseconds REQUEST_PERIOD { 30 };
 /// The team with an allowance of 5 a second sends 20.
 constexpr Milliseconds DYERS_PERIOD { 50 };
+/// Of requests that crash engines, in the seeds that have them.
+constexpr Milliseconds CRASHING_PERIOD { 300 };
+constexpr std::uint64_t CRASHING_SEEDS = 4;
+constexpr std::uint64_t FIRST_CRASHING_SEED = 2;
 constexpr Milliseconds JOB_PERIOD { 900 };
 constexpr Milliseconds READ_PERIOD { 60 };
 constexpr Milliseconds CANCEL_PERIOD { 700 };
@@ -33,6 +37,7 @@
     , random_(seed)
     , pool_(fleet.loop, POOL)
     , client_(fleet.loop, pool_)
+    , hasCrashingPart_(seed % CRASHING_SEEDS == FIRST_CRASHING_SEED)
 {
 }
 
@@ -40,6 +45,9 @@
 {
     requestTimer_ = fleet_.loop.every(REQUEST_PERIOD, [this] { sendNext(); });
     dyersTimer_ = fleet_.loop.every(DYERS_PERIOD, [this] { send(randomDaemon(), "plain", "key2"); });
+    if (hasCrashingPart_) {
+        crashingTimer_ = fleet_.loop.every(CRASHING_PERIOD, [this] { sendCrashing(); });
+    }
     jobTimer_ = fleet_.loop.every(JOB_PERIOD, [this] { submitNext(); });
     readTimer_ = fleet_.loop.every(READ_PERIOD, [this] { readNext(); });
     cancelTimer_ = fleet_.loop.every(CANCEL_PERIOD, [this] { cancelNext(); });
@@ -49,6 +57,7 @@
 {
     requestTimer_.cancel();
     dyersTimer_.cancel();
+    crashingTimer_.cancel();
     jobTimer_.cancel();
     cancelTimer_.cancel();
 }
@@ -88,13 +97,27 @@
 
 auto SoakCallers::send(std::size_t daemon, const std::string &route, const std::string &key) -> void
 {
-    const std::string id = absl::StrCat("q", ++lastRequest_);
-    const std::string path = absl::StrCat("/", route, "/", id);
-    const bool isStream = route == "resumed" || route == "stream";
-    HttpCall request = isStream ? PlatformFleet::streamRequest(path, id, key) : PlatformFleet::request(path, id, key);
+    sendRequest({ absl::StrCat("q", ++lastRequest_), route, key, daemon, BootClock::now(), {}, 0, {}, false, false });
+}
+
+auto SoakCallers::sendCrashing() -> void
+{
+    sendRequest({ absl::StrCat("q", ++lastRequest_), "resumed", "key1", randomDaemon(), BootClock::now(), {}, 0, {}, false, true });
+}
+
+auto SoakCallers::sendRequest(const SoakRequest &newRequest) -> void
+{
+    const std::string id = newRequest.id;
+    const std::string path = absl::StrCat("/", newRequest.route, "/", id);
+    const bool isStream = newRequest.route == "resumed" || newRequest.route == "stream";
+    HttpCall request = isStream ? PlatformFleet::streamRequest(path, id, newRequest.key) : PlatformFleet::request(path, id, newRequest.key);
     request.headers.set("Deadline-Ms", absl::StrCat(PATIENCE.count()));
-    requests_[id] = { id, route, key, daemon, BootClock::now(), {}, 0, {}, false };
-    call(daemon, request, PATIENCE + SLACK, [this, id](const HttpCallOutcome &outcome) {
+    if (isStream && hasCrashingPart_) {
+        const std::string crashing = newRequest.isCrashing ? absl::StrCat(FrontProcesses::CRASHING_PART, ":50,") : "";
+        request.headers.set("Prompt-Prefix", absl::StrCat("shared:200,", crashing, "own-", id, ":50"));
+    }
+    requests_[id] = newRequest;
+    call(newRequest.daemon, request, PATIENCE + SLACK, [this, id](const HttpCallOutcome &outcome) {
         SoakRequest &record = requests_[id];
         record.endedAt = BootClock::now();
         record.hasEnded = true;
--- a/Tests/Support/SoakCallers.h
+++ b/Tests/Support/SoakCallers.h
@@ -28,6 +28,8 @@
     int status = 0;
     std::string body;
     bool hasEnded = false;
+    /// Its prompt has the part on which engines crash.
+    bool isCrashing = false;
 };
 
 /// One job of the soak and what its readers saw.
@@ -74,18 +76,22 @@
 
 private:
     auto sendNext() -> void;
+    auto sendCrashing() -> void;
     auto submitNext() -> void;
     auto submit(const std::string &job, int attempt) -> void;
     auto readNext() -> void;
     auto cancelNext() -> void;
     auto takeResults(SoakJob &job, const std::vector<JobResult> &results) -> void;
     [[nodiscard]] auto randomDaemon() -> std::size_t;
+    auto sendRequest(const SoakRequest &newRequest) -> void;
     auto call(std::size_t daemon, const HttpCall &call, Milliseconds time, HttpClient::Handler handler) -> void;
 
     FrontProcesses &fleet_;
     std::mt19937_64 random_;
     ClientPool pool_;
     HttpClient client_;
+    /// Some of the requests have a prompt part on which engines crash.
+    const bool hasCrashingPart_;
     std::string thirdKey_;
     std::map<std::string, SoakRequest> requests_;
     std::map<std::string, SoakJob> jobs_;
@@ -94,6 +100,7 @@
     int lastJob_ = 0;
     Timer requestTimer_;
     Timer dyersTimer_;
+    Timer crashingTimer_;
     Timer jobTimer_;
     Timer readTimer_;
     Timer cancelTimer_;
--- a/Tests/Support/SoakChecks.cpp
+++ b/Tests/Support/SoakChecks.cpp
@@ -25,6 +25,16 @@
 /// Margin around a disturbance of a daemon within which its latency is not checked.
 constexpr Milliseconds SETTLE_TIME { 1000 };
 constexpr std::size_t LONGEST_RUNS = 3;
+/// The platform's stableWindowMs: time within which what one daemon has heard counts at all, and after which a daemon that
+/// was disturbed counts again.
+constexpr Milliseconds STABLE_WINDOW { 3000 };
+/// Requests that an engine may get in any such time: one and a half times its limit, and some more.
+constexpr Milliseconds LIMIT_WINDOW { 4000 };
+constexpr double LIMIT_OVERAGE = 1.5;
+constexpr double LIMIT_SLACK = 5;
+/// Crashes after which the fleet has to know the part, and requests with it that may reach an engine from then on.
+constexpr std::size_t CRASHES_TO_LEARN = 5;
+constexpr std::size_t STRAY_REQUESTS = 3;
 constexpr int EVENTS = 5;
 
 auto isPromiseOfNoRun(int status) -> bool
@@ -221,6 +231,77 @@
     return faults;
 }
 
+auto SoakChecks::limitFaults() const -> std::vector<std::string>
+{
+    // Requests that the path holds back arrive together.
+    const auto isPathDisturbed = [this](BootTime begin, BootTime end) {
+        const auto &all = faults_.disturbances();
+        return std::any_of(all.begin(), all.end(), [begin, end](const Disturbance &each) {
+            return absl::StartsWith(each.kind, "engine's path") && each.begin < end && begin < each.end + SETTLE_TIME;
+        });
+    };
+    std::vector<std::string> faults;
+    for (const NamedLimit &limit : faults_.limits()) {
+        const std::vector<BootTime> &arrivals = fleet_.engines[limit.engine].server->arrivals();
+        const auto named = std::lower_bound(arrivals.begin(), arrivals.end(), limit.begin);
+        const double allowed = LIMIT_OVERAGE * limit.perSecond * std::chrono::duration<double>(LIMIT_WINDOW).count() + LIMIT_SLACK;
+        for (auto first = named; first != arrivals.end() && *first + LIMIT_WINDOW <= limit.end; ++first) {
+            const BootTime end = *first + LIMIT_WINDOW;
+            const auto count = std::lower_bound(first, arrivals.end(), end) - first;
+            if (*first >= *named + STABLE_WINDOW && static_cast<double>(count) > allowed && !isPathDisturbed(*first, end)) {
+                faults.push_back(absl::StrCat(fleet_.engines[limit.engine].server->name(),
+                                              " got ",
+                                              count,
+                                              " requests in a window, ",
+                                              allowed,
+                                              " allowed; meanwhile",
+                                              disturbancesBetween(*first - STABLE_WINDOW, end)));
+                break;
+            }
+        }
+    }
+    return faults;
+}
+
+auto SoakChecks::isExcused(std::size_t daemon, BootTime time) const -> bool
+{
+    const auto &all = faults_.disturbances();
+    return std::any_of(all.begin(), all.end(), [daemon, time](const Disturbance &each) {
+        return (each.daemon == daemon || each.cutDaemons.contains(daemon)) && each.begin <= time && time < each.end + STABLE_WINDOW;
+    });
+}
+
+auto SoakChecks::crashFaults() const -> std::vector<std::string>
+{
+    std::multimap<BootTime, std::string> runs;
+    std::vector<BootTime> counted;
+    for (const auto &[id, request] : callers_.requests()) {
+        if (!request.isCrashing) {
+            continue;
+        }
+        for (const FakeEngine::Run &run : fleet_.runsOf(id)) {
+            const bool isCounted = !isExcused(request.daemon, run.startedAt);
+            runs.emplace(run.startedAt, absl::StrCat(id, "@", request.daemon, isCounted ? "" : " (excused)"));
+            if (isCounted) {
+                counted.push_back(run.startedAt);
+            }
+        }
+    }
+    if (runs.size() <= CRASHES_TO_LEARN) {
+        return {};
+    }
+    const BootTime known = std::next(runs.begin(), CRASHES_TO_LEARN - 1)->first + STABLE_WINDOW;
+    const auto strays = std::count_if(counted.begin(), counted.end(), [known](BootTime each) { return each > known; });
+    if (static_cast<std::size_t>(strays) <= STRAY_REQUESTS) {
+        return {};
+    }
+    std::string text = absl::StrCat(strays, " requests with the crashing part were sent to engines too late:");
+    for (const auto &[time, run] : runs) {
+        absl::StrAppend(&text, " ", run, "+", millisecondsAfter(runs.begin()->first, time));
+    }
+    return { text };
+}
+
 auto SoakChecks::leaveFaults() const -> std::vector<std::string>
 {
     std::vector<std::string> faults;
--- a/Tests/Support/SoakChecks.h
+++ b/Tests/Support/SoakChecks.h
@@ -21,6 +21,10 @@
     [[nodiscard]] auto allowanceFaults() const -> std::vector<std::string>;
     /// Items lost, listed twice or changed, runs of refused or cancelled jobs.
     [[nodiscard]] auto jobFaults() const -> std::vector<std::string>;
+    /// Requests beyond the limit that an engine has named.
+    [[nodiscard]] auto limitFaults() const -> std::vector<std::string>;
+    /// Requests that crash engines and were sent to one when the fleet had to know their common part.
+    [[nodiscard]] auto crashFaults() const -> std::vector<std::string>;
     /// Work that began at an engine too long after its notice of leave.
     [[nodiscard]] auto leaveFaults() const -> std::vector<std::string>;
     /// Counts of outcomes, for the log.
@@ -28,6 +32,8 @@
 
 private:
     [[nodiscard]] auto isDisturbed(std::size_t daemon, BootTime begin, BootTime end) const -> bool;
+    /// Whether the daemon need not know what the others know.
+    [[nodiscard]] auto isExcused(std::size_t daemon, BootTime time) const -> bool;
     [[nodiscard]] auto isAnythingDisturbed(BootTime begin, BootTime end) const -> bool;
     /// The disturbances of that time in words, with times in milliseconds after its begin.
     [[nodiscard]] auto disturbancesBetween(BootTime begin, BootTime end) const -> std::string;
--- a/Tests/Support/SoakFaults.cpp
+++ b/Tests/Support/SoakFaults.cpp
@@ -22,6 +22,10 @@
 /// Time that an engine goes on after its notice of leave, beyond the bound of 2 s for new work.
 constexpr Milliseconds LEAVE_TIME { 3000 };
 constexpr std::size_t SMALLEST_ENGINE_COUNT = 3;
+/// When an engine begins to name a limit, far below what it gets, and for how long it does.
+constexpr Milliseconds LIMIT_BEGIN { 1500 };
+constexpr Milliseconds LIMIT_TIME { 12000 };
+constexpr double LIMIT_PER_SECOND = 2;
 
 } // namespace
 
@@ -36,7 +40,11 @@
 auto SoakFaults::start() -> void
 {
     startedAt_ = BootClock::now();
-    check_ = fleet_.loop.every(CHECK_PERIOD, [this] { checkProcesses(); });
+    check_ = fleet_.loop.every(CHECK_PERIOD, [this] {
+        checkProcesses();
+        replaceCrashed();
+        limitEngine();
+    });
     next();
 }
 
@@ -55,6 +63,11 @@
     return disturbances_;
 }
 
+auto SoakFaults::limits() const -> const std::vector<NamedLimit> &
+{
+    return limits_;
+}
+
 auto SoakFaults::startedAt() const -> BootTime
 {
     return startedAt_;
@@ -92,10 +105,14 @@
     });
 }
 
-auto SoakFaults::later(Milliseconds time, const std::string &kind, std::optional<std::size_t> daemon, std::function<void()> undo) -> void
+auto SoakFaults::later(Milliseconds time,
+                       const std::string &kind,
+                       std::optional<std::size_t> daemon,
+                       std::function<void()> undo,
+                       std::set<std::size_t> cutDaemons) -> void
 {
     const BootTime now = BootClock::now();
-    disturbances_.push_back({ kind, daemon, now, now + time });
+    disturbances_.push_back({ kind, daemon, now, now + time, std::move(cutDaemons) });
     ++pending_;
     timers_.push_back(fleet_.loop.at(now + time, [this, undo = std::move(undo)] {
         --pending_;
@@ -158,7 +175,8 @@
         }
     };
     set(true);
-    later(Milliseconds(between(500, 5000)), "cut between two", std::nullopt, [set] { set(false); });
+    const Milliseconds time(between(500, 5000));
+    later(time, "cut between two", std::nullopt, [set] { set(false); }, { from, to });
 }
 
 auto SoakFaults::isolateDaemon() -> void
@@ -173,7 +191,8 @@
         }
     };
     set(true);
-    later(Milliseconds(between(500, 6000)), "cut from all", std::nullopt, [set] { set(false); });
+    const Milliseconds time(between(500, 6000));
+    later(time, "cut from all", std::nullopt, [set] { set(false); }, { daemon });
 }
 
 auto SoakFaults::callersPath() -> void
@@ -196,6 +215,9 @@
 auto SoakFaults::enginePath() -> void
 {
     const auto living = fleet_.livingEngines();
+    if (living.empty()) {
+        return;
+    }
     const std::size_t engine = living[random_() % living.size()];
     LoopbackProxy::Faults faults;
     const int kind = between(0, 3);
@@ -216,6 +238,9 @@
 auto SoakFaults::engineFault() -> void
 {
     const auto living = fleet_.livingEngines();
+    if (living.empty()) {
+        return;
+    }
     const std::size_t engine = living[random_() % living.size()];
     FakeEngine::Behaviour &behaviour = fleet_.engines[engine].server->behaviour();
     const int kind = between(0, 5);
@@ -225,9 +250,7 @@
     behaviour.sendsStrayAnswer = kind == 3;
     behaviour.declines = kind == 4;
     behaviour.status = kind == 5 ? HttpStatus::SERVER_ERROR : behaviour.status;
-    later(Milliseconds(between(300, 3000)), absl::StrCat("engine ", kind), std::nullopt, [this, engine] {
-        fleet_.engines[engine].server->behaviour() = {};
-    });
+    later(Milliseconds(between(300, 3000)), absl::StrCat("engine ", kind), std::nullopt, [this, engine] { fleet_.resetBehaviour(engine); });
 }
 
 auto SoakFaults::crashEngine() -> void
@@ -238,10 +261,37 @@
     }
     const std::size_t engine = living[random_() % living.size()];
     fleet_.crashEngine(engine);
-    later(LAPSE_TIME, "engine crash", std::nullopt, [this, engine] {
-        fleet_.removeEntry(engine);
-        fleet_.addEngine();
-    });
+}
+
+auto SoakFaults::replaceCrashed() -> void
+{
+    for (std::size_t engine = 0; engine < fleet_.engines.size(); ++engine) {
+        if (fleet_.engines[engine].hasCrashed && replacedEngines_.insert(engine).second) {
+            later(LAPSE_TIME, "engine crash", std::nullopt, [this, engine] {
+                fleet_.removeEntry(engine);
+                fleet_.addEngine();
+            });
+        }
+    }
+}
+
+auto SoakFaults::limitEngine() -> void
+{
+    const BootTime now = BootClock::now();
+    const BootTime end = startedAt_ + LIMIT_BEGIN + LIMIT_TIME;
+    if (now < startedAt_ + LIMIT_BEGIN) {
+        return;
+    }
+    const auto living = fleet_.livingEngines();
+    const bool isNamed = !limits_.empty() && limits_.back().end > now;
+    if (isNamed && std::find(living.begin(), living.end(), limits_.back().engine) == living.end()) {
+        limits_.back().end = now;
+    } else if (!isNamed && now < end && !living.empty()) {
+        limits_.push_back({ living.front(), LIMIT_PER_SECOND, now, end });
+        fleet_.engines[living.front()].server->behaviour().limit = absl::StrCat(LIMIT_PER_SECOND);
+    } else if (!isNamed && !limits_.empty()) {
+        fleet_.engines[limits_.back().engine].server->behaviour().limit.clear();
+    }
 }
 
 auto SoakFaults::leaveEngine() -> void
@@ -310,7 +360,7 @@
         return;
     }
     isProcessDisturbed_[*daemon] = true;
-    disturbances_.push_back({ "terminate", daemon, BootClock::now(), BootClock::now() + GRACE_TIME });
+    disturbances_.push_back({ "terminate", daemon, BootClock::now(), BootClock::now() + GRACE_TIME, {} });
     fleet_.daemons[*daemon].process->signal(SIGTERM);
     awaitTermination(*daemon, BootClock::now() + GRACE_TIME);
 }
--- a/Tests/Support/SoakFaults.h
+++ b/Tests/Support/SoakFaults.h
@@ -8,6 +8,7 @@
 #include <list>
 #include <optional>
 #include <random>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -21,6 +22,17 @@
     std::optional<std::size_t> daemon;
     BootTime begin;
     BootTime end;
+    /// Daemons whose paths to others are cut.
+    std::set<std::size_t> cutDaemons = {};
+};
+
+/// A time in which an engine names a limit in its answers.
+struct NamedLimit
+{
+    std::size_t engine = 0;
+    double perSecond = 0;
+    BootTime begin;
+    BootTime end;
 };
 
 /// Brings about faults at random: of the store, between daemons, on the paths of callers and engines, of engines, of
@@ -38,6 +50,7 @@
     /// Whether no fault is under way and every daemon's process runs.
     [[nodiscard]] auto isQuiet() const -> bool;
     [[nodiscard]] auto disturbances() const -> const std::list<Disturbance> &;
+    [[nodiscard]] auto limits() const -> const std::vector<NamedLimit> &;
     /// When the faults began; before, daemons may still be starting.
     [[nodiscard]] auto startedAt() const -> BootTime;
     /// When the third key was withdrawn.
@@ -66,9 +79,18 @@
     auto killProcess() -> void;
     auto terminateProcess() -> void;
     auto changeConfiguration() -> void;
+    /// Has an engine name a limit, and another one when that crashes or leaves, until a fixed time. Call it periodically. It
+    /// takes no draw, so that seeds keep their order of faults.
+    auto limitEngine() -> void;
+    /// Replaces engines that have crashed, after the time in which the platform misses them.
+    auto replaceCrashed() -> void;
 
     /// Undoes a fault after a time, and notes it.
-    auto later(Milliseconds time, const std::string &kind, std::optional<std::size_t> daemon, std::function<void()> undo) -> void;
+    auto later(Milliseconds time,
+               const std::string &kind,
+               std::optional<std::size_t> daemon,
+               std::function<void()> undo,
+               std::set<std::size_t> cutDaemons = {}) -> void;
     auto awaitTermination(std::size_t daemon, BootTime deadline) -> void;
     /// A daemon whose process runs undisturbed; unset when at most half of them do.
     [[nodiscard]] auto undisturbedProcess() -> std::optional<std::size_t>;
@@ -81,6 +103,8 @@
     std::list<Disturbance> disturbances_;
     std::vector<bool> isProcessDisturbed_;
     std::vector<std::string> processFaults_;
+    std::vector<NamedLimit> limits_;
+    std::set<std::size_t> replacedEngines_;
     std::optional<BootTime> withdrawnAt_;
     BootTime startedAt_;
     int pending_ = 0;
