Ask the upstream whether it lives before an unframed answer counts as whole

Callers could see: the start of a stream or body as a complete success, when the upstream crashed in the middle of an answer that has neither a length nor chunks. Cause: such an answer ends with its connection, and a crash closes the connection in the same way unless unread bytes wait there. Only the attribution of crashes asked, and only for streams of at most one event. Change: the channel tells this end from a framed one; the run connects to the upstream once more, which takes one round trip, 0.3 s at most. If it refuses the connection, the answer is lost: it goes on elsewhere where it may, and is broken off visibly elsewhere. A framed answer clears its parts at once, also when the connection is not kept.

--- a/Source/Connection/ClientChannel.cpp
+++ b/Source/Connection/ClientChannel.cpp
@@ -130,7 +130,7 @@
     // An answer without a length ends with its connection, but not with a reset.
     if (end == ChannelEnd::Finished && reader_->state() == ReadState::Body && !isSkipping_) {
         if (reader_->feedEof() == ReadState::Done) {
-            finish(ExchangeEnd::Complete);
+            finish(ExchangeEnd::Closed);
             return;
         }
     }
--- a/Source/Connection/ClientChannel.h
+++ b/Source/Connection/ClientChannel.h
@@ -16,6 +16,8 @@
 {
     /// The answer is complete.
     Complete,
+    /// The answer has no length and ended in order with the connection: it is complete, unless the peer has crashed.
+    Closed,
     /// The connection ended before the answer did.
     Broken,
     /// The peer sent bytes that are no answer.
--- a/Source/Connection/HttpClient.cpp
+++ b/Source/Connection/HttpClient.cpp
@@ -44,7 +44,7 @@
         handlers.onEnd = [self = shared_from_this()](ExchangeEnd end) {
             self->pool.release(self->address, self->channel);
             self->channel = nullptr;
-            if (end == ExchangeEnd::Complete) {
+            if (end == ExchangeEnd::Complete || end == ExchangeEnd::Closed) {
                 self->finish(std::move(self->result));
             } else {
                 self->finish(HttpCallFailure { false });
--- a/Source/Connection/UpstreamRun.cpp
+++ b/Source/Connection/UpstreamRun.cpp
@@ -135,16 +135,23 @@
 
 auto UpstreamRun::endOversized() -> void
 {
-    parts_.directory.recordFailure(order_.upstream, BootClock::now());
+    recordLoss("oversized");
+    const auto channel = channel_;
+    channel->cancel();
+    finish(RunEnd::Invalid);
+}
+
+auto UpstreamRun::recordLoss(const char *how) -> void
+{
+    const BootTime now = BootClock::now();
+    parts_.directory.recordFailure(order_.upstream, now);
     EventLog::write("run_lost",
                     { { "request", order_.requestId },
                       { "upstream", order_.upstream },
-                      { "how", "oversized" },
+                      { "how", how },
                       { "had_head", hasHead_ },
-                      { "after_ms", millisecondsBetween(sentAt_, BootClock::now()) } });
-    const auto channel = channel_;
-    channel->cancel();
-    finish(RunEnd::Invalid);
+                      { "events", eventCount_ },
+                      { "after_ms", millisecondsBetween(sentAt_, now) } });
 }
 
 auto UpstreamRun::recordFirst() -> void
@@ -159,8 +166,8 @@
 
 auto UpstreamRun::takeEnd(ExchangeEnd end) -> void
 {
-    const BootTime now = BootClock::now();
-    if (end == ExchangeEnd::Complete && (terms_.isNotRun || terms_.isMisdirected)) {
+    const bool isEnded = end == ExchangeEnd::Complete || end == ExchangeEnd::Closed;
+    if (isEnded && (terms_.isNotRun || terms_.isMisdirected)) {
         if (terms_.isMisdirected) {
             // Another upstream has the address now: the one that this daemon knows is gone.
             parts_.directory.remove(order_.upstream);
@@ -172,32 +179,16 @@
         finish(RunEnd::NotRun);
         return;
     }
-    const bool isCut = end == ExchangeEnd::Complete && splitter_.hasPartial();
-    if (end == ExchangeEnd::Complete && !isCut) {
-        parts_.directory.recordSuccess(order_.upstream);
-        // An answer that is no success says nothing about the time that a request takes.
-        const bool isSuccess = HttpStatus::isSuccess(status_);
-        if (isSuccess) {
-            recordFirst();
-            recordAnswer();
-        }
-        if (isSuccess && order_.work == Work::Online && order_.isTimed) {
-            parts_.directory.recordServiceTime(order_.upstream, millisecondsBetween(sentAt_, now));
+    if (isEnded && !splitter_.hasPartial()) {
+        const bool mayBeCut = end == ExchangeEnd::Closed && HttpStatus::isSuccess(status_);
+        if (mayBeCut) {
+            finishClosed();
+        } else {
+            finishComplete(true);
         }
-        finish(RunEnd::Complete);
         return;
     }
-    parts_.directory.recordFailure(order_.upstream, now);
-    EventLog::write("run_lost",
-                    { { "request", order_.requestId },
-                      { "upstream", order_.upstream },
-                      { "how",
-                        end == ExchangeEnd::Malformed ? "malformed"
-                        : isCut                       ? "cut"
-                                                      : "broken" },
-                      { "had_head", hasHead_ },
-                      { "events", eventCount_ },
-                      { "after_ms", millisecondsBetween(sentAt_, now) } });
+    recordLoss(end == ExchangeEnd::Malformed ? "malformed" : isEnded ? "cut" : "broken");
     if (end == ExchangeEnd::Malformed) {
         finish(RunEnd::Invalid);
     } else {
@@ -205,56 +196,74 @@
     }
 }
 
-auto UpstreamRun::recordAnswer() -> void
+auto UpstreamRun::finishComplete(bool isEvidence) -> void
 {
-    CrashSuspects &crashes = parts_.crashes;
-    if (channel_->isReusable()) {
-        crashes.recordAnswer(order_.subject, BootClock::now());
-        return;
-    }
-    // A stream that ends with its connection looks whole, too, when the upstream crashes between two events.
-    const bool mayHaveCrashed = order_.isStream && eventCount_ <= 1;
-    if (!mayHaveCrashed && !crashes.isSuspect(order_.subject)) {
-        return;
+    parts_.directory.recordSuccess(order_.upstream);
+    // An answer that is no success says nothing about the time that a request takes.
+    if (HttpStatus::isSuccess(status_)) {
+        recordFirst();
+        if (isEvidence) {
+            parts_.crashes.recordAnswer(order_.subject, BootClock::now());
+        }
+        if (order_.work == Work::Online && order_.isTimed) {
+            parts_.directory.recordServiceTime(order_.upstream, millisecondsBetween(sentAt_, BootClock::now()));
+        }
     }
-    probe([&crashes, order = order_](Reachability reachability) {
-        if (reachability == Reachability::Accepting) {
-            crashes.recordAnswer(order.subject, BootClock::now());
-        } else if (reachability == Reachability::Refusing) {
-            recordCrash(crashes, order);
+    finish(RunEnd::Complete);
+}
+
+auto UpstreamRun::finishClosed() -> void
+{
+    probe([self = shared_from_this()](Reachability reachability) {
+        if (self->isDone_) {
+            return;
+        }
+        if (reachability != Reachability::Refusing) {
+            self->finishComplete(reachability == Reachability::Accepting);
+            return;
         }
+        self->recordLoss("closed");
+        self->recordCrash();
+        self->finish(RunEnd::Lost);
     });
 }
 
 auto UpstreamRun::finishLost() -> void
 {
-    // A request that crashes upstreams does so as its answer begins; an item of a job never does.
-    if (order_.work == Work::Batch || eventCount_ > 1) {
+    if (!mayCrashUpstreams()) {
         finish(RunEnd::Lost);
         return;
     }
     // The next attempt waits for the outcome, so that the request does not crash a further upstream meanwhile.
     probe([self = shared_from_this()](Reachability reachability) {
         if (reachability == Reachability::Refusing) {
-            recordCrash(self->parts_.crashes, self->order_);
+            self->recordCrash();
         }
         self->finish(RunEnd::Lost);
     });
 }
 
+auto UpstreamRun::mayCrashUpstreams() const -> bool
+{
+    return order_.work == Work::Online && eventCount_ <= 1;
+}
+
 auto UpstreamRun::probe(std::function<void(Reachability)> handler) -> void
 {
     Channel::probe(parts_.loop, order_.address, BootClock::now() + PROBE_TIME, std::move(handler));
 }
 
-auto UpstreamRun::recordCrash(CrashSuspects &crashes, const Order &order) -> void
+auto UpstreamRun::recordCrash() -> void
 {
-    crashes.recordCrash(order.subject, order.upstream, BootClock::now());
+    if (!mayCrashUpstreams()) {
+        return;
+    }
+    parts_.crashes.recordCrash(order_.subject, order_.upstream, BootClock::now());
     EventLog::write("upstream_died",
-                    { { "request", order.requestId },
-                      { "upstream", order.upstream },
-                      { "fingerprint", order.subject.request.substr(0, 16) },
-                      { "parts", absl::StrJoin(order.subject.parts, ",") } });
+                    { { "request", order_.requestId },
+                      { "upstream", order_.upstream },
+                      { "fingerprint", order_.subject.request.substr(0, 16) },
+                      { "parts", absl::StrJoin(order_.subject.parts, ",") } });
 }
 
 auto UpstreamRun::finish(RunEnd end) -> void
--- a/Source/Connection/UpstreamRun.h
+++ b/Source/Connection/UpstreamRun.h
@@ -80,6 +80,12 @@
     auto takeHead(const MessageHead &head) -> void;
     auto takeBody(std::string_view bytes) -> void;
     auto takeEnd(ExchangeEnd end) -> void;
+    /// Ends the run with a whole answer. "isEvidence" tells whether the upstream is known to live after it.
+    auto finishComplete(bool isEvidence) -> void;
+    /// Ends a run whose answer may be the start of one, after finding out whether the upstream has crashed.
+    auto finishClosed() -> void;
+    /// Logs that the answer did not come whole.
+    auto recordLoss(const char *how) -> void;
     auto finish(RunEnd end) -> void;
     auto release() -> void;
     /// Ends the run because its answer, or one event, exceeds what is held in memory.
@@ -87,9 +93,11 @@
     /// Ends the run, after finding out whether the upstream has crashed, if the request may be the cause.
     auto finishLost() -> void;
     auto probe(std::function<void(Reachability)> handler) -> void;
-    static auto recordCrash(CrashSuspects &crashes, const Order &order) -> void;
-    /// Records that the request was answered whole; asks the upstream first if the answer may be the start of one.
-    auto recordAnswer() -> void;
+    /// Attributes a crash of the upstream to the request, if it may be the cause.
+    auto recordCrash() -> void;
+    /// Whether a crash of the upstream may be due to the request: it crashes upstreams as its answer begins, and an item of
+    /// a job never does.
+    [[nodiscard]] auto mayCrashUpstreams() const -> bool;
     auto recordFirst() -> void;
 
     FrontParts &parts_;
--- a/Source/Process/CrashSuspects.cpp
+++ b/Source/Process/CrashSuspects.cpp
@@ -415,19 +415,6 @@
     return true;
 }
 
-auto CrashSuspects::isSuspect(const CrashSubject &subject) const -> bool
-{
-    const std::lock_guard lock(mutex_);
-    if (suspects_.empty()) {
-        return false;
-    }
-    const std::vector<std::string> keys = keysOf(subject);
-    return std::any_of(keys.begin(), keys.end(), [this](const std::string &key) {
-        const auto found = suspects_.find(key);
-        return found != suspects_.end() && !found->second.sightings.empty();
-    });
-}
-
 auto CrashSuspects::crashCount(const std::string &fingerprint, BootTime now) const -> int
 {
     const std::lock_guard lock(mutex_);
--- a/Source/Process/CrashSuspects.h
+++ b/Source/Process/CrashSuspects.h
@@ -110,8 +110,6 @@
     [[nodiscard]] auto dueTrial(const CrashSubject &subject, BootTime now) const -> std::optional<CrashTrial>;
     /// Records that a request is sent as a trial. False if one of this daemon is under way already.
     auto startTrial(const CrashTrial &trial, BootTime now) -> bool;
-    /// Whether crashes were recorded for the request or one of its parts, so that an answer to it is evidence.
-    [[nodiscard]] auto isSuspect(const CrashSubject &subject) const -> bool;
     /// Crashes under the request of that fingerprint, whatever explains them.
     [[nodiscard]] auto crashCount(const std::string &fingerprint, BootTime now) const -> int;
 
--- a/Tests/Connection/OnlinePathTest.cpp
+++ b/Tests/Connection/OnlinePathTest.cpp
@@ -526,7 +526,7 @@
     BOOST_TEST(contains(send(CHAT, chat).body, "request_crashes_upstreams"));
     std::this_thread::sleep_until(crashedAt + std::chrono::seconds(3));
     BOOST_TEST(send(CHAT, chat).status == 200);
-    BOOST_TEST(!daemon.crashes.isSuspect({ {}, shared }));
+    BOOST_TEST(!daemon.crashes.refusedUntil({ {}, shared }, BootClock::now()).has_value());
     BOOST_TEST(send(CHAT, chat).status == 200);
 }
 
