Send requests until a broken upstream has been drawn

The log shows six requests that all went to the other one, at an equal expected time of 5.1 ms: the choice between equal upstreams is drawn by lot, so six draws miss one of them once in 64 runs. Change: more requests are sent, up to 60, until the broken engine has had one; each answer is checked as before. The same for AnErrorDoesNotEndAStreamThatHasBegun, which drew eight times.

--- a/Tests/Connection/FrontDaemonTest.cpp
+++ b/Tests/Connection/FrontDaemonTest.cpp
@@ -105,7 +105,10 @@
 {
     PlatformFleet fleet(1, 2);
     fleet.engines[0]->behaviour().breakAfterEvents = 2;
-    for (int index = 0; index < 6; ++index) {
+    // Which of two equal upstreams gets a request is drawn by lot.
+    constexpr int REQUESTS = 6;
+    constexpr int MOST_REQUESTS = 60;
+    for (int index = 0; index < REQUESTS || (fleet.engines[0]->runs().empty() && index < MOST_REQUESTS); ++index) {
         const std::string id = absl::StrCat("m", index);
         const auto result = fleet.call(0, PlatformFleet::streamRequest("/resumed/x", id, "key1"));
         BOOST_REQUIRE(result.has_value());
@@ -123,7 +126,10 @@
     fleet.engines[0]->behaviour().breakAfterEvents = 2;
     fleet.engines[1]->behaviour().status = 500;
     int broken = 0;
-    for (int index = 0; index < 8; ++index) {
+    // Which of two equal upstreams gets a request is drawn by lot.
+    constexpr int REQUESTS = 8;
+    constexpr int MOST_REQUESTS = 60;
+    for (int index = 0; index < REQUESTS || (broken == 0 && index < MOST_REQUESTS); ++index) {
         const auto result = fleet.call(0, PlatformFleet::streamRequest("/resumed/x", absl::StrCat("e", index), "key1"));
         BOOST_TEST((!result.has_value() || result->status == 500));
         broken += result.has_value() ? 0 : 1;
