Send a trial of a refused part in the first half of a turn, and two of them

A crash under a trial that is sent at the end of a turn was not known at the next daemon when its turn began, so two trials could overlap; with three rounds and a stray request that is more than the three requests that the platform allows after the fifth crash. Change: a turn of a second has half a second for the trial. A part is tried after 2 and 30 s, no more after 60 s.

--- a/Source/Process/CrashSuspects.cpp
+++ b/Source/Process/CrashSuspects.cpp
@@ -22,15 +22,16 @@
 constexpr std::size_t REQUEST_CRASH_LIMIT = 2;
 constexpr std::size_t PART_CRASH_LIMIT = 3;
 constexpr std::size_t PART_REQUEST_LIMIT = 2;
-/// Times from the last crash to the next trial of a suspect. A request has one trial only: a caller that repeats one that
-/// crashes upstreams should cost few of them.
-constexpr std::array<Milliseconds, 3> PART_TRIAL_TIMES = { Milliseconds(2000), Milliseconds(10000), Milliseconds(60000) };
+/// Times from the last crash to the next trial of a suspect. With a trial that overlaps a turn they stay below the three
+/// requests that the platform allows after the fifth crash. A request has one trial only, since its caller may repeat it.
+constexpr std::array<Milliseconds, 2> PART_TRIAL_TIMES = { Milliseconds(2000), Milliseconds(30000) };
 constexpr std::array<Milliseconds, 1> REQUEST_TRIAL_TIMES = { Milliseconds(60000) };
 /// Crashes that lie further apart, once the suspect is refused, are those of separate trials.
 constexpr Milliseconds TRIAL_SEPARATION { 1500 };
-/// Time for which a daemon may send a due trial before it is the turn of another one, which may get more such requests.
-/// It exceeds the time in which the outcome reaches the fleet, so that two trials seldom overlap.
+/// Time until it is the turn of another daemon to send a due trial, which may get more such requests, and the part of it in
+/// which the trial may be sent. What is left exceeds the time in which a crash becomes known in the fleet.
 constexpr Milliseconds TRIAL_TURN { 1000 };
+constexpr Milliseconds TRIAL_SEND_TIME { 500 };
 /// Time for which a change is sent, so that the loss of a datagram does no harm.
 constexpr Milliseconds ANNOUNCEMENT_TIME { 1000 };
 /// How often a refused suspect is sent without a change, and for how long each time: at least the period of the messages.
@@ -398,7 +399,7 @@
     }
     const std::string &key = keys.front();
     const std::optional<BootTime> trialAt = refused().at(key).trialAt;
-    if (!trialAt || now < *trialAt || now < suspects_.at(key).trialUntil) {
+    if (!trialAt || now < *trialAt || (now - *trialAt) % TRIAL_TURN >= TRIAL_SEND_TIME || now < suspects_.at(key).trialUntil) {
         return std::nullopt;
     }
     return CrashTrial { key, absl::StrCat("trial/", key, "/", (now - *trialAt) / TRIAL_TURN) };
--- a/Source/Process/CrashSuspects.h
+++ b/Source/Process/CrashSuspects.h
@@ -105,8 +105,8 @@
     auto recordAnswer(const CrashSubject &subject, BootTime now) -> void;
     /// Until when the request is to be refused, which may end earlier; unset if it is not.
     [[nodiscard]] auto refusedUntil(const CrashSubject &subject, BootTime now) const -> std::optional<BootTime>;
-    /// The trial for which the refused request may serve; unset if none is due, if this daemon awaits the outcome of one, and
-    /// if the request has more than one refused suspect.
+    /// The trial for which the refused request may serve; unset if none is due or the turn is about to pass on, if this daemon
+    /// awaits the outcome of one, and if the request has more than one refused suspect.
     [[nodiscard]] auto dueTrial(const CrashSubject &subject, BootTime now) const -> std::optional<CrashTrial>;
     /// Records that a request is sent as a trial. False if one of this daemon is under way already.
     auto startTrial(const CrashTrial &trial, BootTime now) -> bool;
--- a/Tests/Process/CrashSuspectsTest.cpp
+++ b/Tests/Process/CrashSuspectsTest.cpp
@@ -171,7 +171,7 @@
 }
 
 // Guards against a sound part that is refused for long because a series of crashes met its only requests, and against trials
-// that cost many upstreams: one at a time, at growing intervals, and three in all.
+// that cost many upstreams: one at a time, at growing intervals, and two in all.
 BOOST_AUTO_TEST_CASE(ARefusedPartIsTriedAFewTimes)
 {
     CrashSuspects suspects;
@@ -180,14 +180,16 @@
         suspects.recordCrash(subject(crash, { "rare" }), absl::StrCat("u", crash), NOW);
     }
     BootTime last = NOW;
-    for (const Milliseconds wait : { Milliseconds(2000), Milliseconds(10000), Milliseconds(60000) }) {
+    for (const Milliseconds wait : { Milliseconds(2000), Milliseconds(30000) }) {
         BOOST_TEST(!suspects.dueTrial(request, last + wait - Milliseconds(1)).has_value());
         const BootTime due = last + wait;
         CrashSuspects other;
         other.merge(sent(suspects.allStates(due)), due);
         const auto trial = suspects.dueTrial(request, due);
         BOOST_REQUIRE(trial.has_value());
-        BOOST_TEST((other.dueTrial(subject(10, { "rare" }), due + Milliseconds(500)) == trial));
+        BOOST_TEST((other.dueTrial(subject(10, { "rare" }), due + Milliseconds(400)) == trial));
+        // A crash just before the next turn would not be known at its daemon.
+        BOOST_TEST(!other.dueTrial(request, due + Milliseconds(900)).has_value());
         BOOST_TEST(isRefused(suspects, request, due));
         BOOST_TEST(suspects.startTrial(*trial, due));
         BOOST_TEST(!suspects.startTrial(*trial, due));
@@ -218,7 +220,7 @@
     for (int crash = 0; crash < 4; ++crash) {
         suspects.recordCrash(subject(100 + crash, { "bad" }), absl::StrCat("v", crash), NOW);
     }
-    const BootTime due = NOW + std::chrono::seconds(3);
+    const BootTime due = NOW + Milliseconds(2100);
     BOOST_TEST(suspects.dueTrial(subject(50, { "common" }), due).has_value());
     BOOST_TEST(!suspects.dueTrial(subject(51, { "common", "bad" }), due).has_value());
     BOOST_TEST(!suspects.dueTrial(subject(52, { "sound" }), due).has_value());
