--- a/Source/Process/CrashSuspects.cpp
+++ b/Source/Process/CrashSuspects.cpp
@@ -22,8 +22,8 @@
 constexpr std::size_t REQUEST_CRASH_LIMIT = 2;
 constexpr std::size_t PART_CRASH_LIMIT = 3;
 constexpr std::size_t PART_REQUEST_LIMIT = 2;
-/// Times from the last crash to the next trial of a suspect. With a trial that overlaps a turn they stay below the three
-/// requests that the platform allows after the fifth crash. A request has one trial only, since its caller may repeat it.
+/// Times from the last crash to the next trial of a suspect. They are few enough for the three requests that
+/// the platform allows after the fifth crash. A request has one trial only, since its caller may repeat it.
 constexpr std::array<Milliseconds, 2> PART_TRIAL_TIMES = { Milliseconds(2000), Milliseconds(30000) };
 constexpr std::array<Milliseconds, 1> REQUEST_TRIAL_TIMES = { Milliseconds(60000) };
 /// Crashes that lie further apart, once the suspect is refused, are those of separate trials.
