--- a/Tests/Failure/FrontSoakTest.cpp
+++ b/Tests/Failure/FrontSoakTest.cpp
@@ -22,8 +22,8 @@
 /// given up at their due time, so no job is open longer.
 constexpr Milliseconds HEAL_TIME { 25000 };
 
-/// Run with each test run; 2 has requests that crash engines. Seeds that failed are kept: 3 (a resumed stream ended by an error looked complete), 28 (a job
-/// whose take-over stopped after its claim), 36 (a team above its allowance when its home started again).
+/// Run with each test run; 2 has requests that crash engines. Seeds that failed are kept: 3 (a resumed stream ended by an error looked
+/// complete), 28 (a job whose take-over stopped after its claim), 36 (a team above its allowance when its home started again).
 constexpr std::uint64_t CI_SEEDS[] = { 1, 2, 3, 28, 36 };
 
 /// POPLARDOCK_SOAK_SEEDS=FIRST-LAST runs other seeds than those of CI. POPLARDOCK_SOAK_KNOWN_RED names those of CI, separated
