--- a/Tests/Support/FrontProcesses.cpp
+++ b/Tests/Support/FrontProcesses.cpp
@@ -154,7 +154,10 @@
 
 auto FrontProcesses::removeEntry(std::size_t engine) -> void
 {
-    store.remove("servers", engines[engine].server->name());
+    const std::string name = engines[engine].server->name();
+    if (!store.specOf("servers", name).empty()) {
+        store.remove("servers", name);
+    }
 }
 
 auto FrontProcesses::livingEngines() const -> std::vector<std::size_t>
--- a/Tests/Support/FrontProcesses.h
+++ b/Tests/Support/FrontProcesses.h
@@ -56,7 +56,7 @@
     auto crashEngine(std::size_t engine) -> void;
     /// Ends all misbehaviour of the engine but its crashes on CRASHING_PART, and keeps its limit.
     auto resetBehaviour(std::size_t engine) -> void;
-    /// Removes the engine's entry from the store.
+    /// Removes the engine's entry from the store; an engine that crashes while it leaves has none any more.
     auto removeEntry(std::size_t engine) -> void;
     /// Engines that have neither left nor crashed.
     [[nodiscard]] auto livingEngines() const -> std::vector<std::size_t>;
