--- a/Source/Connection/UpstreamRun.h
+++ b/Source/Connection/UpstreamRun.h
@@ -84,7 +84,7 @@
     auto finishComplete(bool isEvidence) -> void;
     /// Ends a run whose answer may be the start of one, after finding out whether the upstream has crashed.
     auto finishClosed() -> void;
-    /// Logs that the answer did not come whole.
+    /// Counts the run as a failure of the upstream and logs why the answer did not come whole.
     auto recordLoss(const char *how) -> void;
     auto finish(RunEnd end) -> void;
     auto release() -> void;
