--- a/review/build.sh
+++ b/review/build.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# Builds what the scripts of the cases start, besides the program itself. Needs the packages of the deploy file and libboost-test-dev.
+# Builds what the scripts of the cases start, besides the program itself. Needs the packages of the deploy file and no others.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 cmake -S review -B build-review -DCMAKE_BUILD_TYPE=Release >/dev/null
