--- a/review/3/Case3.cpp
+++ b/review/3/Case3.cpp
@@ -21,10 +21,12 @@
       R"("targetLatencyMs":300,"targetGapMs":300,"service":"models","maxAttempts":3})";
 constexpr const char *TENANTS = R"({"name":"weavers","apiKeys":["key1"]})";
 constexpr int BATCHES = 5;
-constexpr int ITEMS = 8;
-constexpr int STREAMS = 20;
+constexpr int ITEMS = 120;
+constexpr int STREAMS = 450;
 constexpr int EVENTS = 12;
-constexpr Milliseconds READ_TIME { 20000 };
+constexpr Milliseconds READ_TIME { 60000 };
+/// One in so many answers of the faulty server is spoilt: 0.02 of them.
+constexpr int SPOILT_PERIOD = 50;
 /// Bytes that are no events, with line breaks among them.
 constexpr const char *NOISE = "\x15\x03\x01 \x7f noise\n\n<html>\n\nnoise";
 
@@ -58,6 +60,8 @@
         readStreams();
         submitBatches();
         readBatches();
+        record_.write(
+            absl::StrCat(STREAMS, " streams and ", BATCHES * ITEMS, " items; the faulty server gave ", faultyAnswers_, " answers"));
         record_.write(absl::StrCat(spoilt_.size(),
                                    " requests had a spoilt answer; ",
                                    wrongStreams_,
@@ -76,7 +80,8 @@
     auto answer(const std::shared_ptr<ScriptedServer::Connection> &connection, const MessageHead &head, bool isFaulty) -> void
     {
         const std::string id(head.headers.valueOf("Request-Id"));
-        if (!isFaulty) {
+        faultyAnswers_ += isFaulty ? 1 : 0;
+        if (!isFaulty || faultyAnswers_ % SPOILT_PERIOD != 0) {
             connection->channel->send(streamAnswer(id, EVENTS));
             return;
         }
@@ -103,7 +108,9 @@
             const HttpResult result = fleet_.call(static_cast<std::size_t>(stream) % 3, call, Milliseconds(5000));
             const bool isWrong = result.status == HttpStatus::OK && result.body != eventsOf(id, EVENTS);
             wrongStreams_ += isWrong ? 1 : 0;
-            record_.write(absl::StrCat(id, ": ", result.status, spoilt_.contains(id) ? ", a server spoilt its answer" : ""));
+            if (result.status != HttpStatus::OK || spoilt_.contains(id)) {
+                record_.write(absl::StrCat(id, ": ", result.status, spoilt_.contains(id) ? ", a server spoilt its answer" : ""));
+            }
             if (isWrong) {
                 record_.write(absl::StrCat("  the stream looks complete and begins: ", printable(result.body.substr(0, 50))));
             }
@@ -166,6 +173,7 @@
     std::vector<std::unique_ptr<ScriptedServer>> servers_;
     /// Requests whose answer was spoilt at least once.
     std::set<std::string> spoilt_;
+    int faultyAnswers_ = 0;
     int wrongStreams_ = 0;
     int wrongResults_ = 0;
     int missing_ = 0;
--- a/review/4/Case4.cpp
+++ b/review/4/Case4.cpp
@@ -17,7 +17,11 @@
     = R"({"name":"batch","host":"shop.example","pathPrefix":"/batch/","kind":"batch","timeoutMs":15000,"targetLatencyMs":400,)"
       R"("service":"models","maxAttempts":2,"targetCompletionMs":18000,"retentionS":60})";
 constexpr const char *TENANTS = R"({"name":"weavers","apiKeys":["key1"]})";
-constexpr int BATCHES = 8;
+constexpr int BATCHES = 12;
+/// Items of a sound batch before each of them.
+constexpr int SOUND_ITEMS = 70;
+/// The copies stay within this part of the faulty server's answers.
+constexpr double LARGEST_DOSE = 0.03;
 constexpr int EVENTS = 5;
 constexpr int READS = 15;
 
@@ -26,7 +30,8 @@
 public:
     Case()
         : fleet_(loop_, record_, { "dixie-east-a", "dixie-east-b", "dixie-east-c" })
-        , server_(loop_, "server0", [this](const auto &connection, const MessageHead &head) { answer(connection, head); })
+        , server_(loop_, "server0", [this](const auto &connection, const MessageHead &head) { answer(connection, head, true); })
+        , soundServer_(loop_, "server1", [this](const auto &connection, const MessageHead &head) { answer(connection, head, false); })
     {
     }
 
@@ -34,6 +39,7 @@
     {
         fleet_.configure(ROUTES, TENANTS);
         fleet_.registerServer(server_.name(), server_.address(), 8);
+        fleet_.registerServer(soundServer_.name(), soundServer_.address(), 8);
         for (std::size_t daemon = 0; daemon < fleet_.daemons.size(); ++daemon) {
             fleet_.start(daemon);
         }
@@ -47,6 +53,7 @@
         for (int batch = 0; batch < BATCHES; ++batch) {
             const std::string id = absl::StrCat("batch", batch);
             const std::string item = absl::StrCat("item", batch);
+            runSoundBatch(batch);
             const HttpResult accepted = fleet_.call(
                 0,
                 submissionCall(
@@ -68,27 +75,56 @@
             record_.write(absl::StrCat(
                 item, isGivenUp ? " is listed as dead_lettered after " : " is listed, after ", failedRuns, " runs that ended with 500"));
         }
+        record_.write(absl::StrCat("server0 sent ", copies_, " copies beside ", answers_, " answers"));
         record_.write(
             absl::StrCat(BATCHES, " items, ", wrong, " given up before ", MAXIMUM_ATTEMPTS, " answers of 500, ", missing, " missing"));
         return wrong > 0 ? CaseExit::BROKEN : missing > 0 ? CaseExit::NOT_RUN : CaseExit::HELD;
     }
 
 private:
-    /// The first run of each item fails with 500, and the others are sound. A copy of the 500 is sent when the next request on
-    /// that connection has come.
-    auto answer(const std::shared_ptr<ScriptedServer::Connection> &connection, const MessageHead &head) -> void
+    auto runSoundBatch(int batch) -> void
+    {
+        const std::string id = absl::StrCat("sound", batch);
+        std::string items;
+        for (int item = 0; item < SOUND_ITEMS; ++item) {
+            absl::StrAppend(&items,
+                            items.empty() ? "" : ",",
+                            R"({"id":")",
+                            id,
+                            "i",
+                            item,
+                            R"(","path":"/batch/sheet","headers":{"Model":"m","Token-Count":"350,60"},"body":"","tokens":410})");
+        }
+        fleet_.call(0, submissionCall(id, KEY, items), Milliseconds(4000));
+        std::size_t listed = 0;
+        for (int read = 0; read < READS && listed < SOUND_ITEMS; ++read) {
+            listed += resultsIn(fleet_.call(1, resultsCall(id, KEY, listed), Milliseconds(2500))).size();
+        }
+        record_.write(absl::StrCat(listed, " of ", SOUND_ITEMS, " items of ", id, " are listed"));
+    }
+
+    /// The first run of each item of a batch that is not sound fails with 500, and the others are sound. The faulty server sends
+    /// a copy of the 500 when the next request on that connection has come.
+    auto answer(const std::shared_ptr<ScriptedServer::Connection> &connection, const MessageHead &head, bool isFaulty) -> void
     {
         const std::string item(head.headers.valueOf("Request-Id"));
-        if (failures_.contains(item)) {
-            record_.write(absl::StrCat("server0 runs ", item, ": 200"));
+        const std::string server = isFaulty ? "server0" : "server1";
+        answers_ += isFaulty ? 1 : 0;
+        const bool isSound = item.rfind("sound", 0) == 0;
+        if (failures_.contains(item) || isSound) {
+            if (!isSound) {
+                record_.write(absl::StrCat(server, " runs ", item, ": 200"));
+            }
             connection->channel->send(streamAnswer(item, EVENTS));
             return;
         }
         ++failures_[item];
-        record_.write(absl::StrCat("server0 runs ", item, ": 500", hasTrouble() ? ", which it will send once more" : ""));
+        const bool isCopied = isFaulty && hasTrouble() && copies_ + 1 <= LARGEST_DOSE * answers_;
+        copies_ += isCopied ? 1 : 0;
+        record_.write(absl::StrCat(server, " runs ", item, ": 500", isCopied ? ", which it will send once more" : ""));
         const std::string failure = absl::StrCat(answerHead(HttpStatus::SERVER_ERROR, item), "Content-Length: 0\r\n\r\n");
         connection->channel->send(failure);
-        connection->lateAnswer = hasTrouble() ? failure : std::string();
+        connection->lateAnswer = isCopied ? failure : std::string();
     }
 
     /// As the route says.
@@ -98,6 +134,10 @@
     CaseRecord record_;
     Deployment fleet_;
     ScriptedServer server_;
+    ScriptedServer soundServer_;
+    /// Of the faulty server.
+    int answers_ = 0;
+    int copies_ = 0;
     /// Runs of each item that ended with 500.
     std::map<std::string, int> failures_;
 };
