--- a/Source/Connection/JobService.cpp
+++ b/Source/Connection/JobService.cpp
@@ -163,11 +163,8 @@
                       { "ms", std::chrono::duration<double, std::milli>(WallClock::now() - record.submittedAt).count() } });
     switch (acceptance) {
     case JobRepository::Acceptance::Accepted:
-        if (isOwn && book_.find(record.id) == nullptr) {
-            book_.add(OwnedJob(record, items, {}));
-            if (record.version == 0) {
-                adoption_.verifyJob(record.id);
-            }
+        if (isOwn && book_.add(OwnedJob(record, items, {})) && record.version == 0) {
+            adoption_.verifyJob(record.id);
         }
         return jsonResult(HttpStatus::ACCEPTED, "{}");
     case JobRepository::Acceptance::Refused:
--- a/Source/Process/Batch/JobRegistry.cpp
+++ b/Source/Process/Batch/JobRegistry.cpp
@@ -35,9 +35,13 @@
 {
 }
 
-auto JobRegistry::add(OwnedJob job) -> void
+auto JobRegistry::add(OwnedJob job) -> bool
 {
     const std::string id = job.record().id;
+    if (entries_.contains(id)) {
+        EventLog::write("job_owned_already", { { "job", id } });
+        return false;
+    }
     EventLog::write("job_owned",
                     { { "job", id },
                       { "items", static_cast<std::uint64_t>(job.items().size()) },
@@ -46,6 +50,7 @@
     if (entries_[id]->job.isComplete()) {
         markDone(id);
     }
+    return true;
 }
 
 auto JobRegistry::drop(const std::string &id) -> void
--- a/Source/Process/Batch/JobRegistry.h
+++ b/Source/Process/Batch/JobRegistry.h
@@ -18,7 +18,8 @@
 
     JobRegistry(FrontParts &context, JobRepository &repository);
 
-    auto add(OwnedJob job) -> void;
+    /// Returns false for a job that is owned already: attempts and readers refer to that one, which stays as it is.
+    auto add(OwnedJob job) -> bool;
     /// Removes a job that another daemon owns now, and wakes its readers.
     auto drop(const std::string &id) -> void;
     /// Null for a job that this daemon does not own. The pointer is valid until the job is dropped.
--- a/Source/Process/Batch/JobRunner.cpp
+++ b/Source/Process/Batch/JobRunner.cpp
@@ -248,6 +248,7 @@
     active.isUrgent = waiting.rank == 0;
     active.dueAt = record.dueAt;
     active.initialEventCount = item->eventCount;
+    active.lastEventId = item->lastEventId;
     const auto attempt = active.attempt;
     active_[waiting.key] = std::move(active);
     attempt->start();
@@ -261,6 +262,11 @@
     if (item == nullptr || active == active_.end()) {
         return;
     }
+    if (item->phase != ItemPhase::Running || item->lastEventId != active->second.lastEventId) {
+        // The item's progress is not that of this attempt: its events would not join what the item has.
+        requeue(key, Milliseconds(0), "progress replaced");
+        return;
+    }
     active->second.lastEventAt = BootClock::now();
     const std::int64_t expectedId = item->lastEventId ? *item->lastEventId + 1 : 0;
     if (item->lastEventId && event.id && *event.id != expectedId) {
@@ -276,6 +282,7 @@
     ++item->eventCount;
     if (event.id) {
         item->lastEventId = event.id;
+        active->second.lastEventId = event.id;
     }
 }
 
--- a/Source/Process/Batch/JobRunner.h
+++ b/Source/Process/Batch/JobRunner.h
@@ -6,6 +6,7 @@
 
 #include <map>
 #include <memory>
+#include <optional>
 
 namespace poplardock {
 
@@ -49,6 +50,8 @@
         WallClock::time_point dueAt;
         /// Events of the item when the attempt started.
         int initialEventCount = 0;
+        /// The last event that the attempt was asked to go on after, or that it has brought.
+        std::optional<std::int64_t> lastEventId;
         HttpResult response;
     };
     struct WaitingItem
--- a/Source/Process/Batch/JobTakeover.cpp
+++ b/Source/Process/Batch/JobTakeover.cpp
@@ -125,14 +125,14 @@
     if (isDraining_) {
         return;
     }
-    for (auto each = incompleteTakeovers_.begin(); each != incompleteTakeovers_.end();) {
-        const auto next = std::next(each);
-        if (each->second <= now) {
-            const std::string id = each->first;
-            incompleteTakeovers_.erase(each);
-            takeOver(id);
+    std::vector<std::string> due;
+    for (const auto &[id, retryAt] : incompleteTakeovers_) {
+        if (retryAt <= now) {
+            due.push_back(id);
         }
-        each = next;
+    }
+    for (const std::string &id : due) {
+        takeOver(id);
     }
     for (const std::string &id : orphans) {
         if (isCheckDue(id, RECONCILE_PERIOD)) {
@@ -369,11 +369,14 @@
 
 auto JobTakeover::takeOver(const std::string &id) -> void
 {
-    if (!takingOver_.insert(id).second) {
+    // A retry may come due after another takeover of the job has succeeded, or its submission has.
+    incompleteTakeovers_.erase(id);
+    if (registry_.find(id) != nullptr || !takingOver_.insert(id).second) {
         return;
     }
     repository_.read(id, [this, id](const absl::StatusOr<JobRecord> &record) {
-        if (!record.ok() || !record->isOpen() || !needsTakeover(*record, BootClock::now())) {
+        const bool isOwned = registry_.find(id) != nullptr;
+        if (isOwned || !record.ok() || !record->isOpen() || !needsTakeover(*record, BootClock::now())) {
             endTakeover(id, "read", record.status());
             return;
         }
@@ -471,7 +474,12 @@
         const absl::Status status = job.applyProgress(progress);
         EventLog::write("job_progress_taken", { { "job", record.id }, { "ok", status.ok() }, { "reason", status.message() } });
     }
-    registry_.add(std::move(job));
+    if (!registry_.add(std::move(job))) {
+        // The claim and the fence are newer than what the owned job holds of the record and the log.
+        endTakeover(record.id, "done", absl::AlreadyExistsError("the job is owned already"));
+        verifyAgain(record.id);
+        return;
+    }
     registry_.scheduleCommit(record.id);
     context_.metrics.count("jobs_taken_over");
     endTakeover(record.id, "done", absl::OkStatus());
--- a/Tests/Connection/JobServiceTest.cpp
+++ b/Tests/Connection/JobServiceTest.cpp
@@ -557,6 +557,64 @@
     }
 }
 
+// Guards against an owner that takes its own job over while it runs the items, because the retry of a failed load comes after
+// the load has succeeded: the texts lack their first events.
+BOOST_AUTO_TEST_CASE(AnOwnedJobIsNotTakenOverAgain)
+{
+    constexpr int JOBS = 8;
+    constexpr int EVENTS = 60;
+    /// Every how often a daemon lists the records, and how long it waits before it retries a load.
+    constexpr Milliseconds LIST_PERIOD { 2000 };
+    constexpr Milliseconds RETRY_DELAY { 500 };
+    PlatformFleet fleet(2, 2);
+    for (const auto &engine : fleet.engines) {
+        engine->behaviour().events = EVENTS;
+        engine->behaviour().eventPause = Milliseconds(20);
+        engine->behaviour().declines = true;
+    }
+    for (int job = 0; job < JOBS; ++job) {
+        BOOST_TEST(fleet.call(0, PlatformFleet::submission(absl::StrCat("o", job), 2, "key1"))->status == 202);
+    }
+    FakeObjectStore::Faults refused;
+    refused.refuseStatus = 503;
+    refused.onlyTargets = "/payloads";
+    fleet.store.setFaults(refused);
+    fleet.runFor(Milliseconds(300));
+    fleet.killDaemon(0);
+    for (const auto &engine : fleet.engines) {
+        engine->behaviour().declines = false;
+    }
+    // Ends the refusals when a load has failed and the next list comes before its retry.
+    int lists = fleet.store.callCount("GET /-/objects/jobs?");
+    int loads = 0;
+    BootTime listedAt;
+    const bool isListDue = fleet.runUntil(
+        [&] {
+            const BootTime now = BootClock::now();
+            if (const int count = fleet.store.callCount("GET /-/objects/jobs?"); count > lists) {
+                lists = count;
+                listedAt = now;
+            }
+            const int count = fleet.store.callCount("GET /-/objects/payloads");
+            const bool hasFailed = std::exchange(loads, count) < count;
+            return hasFailed && now - listedAt > LIST_PERIOD - RETRY_DELAY + Milliseconds(50) && now - listedAt < LIST_PERIOD;
+        },
+        Milliseconds(15000));
+    BOOST_TEST(isListDue);
+    fleet.store.setFaults({});
+    for (int job = 0; job < JOBS; ++job) {
+        for (const JobResult &result : awaitResults(fleet, 1, absl::StrCat("o", job), 2)) {
+            BOOST_TEST(result.isCompleted);
+            BOOST_TEST(result.text == FakeEngine::dataOf(result.itemId, EVENTS));
+        }
+    }
+    for (const auto &engine : fleet.engines) {
+        for (const FakeEngine::Run &run : engine->runs()) {
+            BOOST_TEST(run.isComplete);
+        }
+    }
+}
+
 // Guards against a batch item that is never placed again because upstreams crashed while they ran it: the crashes were not
 // its fault, and it is still owed.
 BOOST_AUTO_TEST_CASE(AnItemUnderWhichUpstreamsCrashedIsCompleted)
