--- a/Source/Connection/OnlineRun.cpp
+++ b/Source/Connection/OnlineRun.cpp
@@ -112,6 +112,7 @@
     run.upstream = view.name;
     run.address = upstream->address;
     run.isStream = isStream();
+    run.needsEventIds = isStream() && order_.route->isResumable;
     run.needsFreshConnection = !order_.route->isRetryable;
     run.isTimed = view.online + view.batch < view.slots;
     run.subject = order_.subject;
@@ -243,6 +244,7 @@
     const HttpResult result = std::move(result_);
     end();
     if (caller->hasBegun()) {
+        caller->sendPiece(result.body);
         caller->finish();
     } else {
         caller->reply(result);
--- a/Source/Connection/UpstreamRun.cpp
+++ b/Source/Connection/UpstreamRun.cpp
@@ -118,6 +118,10 @@
     } else {
         splitter_.feed(bytes);
         for (auto event = splitter_.next(); event && !isDone_; event = isDone_ ? std::nullopt : splitter_.next()) {
+            if (order_.needsEventIds && !event->id) {
+                endInvalid("event_without_id");
+                return;
+            }
             recordFirst();
             ++eventCount_;
             handlers_.onEvent(*event);
@@ -126,16 +130,18 @@
     if (isDone_) {
         return;
     }
-    if (bodyBytes_ > MAXIMUM_ANSWER_BYTES || splitter_.partialBytes() > MAXIMUM_ANSWER_BYTES) {
-        endOversized();
+    if (splitter_.isMalformed()) {
+        endInvalid("no_event_stream");
+    } else if (bodyBytes_ > MAXIMUM_ANSWER_BYTES || splitter_.heldBytes() > MAXIMUM_ANSWER_BYTES) {
+        endInvalid("oversized");
     } else if (isWhole) {
         handlers_.onBody(bytes);
     }
 }
 
-auto UpstreamRun::endOversized() -> void
+auto UpstreamRun::endInvalid(const char *how) -> void
 {
-    recordLoss("oversized");
+    recordLoss(how);
     const auto channel = channel_;
     channel->cancel();
     finish(RunEnd::Invalid);
@@ -209,6 +215,9 @@
             parts_.directory.recordServiceTime(order_.upstream, millisecondsBetween(sentAt_, BootClock::now()));
         }
     }
+    if (const std::string rest = splitter_.takeRest(); !rest.empty()) {
+        handlers_.onBody(rest);
+    }
     finish(RunEnd::Complete);
 }
 
--- a/Source/Connection/UpstreamRun.h
+++ b/Source/Connection/UpstreamRun.h
@@ -27,7 +27,8 @@
 {
     /// The head of the answer; not called for answers that say "not run".
     std::function<void(const MessageHead &)> onHead;
-    /// Bytes of the body of a plain answer, or of one that is no success.
+    /// Bytes of the body of a plain answer, or of one that is no success; for a successful stream that is complete, those
+    /// that follow its last event.
     std::function<void(std::string_view)> onBody;
     /// A whole event of a successful stream.
     std::function<void(const StreamEvent &)> onEvent;
@@ -49,6 +50,8 @@
         std::string address;
         Work work = Work::Online;
         bool isStream = false;
+        /// The events may have to be joined with those of another attempt, so each one needs an id.
+        bool needsEventIds = false;
         /// A request that may not be repeated needs a connection that the upstream has certainly not closed.
         bool needsFreshConnection = false;
         /// The run is expected to find a free slot, so that its times tell the speed of the upstream.
@@ -88,8 +91,8 @@
     auto recordLoss(const char *how) -> void;
     auto finish(RunEnd end) -> void;
     auto release() -> void;
-    /// Ends the run because its answer, or one event, exceeds what is held in memory.
-    auto endOversized() -> void;
+    /// Closes the connection and ends the run: what comes is no answer to the request, or exceeds what is held in memory.
+    auto endInvalid(const char *how) -> void;
     /// Ends the run, after finding out whether the upstream has crashed, if the request may be the cause.
     auto finishLost() -> void;
     auto probe(std::function<void(Reachability)> handler) -> void;
--- a/Source/Process/Batch/JobRunner.cpp
+++ b/Source/Process/Batch/JobRunner.cpp
@@ -216,6 +216,7 @@
     order.address = upstream->address;
     order.work = Work::Batch;
     order.isStream = true;
+    order.needsEventIds = true;
     order.subject = { crashFingerprint(record.team, item->item.path, item->item.body),
                       context_.dialect.requestTerms(order.call.headers).sharedParts };
     RunHandlers handlers;
@@ -269,9 +270,9 @@
     }
     active->second.lastEventAt = BootClock::now();
     const std::int64_t expectedId = item->lastEventId ? *item->lastEventId + 1 : 0;
-    if (item->lastEventId && event.id && *event.id != expectedId) {
+    if (item->lastEventId && event.id != expectedId) {
         // The events of successive attempts must join without a gap; otherwise the item restarts from its first event.
-        EventLog::write("item_event_out_of_order", { { "item", key.item }, { "event", *event.id }, { "due", expectedId } });
+        EventLog::write("item_event_out_of_order", { { "item", key.item }, { "event", event.id.value_or(-1) }, { "due", expectedId } });
         item->lastEventId.reset();
         item->text.clear();
         item->eventCount = 0;
@@ -280,10 +281,8 @@
     }
     item->text.append(item->eventCount > 0 ? "\n" : "").append(event.data);
     ++item->eventCount;
-    if (event.id) {
-        item->lastEventId = event.id;
-        active->second.lastEventId = event.id;
-    }
+    item->lastEventId = event.id;
+    active->second.lastEventId = event.id;
 }
 
 auto JobRunner::onAttemptEnd(const ItemKey &key, RunEnd end) -> void
--- a/Source/Request/EventSplitter.cpp
+++ b/Source/Request/EventSplitter.cpp
@@ -1,7 +1,11 @@
 #include "Request/EventSplitter.h"
 
+#include <absl/strings/ascii.h>
 #include <absl/strings/numbers.h>
 
+#include <algorithm>
+#include <utility>
+
 namespace poplardock {
 
 namespace {
@@ -24,21 +28,37 @@
     return Line { bytes.substr(begin, end - begin), lineFeed + 1 };
 }
 
+/// The value after the colon; empty for a line without one.
 auto valueOf(std::string_view line) -> std::string_view
 {
-    std::string_view value = line.substr(line.find(':') + 1);
+    const std::size_t colon = line.find(':');
+    std::string_view value = colon == std::string_view::npos ? std::string_view() : line.substr(colon + 1);
     if (!value.empty() && value.front() == ' ') {
         value.remove_prefix(1);
     }
     return value;
 }
 
+/// Whether a line is a field or a comment. Names of fields that this product does not know are allowed before a colon.
+auto isField(std::string_view line) -> bool
+{
+    const std::size_t colon = line.find(':');
+    const std::string_view name = line.substr(0, colon);
+    if (colon == std::string_view::npos) {
+        return name == "data" || name == "id" || name == "event" || name == "retry";
+    }
+    return std::all_of(name.begin(), name.end(), [](char each) {
+        return absl::ascii_isalnum(static_cast<unsigned char>(each)) || each == '-' || each == '_';
+    });
+}
+
 } // namespace
 
 auto EventSplitter::feed(std::string_view bytes) -> void
 {
     buffer_.erase(0, consumed_);
     parsed_ -= consumed_;
+    blockBegin_ -= consumed_;
     consumed_ = 0;
     buffer_.append(bytes);
 }
@@ -46,20 +66,25 @@
 auto EventSplitter::next() -> std::optional<StreamEvent>
 {
     const std::string_view bytes = buffer_;
-    while (const auto line = lineAt(bytes, parsed_)) {
+    while (const auto line = isMalformed_ ? std::nullopt : lineAt(bytes, parsed_)) {
         parsed_ = line->end;
         if (line->text.empty()) {
-            StreamEvent event = std::move(partial_);
-            event.raw = bytes.substr(consumed_, parsed_ - consumed_);
-            consumed_ = parsed_;
-            partial_ = {};
-            hasData_ = false;
-            return event;
+            const bool isEvent = std::exchange(hasData_, false);
+            StreamEvent event = std::exchange(partial_, {});
+            blockBegin_ = parsed_;
+            if (isEvent) {
+                event.raw = bytes.substr(consumed_, parsed_ - consumed_);
+                consumed_ = parsed_;
+                return event;
+            }
+            continue;
         }
-        if (line->text.starts_with("data:")) {
+        isMalformed_ = !isField(line->text);
+        const std::string_view name = line->text.substr(0, line->text.find(':'));
+        if (name == "data") {
             partial_.data.append(hasData_ ? "\n" : "").append(valueOf(line->text));
             hasData_ = true;
-        } else if (line->text.starts_with("id:")) {
+        } else if (name == "id") {
             const std::string_view value = valueOf(line->text);
             std::int64_t id = 0;
             partial_.id = absl::SimpleAtoi(absl::string_view(value.data(), value.size()), &id) ? std::optional(id) : std::nullopt;
@@ -68,14 +93,26 @@
     return std::nullopt;
 }
 
+auto EventSplitter::isMalformed() const -> bool
+{
+    return isMalformed_;
+}
+
 auto EventSplitter::hasPartial() const -> bool
 {
-    return partialBytes() > 0;
+    return buffer_.size() > blockBegin_;
 }
 
-auto EventSplitter::partialBytes() const -> std::size_t
+auto EventSplitter::heldBytes() const -> std::size_t
 {
     return buffer_.size() - consumed_;
 }
 
+auto EventSplitter::takeRest() -> std::string
+{
+    std::string rest = buffer_.substr(consumed_, blockBegin_ - consumed_);
+    consumed_ = blockBegin_;
+    return rest;
+}
+
 } // namespace poplardock
--- a/Tests/Fakes/FakeEngine.cpp
+++ b/Tests/Fakes/FakeEngine.cpp
@@ -189,9 +189,14 @@
         return;
     }
     arrivals_.push_back(BootClock::now());
+    if (behaviour_.repeatsFormerAnswer) {
+        connection->channel->send(connection->formerAnswer);
+    }
     if (behaviour_.declines) {
-        connection->channel->send(absl::StrCat(
-            "HTTP/1.1 503 Service Unavailable\r\nNot-Executed: 1\r\nRequest-Id: ", idOf(head), "\r\nContent-Length: 0\r\n\r\n"));
+        sendWhole(connection,
+                  absl::StrCat("HTTP/1.1 503 Service Unavailable\r\nNot-Executed: 1\r\nRequest-Id: ",
+                               idOf(head),
+                               "\r\nContent-Length: 0\r\n\r\n"));
         return;
     }
     connection->run = std::make_shared<Run>();
@@ -218,6 +223,12 @@
     }
 }
 
+auto FakeEngine::sendWhole(const std::shared_ptr<Connection> &connection, const std::string &answer) -> void
+{
+    connection->formerAnswer = answer;
+    connection->channel->send(answer);
+}
+
 auto FakeEngine::answerPlain(const std::shared_ptr<Connection> &connection) -> void
 {
     const std::string body = absl::StrCat("answer to ", connection->run->body);
@@ -230,8 +241,7 @@
         connection->channel->close();
         return;
     }
-    connection->channel->send(
-        absl::StrCat(head, "Content-Length: ", body.size(), "\r\n\r\n", body, behaviour_.sendsExtraBytes ? "extra" : ""));
+    sendWhole(connection, absl::StrCat(head, "Content-Length: ", body.size(), "\r\n\r\n", body, behaviour_.sendsExtraBytes ? "extra" : ""));
     take(connection);
 }
 
@@ -260,6 +270,16 @@
 auto FakeEngine::sendEvent(const std::shared_ptr<Connection> &connection, std::int64_t number) -> void
 {
     connection->timer = loop_.at(BootClock::now() + behaviour_.eventPause, [this, connection, number] {
+        if (!behaviour_.comment.empty()) {
+            connection->channel->send(framed(behaviour_.comment));
+        }
+        if (!behaviour_.noise.empty() && connection->run->sent >= behaviour_.eventsBeforeNoise) {
+            connection->channel->send(framed(behaviour_.noise));
+            connection->run->isCut = true;
+            connection->run = nullptr;
+            loop_.post([connection] { connection->channel->close(); });
+            return;
+        }
         if (number >= behaviour_.events) {
             endStream(connection);
             return;
--- a/Tests/Fakes/FakeEngine.h
+++ b/Tests/Fakes/FakeEngine.h
@@ -29,8 +29,16 @@
         bool losesAnswers = false;
         /// An answer to another request is sent before the right one.
         bool sendsStrayAnswer = false;
+        /// A copy of the former answer on the same connection is sent before the right one, if that was not a stream.
+        bool repeatsFormerAnswer = false;
         /// Bytes that belong to no request follow each answer.
         bool sendsExtraBytes = false;
+        /// Bytes in the body of each stream after "eventsBeforeNoise" events of the run; the connection then ends in order. Empty
+        /// for none.
+        std::string noise;
+        int eventsBeforeNoise = 0;
+        /// Bytes before each event and before the end of a sound stream.
+        std::string comment;
         /// Answers have neither a length nor chunks and end with the connection.
         bool omitsLength = false;
         /// Requests are read and never answered.
@@ -92,11 +100,14 @@
         std::shared_ptr<Channel> channel;
         MessageReader reader { MessageReader::Kind::Request, { 65536, 1U << 20U } };
         std::shared_ptr<Run> run;
+        /// The last answer that was no stream.
+        std::string formerAnswer;
         Timer timer;
     };
 
     auto accept(std::shared_ptr<Channel> channel) -> void;
     auto take(const std::shared_ptr<Connection> &connection) -> void;
+    static auto sendWhole(const std::shared_ptr<Connection> &connection, const std::string &answer) -> void;
     auto answerPlain(const std::shared_ptr<Connection> &connection) -> void;
     auto beginStream(const std::shared_ptr<Connection> &connection) -> void;
     auto sendEvent(const std::shared_ptr<Connection> &connection, std::int64_t number) -> void;
