--- a/Source/Connection/ClientChannel.cpp
+++ b/Source/Connection/ClientChannel.cpp
@@ -2,6 +2,8 @@
 
 #include <absl/strings/str_cat.h>
 
+#include <algorithm>
+
 namespace poplardock {
 
 namespace {
@@ -81,9 +83,19 @@
     channel_->resume();
 }
 
+auto ClientChannel::recordRequest(const std::string &requestId) -> void
+{
+    carriedIds_.push_back(std::hash<std::string>()(requestId));
+}
+
+auto ClientChannel::hasCarried(const std::string &requestId) const -> bool
+{
+    return std::find(carriedIds_.begin(), carriedIds_.end(), std::hash<std::string>()(requestId)) != carriedIds_.end();
+}
+
 auto ClientChannel::isReusable() const -> bool
 {
-    return !isRunning_ && channel_->isOpen();
+    return !isRunning_ && channel_->isOpen() && carriedIds_.size() < MAXIMUM_RECORDED_REQUESTS;
 }
 
 auto ClientChannel::usableUntil() const -> BootTime
--- a/Source/Connection/ClientChannel.h
+++ b/Source/Connection/ClientChannel.h
@@ -8,6 +8,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <vector>
 
 namespace poplardock {
 
@@ -51,6 +52,8 @@
     auto operator=(ClientChannel &&) -> ClientChannel & = delete;
     ~ClientChannel();
 
+    static constexpr std::size_t MAXIMUM_RECORDED_REQUESTS = 500;
+
     /// Call once after construction.
     auto start() -> void;
     /// Sends a request. Precondition: isReusable().
@@ -60,7 +63,11 @@
     /// Stops and continues reading the answer.
     auto pause() -> void;
     auto resume() -> void;
-    /// Whether another exchange may be sent now.
+    /// Records the id of the request that is sent next, since copies of its answer may come as long as the connection lives.
+    auto recordRequest(const std::string &requestId) -> void;
+    /// Whether a request with that id has been recorded; may be true by chance for another id.
+    [[nodiscard]] auto hasCarried(const std::string &requestId) const -> bool;
+    /// Whether another exchange may be sent now. False for good after MAXIMUM_RECORDED_REQUESTS ids.
     [[nodiscard]] auto isReusable() const -> bool;
     /// The connection must not be used after this time; the peer closes it then.
     [[nodiscard]] auto usableUntil() const -> BootTime;
@@ -84,6 +91,8 @@
     bool isSkipping_ = false;
     int skippedAnswers_ = 0;
     std::size_t skippedBytes_ = 0;
+    /// Hashes of the recorded ids.
+    std::vector<std::size_t> carriedIds_;
     BootTime idleSince_;
     BootTime usableUntil_ = BootTime::max();
 };
--- a/Source/Connection/ClientPool.cpp
+++ b/Source/Connection/ClientPool.cpp
@@ -1,5 +1,8 @@
 #include "Connection/ClientPool.h"
 
+#include <algorithm>
+#include <functional>
+
 namespace poplardock {
 
 namespace {
@@ -43,21 +46,32 @@
 
 ClientPool::~ClientPool() = default;
 
-auto ClientPool::acquire(const std::string &name, const std::string &address, Milliseconds freshness, Handler handler) -> bool
+auto ClientPool::acquire(const std::string &name,
+                         const std::string &address,
+                         Milliseconds freshness,
+                         const std::optional<std::string> &requestId,
+                         Handler handler) -> bool
 {
     const BootTime now = BootClock::now();
     const auto found = idle_->byName.find(name);
     if (found != idle_->byName.end()) {
         auto &channels = found->second;
-        while (!channels.empty()) {
-            const auto channel = channels.back();
-            channels.pop_back();
-            if (channel->isReusable() && now < channel->usableUntil() && now <= channel->idleSince() + freshness) {
-                handler(channel);
-                return true;
-            }
+        const auto isUsable = [now, freshness](const std::shared_ptr<ClientChannel> &channel) {
+            return channel->isReusable() && now < channel->usableUntil() && now <= channel->idleSince() + freshness;
+        };
+        std::erase_if(channels, std::not_fn(isUsable));
+        const auto latest = std::find_if(channels.rbegin(), channels.rend(), [&requestId](const auto &channel) {
+            return !requestId || !channel->hasCarried(*requestId);
+        });
+        const auto channel = latest == channels.rend() ? nullptr : *latest;
+        std::erase(channels, channel);
+        if (channels.empty()) {
+            idle_->byName.erase(found);
+        }
+        if (channel != nullptr) {
+            handler(channel);
+            return true;
         }
-        idle_->byName.erase(name);
     }
     ++connectCount_;
     const auto take = [idle = std::weak_ptr<Idle>(idle_), name, handler = std::move(handler)](const std::shared_ptr<Channel> &channel) {
--- a/Source/Connection/ClientPool.h
+++ b/Source/Connection/ClientPool.h
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -35,9 +36,14 @@
     auto operator=(ClientPool &&) -> ClientPool & = delete;
     ~ClientPool();
 
-    /// Hands out an idle connection that was idle for at most "freshness", at once, or a new one, later.
-    /// Returns true when the handler was called before the return.
-    auto acquire(const std::string &name, const std::string &address, Milliseconds freshness, Handler handler) -> bool;
+    /// Hands out an idle connection that was idle for at most "freshness", at once, or a new one, later. With a
+    /// "requestId", the connection has not carried a request with that id: a copy of the former answer would be taken for
+    /// the new one. Returns true when the handler was called before the return.
+    auto acquire(const std::string &name,
+                 const std::string &address,
+                 Milliseconds freshness,
+                 const std::optional<std::string> &requestId,
+                 Handler handler) -> bool;
     /// Takes a connection back; one that is not reusable is dropped.
     auto release(const std::string &name, const std::shared_ptr<ClientChannel> &channel) -> void;
     /// Closes idle connections to a peer that is gone.
--- a/Source/Connection/UpstreamRun.cpp
+++ b/Source/Connection/UpstreamRun.cpp
@@ -38,22 +38,27 @@
     parts_.limits.takeToken(order_.upstream, BootClock::now());
     isCounted_ = true;
     const Milliseconds freshness = order_.needsFreshConnection ? FRESH_REUSE_TIME : REUSE_TIME;
-    parts_.upstreams.acquire(
-        order_.upstream, order_.address, freshness, [self = shared_from_this()](const std::shared_ptr<ClientChannel> &channel) {
-            if (self->isDone_) {
-                if (channel != nullptr) {
-                    self->parts_.upstreams.release(self->order_.upstream, channel);
-                }
-                return;
-            }
-            if (channel == nullptr) {
-                self->parts_.directory.recordFailure(self->order_.upstream, BootClock::now());
-                EventLog::write("upstream_unreachable", { { "request", self->order_.requestId }, { "upstream", self->order_.upstream } });
-                self->finish(RunEnd::NotRun);
-                return;
-            }
-            self->send(channel);
-        });
+    const auto take = [self = shared_from_this()](const std::shared_ptr<ClientChannel> &channel) {
+        self->takeChannel(channel);
+    };
+    parts_.upstreams.acquire(order_.upstream, order_.address, freshness, order_.requestId, take);
+}
+
+auto UpstreamRun::takeChannel(const std::shared_ptr<ClientChannel> &channel) -> void
+{
+    if (isDone_) {
+        if (channel != nullptr) {
+            parts_.upstreams.release(order_.upstream, channel);
+        }
+        return;
+    }
+    if (channel == nullptr) {
+        parts_.directory.recordFailure(order_.upstream, BootClock::now());
+        EventLog::write("upstream_unreachable", { { "request", order_.requestId }, { "upstream", order_.upstream } });
+        finish(RunEnd::NotRun);
+        return;
+    }
+    send(channel);
 }
 
 auto UpstreamRun::send(const std::shared_ptr<ClientChannel> &channel) -> void
@@ -83,6 +88,7 @@
     handlers.onEnd = [self](ExchangeEnd end) {
         self->takeEnd(end);
     };
+    channel->recordRequest(order_.requestId);
     channel->exchange(encodeCall(order_.call), std::move(handlers));
 }
 
--- a/Source/Connection/UpstreamRun.h
+++ b/Source/Connection/UpstreamRun.h
@@ -79,6 +79,8 @@
     [[nodiscard]] auto hasFirst() const -> bool;
 
 private:
+    /// Gets the connection on which the request is sent, or null when none could be made.
+    auto takeChannel(const std::shared_ptr<ClientChannel> &channel) -> void;
     auto send(const std::shared_ptr<ClientChannel> &channel) -> void;
     auto takeHead(const MessageHead &head) -> void;
     auto takeBody(std::string_view bytes) -> void;
