--- a/Source/Connection/FrontService.cpp
+++ b/Source/Connection/FrontService.cpp
@@ -134,7 +134,7 @@
 {
     order.group = groupOf(*order.route, parts_.random());
     const BootTime now = BootClock::now();
-    const auto views = parts_.directory.candidates(order.group);
+    const auto views = parts_.directory.candidates(order.group, now);
     const auto passed = std::chrono::duration_cast<Milliseconds>(now - order.caller->receivedAt());
     const auto left = order.terms.patience ? std::optional(*order.terms.patience - passed) : std::nullopt;
     const Admission admission = admitOnline(views, order.route->target, left, now);
--- a/Source/Connection/OnlineRun.cpp
+++ b/Source/Connection/OnlineRun.cpp
@@ -75,7 +75,7 @@
         giveUp(mayHaveRun_ ? ResultCode::RetriesExhausted : ResultCode::RequestCrashesUpstreams, "such requests crash upstreams");
         return;
     }
-    const auto views = parts_.directory.candidates(order_.group);
+    const auto views = parts_.directory.candidates(order_.group, now);
     const auto choice = chooseForOnline(views, excluded_, now, parts_.random());
     if (!choice || declines_ >= MAXIMUM_DECLINES) {
         const bool isLimited = std::any_of(views.begin(), views.end(), [now](const UpstreamView &view) { return view.usableAt > now; });
@@ -284,7 +284,8 @@
     }
     auto excluded = excluded_;
     excluded.insert(run_->upstream());
-    const auto choice = chooseForOnline(parts_.directory.candidates(order_.group), excluded, BootClock::now(), parts_.random());
+    const BootTime now = BootClock::now();
+    const auto choice = chooseForOnline(parts_.directory.candidates(order_.group, now), excluded, now, parts_.random());
     if (!choice || choice->expectedMs > static_cast<double>(order_.route->target.count()) || !parts_.retries.tryAcquire(Clock::now())) {
         return;
     }
--- a/Source/Process/Batch/JobRunner.cpp
+++ b/Source/Process/Batch/JobRunner.cpp
@@ -173,7 +173,7 @@
 
 auto JobRunner::startItems(const std::string &group, const std::vector<const WaitingItem *> &waiting, BootTime now) -> void
 {
-    auto views = context_.directory.candidates(group);
+    auto views = context_.directory.candidates(group, now);
     const int reserve = BatchPlan::reservedSlots(context_.peers.propagationDelay());
     for (const std::string &upstream : BatchPlan::limitingUpstreams(views, reserve, now)) {
         context_.limits.recordShortage(upstream, now);
--- a/Source/Process/FrontDaemon.cpp
+++ b/Source/Process/FrontDaemon.cpp
@@ -339,8 +339,8 @@
     const BootTime now = BootClock::now();
     const bool wasPaused = now - lastCheckAt_ > CHECK_PERIOD + PAUSE_LIMIT;
     lastCheckAt_ = now;
-    if (store_.lostSince()) {
-        upstreams_.recordStoreLost(now);
+    if (const auto lostSince = store_.lostSince()) {
+        upstreams_.recordStoreLost(*lostSince, now);
     }
     const bool isAlone = peers_.isIsolated(now);
     if (wasPaused || (isAlone && !wasAlone_)) {
--- a/Source/Process/Load/UpstreamDirectory.cpp
+++ b/Source/Process/Load/UpstreamDirectory.cpp
@@ -86,13 +86,18 @@
     return count == 0 ? fallback : sum / count;
 }
 
-auto UpstreamDirectory::candidates(const std::string &group) const -> std::vector<UpstreamView>
+auto UpstreamDirectory::isUsable(const Entry &entry, BootTime now) -> bool
+{
+    return !entry.upstream.isDraining && (!entry.usableUntil || now < *entry.usableUntil);
+}
+
+auto UpstreamDirectory::candidates(const std::string &group, BootTime now) const -> std::vector<UpstreamView>
 {
     const double groupFirstEventMs = groupMean(group, &Entry::firstEventMs, DEFAULT_FIRST_EVENT_MS);
     const double groupServiceMs = groupMean(group, &Entry::serviceMs, DEFAULT_SERVICE_MS);
     std::vector<UpstreamView> views;
     for (const auto &[name, entry] : entries_) {
-        if (entry.upstream.group != group || entry.upstream.isDraining) {
+        if (entry.upstream.group != group || !isUsable(entry, now)) {
             continue;
         }
         const WorkCount own = countOf(ownWork_, name);
--- a/Source/Process/Load/UpstreamDirectory.h
+++ b/Source/Process/Load/UpstreamDirectory.h
@@ -52,7 +52,7 @@
     /// Null for an unknown upstream. The pointer is valid until the next change.
     [[nodiscard]] auto find(const std::string &name) const -> const Upstream *;
     /// Upstreams of a group that may be given new work, ordered by name. Includes suspect and ejected ones.
-    [[nodiscard]] auto candidates(const std::string &group) const -> std::vector<UpstreamView>;
+    [[nodiscard]] auto candidates(const std::string &group, BootTime now) const -> std::vector<UpstreamView>;
     [[nodiscard]] auto size() const -> std::size_t;
 
     /// Count work in flight. Each recordStart() is followed by one recordEnd().
@@ -86,6 +86,8 @@
         std::optional<double> serviceMs;
     };
 
+    /// Whether an upstream may be given new work: it is not leaving, and its time has not passed if it is suspect.
+    static auto isUsable(const Entry &entry, BootTime now) -> bool;
     /// Mean of a member over the upstreams of a group that have samples, "fallback" if there are none.
     [[nodiscard]] auto groupMean(const std::string &group, std::optional<double> Entry::*member, double fallback) const -> double;
 
--- a/Source/Process/Load/UpstreamFollower.cpp
+++ b/Source/Process/Load/UpstreamFollower.cpp
@@ -22,8 +22,11 @@
 constexpr Milliseconds INITIAL_WATCH_PAUSE { 1200 };
 /// Entries that expired during an outage of the store are registered again within two seconds of its return.
 constexpr Milliseconds REREGISTRATION_TIME { 2200 };
-/// Fraction of the removal bound for which an upstream without an entry may still be used.
-constexpr double SUSPECT_FRACTION = 0.7;
+/// Entries expire after several seconds without a heartbeat, so a shorter outage, or a watch that is cut off, takes none.
+constexpr Milliseconds OUTAGE_TIME { 1000 };
+/// Part of the removal bound that may pass before this daemon hears of the removal: the pause and the retry of the store
+/// watcher's watch, the period of the summaries, and the time-out of an earlier fetch.
+constexpr Milliseconds REMOVAL_NEWS_TIME { 1400 };
 /// Removals that are kept for peers. A peer that lags behind by more has to list the store.
 constexpr std::size_t MAX_REMOVALS = 1000;
 /// First words of a feed's lines: the revisions, an entry that is present, an entry that was removed.
@@ -78,15 +81,17 @@
     return watch_;
 }
 
-auto UpstreamFollower::recordStoreLost(BootTime now) -> void
+auto UpstreamFollower::recordStoreLost(BootTime lostSince, BootTime now) -> void
 {
-    storeLostAt_ = now;
+    if (now - lostSince >= OUTAGE_TIME) {
+        outageEnd_ = now;
+    }
 }
 
 auto UpstreamFollower::suspectUsableUntil(BootTime now) const -> BootTime
 {
-    const auto suspectTime = std::chrono::duration_cast<Milliseconds>(removalBound_ * SUSPECT_FRACTION);
-    return std::max(now + suspectTime, storeLostAt_ + REREGISTRATION_TIME);
+    const Milliseconds suspectTime = std::max(Milliseconds(0), removalBound_ - REMOVAL_NEWS_TIME);
+    return std::max(now + suspectTime, outageEnd_ + REREGISTRATION_TIME);
 }
 
 auto UpstreamFollower::handleList(const StoreList &list) -> void
@@ -103,6 +108,7 @@
         }
     }
     for (const std::string &name : removed) {
+        revision_ = std::max(revision_, list.revision);
         handleRemoval(name, list.revision);
     }
     hasSynced_ = true;
@@ -130,7 +136,9 @@
         return;
     }
     entries_.erase(name);
-    removals_[name] = revision;
+    // A peer that lags behind may supply an older removal.
+    std::uint64_t &removal = removals_[name];
+    removal = std::max(removal, revision);
     if (removals_.size() > MAX_REMOVALS) {
         removals_.erase(
             std::min_element(removals_.begin(), removals_.end(), [](const auto &a, const auto &b) { return a.second < b.second; }));
--- a/Source/Process/Load/UpstreamFollower.h
+++ b/Source/Process/Load/UpstreamFollower.h
@@ -34,8 +34,9 @@
     /// Revision of the store up to which all changes of entries are known.
     [[nodiscard]] auto syncedRevision() const -> std::uint64_t;
     [[nodiscard]] auto watch() -> KindWatch &;
-    /// To be called while the store does not respond: entries may expire that their upstreams renew once it is back.
-    auto recordStoreLost(BootTime now) -> void;
+    /// To be called while the store does not respond: entries may expire that their upstreams renew once it is back, if the
+    /// outage is long enough for that.
+    auto recordStoreLost(BootTime lostSince, BootTime now) -> void;
 
     /// Fetches and applies the changes that the peer at "IP:port" knows beyond this daemon.
     auto fetchFromPeer(const std::string &address) -> void;
@@ -63,7 +64,8 @@
     std::uint64_t revision_ = 0;
     std::uint64_t syncedRevision_ = 0;
     bool hasSynced_ = false;
-    BootTime storeLostAt_;
+    /// End of the last outage in which entries may have expired, as far as known.
+    BootTime outageEnd_;
     KindWatch watch_;
 };
 
--- a/Source/Process/Store/ObjectStore.cpp
+++ b/Source/Process/Store/ObjectStore.cpp
@@ -1,5 +1,7 @@
 #include "Process/Store/ObjectStore.h"
 
+#include <algorithm>
+
 namespace poplardock {
 
 namespace {
@@ -44,22 +46,22 @@
 {
 }
 
-auto ObjectStore::send(const HttpCall &call, Milliseconds timeout, ResultHandler handler) -> void
+auto ObjectStore::send(const HttpCall &call, Milliseconds wait, Milliseconds timeout, ResultHandler handler) -> void
 {
-    sendOnce(call, timeout, call.method == "GET", std::move(handler));
+    sendOnce(call, wait, timeout, call.method == "GET", std::move(handler));
 }
 
-auto ObjectStore::sendOnce(const HttpCall &call, Milliseconds timeout, bool isRetryable, ResultHandler handler) -> void
+auto ObjectStore::sendOnce(const HttpCall &call, Milliseconds wait, Milliseconds timeout, bool isRetryable, ResultHandler handler) -> void
 {
     const BootTime sentAt = BootClock::now();
     client_.call(address_,
                  call,
-                 sentAt + timeout,
-                 [this, call, timeout, isRetryable, sentAt, handler = std::move(handler)](const HttpCallOutcome &outcome) {
+                 sentAt + wait + timeout,
+                 [this, call, wait, timeout, isRetryable, sentAt, handler = std::move(handler)](const HttpCallOutcome &outcome) {
                      const auto *result = std::get_if<HttpResult>(&outcome);
                      if (result == nullptr && isRetryable && BootClock::now() - sentAt < RETRY_WINDOW) {
                          // Most likely a pooled connection that the store had closed; the store itself is reachable.
-                         sendOnce(call, timeout, false, handler);
+                         sendOnce(call, wait, timeout, false, handler);
                          return;
                      }
                      const bool hasContact = result != nullptr && result->status != HttpStatus::TOO_MANY_REQUESTS
@@ -68,7 +70,7 @@
                          lostSince_.reset();
                      } else {
                          ++counts_.failures;
-                         lostSince_ = lostSince_.value_or(sentAt);
+                         lostSince_ = lostSince_.value_or(std::min(sentAt + wait, BootClock::now()));
                      }
                      if (result == nullptr) {
                          const bool isNotSent = std::get<HttpCallFailure>(outcome).isNotSent;
@@ -88,7 +90,7 @@
 {
     ++counts_.reads;
     ++callsByKind_["read " + kind];
-    send(adapter_.readCall(kind, name), CALL_TIMEOUT, [this, kind, handler = std::move(handler)](const auto &result) {
+    send(adapter_.readCall(kind, name), Milliseconds(0), CALL_TIMEOUT, [this, kind, handler = std::move(handler)](const auto &result) {
         handler(result.ok() ? adapter_.decodeObject(kind, result->body) : result.status());
     });
 }
@@ -106,6 +108,7 @@
     ++callsByKind_[(query.allowsStale ? "stale_list " : "list ") + std::string(kind.starts_with(LOG_KIND_PREFIX) ? LOG_KIND_PREFIX : kind)];
     const HttpCall call = adapter_.listCall(kind, query);
     send(call,
+         Milliseconds(0),
          CALL_TIMEOUT,
          [this, kind, query = std::move(query), found = std::move(found), handler = std::move(handler)](const auto &result) {
              const auto page = result.ok() ? adapter_.decodeList(kind, result->body) : result.status();
@@ -135,7 +138,7 @@
     StoreQuery query;
     query.watchRevision = revision;
     query.wait = wait;
-    send(adapter_.listCall(kind, query), wait + WATCH_GRACE, [this, kind, handler = std::move(handler)](const auto &result) {
+    send(adapter_.listCall(kind, query), wait, WATCH_GRACE, [this, kind, handler = std::move(handler)](const auto &result) {
         handler(result.ok() ? adapter_.decodeEvents(kind, result->body) : result.status());
     });
 }
@@ -144,7 +147,7 @@
 {
     ++counts_.writes;
     ++callsByKind_["create " + std::string(object.kind.starts_with(LOG_KIND_PREFIX) ? LOG_KIND_PREFIX : object.kind)];
-    send(adapter_.createCall(object), CALL_TIMEOUT, [this, kind = object.kind, handler = std::move(handler)](const auto &result) {
+    send(adapter_.createCall(object), Milliseconds(0), CALL_TIMEOUT, [this, kind = object.kind, handler = std::move(handler)](const auto &result) {
         if (absl::IsAborted(result.status())) {
             handler(absl::AlreadyExistsError("the object exists"));
             return;
@@ -157,7 +160,7 @@
 {
     ++counts_.writes;
     ++callsByKind_["replace " + object.kind];
-    send(adapter_.replaceCall(object), CALL_TIMEOUT, [this, kind = object.kind, handler = std::move(handler)](const auto &result) {
+    send(adapter_.replaceCall(object), Milliseconds(0), CALL_TIMEOUT, [this, kind = object.kind, handler = std::move(handler)](const auto &result) {
         handler(result.ok() ? adapter_.decodeObject(kind, result->body) : result.status());
     });
 }
@@ -170,7 +173,7 @@
 auto ObjectStore::write(const HttpCall &call, DoneHandler handler) -> void
 {
     ++counts_.writes;
-    send(call, CALL_TIMEOUT, [handler = std::move(handler)](const auto &result) { handler(result.status()); });
+    send(call, Milliseconds(0), CALL_TIMEOUT, [handler = std::move(handler)](const auto &result) { handler(result.status()); });
 }
 
 auto ObjectStore::counts() const -> const Counts &
--- a/Source/Process/Store/ObjectStore.h
+++ b/Source/Process/Store/ObjectStore.h
@@ -55,14 +55,16 @@
     [[nodiscard]] auto counts() const -> const Counts &;
     /// Number of calls by operation and kind, for example "watch servers".
     [[nodiscard]] auto callsByKind() const -> const std::map<std::string, std::uint64_t> &;
-    /// When the first failed call since the last contact with the store was sent; unset while the store responds.
+    /// When the store first failed to respond since the last contact: when the failed call was sent, for a watch when its
+    /// response was due or it was cut off. Unset while the store responds.
     [[nodiscard]] auto lostSince() const -> std::optional<BootTime>;
 
 private:
     using ResultHandler = std::function<void(const absl::StatusOr<HttpResult> &)>;
 
-    auto send(const HttpCall &call, Milliseconds timeout, ResultHandler handler) -> void;
-    auto sendOnce(const HttpCall &call, Milliseconds timeout, bool isRetryable, ResultHandler handler) -> void;
+    /// The store may take "wait" before it responds.
+    auto send(const HttpCall &call, Milliseconds wait, Milliseconds timeout, ResultHandler handler) -> void;
+    auto sendOnce(const HttpCall &call, Milliseconds wait, Milliseconds timeout, bool isRetryable, ResultHandler handler) -> void;
     auto listPage(const std::string &kind, StoreQuery query, std::shared_ptr<StoreList> found, ListHandler handler) -> void;
 
     EventLoop &loop_;
--- a/Tests/Connection/FrontDaemonTest.cpp
+++ b/Tests/Connection/FrontDaemonTest.cpp
@@ -312,6 +312,42 @@
     BOOST_TEST(fleet.call(0, PlatformFleet::request("/plain/x", "u99", "key1"))->status == 503);
 }
 
+// Guards against a removed upstream that gets requests for longer than the platform allows because a waiting watch, which the
+// store may cut off at any time, counts as an outage of the store.
+BOOST_AUTO_TEST_CASE(ACutWatchDoesNotKeepARemovedUpstream)
+{
+    constexpr int ROUNDS = 4;
+    constexpr std::size_t DAEMONS = 3;
+    constexpr Milliseconds DRAIN_BOUND { 2000 };
+    PlatformFleet fleet(DAEMONS, 2);
+    // Until one daemon watches for the others.
+    fleet.runFor(Milliseconds(2500));
+    int sent = 0;
+    const auto sendFor = [&fleet, &sent](Milliseconds time) {
+        for (const BootTime end = BootClock::now() + time; BootClock::now() < end; ++sent) {
+            const std::size_t daemon = static_cast<std::size_t>(sent) % DAEMONS;
+            fleet.post(daemon, PlatformFleet::request("/plain/x", absl::StrCat("c", sent), "key1"));
+            fleet.runFor(Milliseconds(5));
+        }
+    };
+    for (int round = 0; round < ROUNDS; ++round) {
+        for (const auto &engine : fleet.engines) {
+            fleet.registerEngine(*engine, "ready");
+        }
+        sendFor(Milliseconds(1200));
+        const BootTime removedAt = BootClock::now();
+        for (const auto &engine : fleet.engines) {
+            fleet.store.remove("servers", engine->name());
+        }
+        fleet.store.compact();
+        sendFor(DRAIN_BOUND + Milliseconds(700));
+        for (const auto &engine : fleet.engines) {
+            const auto last = std::chrono::duration_cast<Milliseconds>(engine->arrivals().back() - removedAt);
+            BOOST_TEST(last.count() <= DRAIN_BOUND.count(), engine->name() << " got a request after " << last.count() << " ms");
+        }
+    }
+}
+
 // Guards against a fleet in which each daemon asks the store for each change, and against a change that stops at the
 // daemon which watches for the others: 2,900 of 6,500 calls on a day of a grown deployment were such.
 BOOST_AUTO_TEST_CASE(OneDaemonWatchesForItsDataCentre)
--- a/Tests/Process/UpstreamDirectoryTest.cpp
+++ b/Tests/Process/UpstreamDirectoryTest.cpp
@@ -39,7 +39,7 @@
     Upstream draining = makeUpstream("a");
     draining.isDraining = true;
     directory.put(draining);
-    BOOST_TEST(directory.candidates("models").size() == 1);
+    BOOST_TEST(directory.candidates("models", NOW).size() == 1);
     directory.markSuspect("a", NOW + Milliseconds(1000));
     BOOST_TEST(directory.find("a") == nullptr);
 }
@@ -50,7 +50,7 @@
 {
     UpstreamDirectory directory = makeDirectory();
     directory.markSuspect("a", NOW + Milliseconds(1400));
-    const auto views = directory.candidates("models");
+    const auto views = directory.candidates("models", NOW);
     BOOST_REQUIRE(views.size() == 2);
     BOOST_TEST(views[0].isSuspect);
     BOOST_TEST(!views[1].isSuspect);
@@ -71,9 +71,9 @@
     directory.recordStart("a", Work::Online);
     directory.recordStart("a", Work::Batch);
     directory.setPeerWork({ { "a", { 3, 2 } } });
-    BOOST_TEST(directory.candidates("models")[0].online == 4);
-    BOOST_TEST(directory.candidates("models")[0].batch == 3);
-    BOOST_TEST(directory.candidates("models")[0].ownBatch == 1);
+    BOOST_TEST(directory.candidates("models", NOW)[0].online == 4);
+    BOOST_TEST(directory.candidates("models", NOW)[0].batch == 3);
+    BOOST_TEST(directory.candidates("models", NOW)[0].ownBatch == 1);
     directory.recordEnd("a", Work::Online);
     directory.recordEnd("a", Work::Batch);
     BOOST_TEST(directory.ownWork().empty());
@@ -84,16 +84,16 @@
 {
     UpstreamDirectory directory = makeDirectory();
     directory.recordFailure("a", NOW);
-    const BootTime first = directory.candidates("models")[0].ejectedUntil;
+    const BootTime first = directory.candidates("models", NOW)[0].ejectedUntil;
     BOOST_TEST((first > NOW));
     directory.recordFailure("a", NOW);
-    BOOST_TEST((directory.candidates("models")[0].ejectedUntil > first));
+    BOOST_TEST((directory.candidates("models", NOW)[0].ejectedUntil > first));
     for (int failure = 0; failure < 20; ++failure) {
         directory.recordFailure("a", NOW);
     }
-    BOOST_TEST((directory.candidates("models")[0].ejectedUntil < NOW + std::chrono::seconds(5)));
+    BOOST_TEST((directory.candidates("models", NOW)[0].ejectedUntil < NOW + std::chrono::seconds(5)));
     directory.recordSuccess("a");
-    BOOST_TEST((directory.candidates("models")[0].ejectedUntil <= NOW));
+    BOOST_TEST((directory.candidates("models", NOW)[0].ejectedUntil <= NOW));
 }
 
 // Guards against an upstream without samples that appears faster or slower than the others of its group.
@@ -102,7 +102,7 @@
     UpstreamDirectory directory = makeDirectory();
     directory.recordServiceTime("a", 900);
     directory.recordFirstEvent("a", 40);
-    const auto views = directory.candidates("models");
+    const auto views = directory.candidates("models", NOW);
     BOOST_TEST(views[1].serviceMs == 900);
     BOOST_TEST(views[1].firstEventMs == 40);
 }
