--- a/Source/Connection/OnlineRun.cpp
+++ b/Source/Connection/OnlineRun.cpp
@@ -103,6 +103,7 @@
     if (isStream() && hasEvents_) {
         terms.lastEventId = lastEventId_;
     }
+    isJoining_ = hasEvents_ && order_.caller->hasBegun();
     UpstreamRun::Order run;
     run.call = { order_.caller->head().method,
                  order_.caller->head().target,
@@ -182,6 +183,11 @@
                         { { "request", order_.terms.requestId }, { "upstream", run_->upstream() }, { "event", *event.id } });
         return;
     }
+    if (isJoining_ && event.id && *event.id > lastEventId_ + 1) {
+        refuseHole(*event.id);
+        return;
+    }
+    isJoining_ = false;
     lastEventId_ = event.id.value_or(lastEventId_);
     hasEvents_ = hasEvents_ || event.id.has_value();
     order_.caller->sendPiece(event.raw);
@@ -196,6 +202,19 @@
     }
 }
 
+auto OnlineRun::refuseHole(std::int64_t eventId) -> void
+{
+    const auto run = run_;
+    EventLog::write("event_out_of_order",
+                    { { "request", order_.terms.requestId },
+                      { "upstream", run->upstream() },
+                      { "event", eventId },
+                      { "due", lastEventId_ + 1 } });
+    parts_.directory.recordFailure(run->upstream(), BootClock::now());
+    run->cancel();
+    takeRunEnd(RunEnd::Invalid);
+}
+
 auto OnlineRun::takeRunEnd(RunEnd end) -> void
 {
     const std::string upstream = run_->upstream();
--- a/Source/Connection/OnlineRun.h
+++ b/Source/Connection/OnlineRun.h
@@ -51,6 +51,8 @@
     auto makeRoomAt(const std::string &upstream) -> void;
     auto takeHead(const MessageHead &head) -> void;
     auto takeEvent(const StreamEvent &event) -> void;
+    /// Ends the attempt, whose upstream does not go on where the caller's stream broke off.
+    auto refuseHole(std::int64_t eventId) -> void;
     auto takeRunEnd(RunEnd end) -> void;
     auto answer() -> void;
     auto armWaitCheck(int checks) -> void;
@@ -74,6 +76,8 @@
     int declines_ = 0;
     std::int64_t lastEventId_ = 0;
     bool hasEvents_ = false;
+    /// The next event has to follow the last one of a former attempt.
+    bool isJoining_ = false;
     bool mayHaveRun_ = false;
     bool isOver_ = false;
     double waitMs_ = 0;
--- a/Source/Connection/UpstreamRun.cpp
+++ b/Source/Connection/UpstreamRun.cpp
@@ -2,6 +2,7 @@
 
 #include "Process/EventLog.h"
 
+#include <absl/strings/match.h>
 #include <absl/strings/str_join.h>
 
 namespace poplardock {
@@ -18,6 +19,12 @@
 /// Most bytes of an answer that is not streamed, and of one event.
 constexpr std::size_t MAXIMUM_ANSWER_BYTES = 1U << 20U;
 
+auto isEventStream(const MessageHead &head) -> bool
+{
+    const std::string_view type = head.headers.valueOf("Content-Type");
+    return head.status == HttpStatus::OK && (type.empty() || absl::StartsWithIgnoreCase(absl::string_view(type.data(), type.size()), "text/event-stream"));
+}
+
 } // namespace
 
 UpstreamRun::UpstreamRun(FrontParts &parts, Order order, RunHandlers handlers)
@@ -108,9 +115,14 @@
     if (isStatement && !terms_.isMisdirected) {
         parts_.limits.recordStatement(order_.upstream, terms_.requestLimit, BootClock::now());
     }
-    if (!terms_.isNotRun && !terms_.isMisdirected) {
-        handlers_.onHead(head);
+    if (terms_.isNotRun || terms_.isMisdirected) {
+        return;
+    }
+    if (order_.needsEventIds && HttpStatus::isSuccess(status_) && !isEventStream(head)) {
+        endInvalid("no_event_stream");
+        return;
     }
+    handlers_.onHead(head);
 }
 
 auto UpstreamRun::takeBody(std::string_view bytes) -> void
--- a/Source/Connection/UpstreamRun.h
+++ b/Source/Connection/UpstreamRun.h
@@ -50,7 +50,8 @@
         std::string address;
         Work work = Work::Online;
         bool isStream = false;
-        /// The events may have to be joined with those of another attempt, so each one needs an id.
+        /// The events may have to be joined with those of another attempt: a success must be an event stream, and each event
+        /// needs an id.
         bool needsEventIds = false;
         /// A request that may not be repeated needs a connection that the upstream has certainly not closed.
         bool needsFreshConnection = false;
--- a/Tests/Fakes/FakeEngine.cpp
+++ b/Tests/Fakes/FakeEngine.cpp
@@ -251,6 +251,19 @@
     const std::string_view last = connection->run->head.headers.valueOf("Last-Event-Id");
     if (absl::SimpleAtoi(absl::string_view(last.data(), last.size()), &first)) {
         ++first;
+        if (!behaviour_.resumedHead.empty()) {
+            sendWhole(connection,
+                      absl::StrCat("HTTP/1.1 ",
+                                   behaviour_.resumedHead,
+                                   "\r\n",
+                                   commonHeaders(idOf(connection->run->head)),
+                                   "Content-Length: ",
+                                   behaviour_.resumedBody.size(),
+                                   "\r\n\r\n",
+                                   behaviour_.resumedBody));
+            finish(connection);
+            return;
+        }
     }
     connection->channel->send(absl::StrCat("HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n",
                                            commonHeaders(idOf(connection->run->head)),
--- a/Tests/Fakes/FakeEngine.h
+++ b/Tests/Fakes/FakeEngine.h
@@ -37,6 +37,9 @@
         /// for none.
         std::string noise;
         int eventsBeforeNoise = 0;
+        /// Status line and headers of the answer to a stream that is resumed, and its body; empty for a sound one.
+        std::string resumedHead;
+        std::string resumedBody;
         /// Bytes before each event and before the end of a sound stream.
         std::string comment;
         /// Answers have neither a length nor chunks and end with the connection.
