--- a/Source/Connection/WireDialect.h
+++ b/Source/Connection/WireDialect.h
@@ -123,6 +123,8 @@
 struct StoreList
 {
     std::vector<StoredObject> objects;
+    /// Objects without a readable name or revision, which are left out.
+    std::size_t unreadable = 0;
     /// Read on after the last object's name.
     bool hasMore = false;
     std::uint64_t revision = 0;
@@ -141,6 +143,8 @@
 struct StoreEvents
 {
     std::vector<StoreEvent> events;
+    /// Events without a readable name or revision, which are left out.
+    std::size_t unreadable = 0;
     std::uint64_t revision = 0;
 
     auto operator==(const StoreEvents &) const -> bool = default;
--- a/Source/Process/Load/UpstreamFollower.cpp
+++ b/Source/Process/Load/UpstreamFollower.cpp
@@ -3,6 +3,7 @@
 #include "Process/EventLog.h"
 #include "Process/Peers/PeerFetch.h"
 
+#include <absl/strings/ascii.h>
 #include <absl/strings/match.h>
 #include <absl/strings/numbers.h>
 #include <absl/strings/str_cat.h>
@@ -34,6 +35,12 @@
 constexpr const char *PRESENT_TAG = "present";
 constexpr const char *REMOVED_TAG = "missed";
 
+/// Whether a name can stand in a line of a feed.
+auto isFeedName(const std::string &name) -> bool
+{
+    return !name.empty() && std::all_of(name.begin(), name.end(), [](char each) { return absl::ascii_isgraph(static_cast<unsigned char>(each)); });
+}
+
 } // namespace
 
 UpstreamFollower::UpstreamFollower(EventLoop &loop,
@@ -158,6 +165,10 @@
         return;
     }
     revision_ = std::max(revision_, object.version);
+    if (!isFeedName(object.name)) {
+        EventLog::write("upstream_entry_unusable", { { "revision", object.version }, { "reason", "the name is no word" } });
+        return;
+    }
     entries_[object.name] = object;
     removals_.erase(object.name);
     const auto upstream = dialect_.decodeUpstream(object);
--- a/Source/Process/Store/ObjectStore.cpp
+++ b/Source/Process/Store/ObjectStore.cpp
@@ -1,5 +1,7 @@
 #include "Process/Store/ObjectStore.h"
 
+#include "Process/EventLog.h"
+
 #include <algorithm>
 
 namespace poplardock {
@@ -120,8 +122,16 @@
              if (query.after.empty()) {
                  found->revision = page->revision;
              }
+             if (page->unreadable > 0) {
+                 EventLog::write("store_objects_unreadable", { { "kind", kind }, { "count", static_cast<std::uint64_t>(page->unreadable) } });
+             }
+             if (page->hasMore && page->objects.empty()) {
+                 handler(absl::InvalidArgumentError("a page of the list cannot be read"));
+                 return;
+             }
+             found->unreadable += page->unreadable;
              found->objects.insert(found->objects.end(), page->objects.begin(), page->objects.end());
-             if (page->hasMore && !page->objects.empty()) {
+             if (page->hasMore) {
                  StoreQuery next = query;
                  next.after = page->objects.back().name;
                  listPage(kind, std::move(next), found, handler);
--- a/Tests/Connection/FrontDaemonTest.cpp
+++ b/Tests/Connection/FrontDaemonTest.cpp
@@ -348,6 +348,61 @@
     }
 }
 
+// Guards against one entry of another writer that stops what reads the list, ends the process, or keeps a daemon from starting:
+// in a list, in a watch, in what a daemon fetches from another one, and in place of a sound server's entry.
+BOOST_AUTO_TEST_CASE(OddEntriesStopNothing)
+{
+    const auto entry = [](const std::string &field, const std::string &value) {
+        std::string text = FakeEngine::entryAt("127.0.0.1:9", "ready");
+        text.insert(text.size() - 1, absl::StrCat(",\"", field, "\":", value));
+        return text;
+    };
+    constexpr std::size_t DEPTH = 100000;
+    const std::vector<std::string> specs {
+        entry("zone", R"("\udcff")"),
+        entry("x", "\"\xff\xfe\""),
+        entry("x", "123456789012345678901234567890"),
+        entry("slots", "1e400"),
+        entry("slots", "99999999999"),
+        entry("x", std::string(DEPTH, '[') + std::string(DEPTH, ']')),
+        entry("x", "\n\"\n\""),
+        FakeEngine::entryAt("127.0.0.1:99999", "ready"),
+        FakeEngine::entryAt("127.0.0.1:-1", "ready"),
+        FakeEngine::entryAt("nowhere:80", "ready"),
+        "null",
+        "[]",
+        R"("bytes")",
+    };
+    const auto putOdd = [&specs](PlatformFleet &fleet, const std::string &name) {
+        for (std::size_t index = 0; index < specs.size(); ++index) {
+            fleet.store.put("servers", absl::StrCat(name, index), specs[index]);
+        }
+    };
+    PlatformFleet fleet(3, 2);
+    fleet.runFor(Milliseconds(2500));
+    putOdd(fleet, "odd");
+    fleet.store.put("servers", R"(a name\nof two lines)", specs.front());
+    fleet.runFor(Milliseconds(600));
+    fleet.store.compact();
+    fleet.startDaemon("daemon3");
+    BOOST_REQUIRE(fleet.runUntil([&fleet] { return fleet.isReady(3); }, Milliseconds(8000)));
+    // What comes after them still arrives everywhere.
+    fleet.registerEngine(*fleet.engines[0], "draining");
+    fleet.store.put("servers", fleet.engines[1]->name(), specs.front());
+    FakeEngine late(fleet.loop, "late");
+    fleet.registerEngine(late, "ready");
+    fleet.runFor(Milliseconds(2000));
+    const std::size_t arrivals = fleet.engines[0]->arrivals().size() + fleet.engines[1]->arrivals().size();
+    for (std::size_t daemon = 0; daemon < fleet.daemons.size(); ++daemon) {
+        for (int index = 0; index < 6; ++index) {
+            const auto result = fleet.call(daemon, PlatformFleet::request("/plain/x", absl::StrCat("o", daemon, "-", index), "key1"));
+            BOOST_REQUIRE(result.has_value());
+            BOOST_TEST(result->status == 200);
+        }
+    }
+    BOOST_TEST(fleet.engines[0]->arrivals().size() + fleet.engines[1]->arrivals().size() == arrivals);
+}
+
 // Guards against a fleet in which each daemon asks the store for each change, and against a change that stops at the
 // daemon which watches for the others: 2,900 of 6,500 calls on a day of a grown deployment were such.
 BOOST_AUTO_TEST_CASE(OneDaemonWatchesForItsDataCentre)
--- a/Tests/Platform/StoreFormatTest.cpp
+++ b/Tests/Platform/StoreFormatTest.cpp
@@ -140,6 +140,34 @@
     }
 }
 
+// Guards against one unreadable object that takes the readable ones of the same answer with it.
+BOOST_AUTO_TEST_CASE(UnreadableObjectsAreLeftOut)
+{
+    const std::string sound = R"({"metadata":{"name":"a","revision":4},"spec":{"x":1}})";
+    const std::vector<std::string> odd { R"({"metadata":{"name":5,"revision":4},"spec":{}})",
+                                         R"({"metadata":{"name":"b","revision":99999999999999999999},"spec":{}})",
+                                         R"({"metadata":{"name":"\udcff","revision":4},"spec":{}})",
+                                         R"({"spec":{}})",
+                                         "null",
+                                         "[[[]]]" };
+    for (const std::string &object : odd) {
+        const auto list = decodeList("servers", R"({"items":[)" + object + "," + sound + R"(],"hasMore":true,"at":7})");
+        BOOST_REQUIRE(list.ok());
+        BOOST_TEST(list->objects.size() == 1U, object);
+        BOOST_TEST(list->unreadable == 1U, object);
+        BOOST_TEST(list->hasMore);
+        BOOST_TEST(list->revision == 7U);
+        const auto events = decodeEvents("servers", R"({"events":[{"object":)" + object + R"(},{"deleted":true,"object":)" + sound + R"(}],"at":8})");
+        BOOST_REQUIRE(events.ok());
+        BOOST_TEST(events->events.size() == 1U, object);
+        BOOST_TEST(events->events[0].isRemoved);
+        BOOST_TEST(events->unreadable == 1U, object);
+    }
+    for (const std::string text : { "", "{", R"({"items":[})", R"({"items":[1,]},"at":1})", R"({"items":{},"at":1})", R"({"items":[]})", "[]" }) {
+        BOOST_TEST(!decodeList("servers", text).ok(), text);
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace poplardock::platform
