--- a/Source/Connection/HttpClient.cpp
+++ b/Source/Connection/HttpClient.cpp
@@ -101,7 +101,8 @@
             self->expire();
         }
     });
-    pool_.acquire(address, address, REUSE_TIME, std::nullopt, [pending](const std::shared_ptr<ClientChannel> &channel) { pending->begin(channel); });
+    pool_.acquire(
+        address, address, REUSE_TIME, std::nullopt, [pending](const std::shared_ptr<ClientChannel> &channel) { pending->begin(channel); });
 }
 
 } // namespace poplardock
--- a/Source/Connection/OnlineRun.cpp
+++ b/Source/Connection/OnlineRun.cpp
@@ -205,11 +205,9 @@
 auto OnlineRun::refuseHole(std::int64_t eventId) -> void
 {
     const auto run = run_;
-    EventLog::write("event_out_of_order",
-                    { { "request", order_.terms.requestId },
-                      { "upstream", run->upstream() },
-                      { "event", eventId },
-                      { "due", lastEventId_ + 1 } });
+    EventLog::write(
+        "event_out_of_order",
+        { { "request", order_.terms.requestId }, { "upstream", run->upstream() }, { "event", eventId }, { "due", lastEventId_ + 1 } });
     parts_.directory.recordFailure(run->upstream(), BootClock::now());
     run->cancel();
     takeRunEnd(RunEnd::Invalid);
--- a/Source/Connection/UpstreamRun.cpp
+++ b/Source/Connection/UpstreamRun.cpp
@@ -22,7 +22,8 @@
 auto isEventStream(const MessageHead &head) -> bool
 {
     const std::string_view type = head.headers.valueOf("Content-Type");
-    return head.status == HttpStatus::OK && (type.empty() || absl::StartsWithIgnoreCase(absl::string_view(type.data(), type.size()), "text/event-stream"));
+    return head.status == HttpStatus::OK
+           && (type.empty() || absl::StartsWithIgnoreCase(absl::string_view(type.data(), type.size()), "text/event-stream"));
 }
 
 } // namespace
--- a/Source/Process/JsonText.cpp
+++ b/Source/Process/JsonText.cpp
@@ -43,7 +43,6 @@
         return isComplete ? std::optional(text_.substr(begin, position_ - begin)) : std::nullopt;
     }
 
-
 private:
     auto skipWhitespace() -> void
     {
--- a/Source/Process/Load/UpstreamFollower.cpp
+++ b/Source/Process/Load/UpstreamFollower.cpp
@@ -38,7 +38,8 @@
 /// Whether a name can stand in a line of a feed.
 auto isFeedName(const std::string &name) -> bool
 {
-    return !name.empty() && std::all_of(name.begin(), name.end(), [](char each) { return absl::ascii_isgraph(static_cast<unsigned char>(each)); });
+    return !name.empty()
+           && std::all_of(name.begin(), name.end(), [](char each) { return absl::ascii_isgraph(static_cast<unsigned char>(each)); });
 }
 
 } // namespace
--- a/Source/Process/Store/ObjectStore.cpp
+++ b/Source/Process/Store/ObjectStore.cpp
@@ -123,7 +123,8 @@
                  found->revision = page->revision;
              }
              if (page->unreadable > 0) {
-                 EventLog::write("store_objects_unreadable", { { "kind", kind }, { "count", static_cast<std::uint64_t>(page->unreadable) } });
+                 EventLog::write("store_objects_unreadable",
+                                 { { "kind", kind }, { "count", static_cast<std::uint64_t>(page->unreadable) } });
              }
              if (page->hasMore && page->objects.empty()) {
                  handler(absl::InvalidArgumentError("a page of the list cannot be read"));
@@ -157,22 +158,28 @@
 {
     ++counts_.writes;
     ++callsByKind_["create " + std::string(object.kind.starts_with(LOG_KIND_PREFIX) ? LOG_KIND_PREFIX : object.kind)];
-    send(adapter_.createCall(object), Milliseconds(0), CALL_TIMEOUT, [this, kind = object.kind, handler = std::move(handler)](const auto &result) {
-        if (absl::IsAborted(result.status())) {
-            handler(absl::AlreadyExistsError("the object exists"));
-            return;
-        }
-        handler(result.ok() ? adapter_.decodeObject(kind, result->body) : result.status());
-    });
+    send(adapter_.createCall(object),
+         Milliseconds(0),
+         CALL_TIMEOUT,
+         [this, kind = object.kind, handler = std::move(handler)](const auto &result) {
+             if (absl::IsAborted(result.status())) {
+                 handler(absl::AlreadyExistsError("the object exists"));
+                 return;
+             }
+             handler(result.ok() ? adapter_.decodeObject(kind, result->body) : result.status());
+         });
 }
 
 auto ObjectStore::replace(const StoredObject &object, ObjectHandler handler) -> void
 {
     ++counts_.writes;
     ++callsByKind_["replace " + object.kind];
-    send(adapter_.replaceCall(object), Milliseconds(0), CALL_TIMEOUT, [this, kind = object.kind, handler = std::move(handler)](const auto &result) {
-        handler(result.ok() ? adapter_.decodeObject(kind, result->body) : result.status());
-    });
+    send(adapter_.replaceCall(object),
+         Milliseconds(0),
+         CALL_TIMEOUT,
+         [this, kind = object.kind, handler = std::move(handler)](const auto &result) {
+             handler(result.ok() ? adapter_.decodeObject(kind, result->body) : result.status());
+         });
 }
 
 auto ObjectStore::remove(const std::string &kind, const std::string &name, DoneHandler handler) -> void
--- a/Tests/Fakes/FakeEngine.cpp
+++ b/Tests/Fakes/FakeEngine.cpp
@@ -194,9 +194,8 @@
     }
     if (behaviour_.declines) {
         sendWhole(connection,
-                  absl::StrCat("HTTP/1.1 503 Service Unavailable\r\nNot-Executed: 1\r\nRequest-Id: ",
-                               idOf(head),
-                               "\r\nContent-Length: 0\r\n\r\n"));
+                  absl::StrCat(
+                      "HTTP/1.1 503 Service Unavailable\r\nNot-Executed: 1\r\nRequest-Id: ", idOf(head), "\r\nContent-Length: 0\r\n\r\n"));
         return;
     }
     connection->run = std::make_shared<Run>();
--- a/Tests/Platform/StoreFormatTest.cpp
+++ b/Tests/Platform/StoreFormatTest.cpp
@@ -157,13 +157,15 @@
         BOOST_TEST(list->unreadable == 1U, object);
         BOOST_TEST(list->hasMore);
         BOOST_TEST(list->revision == 7U);
-        const auto events = decodeEvents("servers", R"({"events":[{"object":)" + object + R"(},{"deleted":true,"object":)" + sound + R"(}],"at":8})");
+        const auto events
+            = decodeEvents("servers", R"({"events":[{"object":)" + object + R"(},{"deleted":true,"object":)" + sound + R"(}],"at":8})");
         BOOST_REQUIRE(events.ok());
         BOOST_TEST(events->events.size() == 1U, object);
         BOOST_TEST(events->events[0].isRemoved);
         BOOST_TEST(events->unreadable == 1U, object);
     }
-    for (const std::string text : { "", "{", R"({"items":[})", R"({"items":[1,]},"at":1})", R"({"items":{},"at":1})", R"({"items":[]})", "[]" }) {
+    for (const std::string text :
+         { "", "{", R"({"items":[})", R"({"items":[1,]},"at":1})", R"({"items":{},"at":1})", R"({"items":[]})", "[]" }) {
         BOOST_TEST(!decodeList("servers", text).ok(), text);
     }
 }
