--- a/Source/Connection/FrontService.cpp
+++ b/Source/Connection/FrontService.cpp
@@ -147,7 +147,9 @@
         refuse(order.caller,
                order.terms,
                views.empty() ? ResultCode::NoUpstream : ResultCode::Overloaded,
-               "expected after " + std::to_string(static_cast<int>(admission.expectedMs)) + " ms",
+               views.empty() && parts_.directory.isWholeGroupLeaving(order.group, now)
+                   ? "all upstreams of " + order.group + " are leaving"
+                   : "expected after " + std::to_string(static_cast<int>(admission.expectedMs)) + " ms",
                admission.retryAfter);
         return;
     }
--- a/Source/Connection/UpstreamRun.cpp
+++ b/Source/Connection/UpstreamRun.cpp
@@ -54,10 +54,15 @@
 
 auto UpstreamRun::takeChannel(const std::shared_ptr<ClientChannel> &channel) -> void
 {
-    if (isDone_) {
+    const bool mayBeUsed = parts_.directory.mayBeUsed(order_.upstream, order_.address, BootClock::now());
+    if (isDone_ || !mayBeUsed) {
         if (channel != nullptr) {
             parts_.upstreams.release(order_.upstream, channel);
         }
+        if (!isDone_) {
+            EventLog::write("run_withdrawn", { { "request", order_.requestId }, { "upstream", order_.upstream } });
+            finish(RunEnd::NotRun);
+        }
         return;
     }
     if (channel == nullptr) {
@@ -111,6 +116,10 @@
     if (terms_.idleTime) {
         channel_->setUsableFor(std::max(Milliseconds(0), *terms_.idleTime - IDLE_MARGIN));
     }
+    // A misdirected request was answered by another upstream, at an address that was used again.
+    if (terms_.isLeaving && !terms_.isMisdirected) {
+        recordLeaving();
+    }
     // An upstream that declines a request without naming a limit has not withdrawn the one that it named before.
     const bool isStatement = terms_.requestLimit.has_value() || !terms_.isNotRun;
     if (isStatement && !terms_.isMisdirected) {
@@ -126,6 +135,19 @@
     handlers_.onHead(head);
 }
 
+auto UpstreamRun::recordLeaving() -> void
+{
+    const Upstream *upstream = parts_.directory.find(order_.upstream);
+    if (upstream == nullptr || upstream->address != order_.address || !parts_.leaving.recordAnswer(*upstream, BootClock::now())) {
+        return;
+    }
+    parts_.upstreams.drop(order_.upstream);
+    parts_.metrics.count("upstreams_leaving_by_answer");
+    EventLog::write("upstream_leaving",
+                    { { "upstream", order_.upstream }, { "by", "answer" }, { "age_ms", 0 }, { "request", order_.requestId } });
+    parts_.peerLink.sendReports();
+}
+
 auto UpstreamRun::takeBody(std::string_view bytes) -> void
 {
     if (terms_.isNotRun || terms_.isMisdirected) {
--- a/Source/Connection/UpstreamRun.h
+++ b/Source/Connection/UpstreamRun.h
@@ -84,6 +84,8 @@
     auto takeChannel(const std::shared_ptr<ClientChannel> &channel) -> void;
     auto send(const std::shared_ptr<ClientChannel> &channel) -> void;
     auto takeHead(const MessageHead &head) -> void;
+    /// Marks the upstream as leaving, here at once and at the other daemons with the next report.
+    auto recordLeaving() -> void;
     auto takeBody(std::string_view bytes) -> void;
     auto takeEnd(ExchangeEnd end) -> void;
     /// Ends the run with a whole answer. "isEvidence" tells whether the upstream is known to live after it.
--- a/Source/Connection/WireDialect.h
+++ b/Source/Connection/WireDialect.h
@@ -64,6 +64,8 @@
     /// Another upstream has the address.
     bool isMisdirected = false;
     bool isFromUpstream = false;
+    /// The upstream states that it leaves: it is to get no more requests.
+    bool isLeaving = false;
     /// Requests that run and wait there, and its slots.
     int running = 0;
     int waiting = 0;
--- a/Source/Process/FrontDaemon.cpp
+++ b/Source/Process/FrontDaemon.cpp
@@ -51,7 +51,7 @@
     , peerClient_(loop_, peerPool_)
     , configuration_(loop_, store_, dialect_, peerClient_)
     , peers_(settings_.name, settings_.dataCentre, settings_.capacity)
-    , directory_(settings_.dataCentre, peers_.upstreamLimits())
+    , directory_(settings_.dataCentre, peers_.upstreamLimits(), peers_.leavingUpstreams())
     , upstreams_(loop_, store_, dialect_, directory_, peerClient_, settings_.bounds.upstreamDrain)
     , upstreamPool_(loop_, UPSTREAM_POOL)
     , peerLink_(loop_,
@@ -101,6 +101,7 @@
                peerClient_,
                peers_.crashSuspects(),
                peers_.upstreamLimits(),
+               peers_.leavingUpstreams(),
                retries_,
                metrics_,
                random_,
@@ -225,6 +226,7 @@
     report.demand = allowances_.demand(now);
     report.crashSuspects = peers_.crashSuspects().states(now);
     report.upstreamLimits = peers_.upstreamLimits().states(now);
+    report.leavingUpstreams = peers_.leavingUpstreams().states(now);
     report.cancelledJobs = peers_.ownCancellations(now);
     book_.forEach([this, now, &report](const std::string &id, const OwnedJob &job) {
         const bool isNew = now - job.ownedSince() < ANNOUNCEMENT_TIME;
@@ -249,6 +251,11 @@
 {
     const BootTime now = BootClock::now();
     directory_.setPeerWork(peers_.work(now));
+    for (const LeavingUpstream &leaving : peers_.takeLeavingNews()) {
+        upstreamPool_.drop(leaving.upstream);
+        metrics_.count("upstreams_leaving_by_peer");
+        EventLog::write("upstream_leaving", { { "upstream", leaving.upstream }, { "by", "peer" }, { "age_ms", leaving.age.count() } });
+    }
     allowances_.updatePeerDemand(now);
     peers_.upstreamLimits().setDaemons(peers_.aliveDaemons(now), peers_.aliveFraction(now), now);
     adoption_.checkPeerReports();
@@ -403,6 +410,8 @@
                     EventLog::droppedLineCount(),
                     "\npoplardock_upstreams ",
                     directory_.size(),
+                    "\npoplardock_leaving_marks ",
+                    peers_.leavingUpstreams().size(),
                     "\npoplardock_peers ",
                     peers_.peers().size(),
                     "\npoplardock_jobs_owned ",
--- a/Source/Process/FrontParts.h
+++ b/Source/Process/FrontParts.h
@@ -31,6 +31,7 @@
     HttpClient &peerClient;
     CrashSuspects &crashes;
     UpstreamLimits &limits;
+    LeavingUpstreams &leaving;
     RetryBudget &retries;
     Metrics &metrics;
     std::mt19937_64 &random;
--- a/Source/Process/Load/UpstreamDirectory.cpp
+++ b/Source/Process/Load/UpstreamDirectory.cpp
@@ -31,9 +31,10 @@
 
 } // namespace
 
-UpstreamDirectory::UpstreamDirectory(std::string dataCentre, const UpstreamLimits &limits)
+UpstreamDirectory::UpstreamDirectory(std::string dataCentre, const UpstreamLimits &limits, const LeavingUpstreams &leaving)
     : dataCentre_(std::move(dataCentre))
     , limits_(limits)
+    , leaving_(leaving)
 {
 }
 
@@ -86,9 +87,30 @@
     return count == 0 ? fallback : sum / count;
 }
 
-auto UpstreamDirectory::isUsable(const Entry &entry, BootTime now) -> bool
+auto UpstreamDirectory::isUsable(const Entry &entry, BootTime now) const -> bool
 {
-    return !entry.upstream.isDraining && (!entry.usableUntil || now < *entry.usableUntil);
+    return !entry.upstream.isDraining && (!entry.usableUntil || now < *entry.usableUntil) && !leaving_.isLeaving(entry.upstream, now);
+}
+
+auto UpstreamDirectory::mayBeUsed(const std::string &name, const std::string &address, BootTime now) const -> bool
+{
+    const auto found = entries_.find(name);
+    return found != entries_.end() && found->second.upstream.address == address && isUsable(found->second, now);
+}
+
+auto UpstreamDirectory::isWholeGroupLeaving(const std::string &group, BootTime now) const -> bool
+{
+    bool hasLeaving = false;
+    for (const auto &[name, entry] : entries_) {
+        if (entry.upstream.group != group) {
+            continue;
+        }
+        if (!entry.upstream.isDraining && !leaving_.isLeaving(entry.upstream, now)) {
+            return false;
+        }
+        hasLeaving = true;
+    }
+    return hasLeaving;
 }
 
 auto UpstreamDirectory::candidates(const std::string &group, BootTime now) const -> std::vector<UpstreamView>
--- a/Source/Process/Load/UpstreamDirectory.h
+++ b/Source/Process/Load/UpstreamDirectory.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "Process/Load/LeavingUpstreams.h"
 #include "Process/Load/UpstreamLimits.h"
 #include "Request/UpstreamView.h"
 #include "Version/Upstream.h"
@@ -35,8 +36,8 @@
 class UpstreamDirectory
 {
 public:
-    /// "limits" must outlive the directory.
-    UpstreamDirectory(std::string dataCentre, const UpstreamLimits &limits);
+    /// "limits" and "leaving" must outlive the directory.
+    UpstreamDirectory(std::string dataCentre, const UpstreamLimits &limits, const LeavingUpstreams &leaving);
 
     /// Adds or replaces an upstream.
     auto put(const Upstream &upstream) -> void;
@@ -53,6 +54,10 @@
     [[nodiscard]] auto find(const std::string &name) const -> const Upstream *;
     /// Upstreams of a group that may be given new work, ordered by name. Includes suspect and ejected ones.
     [[nodiscard]] auto candidates(const std::string &group, BootTime now) const -> std::vector<UpstreamView>;
+    /// Whether a request that was chosen for the upstream at that address may still be sent to it.
+    [[nodiscard]] auto mayBeUsed(const std::string &name, const std::string &address, BootTime now) const -> bool;
+    /// Whether the group has upstreams, and all of them leave.
+    [[nodiscard]] auto isWholeGroupLeaving(const std::string &group, BootTime now) const -> bool;
     [[nodiscard]] auto size() const -> std::size_t;
 
     /// Count work in flight. Each recordStart() is followed by one recordEnd().
@@ -87,12 +92,13 @@
     };
 
     /// Whether an upstream may be given new work: it is not leaving, and its time has not passed if it is suspect.
-    static auto isUsable(const Entry &entry, BootTime now) -> bool;
+    [[nodiscard]] auto isUsable(const Entry &entry, BootTime now) const -> bool;
     /// Mean of a member over the upstreams of a group that have samples, "fallback" if there are none.
     [[nodiscard]] auto groupMean(const std::string &group, std::optional<double> Entry::*member, double fallback) const -> double;
 
     const std::string dataCentre_;
     const UpstreamLimits &limits_;
+    const LeavingUpstreams &leaving_;
     std::map<std::string, Entry> entries_;
     WorkCounts ownWork_;
     WorkCounts peerWork_;
--- a/Source/Process/Load/UpstreamFollower.cpp
+++ b/Source/Process/Load/UpstreamFollower.cpp
@@ -185,6 +185,9 @@
                           { "group", upstream->group },
                           { "address", upstream->address },
                           { "leaving", upstream->isDraining } });
+        if (upstream->isDraining && (known == nullptr || !known->isDraining)) {
+            EventLog::write("upstream_leaving", { { "upstream", upstream->name }, { "by", "store" }, { "revision", object.version } });
+        }
     }
     directory_.put(*upstream);
 }
--- a/Source/Process/Peers/DaemonReport.cpp
+++ b/Source/Process/Peers/DaemonReport.cpp
@@ -56,6 +56,13 @@
     }
 }
 
+auto appendLeavingUpstreams(std::string &text, const std::vector<LeavingUpstream> &upstreams) -> void
+{
+    for (const LeavingUpstream &upstream : upstreams) {
+        absl::StrAppend(&text, "\nv ", encodeLeavingUpstream(upstream));
+    }
+}
+
 auto appendUpstreamLimits(std::string &text, const std::vector<UpstreamLimit> &limits) -> void
 {
     for (const UpstreamLimit &limit : limits) {
@@ -89,6 +96,7 @@
         appendCancelledJobs(text, report.cancelledJobs);
         appendCrashSuspects(text, report.crashSuspects);
         appendUpstreamLimits(text, report.upstreamLimits);
+        appendLeavingUpstreams(text, report.leavingUpstreams);
         return text;
     }
 
@@ -103,6 +111,7 @@
         appendCancelledJobs(text, digest.cancelledJobs);
         appendCrashSuspects(text, digest.crashSuspects);
         appendUpstreamLimits(text, digest.upstreamLimits);
+        appendLeavingUpstreams(text, digest.leavingUpstreams);
         return text;
     }
 
@@ -125,6 +134,7 @@
         appendCancelledJobs(text, summary.cancelledJobs);
         appendCrashSuspects(text, summary.crashSuspects);
         appendUpstreamLimits(text, summary.upstreamLimits);
+        appendLeavingUpstreams(text, summary.leavingUpstreams);
         return text;
     }
 
@@ -248,14 +258,16 @@
 {
     return parseJob(report.jobs, "j", words) || parseJob(report.cancelledJobs, "x", words)
            || parseTagged(report.crashSuspects, "s", words, decodeCrashSuspect)
-           || parseTagged(report.upstreamLimits, "l", words, decodeUpstreamLimit) || parseLoadLine(report, words);
+           || parseTagged(report.upstreamLimits, "l", words, decodeUpstreamLimit)
+           || parseTagged(report.leavingUpstreams, "v", words, decodeLeavingUpstream) || parseLoadLine(report, words);
 }
 
 auto parseLine(DataCentreDigest &digest, const Words &words) -> bool
 {
     return parseJobOwner(digest.jobs, words) || parseJob(digest.cancelledJobs, "x", words)
            || parseTagged(digest.crashSuspects, "s", words, decodeCrashSuspect)
-           || parseTagged(digest.upstreamLimits, "l", words, decodeUpstreamLimit) || parseLoadLine(digest, words);
+           || parseTagged(digest.upstreamLimits, "l", words, decodeUpstreamLimit)
+           || parseTagged(digest.leavingUpstreams, "v", words, decodeLeavingUpstream) || parseLoadLine(digest, words);
 }
 
 auto parseLine(FleetSummary &summary, const Words &words) -> bool
@@ -271,7 +283,8 @@
     }
     return parseJobOwner(summary.jobs, words) || parseJob(summary.cancelledJobs, "x", words)
            || parseTagged(summary.crashSuspects, "s", words, decodeCrashSuspect)
-           || parseTagged(summary.upstreamLimits, "l", words, decodeUpstreamLimit) || parseLoadLine(summary, words);
+           || parseTagged(summary.upstreamLimits, "l", words, decodeUpstreamLimit)
+           || parseTagged(summary.leavingUpstreams, "v", words, decodeLeavingUpstream) || parseLoadLine(summary, words);
 }
 
 auto parseLine(Roster &roster, const Words &words) -> bool
--- a/Source/Process/Peers/DaemonReport.h
+++ b/Source/Process/Peers/DaemonReport.h
@@ -57,6 +57,7 @@
     std::vector<std::string> cancelledJobs;
     std::vector<CrashSuspect> crashSuspects;
     std::vector<UpstreamLimit> upstreamLimits;
+    std::vector<LeavingUpstream> leavingUpstreams;
 
     auto operator==(const DaemonReport &) const -> bool = default;
 };
@@ -110,6 +111,7 @@
     std::vector<std::string> cancelledJobs;
     std::vector<CrashSuspect> crashSuspects;
     std::vector<UpstreamLimit> upstreamLimits;
+    std::vector<LeavingUpstream> leavingUpstreams;
 
     auto operator==(const DataCentreDigest &) const -> bool = default;
 };
@@ -153,6 +155,7 @@
     std::vector<std::string> cancelledJobs;
     std::vector<CrashSuspect> crashSuspects;
     std::vector<UpstreamLimit> upstreamLimits;
+    std::vector<LeavingUpstream> leavingUpstreams;
 
     auto operator==(const FleetSummary &) const -> bool = default;
 };
--- a/Source/Process/Peers/PeerDirectory.cpp
+++ b/Source/Process/Peers/PeerDirectory.cpp
@@ -141,6 +141,7 @@
     if (before.incarnation != peer.incarnation) {
         crashSuspects_->announceRefused(seenAt);
         upstreamLimits_->announceAll(seenAt);
+        leavingUpstreams_->announceAll(seenAt);
     }
     if (isChanged) {
         handleChange();
@@ -170,6 +171,7 @@
     addCancellations(report.cancelledJobs, Source::Report, now);
     crashSuspects_->merge(report.crashSuspects, now);
     upstreamLimits_->merge(report.upstreamLimits, now);
+    mergeLeaving(report.leavingUpstreams, now);
     return true;
 }
 
@@ -204,6 +206,7 @@
     addCancellations(digest.cancelledJobs, Source::Digest, now);
     crashSuspects_->merge(digest.crashSuspects, now);
     upstreamLimits_->merge(digest.upstreamLimits, now);
+    mergeLeaving(digest.leavingUpstreams, now);
     if (!isPreferred(digestSenders_, digest.dataCentre, digest.sender, now)) {
         return false;
     }
@@ -231,6 +234,7 @@
     addCancellations(summary.cancelledJobs, Source::Summary, now);
     crashSuspects_->merge(summary.crashSuspects, now);
     upstreamLimits_->merge(summary.upstreamLimits, now);
+    mergeLeaving(summary.leavingUpstreams, now);
     const bool isServing = isFirstRelay(now) && !reporters(now).empty();
     if (isServing || !isPreferred(summarySenders_, ownDataCentre_, summary.sender, now)) {
         return false;
@@ -382,6 +386,7 @@
     load_.removeExpired(now);
     crashSuspects_->removeExpired(now);
     upstreamLimits_->removeExpired(now);
+    leavingUpstreams_->removeExpired(now);
     std::erase_if(cancellations_, [&isOld](const auto &each) { return isOld(each.second.heardAt); });
     while (cancellations_.size() > MAXIMUM_ANNOUNCEMENTS) {
         cancellations_.erase(cancellations_.begin());
@@ -449,6 +454,7 @@
     digest.cancelledJobs = recentCancellations(Source::Own, Source::Report, now);
     digest.crashSuspects = crashSuspects_->states(now);
     digest.upstreamLimits = upstreamLimits_->states(now);
+    digest.leavingUpstreams = leavingUpstreams_->states(now);
     for (const std::string &job : own.jobs) {
         digest.jobs.push_back({ job, ownName_ });
     }
@@ -471,6 +477,7 @@
     summary.cancelledJobs = recentCancellations(Source::Own, Source::Digest, now);
     summary.crashSuspects = crashSuspects_->states(now);
     summary.upstreamLimits = upstreamLimits_->states(now);
+    summary.leavingUpstreams = leavingUpstreams_->states(now);
     for (const std::string &job : own.jobs) {
         summary.jobs.push_back({ job, ownName_ });
     }
@@ -820,6 +827,22 @@
     return *upstreamLimits_;
 }
 
+auto PeerDirectory::leavingUpstreams() const -> LeavingUpstreams &
+{
+    return *leavingUpstreams_;
+}
+
+auto PeerDirectory::mergeLeaving(const std::vector<LeavingUpstream> &states, BootTime now) -> void
+{
+    const std::vector<LeavingUpstream> news = leavingUpstreams_->merge(states, now);
+    leavingNews_.insert(leavingNews_.end(), news.begin(), news.end());
+}
+
+auto PeerDirectory::takeLeavingNews() -> std::vector<LeavingUpstream>
+{
+    return std::exchange(leavingNews_, {});
+}
+
 auto PeerDirectory::reportSentAt(std::uint64_t sequence) const -> std::optional<BootTime>
 {
     return load_.reportSentAt(sequence);
--- a/Source/Process/Peers/PeerDirectory.h
+++ b/Source/Process/Peers/PeerDirectory.h
@@ -155,6 +155,10 @@
     auto startCrashTrial(const CrashSubject &subject, BootTime now) const -> bool;
     /// The limits that upstreams have named, here and at the others.
     [[nodiscard]] auto upstreamLimits() const -> UpstreamLimits &;
+    /// The upstreams that have said that they leave, here and at the others.
+    [[nodiscard]] auto leavingUpstreams() const -> LeavingUpstreams &;
+    /// The marks of leaving upstreams that other daemons have told of since the last call.
+    auto takeLeavingNews() -> std::vector<LeavingUpstream>;
     [[nodiscard]] auto reportSentAt(std::uint64_t sequence) const -> std::optional<BootTime>;
     /// Number of daemons whose demand counts, including this one.
     [[nodiscard]] auto daemonCount(BootTime now) const -> int;
@@ -202,6 +206,7 @@
     [[nodiscard]] auto homeOf(const std::string &key, BootTime now) const -> std::string;
 
 private:
+    auto mergeLeaving(const std::vector<LeavingUpstream> &states, BootTime now) -> void;
     struct KnownRoster
     {
         Roster roster;
@@ -318,6 +323,8 @@
     std::unique_ptr<CrashSuspects> crashSuspects_ = std::make_unique<CrashSuspects>();
     /// Behind a pointer, since others keep references to it.
     std::unique_ptr<UpstreamLimits> upstreamLimits_;
+    std::unique_ptr<LeavingUpstreams> leavingUpstreams_ = std::make_unique<LeavingUpstreams>();
+    std::vector<LeavingUpstream> leavingNews_;
     std::map<std::string, KnownRoster> rosters_;
     /// Versions that digests and summaries named, by data centre, while they are unknown here.
     std::map<std::string, MissingRoster> missingRosters_;
--- a/Source/Version/Upstream.h
+++ b/Source/Version/Upstream.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstdint>
 #include <string>
 #include <vector>
 
@@ -28,6 +29,8 @@
     bool isDraining = false;
     /// Number of requests that the upstream runs concurrently; 0 if the upstream does not state it.
     int slots = 0;
+    /// Unix milliseconds of the start of its run; 0 if the upstream does not state it.
+    std::int64_t startedAtMs = 0;
 
     auto operator==(const Upstream &) const -> bool = default;
 };
--- a/Tests/Fakes/FakeEngine.cpp
+++ b/Tests/Fakes/FakeEngine.cpp
@@ -8,6 +8,8 @@
 
 namespace {
 
+constexpr const char *LEAVING_HEADER = "Server-Leaving: 1\r\n";
+
 auto idOf(const MessageHead &head) -> std::string
 {
     return std::string(head.headers.valueOf("Request-Id"));
@@ -194,8 +196,11 @@
     }
     if (behaviour_.declines) {
         sendWhole(connection,
-                  absl::StrCat(
-                      "HTTP/1.1 503 Service Unavailable\r\nNot-Executed: 1\r\nRequest-Id: ", idOf(head), "\r\nContent-Length: 0\r\n\r\n"));
+                  absl::StrCat("HTTP/1.1 503 Service Unavailable\r\nNot-Executed: 1\r\n",
+                               stateHeaders(),
+                               "Request-Id: ",
+                               idOf(head),
+                               "\r\nContent-Length: 0\r\n\r\n"));
         return;
     }
     connection->run = std::make_shared<Run>();
@@ -212,7 +217,10 @@
         return;
     }
     if (behaviour_.sendsStrayAnswer) {
-        connection->channel->send(absl::StrCat("HTTP/1.1 200 OK\r\n", commonHeaders("stray"), "Content-Length: 5\r\n\r\nstray"));
+        connection->channel->send(absl::StrCat("HTTP/1.1 200 OK\r\n",
+                                               commonHeaders("stray"),
+                                               behaviour_.strayAnswerLeaves ? LEAVING_HEADER : "",
+                                               "Content-Length: 5\r\n\r\nstray"));
     }
     // Requests for tokens are streams; the others are plain.
     if (head.headers.find("Token-Count") != nullptr && behaviour_.status == 200) {
@@ -232,7 +240,7 @@
 {
     const std::string body = absl::StrCat("answer to ", connection->run->body);
     const std::string head
-        = absl::StrCat("HTTP/1.1 ", behaviour_.status, " Status\r\n", commonHeaders(idOf(connection->run->head)), limitHeader());
+        = absl::StrCat("HTTP/1.1 ", behaviour_.status, " Status\r\n", commonHeaders(idOf(connection->run->head)), stateHeaders());
     connection->run->isComplete = true;
     connection->run = nullptr;
     if (behaviour_.omitsLength) {
@@ -266,7 +274,7 @@
     }
     connection->channel->send(absl::StrCat("HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n",
                                            commonHeaders(idOf(connection->run->head)),
-                                           limitHeader(),
+                                           stateHeaders(),
                                            behaviour_.omitsLength ? "\r\n" : "Transfer-Encoding: chunked\r\n\r\n"));
     if (hasPart(connection->run->head, behaviour_.crashesOnPart)) {
         if (behaviour_.crashLooksWhole) {
@@ -310,9 +318,10 @@
     });
 }
 
-auto FakeEngine::limitHeader() const -> std::string
+auto FakeEngine::stateHeaders() const -> std::string
 {
-    return behaviour_.limit.empty() ? std::string() : absl::StrCat("Server-Limit: ", behaviour_.limit, "\r\n");
+    return absl::StrCat(behaviour_.limit.empty() ? std::string() : absl::StrCat("Server-Limit: ", behaviour_.limit, "\r\n"),
+                        behaviour_.isLeaving ? LEAVING_HEADER : "");
 }
 
 auto FakeEngine::framed(const std::string &event) const -> std::string
--- a/Tests/Fakes/FakeEngine.h
+++ b/Tests/Fakes/FakeEngine.h
@@ -21,6 +21,8 @@
     {
         int events = 5;
         Milliseconds eventPause { 5 };
+        /// All answers say that the engine leaves.
+        bool isLeaving = false;
         /// Requests are declined as not run.
         bool declines = false;
         /// Streams are reset after this many events of a run; 0 for never.
@@ -29,6 +31,8 @@
         bool losesAnswers = false;
         /// An answer to another request is sent before the right one.
         bool sendsStrayAnswer = false;
+        /// That answer says that the engine leaves.
+        bool strayAnswerLeaves = false;
         /// A copy of the former answer on the same connection is sent before the right one, if that was not a stream.
         bool repeatsFormerAnswer = false;
         /// Bytes that belong to no request follow each answer.
@@ -118,7 +122,8 @@
     [[nodiscard]] auto framed(const std::string &event) const -> std::string;
     auto endStream(const std::shared_ptr<Connection> &connection) -> void;
     auto finish(const std::shared_ptr<Connection> &connection) -> void;
-    [[nodiscard]] auto limitHeader() const -> std::string;
+    /// Headers that depend on the engine's state.
+    [[nodiscard]] auto stateHeaders() const -> std::string;
     auto closeAll(const std::function<void(Channel &)> &close) -> void;
 
     EventLoop &loop_;
--- a/Tests/Process/UpstreamDirectoryTest.cpp
+++ b/Tests/Process/UpstreamDirectoryTest.cpp
@@ -22,7 +22,8 @@
 auto makeDirectory() -> UpstreamDirectory
 {
     static const UpstreamLimits NO_LIMITS("d1");
-    UpstreamDirectory directory("east-a", NO_LIMITS);
+    static const LeavingUpstreams NONE_LEAVING;
+    UpstreamDirectory directory("east-a", NO_LIMITS, NONE_LEAVING);
     directory.put(makeUpstream("a"));
     directory.put(makeUpstream("b"));
     return directory;
@@ -107,6 +108,29 @@
     BOOST_TEST(views[1].firstEventMs == 40);
 }
 
+// Guards against a request that is sent although its upstream has left, or its address is used by another one, since it was chosen.
+BOOST_AUTO_TEST_CASE(AChoiceLapses)
+{
+    static const UpstreamLimits NO_LIMITS("d1");
+    LeavingUpstreams leaving;
+    UpstreamDirectory directory("east-a", NO_LIMITS, leaving);
+    const Upstream upstream = makeUpstream("a");
+    directory.put(upstream);
+    BOOST_TEST(directory.mayBeUsed("a", upstream.address, NOW));
+    BOOST_TEST(!directory.mayBeUsed("a", "127.0.0.1:1", NOW));
+    BOOST_TEST(!directory.mayBeUsed("b", upstream.address, NOW));
+    leaving.recordAnswer(upstream, NOW);
+    BOOST_TEST(!directory.mayBeUsed("a", upstream.address, NOW));
+    BOOST_TEST(directory.candidates("models", NOW).empty());
+    BOOST_TEST(directory.isWholeGroupLeaving("models", NOW));
+    directory.put(makeUpstream("b"));
+    BOOST_TEST(!directory.isWholeGroupLeaving("models", NOW));
+    directory.markSuspect("b", NOW + Milliseconds(100));
+    BOOST_TEST(directory.mayBeUsed("b", upstream.address, NOW));
+    BOOST_TEST(!directory.mayBeUsed("b", upstream.address, NOW + Milliseconds(100)));
+    BOOST_TEST(directory.candidates("models", NOW + Milliseconds(100)).empty());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace poplardock
