--- a/Source/Connection/CallerSession.h
+++ b/Source/Connection/CallerSession.h
@@ -39,6 +39,7 @@
     /// Closes the connection if it carries no request.
     auto closeIfIdle() -> void;
     [[nodiscard]] auto isBusy() const -> bool;
+    /// Never null; outlives the session while it sends what is queued.
     [[nodiscard]] auto channel() const -> const std::shared_ptr<Channel> &;
 
     // For CallerExchange.
--- a/Source/Process/Load/LeavingUpstreams.h
+++ b/Source/Process/Load/LeavingUpstreams.h
@@ -49,7 +49,8 @@
 
     /// Records that an answer of the upstream says that it leaves. Returns whether that is news.
     auto recordAnswer(const Upstream &upstream, BootTime now) -> bool;
-    /// Whether the run that the entry describes, or a later one than the daemon knows of, has said that it leaves.
+    /// Whether the run that the entry describes, or a later one, has said that it leaves. Where either run is unknown, whether an
+    /// upstream of that name and address has.
     [[nodiscard]] auto isLeaving(const Upstream &upstream, BootTime now) const -> bool;
     /// Has states() name all marks for a short time, for a daemon that has just started.
     auto announceAll(BootTime now) -> void;
