--- a/Source/Connection/CallerSession.cpp
+++ b/Source/Connection/CallerSession.cpp
@@ -118,7 +118,13 @@
         early_ = reader_->takeRest();
         exchange_ = std::make_shared<CallerExchange>(weak_from_this(), reader_->head(), reader_->takeBody(), startedAt_);
         const auto exchange = exchange_;
-        environment_->onRequest(exchange);
+        try {
+            environment_->onRequest(exchange);
+        } catch (...) {
+            // Whether the request runs is unknown, so the connection ends without an answer.
+            finishExchange(false);
+            throw;
+        }
     }
 }
 
--- a/Source/Connection/HttpConnection.cpp
+++ b/Source/Connection/HttpConnection.cpp
@@ -1,12 +1,14 @@
 #include "Connection/HttpConnection.h"
 
 #include "Connection/HttpReply.h"
+#include "Process/Log.h"
 
 #include <Poco/Net/HTTPServerRequestImpl.h>
 #include <Poco/Net/HTTPServerResponseImpl.h>
 #include <Poco/Net/HTTPServerSession.h>
 #include <Poco/Net/NetException.h>
 #include <Poco/String.h>
+#include <absl/strings/str_cat.h>
 
 #include <algorithm>
 #include <array>
@@ -177,7 +179,8 @@
 {
     try {
         handler_(request, response);
-    } catch (const std::exception &) {
+    } catch (const std::exception &exception) {
+        Log::error(Part::Online, absl::StrCat("the handler of a request failed: ", exception.what()));
         response.setKeepAlive(false);
         if (!response.sent()) {
             HttpReply::sendError(response, { ResultCode::Internal, {} });
--- a/Source/Connection/Io/Channel.cpp
+++ b/Source/Connection/Io/Channel.cpp
@@ -245,7 +245,14 @@
         count += size;
         if (onData_) {
             const DataHandler handler = onData_;
-            handler(std::string_view(buffer.data(), size));
+            try {
+                handler(std::string_view(buffer.data(), size));
+            } catch (...) {
+                if (isOpen_) {
+                    end(ChannelEnd::Broken);
+                }
+                throw;
+            }
         }
         if (size < buffer.size()) {
             break;
--- a/Source/Connection/Io/DatagramSocket.cpp
+++ b/Source/Connection/Io/DatagramSocket.cpp
@@ -32,8 +32,13 @@
                     return;
                 }
                 // An error means that a peer has no listener (ICMP port unreachable); the socket stays usable.
-                if (!error) {
-                    self->onDatagram(formatEndpoint(self->sender), std::string_view(self->buffer.data(), size));
+                try {
+                    if (!error) {
+                        self->onDatagram(formatEndpoint(self->sender), std::string_view(self->buffer.data(), size));
+                    }
+                } catch (...) {
+                    self->receive();
+                    throw;
                 }
                 self->receive();
             });
--- a/Source/Connection/Io/EventLoop.cpp
+++ b/Source/Connection/Io/EventLoop.cpp
@@ -5,6 +5,7 @@
 #include <boost/asio/signal_set.hpp>
 #include <boost/asio/steady_timer.hpp>
 
+#include <exception>
 #include <vector>
 
 namespace poplardock {
@@ -94,6 +95,7 @@
 {
     asio::io_context context { 1 };
     std::vector<std::unique_ptr<asio::signal_set>> signals;
+    ExceptionHandler onException;
 };
 
 EventLoop::EventLoop()
@@ -106,7 +108,21 @@
 auto EventLoop::run() -> void
 {
     const auto work = asio::make_work_guard(impl_->context);
-    impl_->context.run();
+    while (!impl_->context.stopped()) {
+        try {
+            impl_->context.run();
+        } catch (const std::exception &exception) {
+            if (!impl_->onException) {
+                throw;
+            }
+            impl_->onException(exception.what());
+        }
+    }
+}
+
+auto EventLoop::setExceptionHandler(ExceptionHandler handler) -> void
+{
+    impl_->onException = std::move(handler);
 }
 
 auto EventLoop::runUntil(BootTime deadline) -> void
--- a/Source/Connection/Io/EventLoop.h
+++ b/Source/Connection/Io/EventLoop.h
@@ -4,6 +4,7 @@
 
 #include <functional>
 #include <memory>
+#include <string_view>
 
 namespace boost::asio {
 class io_context;
@@ -47,7 +48,12 @@
     auto operator=(EventLoop &&) -> EventLoop & = delete;
     ~EventLoop();
 
-    /// Runs until stop() is called.
+    /// Called with the reason of each exception that a task or handler lets out during run().
+    using ExceptionHandler = std::function<void(std::string_view reason)>;
+    /// Without a handler, exceptions leave run().
+    auto setExceptionHandler(ExceptionHandler handler) -> void;
+    /// Runs until stop() is called. An exception ends the task that let it out, and neither the loop nor later calls of a timer;
+    /// a connection whose bytes caused it is ended.
     auto run() -> void;
     /// Runs tasks until the deadline; for tests.
     auto runUntil(BootTime deadline) -> void;
--- a/Source/Connection/Io/Listener.cpp
+++ b/Source/Connection/Io/Listener.cpp
@@ -34,8 +34,9 @@
                 self->retryTimer = self->loop.at(BootClock::now() + ACCEPT_RETRY_DELAY, [self] { self->accept(); });
                 return;
             }
-            self->onAccept(makeChannel(std::move(socket)));
+            // The handler may throw.
             self->accept();
+            self->onAccept(makeChannel(std::move(socket)));
         });
     }
 
--- a/Source/Process/FrontDaemon.cpp
+++ b/Source/Process/FrontDaemon.cpp
@@ -189,6 +189,10 @@
     loop_.onSignal(SIGHUP, [] {
         EventLog::write("reload", { { "effect", "settings of the platform are read at the start; nothing changes" } });
     });
+    loop_.setExceptionHandler([this](std::string_view reason) {
+        metrics_.count("task_failures");
+        EventLog::write("task_failed", { { "reason", reason } });
+    });
     loop_.run();
     const ObjectStore::Counts &counts = store_.counts();
     EventLog::write("stop",
--- a/Source/Process/StoreVmDaemon.cpp
+++ b/Source/Process/StoreVmDaemon.cpp
@@ -67,6 +67,9 @@
     });
     logFlushTimer_ = loop_.every(LOG_FLUSH_PERIOD, [] { EventLog::flush(); });
     retirements_.start();
+    loop_.setExceptionHandler([failures = 0](std::string_view reason) mutable {
+        EventLog::write("task_failed", { { "reason", reason }, { "count", ++failures } });
+    });
     loop_.run();
     EventLog::write("stop", { { "vm", settings_.name } });
     EventLog::flush();
