--- a/Source/Connection/Io/HttpMessage.cpp
+++ b/Source/Connection/Io/HttpMessage.cpp
@@ -62,8 +62,40 @@
     }
 }
 
+constexpr unsigned char DELETE_CHARACTER = 0x7f;
+
+/// Visible ASCII, without the space.
+auto isVisible(unsigned char c) -> bool
+{
+    return c > ' ' && c < DELETE_CHARACTER;
+}
+
 } // namespace
 
+auto isToken(std::string_view text) -> bool
+{
+    constexpr std::string_view SEPARATORS = "\"(),/:;<=>?@[\\]{}";
+    return !text.empty() && std::all_of(text.begin(), text.end(), [SEPARATORS](unsigned char c) {
+        return isVisible(c) && SEPARATORS.find(static_cast<char>(c)) == std::string_view::npos;
+    });
+}
+
+auto isFieldValue(std::string_view text) -> bool
+{
+    return std::all_of(text.begin(), text.end(), [](unsigned char c) { return (c >= ' ' && c != DELETE_CHARACTER) || c == '\t'; });
+}
+
+auto isRequestTarget(std::string_view text) -> bool
+{
+    return !text.empty() && text.front() == '/' && std::all_of(text.begin(), text.end(), isVisible);
+}
+
+auto isHopByHop(std::string_view name) -> bool
+{
+    return std::any_of(
+        HOP_BY_HOP_HEADERS.begin(), HOP_BY_HOP_HEADERS.end(), [name](std::string_view each) { return isSameName(each, name); });
+}
+
 auto HeaderList::add(std::string name, std::string value) -> void
 {
     fields_.push_back({ std::move(name), std::move(value) });
@@ -108,15 +140,13 @@
             }
         }
     }
-    const auto isHopByHop = [&listed](const HeaderField &field) {
+    HeaderList result = *this;
+    std::erase_if(result.fields_, [&listed](const HeaderField &field) {
         const auto isField = [&field](const auto &name) {
             return isSameName(field.name, name);
         };
-        return std::any_of(HOP_BY_HOP_HEADERS.begin(), HOP_BY_HOP_HEADERS.end(), isField)
-               || std::any_of(listed.begin(), listed.end(), isField);
-    };
-    HeaderList result = *this;
-    std::erase_if(result.fields_, isHopByHop);
+        return isHopByHop(field.name) || std::any_of(listed.begin(), listed.end(), isField);
+    });
     return result;
 }
 
--- a/Source/Connection/Io/HttpMessage.h
+++ b/Source/Connection/Io/HttpMessage.h
@@ -6,6 +6,15 @@
 
 namespace poplardock {
 
+/// Whether a text may stand as the name of a header field or as a method: a token of RFC 9110. Pure function; thread-safe.
+auto isToken(std::string_view text) -> bool;
+/// Whether a text may stand as the value of a header field: no control characters but tabs. Pure function; thread-safe.
+auto isFieldValue(std::string_view text) -> bool;
+/// Whether a text may stand as the target of a request in its path form. Pure function; thread-safe.
+auto isRequestTarget(std::string_view text) -> bool;
+/// Whether a header field concerns a single connection or the framing of one message. Pure function; thread-safe.
+auto isHopByHop(std::string_view name) -> bool;
+
 /// One header field as received. HeaderList ignores the case of names in look-ups, operator== does not.
 struct HeaderField
 {
--- a/Source/Connection/JobService.cpp
+++ b/Source/Connection/JobService.cpp
@@ -119,7 +119,7 @@
         caller->reply(refusalOf(parts_.dialect, ResultCode::JobNotAccepted, "the store does not answer", RETRY_AFTER));
         return;
     }
-    auto items = parts_.dialect.decodeItems(caller->body());
+    auto items = parts_.dialect.decodeSubmission(caller->body());
     if (!items.ok()) {
         EventLog::write("job_refused", { { "job", id }, { "reason", items.status().message() } });
         caller->reply(refusalOf(parts_.dialect, ResultCode::JobInvalid, std::string(items.status().message()), std::nullopt));
--- a/Source/Connection/WireDialect.h
+++ b/Source/Connection/WireDialect.h
@@ -182,7 +182,13 @@
 
     /// The jobs call that a request is; unset for any other request. "onJobRoute": the path is on a batch route.
     std::function<std::optional<JobCall>(const MessageHead &, const RequestTerms &, bool onJobRoute)> jobCall;
+    /// The items of a submission. Errors: InvalidArgument, with the position of an item that is malformed, that checkItem()
+    /// refuses or whose id another one has.
+    std::function<absl::StatusOr<std::vector<JobItem>>(const std::string &body)> decodeSubmission;
+    /// Items from encodeItems(). Errors: InvalidArgument.
     std::function<absl::StatusOr<std::vector<JobItem>>(const std::string &body)> decodeItems;
+    /// Whether an item makes one request to an upstream, for its team and from its first event. Errors: InvalidArgument.
+    std::function<absl::Status(const JobItem &)> checkItem;
     /// The headers of an item as those of a caller's request.
     std::function<HeaderList(const JobItem &, const std::string &host)> itemHeaders;
     /// JSON text.
--- a/Source/Process/Batch/JobRunner.cpp
+++ b/Source/Process/Batch/JobRunner.cpp
@@ -96,9 +96,8 @@
         for (ItemProgress &item : job.items()) {
             if (item.phase == ItemPhase::Waiting || item.phase == ItemPhase::Running) {
                 requeue({ id, item.item.id }, Milliseconds(0), "expired");
-                job.finishItem(item, false);
+                giveUp(job, item, "expired");
                 hasResults = true;
-                EventLog::write("item_given_up", { { "item", item.item.id }, { "job", id }, { "reason", "expired" } });
             }
         }
         if (hasResults) {
@@ -107,6 +106,12 @@
     });
 }
 
+auto JobRunner::giveUp(OwnedJob &job, ItemProgress &item, std::string_view reason) -> void
+{
+    job.finishItem(item, false);
+    EventLog::write("item_given_up", { { "item", item.item.id }, { "job", job.record().id }, { "reason", reason } });
+}
+
 auto JobRunner::abortStalled(BootTime now) -> void
 {
     std::vector<std::pair<ItemKey, bool>> stalled;
@@ -202,6 +207,13 @@
 {
     OwnedJob *job = registry_.find(waiting.key.job);
     ItemProgress *item = job->findItem(waiting.key.item);
+    // A daemon of an earlier version may have accepted it.
+    const absl::Status check = context_.dialect.checkItem(item->item);
+    if (!check.ok()) {
+        giveUp(*job, *item, std::string(check.message()));
+        registry_.scheduleCommit(waiting.key.job);
+        return;
+    }
     const Upstream *upstream = context_.directory.find(upstreamName);
     const JobRecord &record = job->record();
     const auto timeout = std::chrono::duration_cast<Milliseconds>(record.giveUpAt - WallClock::now());
--- a/Source/Process/Batch/JobRunner.h
+++ b/Source/Process/Batch/JobRunner.h
@@ -65,6 +65,8 @@
 
     auto tick() -> void;
     auto giveUpExpired() -> void;
+    /// Lists an item as given up. The caller schedules the commit.
+    static auto giveUp(OwnedJob &job, ItemProgress &item, std::string_view reason) -> void;
     auto abortStalled(BootTime now) -> void;
     [[nodiscard]] auto waitingItems(BootTime now) -> std::vector<WaitingItem>;
     [[nodiscard]] auto rankOf(const OwnedJob &job, const ItemProgress &item) const -> int;
