--- a/Source/Connection/JobService.cpp
+++ b/Source/Connection/JobService.cpp
@@ -163,8 +163,11 @@
                       { "ms", std::chrono::duration<double, std::milli>(WallClock::now() - record.submittedAt).count() } });
     switch (acceptance) {
     case JobRepository::Acceptance::Accepted:
-        if (isOwn && book_.add(OwnedJob(record, items, {})) && record.version == 0) {
-            adoption_.verifyJob(record.id);
+        if (isOwn && book_.add(OwnedJob(record, items, {}))) {
+            if (record.version == 0) {
+                adoption_.verifyJob(record.id);
+            }
+            adoption_.checkEarlyNotice(record.id);
         }
         return jsonResult(HttpStatus::ACCEPTED, "{}");
     case JobRepository::Acceptance::Refused:
@@ -436,7 +439,7 @@
         return;
     }
     if (absl::StartsWith(exchange->head().target, CANCELLED_PATH)) {
-        adoption_.verifyAgain(exchange->head().target.substr(std::string_view(CANCELLED_PATH).size()));
+        adoption_.noteCancellation(exchange->head().target.substr(std::string_view(CANCELLED_PATH).size()));
         exchange->reply(jsonResult(HttpStatus::OK, "{}"));
         return;
     }
--- a/Source/Process/Batch/JobTakeover.cpp
+++ b/Source/Process/Batch/JobTakeover.cpp
@@ -36,6 +36,10 @@
 constexpr std::chrono::seconds CONTACT_LOSS_MEMORY { 5 };
 /// Delay of the retry of a takeover that failed when the record already named this daemon.
 constexpr Milliseconds TAKEOVER_RETRY_DELAY { 500 };
+/// Time for which a cancellation is remembered of a job that this daemon may be about to own: the longest time that a
+/// submission or one attempt of a takeover spends between its write of the record and the registry, with slow answers.
+constexpr std::chrono::seconds EARLY_NOTICE_TIME { 10 };
+constexpr std::size_t MAXIMUM_EARLY_NOTICES = 1000;
 /// Time between the end of a job's readable time and its removal, since the clocks of VMs differ a little.
 constexpr std::chrono::seconds REMOVAL_MARGIN { 60 };
 
@@ -232,6 +236,27 @@
     }
 }
 
+auto JobTakeover::noteCancellation(const std::string &id) -> void
+{
+    if (registry_.find(id) != nullptr) {
+        verifyAgain(id);
+        return;
+    }
+    const BootTime now = BootClock::now();
+    std::erase_if(earlyNotices_, [now](const auto &each) { return each.second <= now; });
+    if (earlyNotices_.size() < MAXIMUM_EARLY_NOTICES) {
+        earlyNotices_[id] = now + EARLY_NOTICE_TIME;
+    }
+}
+
+auto JobTakeover::checkEarlyNotice(const std::string &id) -> void
+{
+    const auto notice = earlyNotices_.find(id);
+    if (notice != earlyNotices_.end() && notice->second > BootClock::now()) {
+        verifyAgain(id);
+    }
+}
+
 auto JobTakeover::checkRecord(const std::string &id) -> void
 {
     repository_.read(id, [this, id, sentAt = BootClock::now()](const absl::StatusOr<JobRecord> &record) {
@@ -480,6 +505,8 @@
         verifyAgain(record.id);
         return;
     }
+    // The job may have been cancelled since it was claimed. Its items start when the record has been read again.
+    verifyAgain(record.id);
     registry_.scheduleCommit(record.id);
     context_.metrics.count("jobs_taken_over");
     endTakeover(record.id, "done", absl::OkStatus());
--- a/Source/Process/Batch/JobTakeover.h
+++ b/Source/Process/Batch/JobTakeover.h
@@ -43,6 +43,11 @@
     auto verifyJob(const std::string &id) -> void;
     /// As verifyJob(), also if a read of the record is under way, which may predate a change that is known to have happened.
     auto verifyAgain(const std::string &id) -> void;
+    /// Another daemon has cancelled a job in the store and takes this one for its owner. A notice of a job that this daemon does
+    /// not own yet is kept for a while.
+    auto noteCancellation(const std::string &id) -> void;
+    /// Verifies a job that has just become this daemon's if a notice of its cancellation came before. Precondition: it is owned.
+    auto checkEarlyNotice(const std::string &id) -> void;
     /// Whether this daemon may answer for a job that it owns: the ownership is verified, there is contact to the store,
     /// and the daemon is not draining.
     [[nodiscard]] auto mayActAsOwner(const std::string &id) const -> bool;
@@ -117,6 +122,8 @@
     std::map<std::string, BootTime> nextCheckAt_;
     /// Jobs whose record this daemon has claimed but which it could not load, and when the takeover is retried.
     std::map<std::string, BootTime> incompleteTakeovers_;
+    /// Jobs that were cancelled in the store, by a notice that came before this daemon owned them, and until when it is kept.
+    std::map<std::string, BootTime> earlyNotices_;
     bool isDraining_ = false;
     bool hearsOthers_ = false;
     BootTime hearsOthersCheckAt_;
--- a/Tests/Connection/JobServiceTest.cpp
+++ b/Tests/Connection/JobServiceTest.cpp
@@ -1,4 +1,6 @@
+#include "Connection/Io/Channel.h"
 #include "Connection/Io/DatagramSocket.h"
+#include "Connection/Io/Listener.h"
 #include "Process/Json.h"
 #include "Process/Peers/DaemonReport.h"
 #include "Support/FreePort.h"
@@ -615,6 +617,56 @@
     }
 }
 
+// Guards against items that run after their job was ended while a daemon took it over: the record that it had claimed was open.
+BOOST_AUTO_TEST_CASE(AJobThatIsEndedDuringATakeoverStops)
+{
+    constexpr int JOBS = 6;
+    PlatformFleet fleet(3, 2);
+    for (const auto &engine : fleet.engines) {
+        engine->behaviour().declines = true;
+    }
+    for (int job = 0; job < JOBS; ++job) {
+        BOOST_TEST(fleet.call(0, PlatformFleet::submission(absl::StrCat("e", job), 2, "key1"))->status == 202);
+    }
+    fleet.runFor(Milliseconds(300));
+    const auto member = Json::parseObject(fleet.store.specOf("members", "daemon0"));
+    const std::string formerAddress = *Json::requireString(**member, "peers");
+    fleet.killDaemon(0);
+    // As a frozen owner: the call for the progress of its items is taken and not answered.
+    std::vector<std::shared_ptr<Channel>> calls;
+    const auto frozen = Listener::open(fleet.loop, formerAddress, [&calls](std::shared_ptr<Channel> channel) {
+        channel->start([](std::string_view) {}, [](ChannelEnd) {});
+        calls.push_back(std::move(channel));
+    });
+    BOOST_REQUIRE(frozen.ok());
+    const auto isClaimed = [&fleet](int job) {
+        return storedRecord(fleet, absl::StrCat("e", job)).owner != "daemon0";
+    };
+    BOOST_REQUIRE(fleet.runUntil(
+        [&isClaimed] {
+            int claimed = 0;
+            for (int job = 0; job < JOBS; ++job) {
+                claimed += isClaimed(job) ? 1 : 0;
+            }
+            return claimed == JOBS;
+        },
+        RUN_TIME));
+    for (int job = 0; job < JOBS; ++job) {
+        const std::size_t daemon = 1 + static_cast<std::size_t>(job % 2);
+        BOOST_TEST(fleet.call(daemon, callOn("DELETE", absl::StrCat("/-/lots/e", job), "key1"))->status == 200);
+    }
+    for (const auto &engine : fleet.engines) {
+        engine->behaviour().declines = false;
+    }
+    fleet.runFor(CANCEL_BOUND);
+    BOOST_TEST(!calls.empty());
+    for (int job = 0; job < JOBS; ++job) {
+        for (int item = 0; item < 2; ++item) {
+            BOOST_TEST(totalRuns(fleet, absl::StrCat("e", job, "-", item)) == 0);
+        }
+    }
+}
+
 // Guards against a batch item that is never placed again because upstreams crashed while they ran it: the crashes were not
 // its fault, and it is still owed.
 BOOST_AUTO_TEST_CASE(AnItemUnderWhichUpstreamsCrashedIsCompleted)
