--- a/Source/Connection/ClientChannel.cpp
+++ b/Source/Connection/ClientChannel.cpp
@@ -203,7 +203,10 @@
     idleSince_ = BootClock::now();
     const bool isClean
         = end == ExchangeEnd::Complete && reader_->isKeepAlive() && reader_->takeRest().empty() && channel_->queuedBytes() == 0;
-    if (!isClean) {
+    if (isClean) {
+        // A caller that reads slowly may have paused it.
+        channel_->resume();
+    } else {
         channel_->abort();
     }
     if (onEnd) {
