--- a/Source/Connection/Io/Listener.cpp
+++ b/Source/Connection/Io/Listener.cpp
@@ -34,7 +34,7 @@
                 self->retryTimer = self->loop.at(BootClock::now() + ACCEPT_RETRY_DELAY, [self] { self->accept(); });
                 return;
             }
-            // The handler may throw.
+            // Before the handler, which may throw.
             self->accept();
             self->onAccept(makeChannel(std::move(socket)));
         });
