--- a/Tests/Connection/EventLoopTest.cpp
+++ b/Tests/Connection/EventLoopTest.cpp
@@ -45,7 +45,7 @@
     std::vector<std::shared_ptr<Channel>> connected;
     int ends = 0;
     int bytes = 0;
-    auto listener = Listener::open(loop, "127.0.0.1:0", [&](std::shared_ptr<Channel> channel) {
+    auto listener = Listener::open(loop, "127.0.0.1:0", [&](const std::shared_ptr<Channel> &channel) {
         accepted.push_back(channel);
         const std::size_t number = accepted.size();
         channel->start(
--- a/Tests/Platform/DecoderMutationTest.cpp
+++ b/Tests/Platform/DecoderMutationTest.cpp
@@ -32,7 +32,38 @@
     return absl::SimpleAtoi(environmentVariable(name, ""), &value) ? value : fallback;
 }
 
-/// Changes sound inputs at random, with pieces that have troubled decoders.
+/// Pieces that have troubled decoders.
+const std::vector<std::string> PIECES { "null",
+                                        "true",
+                                        "-1",
+                                        "1e400",
+                                        "-0.0",
+                                        "nan",
+                                        "inf",
+                                        "99999999999999999999999999",
+                                        "9223372036854775807",
+                                        "-9223372036854775808",
+                                        "4294967296",
+                                        std::string(300, '['),
+                                        std::string(300, '{'),
+                                        R"({"a":)",
+                                        "[]",
+                                        "{}",
+                                        R"("\udcff")",
+                                        R"(\u0000)",
+                                        "\xff\xfe",
+                                        "\xc0\x80",
+                                        std::string(1, '\0'),
+                                        "\r\n",
+                                        "\r\n\r\n",
+                                        "\n\n",
+                                        ":",
+                                        "=",
+                                        " ",
+                                        ",",
+                                        "\"" };
+
+/// Changes sound inputs at random.
 class Mutator
 {
 public:
@@ -70,35 +101,6 @@
     }
 
 private:
-    const std::vector<std::string> PIECES { "null",
-                                            "true",
-                                            "-1",
-                                            "1e400",
-                                            "-0.0",
-                                            "nan",
-                                            "inf",
-                                            "99999999999999999999999999",
-                                            "9223372036854775807",
-                                            "-9223372036854775808",
-                                            "4294967296",
-                                            std::string(300, '['),
-                                            std::string(300, '{'),
-                                            R"({"a":)",
-                                            "[]",
-                                            "{}",
-                                            R"("\udcff")",
-                                            R"(\u0000)",
-                                            "\xff\xfe",
-                                            "\xc0\x80",
-                                            std::string(1, '\0'),
-                                            "\r\n",
-                                            "\r\n\r\n",
-                                            "\n\n",
-                                            ":",
-                                            "=",
-                                            " ",
-                                            ",",
-                                            "\"" };
     std::mt19937 random_ { numberFromEnvironment("POPLARDOCK_MUTATION_SEED", DEFAULT_SEED) };
 };
 
@@ -180,6 +182,7 @@
               });
 }
 
+// Guards against the same with datagrams of peers.
 BOOST_AUTO_TEST_CASE(PeerMessagesAreDecodedWithoutAnException)
 {
     DaemonReport report;
@@ -214,6 +217,7 @@
     tryInputs(sound, [](const std::string &input) { static_cast<void>(decodePeerMessage(input)); });
 }
 
+// Guards against the same with what the store holds of other writers.
 BOOST_AUTO_TEST_CASE(StoredObjectsAreDecodedWithoutAnException)
 {
     const std::string object = R"({"metadata":{"name":"a","revision":4,"finalizers":[]},"spec":)" + UPSTREAM + R"(,"status":null})";
@@ -238,6 +242,7 @@
     });
 }
 
+// Guards against the same with submissions, handed-over progress and settings, and against accepting what is refused later.
 BOOST_AUTO_TEST_CASE(JobsAndSettingsAreDecodedWithoutAnException)
 {
     BOOST_TEST(decodeSubmission(SUBMISSION).ok());
