--- a/Source/Connection/Io/MessageReader.cpp
+++ b/Source/Connection/Io/MessageReader.cpp
@@ -154,13 +154,16 @@
 auto MessageReader::feedEof() -> ReadState
 {
     Parser &parser = *parser_;
-    if (parser.state != ReadState::Head && parser.state != ReadState::Body) {
+    if (parser.state == ReadState::Head) {
+        // The parser asserts that it has read at least a line.
+        parser.state = ReadState::Malformed;
+    }
+    if (parser.state != ReadState::Body) {
         return parser.state;
     }
     boost::beast::error_code error;
     std::visit([&error](auto &each) { each.put_eof(error); }, parser.collector);
-    const bool isDone = !error && parser.state == ReadState::Body;
-    parser.state = isDone ? ReadState::Done : ReadState::Malformed;
+    parser.state = error ? ReadState::Malformed : ReadState::Done;
     return parser.state;
 }
 
--- a/Tests/Platform/DecoderMutationTest.cpp
+++ b/Tests/Platform/DecoderMutationTest.cpp
@@ -143,7 +143,7 @@
         decodeRequestMetadata(reader.head().headers);
         decodeResponseMetadata(reader.head());
         decodeJobCall(reader.head(), decodeRequestMetadata(reader.head().headers), true);
-        reader.head().headers.withoutHopByHop();
+        static_cast<void>(reader.head().headers.withoutHopByHop());
     }
 }
 
