--- a/Source/Connection/JobService.cpp
+++ b/Source/Connection/JobService.cpp
@@ -1,6 +1,7 @@
 #include "Connection/JobService.h"
 
 #include "Connection/Refusal.h"
+#include "Process/BoundedTime.h"
 #include "Process/EventLog.h"
 
 #include <absl/strings/match.h>
@@ -465,7 +466,7 @@
         refuse();
         return;
     }
-    const Query query { call, words[3], BootClock::now() + Milliseconds(waitMs) };
+    const Query query { call, words[3], BootClock::now() + boundedMilliseconds(waitMs) };
     answerAsOwner(
         query, [exchange](const HttpResult &result) { exchange->reply(result); }, refuse);
 }
--- a/Source/Process/Batch/JobRecord.cpp
+++ b/Source/Process/Batch/JobRecord.cpp
@@ -1,8 +1,11 @@
 #include "Process/Batch/JobRecord.h"
 
+#include "Process/BoundedTime.h"
 #include "Process/Json.h"
 #include "Process/JsonFields.h"
 
+#include <algorithm>
+
 namespace poplardock {
 
 namespace {
@@ -14,7 +17,9 @@
 
 auto timeOf(std::int64_t milliseconds) -> WallClock::time_point
 {
-    return WallClock::time_point(Milliseconds(milliseconds));
+    // Later than any job's time, and small enough for a clock that counts nanoseconds.
+    constexpr Milliseconds LATEST = std::chrono::hours(24 * 365 * 200);
+    return WallClock::time_point(std::clamp(Milliseconds(milliseconds), -LATEST, LATEST));
 }
 
 } // namespace
--- a/Source/Process/CrashSuspects.cpp
+++ b/Source/Process/CrashSuspects.cpp
@@ -1,5 +1,7 @@
 #include "Process/CrashSuspects.h"
 
+#include "Process/BoundedTime.h"
+
 #include <Poco/SHA2Engine.h>
 #include <absl/strings/numbers.h>
 #include <absl/strings/str_cat.h>
@@ -157,7 +159,7 @@
     }
     suspect.key = words[0];
     if (answeredMs != NEVER_ANSWERED) {
-        suspect.answeredAge = Milliseconds(answeredMs);
+        suspect.answeredAge = boundedMilliseconds(answeredMs);
     }
     for (std::size_t index = HEAD_WORDS; index < words.size(); index += SIGHTING_WORDS) {
         std::int64_t ageMs = 0;
@@ -166,7 +168,7 @@
         if (!isValid) {
             return invalid();
         }
-        suspect.sightings.push_back({ words[index], words[index + 1], Milliseconds(ageMs) });
+        suspect.sightings.push_back({ words[index], words[index + 1], boundedMilliseconds(ageMs) });
     }
     return suspect;
 }
--- a/Source/Process/Load/LeavingUpstreams.cpp
+++ b/Source/Process/Load/LeavingUpstreams.cpp
@@ -1,5 +1,7 @@
 #include "Process/Load/LeavingUpstreams.h"
 
+#include "Process/BoundedTime.h"
+
 #include <absl/strings/numbers.h>
 #include <absl/strings/str_cat.h>
 #include <absl/strings/str_split.h>
@@ -40,7 +42,7 @@
     }
     leaving.upstream = words[0];
     leaving.address = words[1];
-    leaving.age = Milliseconds(ageMs);
+    leaving.age = boundedMilliseconds(ageMs);
     return leaving;
 }
 
--- a/Source/Process/Load/UpstreamLimits.cpp
+++ b/Source/Process/Load/UpstreamLimits.cpp
@@ -1,5 +1,6 @@
 #include "Process/Load/UpstreamLimits.h"
 
+#include "Process/BoundedTime.h"
 #include "Process/EventLog.h"
 #include "Version/MemberTable.h"
 
@@ -98,7 +99,7 @@
     }
     limit.upstream = words[0];
     limit.perSecond = words[1] == NO_LIMIT ? std::nullopt : std::optional(perSecond);
-    limit.age = Milliseconds(ageMs);
+    limit.age = boundedMilliseconds(ageMs);
     return limit;
 }
 
--- a/Source/Process/Peers/DaemonReport.cpp
+++ b/Source/Process/Peers/DaemonReport.cpp
@@ -1,11 +1,15 @@
 #include "Process/Peers/DaemonReport.h"
 
+#include "Process/BoundedTime.h"
+
 #include <absl/strings/numbers.h>
 #include <absl/strings/str_cat.h>
 #include <absl/strings/str_format.h>
 #include <absl/strings/str_join.h>
 #include <absl/strings/str_split.h>
 
+#include <cmath>
+
 namespace poplardock {
 
 namespace {
@@ -210,7 +214,12 @@
         WorkCount &count = load.work[std::string(words[1])];
         return absl::SimpleAtoi(words[2], &count.online) && absl::SimpleAtoi(words[3], &count.batch);
     }
-    return words.size() == 3 && words[0] == "d" && absl::SimpleAtod(words[2], &load.demand[std::string(words[1])]);
+    double demand = 0;
+    if (words.size() != 3 || words[0] != "d" || !absl::SimpleAtod(words[2], &demand) || !std::isfinite(demand) || demand < 0) {
+        return false;
+    }
+    load.demand[std::string(words[1])] = demand;
+    return true;
 }
 
 auto parseJobOwner(std::vector<JobOwner> &jobs, const Words &words) -> bool
@@ -277,7 +286,7 @@
         std::int64_t age = 0;
         const bool isValid = absl::SimpleAtoi(words[2], &state.version) && absl::SimpleAtoi(words[3], &age) && age >= 0;
         state.dataCentre = std::string(words[1]);
-        state.age = Milliseconds(age);
+        state.age = boundedMilliseconds(age);
         summary.rosters.push_back(std::move(state));
         return isValid;
     }
@@ -344,7 +353,7 @@
         && absl::SimpleAtoi(words[2], &outcome) && absl::SimpleAtoi(words[3], &milliseconds) && outcome >= 0
         && outcome <= static_cast<int>(TokenResponse::Outcome::NotHome)) {
         tokenResponse.outcome = static_cast<TokenResponse::Outcome>(outcome);
-        tokenResponse.retryAfter = Milliseconds(milliseconds);
+        tokenResponse.retryAfter = boundedMilliseconds(milliseconds);
         return tokenResponse;
     }
     FreshnessRequest freshnessRequest;
@@ -355,7 +364,7 @@
     if (words.size() == 5 && words[0] == FRESHNESS_RESPONSE_TAG && absl::SimpleAtoi(words[1], &freshnessResponse.correlationId)
         && absl::SimpleAtoi(words[2], &freshnessResponse.state.configurationRevision) && absl::SimpleAtoi(words[3], &milliseconds)
         && absl::SimpleAtoi(words[4], &freshnessResponse.state.upstreamRevision) && milliseconds >= 0) {
-        freshnessResponse.state.age = Milliseconds(milliseconds);
+        freshnessResponse.state.age = boundedMilliseconds(milliseconds);
         return freshnessResponse;
     }
     return malformed(words.front());
@@ -401,7 +410,7 @@
         && absl::SimpleAtoi(head[6], &age) && age >= 0 && absl::SimpleAtoi(head[7], &summary.freshness.upstreamRevision)) {
         summary.sender = std::string(head[1]);
         summary.incarnation = std::string(head[2]);
-        summary.freshness.age = Milliseconds(age);
+        summary.freshness.age = boundedMilliseconds(age);
         return parseLines(std::move(summary), lines);
     }
     Roster roster;
--- a/Tests/Connection/FrontDaemonTest.cpp
+++ b/Tests/Connection/FrontDaemonTest.cpp
@@ -141,6 +141,21 @@
     BOOST_TEST(broken > 0);
 }
 
+// Guards against a request that ends as timed out because its caller states a time of many digits.
+BOOST_AUTO_TEST_CASE(ACallerMayStateAnyTime)
+{
+    PlatformFleet fleet(1, 1);
+    for (const char *stated : { "9223372036854775807", "9223372036854775", "9223372036854" }) {
+        for (const std::string path : { "/plain/x", "/once/x" }) {
+            HttpCall call = PlatformFleet::request(path, absl::StrCat("r", path.size(), stated), "key1");
+            call.headers.set("Deadline-Ms", stated);
+            const auto answer = fleet.call(0, call);
+            BOOST_REQUIRE(answer.has_value());
+            BOOST_TEST(answer->status == 200, stated);
+        }
+    }
+}
+
 // Guards against a caller that is left waiting after the deadline of a stream whose events stop.
 BOOST_AUTO_TEST_CASE(AStreamThatStopsEndsAtTheDeadline)
 {
--- a/Tests/Platform/HeaderFormatTest.cpp
+++ b/Tests/Platform/HeaderFormatTest.cpp
@@ -1,5 +1,7 @@
 #include "platform/HeaderFormat.h"
 
+#include "Process/BoundedTime.h"
+
 #include <boost/test/unit_test.hpp>
 
 namespace poplardock::platform {
@@ -106,6 +108,26 @@
     BOOST_TEST(decodeResponseMetadata(head).isMisdirected);
 }
 
+// Guards against a time of many digits that overflows when it is added to a clock.
+BOOST_AUTO_TEST_CASE(StatedTimesAreBounded)
+{
+    for (const char *stated : { "9223372036854775807", "9223372036854775", "10000000000000" }) {
+        HeaderList headers;
+        headers.add("Deadline-Ms", stated);
+        headers.add("Wait-Ms", stated);
+        const RequestTerms terms = decodeRequestMetadata(headers);
+        BOOST_REQUIRE(terms.patience.has_value());
+        BOOST_TEST((*terms.patience == LONGEST_STATED_TIME), stated);
+        BOOST_TEST((terms.resultWait == LONGEST_STATED_TIME), stated);
+    }
+    for (const char *stated : { "timeout=1e300", "timeout=9223372036854775807", "timeout=inf", "timeout=nan", "timeout=-1e300" }) {
+        MessageHead head;
+        head.headers.add("Keep-Alive", stated);
+        const auto idleTime = decodeResponseMetadata(head).idleTime;
+        BOOST_TEST((!idleTime || *idleTime == LONGEST_STATED_TIME), stated);
+    }
+}
+
 // Guards against taking a malformed limit for one that forbids or allows everything.
 BOOST_AUTO_TEST_CASE(TheLimitOfAnUpstreamIsDecoded)
 {
--- a/Tests/Process/PeerDirectoryTest.cpp
+++ b/Tests/Process/PeerDirectoryTest.cpp
@@ -1,5 +1,6 @@
 #include "Process/Peers/PeerDirectory.h"
 
+#include "Process/BoundedTime.h"
 #include "Support/DirectoryFleet.h"
 
 #include <boost/test/unit_test.hpp>
@@ -109,6 +110,11 @@
                                     "yield2 u1 x",
                                     "report3 a b 1 1 0 1 0 z\nw u1 x 2",
                                     "report3 a b 1 1 0 1 0 z\n",
+                                    "report3 a b 1 1 0 1 0 z\nd t nan",
+                                    "report3 a b 1 1 0 1 0 z\nd t inf",
+                                    "report3 a b 1 1 0 1 0 z\nd t 1e999",
+                                    "report3 a b 1 1 0 1 0 z\nd t -1",
+                                    "digest2 a i 1 0 z\nd t nan",
                                     "digest2 a i x 0 z",
                                     "digest2 a i 1 0 z\nj job1",
                                     "digest2 a i 1 0 z\nr z 1 2",
@@ -123,6 +129,21 @@
     }
 }
 
+// Guards against an age of many digits that overflows when it is taken from a clock.
+BOOST_AUTO_TEST_CASE(AgesOfForeignDatagramsAreBounded)
+{
+    const std::string longest = "9223372036854775807";
+    const auto summary = decodePeerMessage("summary1 a i 1 2 3 " + longest + " 5\nr z 1 " + longest + "\nl u 3 " + longest);
+    BOOST_REQUIRE(summary.ok());
+    const auto &read = std::get<FleetSummary>(*summary);
+    for (const Milliseconds age : { read.freshness.age, read.rosters.at(0).age, read.upstreamLimits.at(0).age }) {
+        BOOST_TEST((age == LONGEST_STATED_TIME));
+    }
+    const auto response = decodePeerMessage("freshanswer1 1 2 " + longest + " 3");
+    BOOST_REQUIRE(response.ok());
+    BOOST_TEST((std::get<FreshnessResponse>(*response).state.age == LONGEST_STATED_TIME));
+}
+
 // Guards against applying datagrams that arrive out of order, and the daemon's own reports.
 BOOST_AUTO_TEST_CASE(OnlyNewerReportsAreApplied)
 {
