--- a/Source/Process/Batch/JobRepository.cpp
+++ b/Source/Process/Batch/JobRepository.cpp
@@ -3,6 +3,7 @@
 #include "Process/EventLog.h"
 #include "Process/Json.h"
 
+#include <absl/strings/ascii.h>
 #include <absl/strings/str_cat.h>
 #include <absl/strings/str_format.h>
 
@@ -20,6 +21,9 @@
 /// rest is left for headers.
 constexpr double PAYLOAD_FRACTION = 0.6;
 constexpr Milliseconds RETRY_DELAY { 100 };
+constexpr std::size_t ENTRY_DIGITS = 6;
+/// Entries of other writers that are remembered as logged.
+constexpr std::size_t MAXIMUM_ODD_ENTRIES = 1000;
 
 auto payloadName(const std::string &id, std::size_t number) -> std::string
 {
@@ -29,7 +33,7 @@
 /// Zero-padded, so that the entries of a log sort by name in the order of their numbers.
 auto entryName(std::size_t number) -> std::string
 {
-    return absl::StrFormat("%06d", number);
+    return absl::StrFormat("%0*d", static_cast<int>(ENTRY_DIGITS), number);
 }
 
 auto logKind(const std::string &id) -> std::string
@@ -37,6 +41,11 @@
     return absl::StrCat(LOG_KIND_PREFIX, id);
 }
 
+auto isEntryName(const std::string &name) -> bool
+{
+    return name.size() >= ENTRY_DIGITS && std::all_of(name.begin(), name.end(), [](unsigned char c) { return absl::ascii_isdigit(c); });
+}
+
 /// The fence of an entry; 0 for one that has none.
 auto fenceOf(const std::string &spec) -> absl::StatusOr<std::int64_t>
 {
@@ -198,32 +207,41 @@
         }
         ResultLog log;
         for (const StoredObject &object : list.ok() ? list->objects : std::vector<StoredObject>()) {
+            if (!isEntryName(object.name)) {
+                recordOddEntry(object, "its name is no number of the log");
+                continue;
+            }
             // The log has no gaps. The store may list its entries in any order, so the names are checked.
             if (object.name != entryName(log.nextEntryNumber)) {
                 handler(absl::InternalError(
                     absl::StrCat("log out of sequence: entry ", object.name, " where ", log.nextEntryNumber, " is due")));
                 return;
             }
+            // An entry of another writer takes its number and adds nothing: the daemons' own entries can all be read.
+            ++log.nextEntryNumber;
             const auto results = adapter_.decodeResults(object.spec);
-            if (!results.ok()) {
-                handler(results.status());
-                return;
-            }
-            if (results->empty()) {
-                const auto fence = fenceOf(object.spec);
-                if (!fence.ok()) {
-                    handler(fence.status());
-                    return;
-                }
-                log.fence = std::max(log.fence, static_cast<std::uint64_t>(*fence));
+            const auto fence = fenceOf(object.spec);
+            if (!results.ok() || !fence.ok()) {
+                recordOddEntry(object, results.ok() ? fence.status().message() : results.status().message());
+                continue;
             }
+            log.fence = std::max(log.fence, static_cast<std::uint64_t>(*fence));
             log.results.insert(log.results.end(), results->begin(), results->end());
-            ++log.nextEntryNumber;
         }
         handler(log);
     });
 }
 
+auto JobRepository::recordOddEntry(const StoredObject &entry, absl::string_view reason) -> void
+{
+    if (oddEntries_.size() >= MAXIMUM_ODD_ENTRIES) {
+        oddEntries_.clear();
+    }
+    if (oddEntries_.insert(absl::StrCat(entry.kind, "/", entry.name)).second) {
+        EventLog::write("result_entry_skipped", { { "log", entry.kind }, { "entry", entry.name }, { "reason", reason } });
+    }
+}
+
 auto JobRepository::append(const std::string &id, std::size_t entryNumber, const std::vector<JobResult> &results, AppendHandler handler)
     -> void
 {
--- a/Source/Process/Batch/JobRepository.h
+++ b/Source/Process/Batch/JobRepository.h
@@ -5,6 +5,7 @@
 #include "Request/JobItem.h"
 
 #include <functional>
+#include <set>
 #include <vector>
 
 namespace poplardock {
@@ -60,6 +61,7 @@
     /// Replaces the record if its version is still that of the argument.
     auto replace(const JobRecord &record, RecordHandler handler) -> void;
     auto readItems(const JobRecord &record, ItemsHandler handler) -> void;
+    /// Leaves out entries of other writers: those whose name is no number of the log, and those that cannot be decoded.
     auto readResultLog(const std::string &id, ResultLogHandler handler) -> void;
     /// Creates an entry without results, after which appends of former owners fail. "claimVersion" is the version of the
     /// record that made the caller the owner.
@@ -73,6 +75,8 @@
     struct Submission;
 
     auto createEntry(const std::string &id, std::size_t entryNumber, const std::string &spec, AppendHandler handler) -> void;
+    /// Logs an entry that is left out of a log, once.
+    auto recordOddEntry(const StoredObject &entry, absl::string_view reason) -> void;
     auto writeNext(const std::shared_ptr<Submission> &submission) -> void;
     auto readPayload(const JobRecord &record, std::size_t number, const std::shared_ptr<std::vector<JobItem>> &found, ItemsHandler handler)
         -> void;
@@ -81,6 +85,7 @@
     ObjectStore &store_;
     const WireDialect &adapter_;
     const std::uint64_t valueBytes_;
+    std::set<std::string> oddEntries_;
 };
 
 } // namespace poplardock
--- a/Tests/Connection/JobServiceTest.cpp
+++ b/Tests/Connection/JobServiceTest.cpp
@@ -415,6 +415,42 @@
     BOOST_TEST(ids.size() == 12);
 }
 
+// Guards against a job that ends for good, or whose results cannot be read, because another writer has put entries into its log.
+BOOST_AUTO_TEST_CASE(OddEntriesOfAResultLogAreSkipped)
+{
+    constexpr std::size_t ITEMS = 30;
+    PlatformFleet fleet(2, 1);
+    fleet.engines[0]->behaviour().events = 30;
+    fleet.engines[0]->behaviour().eventPause = Milliseconds(20);
+    BOOST_TEST(fleet.call(0, PlatformFleet::submission("j31", ITEMS, "key1"))->status == 202);
+    const auto putOdd = [&fleet] {
+        const std::string due = absl::StrCat(1000000 + fleet.store.countOf("results-j31")).substr(1);
+        fleet.store.put("results-j31", due, R"({"results":[{"id":7,"state":"completed"}]})");
+    };
+    // The owner meets one under the number that is due.
+    putOdd();
+    const auto before = awaitResults(fleet, 0, "j31", 2);
+    BOOST_REQUIRE(before.size() >= 2);
+    BOOST_REQUIRE(before.size() < ITEMS);
+    putOdd();
+    fleet.store.put("results-j31", "notes", R"({"results":[{"id":"j31-0","state":"completed","text":"another one"}]})");
+    fleet.killDaemon(0);
+    const auto results = awaitResults(fleet, 1, "j31", ITEMS);
+    BOOST_REQUIRE(results.size() == ITEMS);
+    BOOST_TEST(std::equal(before.begin(), before.end(), results.begin()));
+    std::set<std::string> ids;
+    for (const JobResult &result : results) {
+        ids.insert(result.itemId);
+        BOOST_TEST(result.text == FakeEngine::dataOf(result.itemId, 30));
+    }
+    BOOST_TEST(ids.size() == ITEMS);
+    // A daemon that does not own the job reads the log.
+    const std::size_t other = fleet.startDaemon("daemon2");
+    BOOST_REQUIRE(fleet.runUntil([&fleet, other] { return fleet.isReady(other); }, RUN_TIME));
+    fleet.killDaemon(1);
+    BOOST_TEST((awaitResults(fleet, other, "j31", ITEMS) == results));
+}
+
 // Guards against an owner that was only slow and goes on listing results after another daemon has taken its job over.
 BOOST_AUTO_TEST_CASE(AnOwnerThatWasReplacedStops)
 {
