--- a/Source/Connection/RequestRun.cpp
+++ b/Source/Connection/RequestRun.cpp
@@ -76,6 +76,15 @@
     return { crashFingerprint(request.team, request.message.uri, request.message.body), request.sharedParts };
 }
 
+auto noteLeaving(UpstreamTable &upstreams, Metrics &metrics, const std::string &upstream, const UpstreamHead &head, TimePoint sentAt)
+    -> void
+{
+    const auto report = parseLoadReport(findHeader(head, "Load-Report"));
+    if (report && upstreams.recordLeaving(upstream, report->isLeaving, sentAt, Clock::now())) {
+        metrics.count("upstreams_leaving_by_answer");
+    }
+}
+
 RequestRun::RequestRun(const OnlineParts &parts, const OnlineRequest &request, CallerReply &reply, CallerWatch::Registration &watch)
     : parts_(parts)
     , request_(request)
@@ -149,7 +158,7 @@
     InFlightRequest work(parts_.upstreams, upstream.name, WorkKind::Online);
     // The answer of a claimed request is recorded even when its caller is gone, for when it sends again.
     const std::stop_token stop = claim_ ? std::stop_token() : watch_.stopToken();
-    UpstreamResult result = callUpstream(upstream, makeUpstreamRequest(request_), receiver.handlers(), stop);
+    UpstreamResult result = callUpstream(upstream, makeUpstreamRequest(request_), handlersFor(upstream, receiver, startedAt), stop);
     if (receiver.isTooLarge()) {
         result = UpstreamFailure { RunState::MayHaveRun, ResultCode::UpstreamAnswerInvalid, "the answer is too large" };
     }
@@ -161,6 +170,19 @@
     return result;
 }
 
+auto RequestRun::handlersFor(const Upstream &upstream, AnswerReceiver &receiver, TimePoint startedAt) -> UpstreamHandlers
+{
+    UpstreamHandlers handlers = receiver.handlers();
+    handlers.mayStart = [this, &upstream] {
+        return !parts_.upstreams.isLeaving(upstream.name, Clock::now());
+    };
+    handlers.onHead = [this, &upstream, startedAt, receiveHead = handlers.onHead](const UpstreamHead &head) {
+        noteLeaving(parts_.upstreams, parts_.metrics, upstream.name, head, startedAt);
+        return receiveHead(head);
+    };
+    return handlers;
+}
+
 auto RequestRun::learn(const Upstream &upstream,
                        const UpstreamResult &result,
                        const AnswerReceiver &receiver,
@@ -250,6 +272,16 @@
     reply_.abandon();
 }
 
+auto RequestRun::leavingReason() const -> std::string
+{
+    const FleetVersionPointer version = parts_.state.current();
+    const std::vector<const Upstream *> upstreams = upstreamsOf(*version, request_);
+    const std::vector<UpstreamLoad> loads = parts_.upstreams.snapshot(upstreams);
+    const bool areAllLeaving = std::all_of(loads.begin(), loads.end(), [](const UpstreamLoad &load) { return load.isDraining; });
+    return upstreams.empty() || !areAllLeaving ? std::string()
+                                               : absl::StrCat("all upstreams of ", upstreams.front()->group, " are leaving");
+}
+
 auto RequestRun::sendFailure() -> void
 {
     if (sentAttempts_ == 0) {
@@ -257,7 +289,7 @@
             parts_.claims.release(*claim_).IgnoreError();
         }
         const ResultCode code = lastFailure_ ? ResultCode::UpstreamConnectFailed : ResultCode::NoUpstream;
-        reply_.sendError({ code, {}, RETRY_AFTER_SECONDS });
+        reply_.sendError({ code, leavingReason(), RETRY_AFTER_SECONDS });
         return;
     }
     const bool isOwnCode = !reply_.isStarted() && request_.isRetryable && lastFailure_->code != ResultCode::UpstreamTimedOut;
--- a/Source/Connection/RequestRun.h
+++ b/Source/Connection/RequestRun.h
@@ -16,6 +16,11 @@
 /// The upstreams of a request in a version, leaving ones included. The pointers live as long as the version.
 auto upstreamsOf(const FleetVersion &version, const OnlineRequest &request) -> std::vector<const Upstream *>;
 
+/// Takes note of what the head of an answer says of its upstream's leaving. "sentAt": when the request was sent, or earlier.
+/// Thread-safe.
+auto noteLeaving(UpstreamTable &upstreams, Metrics &metrics, const std::string &upstream, const UpstreamHead &head, TimePoint sentAt)
+    -> void;
+
 /// What the crash of an upstream that runs the request is attributed to. Thread-safe.
 auto crashSubjectOf(const OnlineRequest &request) -> CrashSubject;
 
@@ -35,6 +40,8 @@
     auto runAttempts() -> void;
     /// One exchange with one upstream.
     auto attempt(const Upstream &upstream) -> UpstreamResult;
+    /// The receiver's handlers, which also take note of an upstream that says it leaves, and withdraw the request from it.
+    auto handlersFor(const Upstream &upstream, AnswerReceiver &receiver, TimePoint startedAt) -> UpstreamHandlers;
     auto learn(const Upstream &upstream,
                const UpstreamResult &result,
                const AnswerReceiver &receiver,
@@ -45,6 +52,8 @@
     auto mayGoOn(const Upstream &upstream, const UpstreamFailure &failure) -> bool;
     /// Ends a run whose caller is gone or whose key is no longer valid.
     auto sendStopped() -> void;
+    /// Says so if every upstream of the request's group is leaving; empty otherwise.
+    [[nodiscard]] auto leavingReason() const -> std::string;
     auto sendFailure() -> void;
     auto recordDeathIfDead(const Upstream &upstream) -> void;
 
--- a/Source/Connection/UpstreamCall.cpp
+++ b/Source/Connection/UpstreamCall.cpp
@@ -81,6 +81,9 @@
         if (const auto failure = connect()) {
             return *failure;
         }
+        if (handlers_.mayStart && !handlers_.mayStart()) {
+            return UpstreamFailure { RunState::NotRun, ResultCode::UpstreamConnectFailed, "the upstream was withdrawn" };
+        }
         const std::stop_callback breakOff(stop_, [this] { ::shutdown(socket_.impl()->sockfd(), SHUT_RDWR); });
         auto failure = send();
         if (!failure) {
--- a/Source/Connection/UpstreamCall.h
+++ b/Source/Connection/UpstreamCall.h
@@ -61,11 +61,14 @@
 
 using UpstreamResult = std::variant<UpstreamAnswer, UpstreamFailure>;
 
-/// Receives the parts of an answer as they arrive. Both may return false to break the exchange off.
+/// Receives the parts of an answer as they arrive. All may be empty. "onHead" and "onData" may return false to break the exchange
+/// off.
 struct UpstreamHandlers
 {
     std::function<bool(const UpstreamHead &)> onHead;
     std::function<bool(std::string_view)> onData;
+    /// Asked when the connection is open and nothing has been sent; false withdraws the request, which ends as not run.
+    std::function<bool()> mayStart = {};
 };
 
 /// Runs one exchange over its own connection and returns when it has ended. The upstream's credential is
--- a/Source/Process/BatchDispatcher.cpp
+++ b/Source/Process/BatchDispatcher.cpp
@@ -35,25 +35,6 @@
     return job.model.empty() ? job.path : job.model;
 }
 
-/// All upstreams of the fleet that can run the job's items and are not draining.
-auto upstreamsFor(const BatchJob &job, const Configuration &configuration) -> std::vector<std::string>
-{
-    const Route *route = job.model.empty() ? configuration.findRoute(job.path) : nullptr;
-    std::vector<const Upstream *> found;
-    if (!job.model.empty()) {
-        found = configuration.upstreamsOfModel(job.model);
-    } else if (route != nullptr) {
-        found = configuration.upstreamsOfGroup(route->group);
-    }
-    std::vector<std::string> names;
-    for (const Upstream *upstream : found) {
-        if (!upstream->isDraining) {
-            names.push_back(upstream->name);
-        }
-    }
-    return names;
-}
-
 auto contains(const std::vector<std::string> &names, const std::string &name) -> bool
 {
     return std::find(names.begin(), names.end(), name) != names.end();
@@ -203,13 +184,36 @@
     }
     for (const Upstream &upstream : served.version->configuration.data().upstreams) {
         const Member *home = served.version->members.homeOf(absl::StrCat("upstream/", upstream.name), options_.region);
-        if (!upstream.isDraining && home != nullptr && home->name == served.self.name) {
+        if (isUsable(upstream) && home != nullptr && home->name == served.self.name) {
             served.upstreams.push_back(upstream);
         }
     }
     return served;
 }
 
+auto BatchDispatcher::upstreamsFor(const BatchJob &job, const Configuration &configuration) const -> std::vector<std::string>
+{
+    const Route *route = job.model.empty() ? configuration.findRoute(job.path) : nullptr;
+    std::vector<const Upstream *> found;
+    if (!job.model.empty()) {
+        found = configuration.upstreamsOfModel(job.model);
+    } else if (route != nullptr) {
+        found = configuration.upstreamsOfGroup(route->group);
+    }
+    std::vector<std::string> names;
+    for (const Upstream *upstream : found) {
+        if (isUsable(*upstream)) {
+            names.push_back(upstream->name);
+        }
+    }
+    return names;
+}
+
+auto BatchDispatcher::isUsable(const Upstream &upstream) const -> bool
+{
+    return !upstream.isDraining && !hooks_.isLeaving(upstream.name);
+}
+
 auto BatchDispatcher::loadsOf(const ServedUpstreams &served) const -> std::map<std::string, ObservedLoad>
 {
     std::map<std::string, ObservedLoad> loads;
@@ -384,8 +388,19 @@
 
 auto BatchDispatcher::runItem(const Attempt &attempt) -> ItemAttemptResult
 {
+    const std::string &upstream = attempt.upstream.name;
+    const TimePoint sentAt = Clock::now();
+    BatchItemAttempt::Hooks hooks { hooks_.isAlive };
+    hooks.mayStart = [this, &upstream] {
+        return !hooks_.isLeaving(upstream);
+    };
+    hooks.onHead = [this, &upstream, sentAt](const UpstreamHead &head) {
+        if (hooks_.onHead) {
+            hooks_.onHead(upstream, head, sentAt);
+        }
+    };
     return BatchItemAttempt::run(
-        attempt.upstream, attempt.job->job, attempt.body, Clock::now() + options_.attemptTimeout, attempt.stop.get_token(), hooks_.isAlive);
+        attempt.upstream, attempt.job->job, attempt.body, sentAt + options_.attemptTimeout, attempt.stop.get_token(), hooks);
 }
 
 auto BatchDispatcher::finishAttempt(const AttemptPointer &attempt, const ItemAttemptResult &result) -> void
--- a/Source/Process/BatchDispatcher.h
+++ b/Source/Process/BatchDispatcher.h
@@ -41,6 +41,12 @@
         std::function<ObservedLoad(const std::string &upstream)> loadOf;
         /// Probes whether an upstream still responds after it closed a connection during a request.
         std::function<bool(const Upstream &upstream)> isAlive = BatchItemAttempt::probe;
+        /// Whether an upstream has said that it leaves; it gets no further items. Must not call the dispatcher.
+        std::function<bool(const std::string &upstream)> isLeaving = [](const std::string &) {
+            return false;
+        };
+        /// Receives the head of each answer to an item that was sent at that time. May be empty.
+        std::function<void(const std::string &upstream, const UpstreamHead &head, TimePoint sentAt)> onHead = {};
     };
 
     struct Options
@@ -145,6 +151,9 @@
         double targetMs = 0;
     };
 
+    /// All upstreams of the fleet that can run the job's items and are neither draining nor leaving.
+    auto upstreamsFor(const BatchJob &job, const Configuration &configuration) const -> std::vector<std::string>;
+    auto isUsable(const Upstream &upstream) const -> bool;
     auto findServedUpstreams(TimePoint now) const -> ServedUpstreams;
     auto loadsOf(const ServedUpstreams &served) const -> std::map<std::string, ObservedLoad>;
     auto scheduleLoop(const std::stop_token &stop) -> void;
--- a/Source/Process/Daemon.cpp
+++ b/Source/Process/Daemon.cpp
@@ -7,6 +7,7 @@
 #include "Connection/JobRoutes.h"
 #include "Connection/OnlinePath.h"
 #include "Connection/RequestRelay.h"
+#include "Connection/RequestRun.h"
 #include "Connection/Router.h"
 #include "Process/AdmissionLog.h"
 #include "Process/AllowanceClient.h"
@@ -257,6 +258,12 @@
     hooks.loadOf = [this](const std::string &upstream) {
         return loadOf(upstream);
     };
+    hooks.isLeaving = [this](const std::string &upstream) {
+        return upstreams.isLeaving(upstream, Clock::now());
+    };
+    hooks.onHead = [this](const std::string &upstream, const UpstreamHead &head, TimePoint sentAt) {
+        noteLeaving(upstreams, metrics, upstream, head, sentAt);
+    };
     dispatcher = std::make_unique<BatchDispatcher>(jobStore, state, metrics, options, hooks);
     yieldSender = std::make_unique<PreemptionNotifier>(
         state, peers, settings.region, [this](const std::string &upstream) { dispatcher->preempt(upstream); });
--- a/Source/Process/UpstreamTable.cpp
+++ b/Source/Process/UpstreamTable.cpp
@@ -20,6 +20,9 @@
 constexpr int POLLER_COUNT = 4;
 constexpr int FAILED_POLLS_FOR_UNREACHABLE = 2;
 
+/// Longer than an upstream runs on after it has said that it leaves.
+constexpr std::chrono::minutes LEAVING_RETENTION { 10 };
+
 constexpr int FAILURES_FOR_EJECTION = 3;
 constexpr Milliseconds FIRST_EJECTION { 1000 };
 constexpr Milliseconds MAXIMUM_EJECTION { 30000 };
@@ -105,15 +108,28 @@
         unknown.name = upstream;
         return unknown;
     }
-    UpstreamLoad load = snapshotOfEntry(found->second, false);
-    load.firstTokenP95Ms = firstTokenP95(found->second, Clock::now());
+    const TimePoint now = Clock::now();
+    UpstreamLoad load = snapshotOfEntry(found->second, false, now);
+    load.firstTokenP95Ms = firstTokenP95(found->second, now);
     return load;
 }
 
-auto UpstreamTable::snapshotOfEntry(const Entry &entry, bool isDraining) -> UpstreamLoad
+auto UpstreamTable::isLeaving(const Entry &entry, TimePoint now) -> bool
+{
+    return entry.leaving && now < entry.leaving->until;
+}
+
+auto UpstreamTable::isLeaving(const std::string &upstream, TimePoint now) const -> bool
+{
+    const std::lock_guard lock(mutex_);
+    const auto found = entries_.find(upstream);
+    return found != entries_.end() && isLeaving(found->second, now);
+}
+
+auto UpstreamTable::snapshotOfEntry(const Entry &entry, bool isDraining, TimePoint now) -> UpstreamLoad
 {
     UpstreamLoad load = entry.load;
-    load.isDraining = isDraining;
+    load.isDraining = isDraining || isLeaving(entry, now);
     if (isUnreachable(entry)) {
         load.ejectedUntil = TimePoint::max();
     }
@@ -124,11 +140,12 @@
 {
     std::vector<UpstreamLoad> loads;
     loads.reserve(upstreams.size());
+    const TimePoint now = Clock::now();
     const std::lock_guard lock(mutex_);
     for (const Upstream *upstream : upstreams) {
         const auto found = entries_.find(upstream->name);
         if (found != entries_.end()) {
-            loads.push_back(snapshotOfEntry(found->second, upstream->isDraining));
+            loads.push_back(snapshotOfEntry(found->second, upstream->isDraining, now));
             continue;
         }
         UpstreamLoad unknown;
@@ -199,6 +216,29 @@
     updateSlotEstimate(load);
 }
 
+auto UpstreamTable::recordLeaving(const std::string &upstream, bool isLeaving, TimePoint sentAt, TimePoint now) -> bool
+{
+    {
+        const std::lock_guard lock(mutex_);
+        std::optional<LeavingMark> &mark = entryOf(upstream).leaving;
+        const bool isMarked = mark && now < mark->until;
+        if (isLeaving) {
+            mark = LeavingMark { isMarked ? mark->since : now, now + LEAVING_RETENTION };
+        }
+        if (isLeaving == isMarked) {
+            return false;
+        }
+        if (!isLeaving && sentAt <= mark->since) {
+            return false;
+        }
+        if (!isLeaving) {
+            mark.reset();
+        }
+    }
+    Log::warning(Part::Upstream, absl::StrCat("upstream ", upstream, isLeaving ? " says that it leaves" : " runs again after it left"));
+    return isLeaving;
+}
+
 auto UpstreamTable::toJson(TimePoint now) const -> JsonObject::Ptr
 {
     JsonObject::Ptr upstreams = new JsonObject;
@@ -221,6 +261,7 @@
         object->set("failures", entry.failures);
         object->set("ejected", entry.load.ejectedUntil > now);
         object->set("unreachable", isUnreachable(entry));
+        object->set("leaving", isLeaving(entry, now));
         upstreams->set(name, object);
     }
     return upstreams;
@@ -299,11 +340,14 @@
     if (!due.credential.empty()) {
         call.headers["Authorization"] = absl::StrCat("Bearer ", due.credential);
     }
+    const TimePoint sentAt = Clock::now();
     const CallResult result = clients_.clientFor(due.address)->call(call);
     const auto *response = std::get_if<HttpResponse>(&result);
     const auto report = response != nullptr && response->status == 200 ? parseLoadReport(response->body) : std::nullopt;
     if (report) {
-        recordReport(due.name, *report, Clock::now());
+        const TimePoint now = Clock::now();
+        recordReport(due.name, *report, now);
+        recordLeaving(due.name, report->isLeaving, sentAt, now);
     }
     bool wasUnreachable = false;
     bool isNowUnreachable = false;
--- a/Source/Process/UpstreamTable.h
+++ b/Source/Process/UpstreamTable.h
@@ -52,7 +52,7 @@
 
     /// Chooses among the upstreams by chooseUpstream(). Null when none is usable; the pointer is one of the
     /// arguments. Whether an upstream is draining is read from the argument, so pass the upstreams of the version
-    /// in force.
+    /// in force, and from its answers.
     auto choose(const std::vector<const Upstream *> &upstreams, const std::set<std::string> &excluded, TimePoint now) -> const Upstream *;
     /// In the order of the arguments.
     [[nodiscard]] auto snapshot(const std::vector<const Upstream *> &upstreams) const -> std::vector<UpstreamLoad>;
@@ -64,9 +64,14 @@
     auto recordStart(const std::string &upstream, WorkKind kind) -> void;
     auto recordFinish(const std::string &upstream, WorkKind kind, const RequestOutcome &outcome, TimePoint now) -> void;
     auto recordReport(const std::string &upstream, const LoadReport &report, TimePoint now) -> void;
+    /// Records what an answer of the upstream says of its leaving. A mark ends when the answer to a request that was sent after
+    /// it says otherwise, which shows a later run, or ten minutes after the last answer that said so. Returns whether the
+    /// upstream has become known as leaving by this answer.
+    auto recordLeaving(const std::string &upstream, bool isLeaving, TimePoint sentAt, TimePoint now) -> bool;
+    [[nodiscard]] auto isLeaving(const std::string &upstream, TimePoint now) const -> bool;
 
     /// {NAME:{"online","batch","running","waiting","report_age_ms","service_ms","first_token_ms","failures",
-    /// "ejected","unreachable"}}; absent values are left out.
+    /// "ejected","unreachable","leaving"}}; absent values are left out.
     [[nodiscard]] auto toJson(TimePoint now) const -> JsonObject::Ptr;
 
 private:
@@ -75,9 +80,16 @@
         TimePoint at;
         double milliseconds = 0;
     };
+    /// An upstream that has said in an answer that it leaves.
+    struct LeavingMark
+    {
+        TimePoint since;
+        TimePoint until;
+    };
     struct Entry
     {
         UpstreamLoad load;
+        std::optional<LeavingMark> leaving;
         /// Recent times to the first token, oldest first.
         std::deque<FirstTokenSample> firstTokens;
         /// Failed requests since the last success.
@@ -98,7 +110,8 @@
 
     auto entryOf(const std::string &name) -> Entry &;
     static auto isUnreachable(const Entry &entry) -> bool;
-    static auto snapshotOfEntry(const Entry &entry, bool isDraining) -> UpstreamLoad;
+    static auto isLeaving(const Entry &entry, TimePoint now) -> bool;
+    static auto snapshotOfEntry(const Entry &entry, bool isDraining, TimePoint now) -> UpstreamLoad;
     static auto firstTokenP95(const Entry &entry, TimePoint now) -> double;
     auto runPoller(const std::stop_token &stop) -> void;
     /// Marks an upstream whose poll is due as being polled and returns it; unset when none is due.
--- a/Source/Request/BatchItemAttempt.cpp
+++ b/Source/Request/BatchItemAttempt.cpp
@@ -185,23 +185,31 @@
          const std::string &body,
          TimePoint deadline,
          const std::stop_token &stop,
-         const std::function<bool(const Upstream &)> &isAlive) -> ItemAttemptResult
+         const Hooks &hooks) -> ItemAttemptResult
 {
+    const auto &isAlive = hooks.isAlive;
     const UpstreamRequest request = makeRequest(job, body, deadline);
+    UpstreamHandlers handlers;
+    handlers.mayStart = hooks.mayStart;
+    handlers.onHead = [&hooks](const UpstreamHead &head) {
+        if (hooks.onHead) {
+            hooks.onHead(head);
+        }
+        return true;
+    };
     if (!shouldStream(job, body)) {
-        const UpstreamResult result = callUpstream(upstream, request, {}, stop);
+        const UpstreamResult result = callUpstream(upstream, request, handlers, stop);
         const auto *failure = std::get_if<UpstreamFailure>(&result);
         return classify(result, upstream.name, failure == nullptr || !failure->isConnectionLost || isAlive(upstream));
     }
     StreamedResponse streamed;
     std::string plain;
     bool isEventStream = false;
-    UpstreamHandlers handlers;
-    handlers.onHead = [&isEventStream](const UpstreamHead &head) {
+    handlers.onHead = [&isEventStream, receiveHead = handlers.onHead](const UpstreamHead &head) {
         for (const auto &[name, value] : head.headers) {
             isEventStream = isEventStream || (absl::EqualsIgnoreCase(name, "content-type") && absl::StartsWith(value, "text/event-stream"));
         }
-        return true;
+        return receiveHead(head);
     };
     handlers.onData = [&](std::string_view bytes) {
         if (isEventStream) {
--- a/Source/Request/BatchItemAttempt.h
+++ b/Source/Request/BatchItemAttempt.h
@@ -58,13 +58,24 @@
 /// Classifies the result of a call. "isAlive" tells whether the upstream still accepted connections after one to it
 /// was lost. Pure function.
 auto classify(const UpstreamResult &result, const std::string &upstream, bool isAlive) -> ItemAttemptResult;
-/// Runs the item and blocks until the attempt has ended. "isAlive" is called after a connection was lost.
+/// What an attempt asks and tells while it runs. All are called from the thread of the attempt.
+struct Hooks
+{
+    /// Whether the upstream still responds; called after a connection was lost.
+    std::function<bool(const Upstream &)> isAlive;
+    /// False withdraws an item that has not been sent. May be empty.
+    std::function<bool()> mayStart = {};
+    /// Receives the head of an answer. May be empty.
+    std::function<void(const UpstreamHead &)> onHead = {};
+};
+
+/// Runs the item and blocks until the attempt has ended.
 auto run(const Upstream &upstream,
          const BatchJob &job,
          const std::string &body,
          TimePoint deadline,
          const std::stop_token &stop,
-         const std::function<bool(const Upstream &)> &isAlive) -> ItemAttemptResult;
+         const Hooks &hooks) -> ItemAttemptResult;
 
 /// Requests the load of the upstream. Returns whether a response came within a second.
 auto probe(const Upstream &upstream) -> bool;
--- a/Source/Request/UpstreamLoad.cpp
+++ b/Source/Request/UpstreamLoad.cpp
@@ -44,10 +44,11 @@
     const auto isCount = [](const absl::StatusOr<std::int64_t> &value) {
         return value.ok() && *value >= 0 && *value <= MAXIMUM_COUNT;
     };
-    if (!isCount(running) || !isCount(waiting)) {
+    const auto isLeaving = Json::optionalBool(**object, "leaving", false);
+    if (!isCount(running) || !isCount(waiting) || !isLeaving.ok()) {
         return std::nullopt;
     }
-    return LoadReport { static_cast<int>(*running), static_cast<int>(*waiting) };
+    return LoadReport { static_cast<int>(*running), static_cast<int>(*waiting), *isLeaving };
 }
 
 auto estimateInFlight(const UpstreamLoad &load, TimePoint now) -> double
--- a/Source/Request/UpstreamLoad.h
+++ b/Source/Request/UpstreamLoad.h
@@ -12,6 +12,8 @@
 {
     int running = 0;
     int waiting = 0;
+    /// The upstream is about to stop: it takes no further requests and finishes those that it runs.
+    bool isLeaving = false;
 
     auto operator==(const LoadReport &) const -> bool = default;
 };
@@ -45,7 +47,8 @@
     auto operator==(const UpstreamLoad &) const -> bool = default;
 };
 
-/// Parses {"running":n,"waiting":n}. Unset when the text is malformed or a count is out of range.
+/// Parses {"running":n,"waiting":n,"leaving":true}; an absent "leaving" is false. Unset when the text is malformed or a count is
+/// out of range.
 auto parseLoadReport(const std::string &json) -> std::optional<LoadReport>;
 
 /// Estimates the requests at the upstream: those of this daemon in flight, plus those of other daemons according to the
--- a/Tests/Connection/OnlinePathTest.cpp
+++ b/Tests/Connection/OnlinePathTest.cpp
@@ -8,6 +8,7 @@
 #include "Support/RawServer.h"
 
 #include <Poco/Net/StreamSocket.h>
+#include <absl/strings/match.h>
 #include <absl/strings/str_cat.h>
 #include <boost/test/unit_test.hpp>
 
@@ -109,6 +110,25 @@
         return *fakes.back();
     }
 
+    /// Sends requests to two upstreams, one of which says that it leaves in the way of these faults: it gets one of them.
+    auto checkLeaving(const std::string &faults, bool isStreamed) -> void
+    {
+        constexpr std::size_t CALLS = 40;
+        FakeUpstream &leaving = addFake(UpstreamKind::Model);
+        FakeUpstream &other = addFake(UpstreamKind::Model);
+        daemon.install(data);
+        BOOST_REQUIRE(leaving.setFaults(faults).ok());
+        for (std::size_t call = 0; call < CALLS; ++call) {
+            if (isStreamed) {
+                BOOST_TEST(absl::StrContains(stream(chatBody("x", true, 2)), "data: [DONE]"));
+            } else {
+                send(CHAT, chatBody("x", false, 1));
+            }
+        }
+        BOOST_TEST(leaving.received().size() == 1U);
+        BOOST_TEST(other.received().size() == CALLS - 1);
+    }
+
     /// One model and one service, both fast.
     auto installUsual() -> void
     {
@@ -600,6 +620,46 @@
     }
 }
 
+// Guards against requests that still reach an upstream which has said in an answer that it leaves.
+BOOST_AUTO_TEST_CASE(AnUpstreamThatLeavesGetsNothingMore)
+{
+    checkLeaving(R"({"leaving":true})", false);
+}
+
+// Guards against the same if the answer is an error.
+BOOST_AUTO_TEST_CASE(AnUpstreamThatLeavesWithAnErrorGetsNothingMore)
+{
+    checkLeaving(R"({"leaving":true,"refuse_status":500})", false);
+}
+
+// Guards against the same if the answer is the head of a stream, which goes on.
+BOOST_AUTO_TEST_CASE(AnUpstreamThatLeavesInAStreamGetsNothingMore)
+{
+    checkLeaving(R"({"leaving":true})", true);
+}
+
+// Guards against a request that waits, or is refused without a reason, while every upstream of its group leaves.
+BOOST_AUTO_TEST_CASE(AGroupThatLeavesIsRefusedAtOnce)
+{
+    FakeUpstream &only = addFake(UpstreamKind::Model);
+    daemon.install(data);
+    BOOST_REQUIRE(only.setFaults(R"({"leaving":true})").ok());
+    BOOST_TEST(send(CHAT, chatBody("x", false, 1)).status == 200);
+    const HttpResponse refused = send(CHAT, chatBody("x", false, 1));
+    BOOST_TEST(refused.status == 503);
+    BOOST_TEST(contains(refused.body, "not_run"));
+    BOOST_TEST(contains(refused.body, "all upstreams of models are leaving"));
+    BOOST_TEST(only.received().size() == 1U);
+    // A new run at the same address says in a later answer that it does not leave.
+    BOOST_REQUIRE(only.setFaults(R"({"leaving":false})").ok());
+    daemon.upstreams.startPolling();
+    const TimePoint end = Clock::now() + Milliseconds(5000);
+    while (daemon.upstreams.isLeaving("u0", Clock::now()) && Clock::now() < end) {
+        std::this_thread::sleep_for(Milliseconds(20));
+    }
+    BOOST_TEST(send(CHAT, chatBody("x", false, 1)).status == 200);
+}
+
 // Guards against a request that waits behind a queue instead of being refused at once.
 BOOST_AUTO_TEST_CASE(OverloadIsRefusedAsNotRun)
 {
--- a/Tests/Connection/UpstreamCallTest.cpp
+++ b/Tests/Connection/UpstreamCallTest.cpp
@@ -159,6 +159,23 @@
     BOOST_TEST((fake->received().front().headers.find("Bearer secret") != std::string::npos));
 }
 
+// Guards against a request that is sent although its upstream was withdrawn while the connection was being opened.
+BOOST_AUTO_TEST_CASE(AWithdrawnRequestIsNotSent)
+{
+    const auto fake = *FakeUpstream::start("127.0.0.1:0", {});
+    Upstream upstream;
+    upstream.address = fake->address();
+    UpstreamHandlers handlers;
+    handlers.mayStart = [] {
+        return false;
+    };
+    const UpstreamResult result = callUpstream(upstream, makeRequest(), handlers, {});
+    BOOST_REQUIRE(std::holds_alternative<UpstreamFailure>(result));
+    BOOST_TEST((std::get<UpstreamFailure>(result).run == RunState::NotRun));
+    BOOST_TEST(!std::get<UpstreamFailure>(result).isStopped);
+    BOOST_TEST(fake->received().empty());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace poplardock
--- a/Tests/Fakes/FakeUpstream.cpp
+++ b/Tests/Fakes/FakeUpstream.cpp
@@ -112,6 +112,7 @@
     faults_.delayMs = (*object)->optValue("delay_ms", faults_.delayMs);
     faults_.slowFactor = (*object)->optValue("slow_factor", faults_.slowFactor);
     faults_.refuseStatus = (*object)->optValue("refuse_status", faults_.refuseStatus);
+    faults_.isLeaving = (*object)->optValue("leaving", faults_.isLeaving);
     return absl::OkStatus();
 }
 
@@ -166,6 +167,7 @@
         response.setKeepAlive(false);
         return;
     }
+    response.set("Load-Report", laggedLoad());
     if (faults.refuseStatus != 0) {
         HttpReply::sendJson(response, static_cast<int>(faults.refuseStatus), R"({"error":{"message":"refused"}})");
         return;
@@ -259,6 +261,9 @@
     JsonObject report;
     report.set("running", sample.running);
     report.set("waiting", sample.waiting);
+    if (faults_.isLeaving) {
+        report.set("leaving", true);
+    }
     return Json::toText(report);
 }
 
--- a/Tests/Fakes/FakeUpstream.h
+++ b/Tests/Fakes/FakeUpstream.h
@@ -19,7 +19,7 @@
 /// POST /v1/chat/completions runs a request in one of a fixed number of slots, first come first served, with
 /// no priorities. It answers whole or as server-sent events with "max_tokens" tokens (16 by default). The
 /// content starts with "echo:" and the text of the last message, so that a test sees whose answer it is.
-/// GET /load reports {"running","waiting"}, as of "report_lag_ms" ago. Each answer carries the same as
+/// GET /load reports {"running","waiting","leaving"}, the counts as of "report_lag_ms" ago. Each answer carries the same as
 /// header "Load-Report". Any other path is a plain service that answers {"path","calls","body"}.
 ///
 /// POST /faults sets switches; keys that are absent keep their value:
@@ -28,7 +28,8 @@
 ///   "reset_after_tokens": streams are cut off after this many tokens (0: never);
 ///   "delay_ms": each request waits this long before it takes a slot;
 ///   "slow_factor": all times are multiplied by this;
-///   "refuse_status": requests are answered with this status (0: never).
+///   "refuse_status": requests are answered with this status (0: never);
+///   "leaving": all answers say that this upstream leaves.
 /// GET /received lists the requests received; GET /stats counts them.
 class FakeUpstream
 {
@@ -77,6 +78,7 @@
         std::int64_t delayMs = 0;
         double slowFactor = 1;
         std::int64_t refuseStatus = 0;
+        bool isLeaving = false;
     };
     struct LoadSample
     {
--- a/Tests/Process/BatchDispatcherTest.cpp
+++ b/Tests/Process/BatchDispatcherTest.cpp
@@ -50,6 +50,24 @@
     }
 }
 
+// Guards against items that still reach an upstream whose answer to an item said that it leaves.
+BOOST_AUTO_TEST_CASE(AnUpstreamThatLeavesGetsNoFurtherItems)
+{
+    BatchFleet fleet(2, 2);
+    for (const auto &submission : { BatchFleet::modelJob("job", 150), BatchFleet::pathJob("paths", "/lookups", true, 60) }) {
+        accept(fleet, submission);
+    }
+    BOOST_REQUIRE(fleet.upstreams[0]->setFaults(R"({"leaving":true})").ok());
+    fleet.startAll();
+    BOOST_REQUIRE(BatchFleet::await([&fleet] { return fleet.table->isLeaving("u0", Clock::now()); }));
+    // An item that was sent before the first answer may still arrive.
+    std::this_thread::sleep_for(Milliseconds(50));
+    const std::size_t received = fleet.upstreams[0]->received().size();
+    checkAllDone(fleet, BatchFleet::modelJob("job", 150));
+    BOOST_TEST(fleet.upstreams[0]->received().size() == received);
+    BOOST_TEST(received < 60U);
+}
+
 // Guards against items that are lost or run again because the store's response to a lease, a commit or the recording of
 // an ended chunk was lost.
 BOOST_AUTO_TEST_CASE(LostResponsesToStoreWritesLoseNothing)
--- a/Tests/Process/UpstreamTableTest.cpp
+++ b/Tests/Process/UpstreamTableTest.cpp
@@ -98,6 +98,41 @@
     BOOST_TEST(table.snapshotOf("a").slots.value() == 24);
 }
 
+// Guards against a mark that an answer from before takes away, that a new run does not end, or that lasts for ever.
+BOOST_AUTO_TEST_CASE(AMarkOfLeavingEndsWithALaterAnswer)
+{
+    const FleetState state("d1");
+    UpstreamTable table(state);
+    BOOST_TEST(table.recordLeaving("a", true, NOW, NOW + Milliseconds(10)));
+    BOOST_TEST(!table.recordLeaving("a", true, NOW, NOW + Milliseconds(20)));
+    BOOST_TEST(table.isLeaving("a", NOW + Milliseconds(20)));
+    BOOST_TEST(!table.isLeaving("b", NOW + Milliseconds(20)));
+    table.recordLeaving("a", false, NOW + Milliseconds(5), NOW + Milliseconds(30));
+    BOOST_TEST(table.isLeaving("a", NOW + Milliseconds(30)));
+    table.recordLeaving("a", false, NOW + Milliseconds(15), NOW + Milliseconds(40));
+    BOOST_TEST(!table.isLeaving("a", NOW + Milliseconds(40)));
+    table.recordLeaving("a", true, NOW, NOW);
+    BOOST_TEST(table.isLeaving("a", NOW + std::chrono::minutes(9)));
+    BOOST_TEST(!table.isLeaving("a", NOW + std::chrono::minutes(11)));
+}
+
+// Guards against missing that an idle upstream says it leaves, since no request shows it.
+BOOST_AUTO_TEST_CASE(PollsShowAnUpstreamThatLeaves)
+{
+    FleetState state("d1");
+    UpstreamTable table(state);
+    const auto fake = *FakeUpstream::start("127.0.0.1:0", {});
+    const Upstream upstream = makeUpstream("a", fake->address());
+    install(state, 1, { upstream });
+    BOOST_REQUIRE(fake->setFaults(R"({"leaving":true})").ok());
+    table.startPolling();
+    BOOST_TEST(waitUntil([&] { return table.isLeaving("a", Clock::now()); }));
+    BOOST_TEST(table.choose({ &upstream }, {}, Clock::now()) == nullptr);
+    BOOST_REQUIRE(fake->setFaults(R"({"leaving":false})").ok());
+    BOOST_TEST(waitUntil([&] { return !table.isLeaving("a", Clock::now()); }));
+    BOOST_TEST(table.choose({ &upstream }, {}, Clock::now()) == &upstream);
+}
+
 // Guards against missing that an idle upstream went down, came back or was removed, since no request shows it.
 BOOST_AUTO_TEST_CASE(PollsDetectCrashReturnAndRemoval)
 {
--- a/Tests/Request/BatchItemAttemptTest.cpp
+++ b/Tests/Request/BatchItemAttemptTest.cpp
@@ -37,7 +37,7 @@
     const auto alive = [](const Upstream &) {
         return true;
     };
-    const auto result = BatchItemAttempt::run(upstream, modelJob(), body, Clock::now() + std::chrono::seconds(60), {}, alive);
+    const auto result = BatchItemAttempt::run(upstream, modelJob(), body, Clock::now() + std::chrono::seconds(60), {}, { alive });
     BOOST_REQUIRE(std::holds_alternative<ItemResponse>(result));
     const auto read = Json::parseObject(std::get<ItemResponse>(result).body);
     BOOST_REQUIRE(read.ok());
--- a/Tests/Support/BatchFleet.cpp
+++ b/Tests/Support/BatchFleet.cpp
@@ -1,5 +1,7 @@
 #include "Support/BatchFleet.h"
 
+#include "Connection/RequestRun.h"
+
 #include <absl/strings/str_cat.h>
 
 #include <thread>
@@ -58,6 +60,7 @@
         // A confirmation time in the future keeps the version fresh for the whole test.
         daemons.back()->fleet.install(version, Clock::now() + std::chrono::hours(1));
     }
+    table = std::make_unique<UpstreamTable>(daemons.front()->fleet);
 }
 
 BatchFleet::~BatchFleet()
@@ -91,6 +94,12 @@
     hooks.isAlive = [this](const Upstream &) {
         return !areUpstreamsDown;
     };
+    hooks.isLeaving = [this](const std::string &upstream) {
+        return table->isLeaving(upstream, Clock::now());
+    };
+    hooks.onHead = [this](const std::string &upstream, const UpstreamHead &head, TimePoint sentAt) {
+        noteLeaving(*table, daemons.front()->metrics, upstream, head, sentAt);
+    };
     return hooks;
 }
 
--- a/Tests/Support/BatchFleet.h
+++ b/Tests/Support/BatchFleet.h
@@ -7,6 +7,7 @@
 #include "Process/JobStore.h"
 #include "Process/Metrics.h"
 #include "Process/StoreClient.h"
+#include "Process/UpstreamTable.h"
 
 #include <atomic>
 #include <functional>
@@ -65,6 +66,8 @@
     std::vector<std::unique_ptr<BatchDaemon>> daemons;
     /// While set, the probe reports all upstreams as down.
     std::atomic<bool> areUpstreamsDown = false;
+    /// What the items' answers have told of the upstreams; one table for all daemons. It does not poll.
+    std::unique_ptr<UpstreamTable> table;
 };
 
 } // namespace poplardock
