--- a/Source/Connection/CallerServer.cpp
+++ b/Source/Connection/CallerServer.cpp
@@ -10,10 +10,9 @@
 /// Time limits of connections are seconds long; this is how late they may be noticed.
 constexpr Milliseconds SWEEP_PERIOD { 500 };
 
-auto isSending(const std::weak_ptr<Channel> &channel) -> bool
+auto isSending(const std::shared_ptr<Channel> &channel) -> bool
 {
-    const auto alive = channel.lock();
-    return alive != nullptr && alive->isSending();
+    return channel->isSending();
 }
 
 } // namespace
--- a/Source/Connection/CallerServer.h
+++ b/Source/Connection/CallerServer.h
@@ -44,7 +44,7 @@
     std::shared_ptr<SessionEnvironment> environment_;
     std::unordered_map<const CallerSession *, std::shared_ptr<CallerSession>> sessions_;
     /// Connections without a session that still send their last answer.
-    std::vector<std::weak_ptr<Channel>> closing_;
+    std::vector<std::shared_ptr<Channel>> closing_;
     std::unique_ptr<Listener> listener_;
     Timer sweep_;
     bool isDraining_ = false;
--- a/Source/Connection/CallerSession.cpp
+++ b/Source/Connection/CallerSession.cpp
@@ -225,7 +225,12 @@
         return;
     }
     isClosed_ = true;
-    channel_->close();
+    if (environment_->isDraining()) {
+        // A daemon that stops waits until its answers have arrived.
+        channel_->closeAfterDelivery();
+    } else {
+        channel_->close();
+    }
     environment_->onEnd(this);
 }
 
--- a/Source/Connection/Io/Channel.cpp
+++ b/Source/Connection/Io/Channel.cpp
@@ -7,7 +7,11 @@
 #include <boost/asio/post.hpp>
 
 #include <array>
+#include <cerrno>
+#include <linux/sockios.h>
 #include <netinet/tcp.h>
+#include <sys/ioctl.h>
+#include <sys/socket.h>
 
 namespace poplardock {
 
@@ -154,7 +158,7 @@
 
 auto Channel::isSending() const -> bool
 {
-    return isOpen_ && !queue_.empty();
+    return isOpen_ && (!queue_.empty() || unacknowledgedBytes() > 0);
 }
 
 auto Channel::queuedBytes() const -> std::size_t
@@ -189,10 +193,35 @@
     onData_ = nullptr;
     onEnd_ = nullptr;
     if (queue_.empty() && !isWriting_) {
+        finishSending();
+    }
+}
+
+auto Channel::closeAfterDelivery() -> void
+{
+    awaitsDelivery_ = true;
+    close();
+}
+
+auto Channel::finishSending() -> void
+{
+    if (!awaitsDelivery_) {
+        release(false);
+        return;
+    }
+    boost::system::error_code error;
+    socket_->tcp.shutdown(Tcp::socket::shutdown_send, error);
+    if (error) {
         release(false);
     }
 }
 
+auto Channel::unacknowledgedBytes() const -> int
+{
+    int count = 0;
+    return ioctl(socket_->tcp.native_handle(), SIOCOUTQ, &count) == 0 ? count : 0;
+}
+
 auto Channel::abort() -> void
 {
     if (isOpen_) {
@@ -221,14 +250,23 @@
         if (!self->isOpen_) {
             return;
         }
-        if (error) {
+        if (error || (self->awaitsDelivery_ && self->hasFailed())) {
             self->end(ChannelEnd::Broken);
             return;
         }
-        self->readAvailable(0);
+        if (!self->awaitsDelivery_) {
+            self->readAvailable(0);
+        }
     });
 }
 
+auto Channel::hasFailed() const -> bool
+{
+    char byte = 0;
+    const auto count = recv(socket_->tcp.native_handle(), &byte, sizeof byte, MSG_PEEK | MSG_DONTWAIT);
+    return count < 0 && errno != EAGAIN && errno != EWOULDBLOCK;
+}
+
 auto Channel::readAvailable(std::size_t count) -> void
 {
     while (isOpen_ && !isPaused_ && count < MAX_BYTES_PER_WAKEUP) {
@@ -287,7 +325,7 @@
             return;
         }
         if (self->isClosing_) {
-            self->release(false);
+            self->finishSending();
         } else if (self->onDrained_) {
             const auto handler = self->onDrained_;
             handler();
--- a/Source/Connection/Io/Channel.h
+++ b/Source/Connection/Io/Channel.h
@@ -72,7 +72,7 @@
     auto start(DataHandler onData, EndHandler onEnd) -> void;
     auto setTimeouts(ChannelTimeouts timeouts) -> void;
     auto send(std::string_view bytes) -> void;
-    /// Whether bytes wait for a socket that is still open, closing or not.
+    /// Whether the peer has not acknowledged all bytes yet, while the socket is open, closing or not.
     [[nodiscard]] auto isSending() const -> bool;
     /// Bytes that the socket has not accepted yet.
     [[nodiscard]] auto queuedBytes() const -> std::size_t;
@@ -83,6 +83,9 @@
     auto resume() -> void;
     /// Closes the connection in order once the queued bytes are sent.
     auto close() -> void;
+    /// As close(), but keeps the socket until the channel is destroyed or the peer has reset the connection, so that isSending()
+    /// still tells what the kernel holds. Nothing more is read: bytes that the peer sends from now on count as not received.
+    auto closeAfterDelivery() -> void;
     /// Drops queued bytes and resets the connection.
     auto abort() -> void;
     [[nodiscard]] auto isOpen() const -> bool;
@@ -92,7 +95,13 @@
 private:
     auto read() -> void;
     auto readAvailable(std::size_t count) -> void;
+    /// Whether the connection has failed. Takes no bytes off the socket.
+    [[nodiscard]] auto hasFailed() const -> bool;
     auto write() -> void;
+    /// Ends the own side of a closing connection whose queue is empty.
+    auto finishSending() -> void;
+    /// Bytes that the kernel has accepted and the peer has not acknowledged.
+    [[nodiscard]] auto unacknowledgedBytes() const -> int;
     auto end(ChannelEnd how) -> void;
     auto release(bool withReset) -> void;
 
@@ -105,6 +114,7 @@
     bool isWriting_ = false;
     bool isPaused_ = false;
     bool isClosing_ = false;
+    bool awaitsDelivery_ = false;
     bool isOpen_ = true;
 };
 
--- a/Tests/Connection/FrontDaemonTest.cpp
+++ b/Tests/Connection/FrontDaemonTest.cpp
@@ -434,6 +434,39 @@
     BOOST_TEST(fleet.runUntil([&fleet] { return fleet.daemons[0]->hasStopped(); }, Milliseconds(1000)));
 }
 
+// Guards against a planned stop that ends while the kernel still holds an answer which its reader has not got.
+BOOST_AUTO_TEST_CASE(AStopWaitsForTheKernelsQueue)
+{
+    constexpr std::size_t BODY_BYTES = 20U << 10U;
+    constexpr int RECEIVE_BUFFER = 4096;
+    constexpr Milliseconds LEAVE_TIME { 2600 };
+    PlatformFleet fleet(1, 1);
+    HttpCall call = PlatformFleet::request("/plain/x", "slow", "key1");
+    call.body.assign(BODY_BYTES, 'x');
+    Poco::Net::StreamSocket reader(Poco::Net::SocketAddress::IPv4);
+    reader.setReceiveBufferSize(RECEIVE_BUFFER);
+    reader.connect(Poco::Net::SocketAddress(fleet.daemons[0]->callersAddress()));
+    const std::string bytes = encodeCall(call);
+    BOOST_REQUIRE(reader.sendBytes(bytes.data(), static_cast<int>(bytes.size())) == static_cast<int>(bytes.size()));
+    BOOST_REQUIRE(fleet.runUntil([&fleet] { return fleet.engines[0]->runs().size() == 1; }, Milliseconds(3000)));
+    fleet.daemons[0]->beginShutdown();
+    fleet.runFor(LEAVE_TIME + Milliseconds(600));
+    BOOST_TEST(!fleet.daemons[0]->hasStopped());
+    reader.setBlocking(false);
+    std::size_t received = 0;
+    fleet.runUntil(
+        [&] {
+            std::vector<char> buffer(RECEIVE_BUFFER);
+            if (reader.poll(Poco::Timespan(0), Poco::Net::Socket::SELECT_READ)) {
+                received += static_cast<std::size_t>(std::max(0, reader.receiveBytes(buffer.data(), RECEIVE_BUFFER)));
+            }
+            return received > BODY_BYTES;
+        },
+        Milliseconds(3000));
+    BOOST_TEST(received > BODY_BYTES);
+    BOOST_TEST(fleet.runUntil([&fleet] { return fleet.daemons[0]->hasStopped(); }, Milliseconds(1000)));
+}
+
 // Guards against one entry of another writer that stops what reads the list, ends the process, or keeps a daemon from starting:
 // in a list, in a watch, in what a daemon fetches from another one, and in place of a sound server's entry.
 BOOST_AUTO_TEST_CASE(OddEntriesStopNothing)
