--- a/Source/Process/FrontDaemon.cpp
+++ b/Source/Process/FrontDaemon.cpp
@@ -197,7 +197,7 @@
     const ObjectStore::Counts &counts = store_.counts();
     EventLog::write("stop",
                     { { "vm", settings_.name },
-                      { "busy", static_cast<std::uint64_t>(callers_->busyCount()) },
+                      { "busy", busyCount() },
                       { "store_reads", counts.reads },
                       { "store_watches", counts.watches },
                       { "store_stale_reads", counts.staleReads },
@@ -215,6 +215,11 @@
     return ready_->address();
 }
 
+auto FrontDaemon::busyCount() const -> std::uint64_t
+{
+    return callers_->busyCount() + peerServer_->sendingCount();
+}
+
 auto FrontDaemon::hasStopped() const -> bool
 {
     return hasStopped_;
@@ -420,6 +425,8 @@
                     peers_.peers().size(),
                     "\npoplardock_jobs_owned ",
                     book_.size(),
+                    "\npoplardock_busy_connections ",
+                    busyCount(),
                     "\npoplardock_items_running ",
                     runner_.runningCount(),
                     "\n");
@@ -447,9 +454,7 @@
     if (isStopping_) {
         return;
     }
-    EventLog::write(
-        "shutdown",
-        { { "busy", static_cast<std::uint64_t>(callers_->busyCount()) }, { "items", static_cast<std::uint64_t>(runner_.runningCount()) } });
+    EventLog::write("shutdown", { { "busy", busyCount() }, { "items", static_cast<std::uint64_t>(runner_.runningCount()) } });
     isStopping_ = true;
     stoppingSince_ = BootClock::now();
     callers_->drain();
@@ -470,7 +475,7 @@
     callers_->stopAccepting();
     callers_->closeIdle();
     book_.flush();
-    const bool isIdle = callers_->busyCount() == 0 && peerServer_->sendingCount() == 0 && book_.isFlushed();
+    const bool isIdle = busyCount() == 0 && book_.isFlushed();
     if (isIdle || elapsed > settings_.bounds.shutdown - SHUTDOWN_MARGIN) {
         hasStopped_ = true;
         stopTimer_.cancel();
--- a/Source/Process/FrontDaemon.h
+++ b/Source/Process/FrontDaemon.h
@@ -34,6 +34,9 @@
     auto halt() -> void;
     /// Whether a shutdown has come to its end.
     [[nodiscard]] auto hasStopped() const -> bool;
+    /// Connections of callers with a request or an undelivered answer, and of other daemons with an undelivered answer: what a
+    /// shutdown waits for, and what the log and the metrics show. Precondition: started. Loop's thread only.
+    [[nodiscard]] auto busyCount() const -> std::uint64_t;
     /// "IP:port" with the real ports. Precondition: started.
     [[nodiscard]] auto callersAddress() const -> std::string;
     [[nodiscard]] auto readyAddress() const -> std::string;
--- a/Tests/Connection/FrontDaemonTest.cpp
+++ b/Tests/Connection/FrontDaemonTest.cpp
@@ -460,6 +460,7 @@
     leaver.close();
     fleet.runFor(Milliseconds(200));
     BOOST_TEST(!fleet.daemons[0]->hasStopped());
+    BOOST_TEST(fleet.daemons[0]->busyCount() == 1U);
     reader.setBlocking(false);
     std::size_t received = 0;
     fleet.runUntil(
