--- a/Source/Connection/HttpService.cpp
+++ b/Source/Connection/HttpService.cpp
@@ -5,11 +5,13 @@
 #include <absl/strings/str_cat.h>
 
 #include <csignal>
+#include <thread>
 
 namespace poplardock {
 
 namespace {
 
+constexpr Milliseconds QUEUE_CHECK_INTERVAL { 5 };
 constexpr int ACCEPT_BACKLOG = 512;
 /// A connection that sends nothing for this long in the middle of a request is dropped.
 constexpr int RECEIVE_TIMEOUT_SECONDS = 30;
@@ -90,8 +92,13 @@
     return registry_.count();
 }
 
-auto HttpService::drain() -> void
+auto HttpService::drain(TimePoint deadline) -> void
 {
+    // Idle connections give their threads up. POCO's stop() drops what still waits for one.
+    registry_.drain();
+    while (server_->queuedConnections() > 0 && Clock::now() < deadline) {
+        std::this_thread::sleep_for(QUEUE_CHECK_INTERVAL);
+    }
     server_->stop();
     registry_.drain();
 }
--- a/Source/Connection/HttpService.h
+++ b/Source/Connection/HttpService.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "Connection/HttpConnection.h"
+#include "Process/Clock.h"
 
 #include <Poco/Net/ServerSocket.h>
 #include <Poco/Net/TCPServer.h>
@@ -41,8 +42,9 @@
     /// "IP:port" with the real port.
     [[nodiscard]] auto address() const -> std::string;
     [[nodiscard]] auto openConnections() const -> int;
-    /// Accepts no more connections; idle ones close, busy ones close after their answer.
-    auto drain() -> void;
+    /// Accepts no more connections once those that wait for a thread have got one, or at the deadline, when they are dropped; idle
+    /// ones close, busy ones close after their answer. Blocks until then.
+    auto drain(TimePoint deadline) -> void;
     /// Also breaks the open connections and waits for the handlers to return.
     auto stop() -> void;
 
--- a/Source/Process/Daemon.cpp
+++ b/Source/Process/Daemon.cpp
@@ -443,8 +443,9 @@
         Log::warning(Part::Member, absl::StrCat("The member record stays in the table: ", status.message()));
     }
     std::this_thread::sleep_for(BALANCER_GRACE);
-    parts_->callersService->drain();
-    if (!parts_->requests.waitUntilIdle(Clock::now() + DRAIN_LIMIT)) {
+    const TimePoint deadline = Clock::now() + DRAIN_LIMIT;
+    parts_->callersService->drain(deadline);
+    if (!parts_->requests.waitUntilIdle(deadline)) {
         Log::warning(Part::Process, "Requests are still running at the drain limit and are cut.");
     }
 }
--- a/Tests/Connection/RouterTest.cpp
+++ b/Tests/Connection/RouterTest.cpp
@@ -128,7 +128,7 @@
     socket.sendBytes(request.data(), static_cast<int>(request.size()));
     BOOST_TEST(socket.receiveBytes(buffer, sizeof buffer) > 0);
     socket.sendBytes(request.data(), static_cast<int>(request.size()));
-    service->drain();
+    service->drain(Clock::now() + Milliseconds(5000));
     BOOST_TEST(socket.receiveBytes(buffer, sizeof buffer) > 0);
     BOOST_TEST(std::string(buffer).find("200") != std::string::npos);
 }
