--- a/Source/Connection/CallerServer.h
+++ b/Source/Connection/CallerServer.h
@@ -31,10 +31,10 @@
     auto closeIdle() -> void;
     /// Accepts no more connections.
     auto stopAccepting() -> void;
-    /// Connections that carry a request, or an answer whose last byte has not been handed to the socket. A connection whose
-    /// reader is gone does not count.
+    /// Connections that carry a request, or an answer whose last byte has not been handed to the socket; once drain() was called,
+    /// an answer whose last byte has not been acknowledged. A connection whose reader is gone does not count.
     [[nodiscard]] auto busyCount() const -> std::size_t;
-    /// Of these, the connections with an answer under way.
+    /// Connections with bytes that the peer has not acknowledged, whether or not they carry a request.
     [[nodiscard]] auto sendingCount() const -> std::size_t;
     [[nodiscard]] auto address() const -> std::string;
 
--- a/Source/Connection/Io/EventLoop.h
+++ b/Source/Connection/Io/EventLoop.h
@@ -63,7 +63,7 @@
     auto post(Task task) -> void;
     /// Calls the task once, at the deadline or soon after.
     [[nodiscard]] auto at(BootTime deadline, Task task) -> Timer;
-    /// Calls the task periodically; the period is measured from the start of one call to the start of the next.
+    /// Calls the task periodically; the period runs from the start of one call to the start of the next.
     /// Missed calls are not caught up on.
     [[nodiscard]] auto every(Milliseconds period, Task task) -> Timer;
     /// Calls the task each time the process receives the signal. Precondition: the process does not block the signal.
