Keep a daemon that has lost the store from leading, and its old revision from hiding a newer one

The daemon with the most capacity took itself for the leader without contact with the store, and asked nobody. Its summaries, with the old revision, reset the count of responses with a newer one at all daemons of its data centre, so none fetched it. Change: without contact a daemon leads only when no other one has it. RevisionGap keeps the highest revision that any daemon has named; a daemon that misses it for 0.4 s fetches it from another data centre, for 1 s reads the store, and tells its own listeners so.

--- a/Source/Process/Peers/FreshnessExchange.cpp
+++ b/Source/Process/Peers/FreshnessExchange.cpp
@@ -22,9 +22,11 @@
 /// Age of the confirmation at which a daemon queries the store itself.
 constexpr Milliseconds MAX_CONFIRMATION_AGE { 2200 };
 constexpr Milliseconds MIN_REFRESH_INTERVAL { 1000 };
-/// Consecutive responses with a newer revision after which the store is queried. The first may come from another data
-/// centre before the store watcher has the revision, and the second triggers a fetch.
-constexpr int MAX_TIMES_BEHIND = 3;
+/// Time for which this daemon may miss a revision that another one has named before it fetches it from a daemon of another data
+/// centre. The store watcher of this data centre usually has the revision a moment later, without traffic between them.
+constexpr Milliseconds REMOTE_FETCH_DELAY { 400 };
+/// The same before it reads the store: the fetches have failed, or reached a daemon that does not have the revision either.
+constexpr Milliseconds STORE_READ_DELAY { 1000 };
 /// Requests without a response are forgotten after this time.
 constexpr Milliseconds REQUEST_TIMEOUT { 4000 };
 
@@ -35,8 +37,8 @@
     : loop_(loop)
     , peers_(peers)
     , ownName_(std::move(ownName))
-    , configuration_ { std::move(configuration), 0, {}, {}, {} }
-    , upstreams_ { std::move(upstreams), 0, {}, {}, {} }
+    , configuration_ { std::move(configuration), {}, {}, {}, {} }
+    , upstreams_ { std::move(upstreams), {}, {}, {}, {} }
     , handlers_(std::move(handlers))
 {
 }
@@ -84,6 +86,8 @@
     } else if (peers_.isRelay(now) || now - confirmedAt() > MAX_RELAYED_AGE) {
         sendRequest(leader, now);
     }
+    closeGap(configuration_, now);
+    closeGap(upstreams_, now);
     if (now - confirmedAt() > MAX_CONFIRMATION_AGE) {
         refresh(configuration_, now);
     }
@@ -112,8 +116,15 @@
 
 auto FreshnessExchange::state() const -> FreshnessState
 {
-    const auto age = std::chrono::ceil<Milliseconds>(BootClock::now() - confirmedAt());
-    return { configuration_.follower.revision(), age, upstreams_.follower.revision() };
+    const BootTime now = BootClock::now();
+    const auto age = std::chrono::ceil<Milliseconds>(now - confirmedAt());
+    // The daemons that hear of revisions only through this one have to know that it is behind.
+    const auto behindSince = upstreams_.gap.since(upstreams_.follower.syncedRevision());
+    const bool isLeftBehind = behindSince && now - *behindSince > STORE_READ_DELAY;
+    const std::uint64_t upstreamRevision = upstreams_.follower.revision();
+    return { configuration_.follower.revision(),
+             age,
+             isLeftBehind ? std::max(upstreams_.gap.highest(), upstreamRevision) : upstreamRevision };
 }
 
 auto FreshnessExchange::handleRequest(const FreshnessRequest &request, const std::string &sender) -> void
@@ -139,34 +150,52 @@
 
 auto FreshnessExchange::applyState(const FreshnessState &state, BootTime sentAt, bool isLocal, const std::string &sender) -> void
 {
-    if (reconcile(configuration_, state.configurationRevision, isLocal, sender)) {
+    const BootTime now = BootClock::now();
+    if (reconcile(configuration_, state.configurationRevision, isLocal, sender, now)) {
         peerConfirmedAt_ = std::max(peerConfirmedAt_, sentAt - state.age);
     }
-    reconcile(upstreams_, state.upstreamRevision, isLocal, sender);
+    reconcile(upstreams_, state.upstreamRevision, isLocal, sender, now);
 }
 
-auto FreshnessExchange::reconcile(KindState &kind, std::uint64_t revision, bool isLocal, const std::string &address) -> bool
+auto FreshnessExchange::reconcile(KindState &kind, std::uint64_t revision, bool isLocal, const std::string &address, BootTime now) -> bool
 {
-    const BootTime now = BootClock::now();
-    if (revision <= kind.follower.syncedRevision()) {
-        kind.timesBehind = 0;
-        kind.caughtUpAt = now;
+    const std::uint64_t own = kind.follower.syncedRevision();
+    kind.gap.record(revision, own, address, now);
+    if (revision <= own) {
+        if (!kind.gap.since(own)) {
+            kind.caughtUpAt = now;
+        }
         return true;
     }
-    if (now - kind.fetchedAt < PEER_FETCH_TIMEOUT) {
-        return false;
+    if (isLocal) {
+        fetch(kind, address, now);
     }
-    ++kind.timesBehind;
-    EventLog::write("belief_behind", { { "peer", address }, { "revision", revision }, { "own", kind.follower.syncedRevision() } });
-    // Traffic between data centres is expensive, and this data centre's store watcher has the revision a moment later.
-    if (isLocal || kind.timesBehind > 1) {
-        kind.fetchedAt = now;
-        kind.follower.fetch(address);
+    return false;
+}
+
+auto FreshnessExchange::closeGap(KindState &kind, BootTime now) -> void
+{
+    const auto behindSince = kind.gap.since(kind.follower.syncedRevision());
+    if (!behindSince) {
+        return;
     }
-    if (kind.timesBehind >= MAX_TIMES_BEHIND) {
+    if (now - *behindSince > REMOTE_FETCH_DELAY) {
+        fetch(kind, kind.gap.address(), now);
+    }
+    if (now - *behindSince > STORE_READ_DELAY) {
         refresh(kind, now);
     }
-    return false;
+}
+
+auto FreshnessExchange::fetch(KindState &kind, const std::string &address, BootTime now) -> void
+{
+    if (now - kind.fetchedAt < PEER_FETCH_TIMEOUT) {
+        return;
+    }
+    EventLog::write("belief_behind",
+                    { { "peer", address }, { "revision", kind.gap.highest() }, { "own", kind.follower.syncedRevision() } });
+    kind.fetchedAt = now;
+    kind.follower.fetch(address);
 }
 
 } // namespace poplardock
--- a/Source/Process/Peers/FreshnessExchange.h
+++ b/Source/Process/Peers/FreshnessExchange.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "Process/Peers/PeerDirectory.h"
+#include "Process/Peers/RevisionGap.h"
 #include "Process/Store/KindWatch.h"
 
 #include <functional>
@@ -62,11 +63,10 @@
     struct KindState
     {
         Follower follower;
-        /// Consecutive responses with a newer revision.
-        int timesBehind = 0;
+        RevisionGap gap;
         BootTime fetchedAt;
         BootTime refreshedAt;
-        /// When a response last had no newer revision.
+        /// When a response last had no newer revision, while no other daemon had named one.
         BootTime caughtUpAt;
     };
 
@@ -74,9 +74,12 @@
     auto sendRequest(const std::string &daemon, BootTime now) -> void;
     auto applyState(const FreshnessState &state, BootTime sentAt, bool isLocal, const std::string &sender) -> void;
     auto readAsLeader(BootTime now) -> void;
-    /// Compares another daemon's revision with this daemon's and fetches newer changes. Returns whether this daemon is up
-    /// to date.
-    auto reconcile(KindState &kind, std::uint64_t revision, bool isLocal, const std::string &address) -> bool;
+    /// Compares another daemon's revision with this daemon's and fetches newer changes from a daemon of this data centre. Returns
+    /// whether the other daemon knows nothing newer.
+    static auto reconcile(KindState &kind, std::uint64_t revision, bool isLocal, const std::string &address, BootTime now) -> bool;
+    /// Fetches changes that this daemon has missed for some time, and reads the store when no fetch has helped.
+    static auto closeGap(KindState &kind, BootTime now) -> void;
+    static auto fetch(KindState &kind, const std::string &address, BootTime now) -> void;
     static auto refresh(KindState &kind, BootTime now) -> void;
 
     EventLoop &loop_;
--- a/Source/Process/Peers/PeerDirectory.cpp
+++ b/Source/Process/Peers/PeerDirectory.cpp
@@ -298,6 +298,7 @@
         settledAt_ = now + settlingTime;
     }
     lastOwnReportAt_ = now;
+    ownHasStoreContact_ = report.hasStoreContact;
     load_.recordOwnReport(report, now);
 }
 
@@ -962,7 +963,9 @@
     const std::vector<std::string> relays = relaysOf(ownDataCentre_, now);
     for (const std::string &name : relays) {
         const Peer *peer = find(name);
-        if (peer == nullptr || peer->incarnation.empty() || mayTakeWork(*peer, now)) {
+        const bool isUsable
+            = name == ownName_ ? ownHasStoreContact_ : peer == nullptr || peer->incarnation.empty() || mayTakeWork(*peer, now);
+        if (isUsable) {
             return name;
         }
     }
@@ -973,7 +976,8 @@
 {
     constexpr const char *KEY = "configuration";
     std::string best = ownName_;
-    std::pair<int, double> bestRank { ownCapacity_, rendezvousScore(ownName_, KEY, 1) };
+    // Without contact this daemon ranks below all others, whose capacity is at least 1.
+    std::pair<int, double> bestRank { ownHasStoreContact_ ? ownCapacity_ : 0, rendezvousScore(ownName_, KEY, 1) };
     for (const auto &[name, peer] : peers_) {
         if (peer.capacity >= bestRank.first && mayTakeWork(peer, now)) {
             const std::pair<int, double> rank { peer.capacity, rendezvousScore(name, KEY, 1) };
--- a/Source/Process/Peers/PeerDirectory.h
+++ b/Source/Process/Peers/PeerDirectory.h
@@ -199,7 +199,8 @@
     /// The store watcher of this data centre, the daemon that watches the store for the others: its first relay, or the
     /// second one if the first has no contact with the store.
     [[nodiscard]] auto storeWatcher(BootTime now) const -> std::string;
-    /// The leader, the daemon that reads the configuration for the fleet: one with the most capacity.
+    /// The leader, the daemon that reads the configuration for the fleet: one with the most capacity among those in contact with
+    /// the store. This daemon when none is.
     [[nodiscard]] auto leader(BootTime now) const -> std::string;
     /// The home of a key, the daemon responsible for it: selected by rendezvous hashing, weighted by capacity, from this
     /// daemon and all peers that may take work.
@@ -336,6 +337,8 @@
     std::map<std::string, JobAnnouncement> announcements_;
     std::map<std::string, Cancellation> cancellations_;
     BootTime lastOwnReportAt_;
+    /// As in the last own report.
+    bool ownHasStoreContact_ = true;
     BootTime settledAt_;
     mutable std::map<std::string, CachedHome> allowanceHomes_;
     mutable std::map<std::string, CachedRelays> relays_;
--- a/Tests/Process/PeerDirectoryTest.cpp
+++ b/Tests/Process/PeerDirectoryTest.cpp
@@ -493,6 +493,30 @@
     BOOST_TEST(!fleet.views.at("c0").isGone(*fleet.views.at("c0").find(mute), fleet.now()));
 }
 
+// Guards against a daemon with the most capacity that has lost the store and still takes itself for the leader and the store watcher:
+// it asked no other daemon, and all that listened to it were behind.
+BOOST_AUTO_TEST_CASE(WhoHasLostTheStoreLeadsNobody)
+{
+    DirectoryFleet fleet = loadedFleet(5);
+    const std::string leader = fleet.views.at("b0").leader(fleet.now());
+    fleet.reports.at(leader).hasStoreContact = false;
+    fleet.run(Milliseconds(1000));
+    const std::string next = fleet.views.at("b0").leader(fleet.now());
+    BOOST_TEST(next != leader);
+    for (const auto &[name, view] : fleet.views) {
+        BOOST_TEST(view.leader(fleet.now()) == next, name);
+        BOOST_TEST((name[0] != leader[0] || view.storeWatcher(fleet.now()) != leader), name);
+    }
+    // Without any daemon in contact each one has to try the store itself.
+    for (auto &[name, report] : fleet.reports) {
+        report.hasStoreContact = false;
+    }
+    fleet.run(Milliseconds(1000));
+    for (const auto &[name, view] : fleet.views) {
+        BOOST_TEST(view.leader(fleet.now()) == name);
+    }
+}
+
 // Guards against relays, leaders and homes on the smallest VMs of a fleet of unequal ones.
 BOOST_AUTO_TEST_CASE(DutiesGoWhereTheCapacityIs)
 {
