Read each figure of an upstream's load and use its current slowdown

The decoder of Server-Load took exactly three figures, so a header with a fourth one lost the number of slots as well.

Each figure is now read by itself. The fourth, the slowdown at that moment, is kept per upstream with the time of the statement. It fades with a time constant of 300 ms, half of a slow phase of 600 ms, toward the mean of what the upstream has stated (1 without statements), and it lengthens the expected wait and first event in the choice of an upstream. Measured times are averaged without the slowdown, so that it is not counted twice. The figures of an answer with status 421, which are another upstream's, are not recorded any more.

HeaderFormatTest/EachLoadFigureCountsByItself fails with 36 errors on the old decoder and passes now; UpstreamDirectoryTest, OnlineChoiceTest, OnlineAdmissionTest and LimitedUpstreamTest pass.

--- a/Source/Connection/UpstreamRun.cpp
+++ b/Source/Connection/UpstreamRun.cpp
@@ -110,9 +110,13 @@
     hasHead_ = true;
     status_ = head.status;
     terms_ = parts_.dialect.answerTerms(head);
-    if (terms_.hasLoad) {
+    // A misdirected request was answered by another upstream, whose figures these are.
+    if (terms_.hasLoad && !terms_.isMisdirected) {
         parts_.directory.recordSlots(order_.upstream, terms_.slots);
     }
+    if (terms_.slowdown && !terms_.isMisdirected) {
+        parts_.directory.recordSlowdown(order_.upstream, *terms_.slowdown, BootClock::now());
+    }
     if (terms_.idleTime) {
         channel_->setUsableFor(std::max(Milliseconds(0), *terms_.idleTime - IDLE_MARGIN));
     }
@@ -206,7 +210,7 @@
     if (!hasFirst_) {
         hasFirst_ = true;
         if (order_.isTimed) {
-            parts_.directory.recordFirstEvent(order_.upstream, millisecondsBetween(sentAt_, BootClock::now()));
+            parts_.directory.recordFirstEvent(order_.upstream, millisecondsBetween(sentAt_, BootClock::now()), terms_.slowdown.value_or(1));
         }
     }
 }
@@ -253,7 +257,8 @@
             parts_.crashes.recordAnswer(order_.subject, BootClock::now());
         }
         if (order_.work == Work::Online && order_.isTimed) {
-            parts_.directory.recordServiceTime(order_.upstream, millisecondsBetween(sentAt_, BootClock::now()));
+            parts_.directory.recordServiceTime(
+                order_.upstream, millisecondsBetween(sentAt_, BootClock::now()), terms_.slowdown.value_or(1));
         }
     }
     if (const std::string rest = splitter_.takeRest(); !rest.empty()) {
--- a/Source/Connection/WireDialect.h
+++ b/Source/Connection/WireDialect.h
@@ -66,11 +66,14 @@
     bool isFromUpstream = false;
     /// The upstream states that it leaves: it is to get no more requests.
     bool isLeaving = false;
-    /// Requests that run and wait there, and its slots.
+    /// Requests that run and wait there, and its slots; 0 for a figure that is missing or cannot be read.
     int running = 0;
     int waiting = 0;
     int slots = 0;
+    /// Whether at least one of the three can be read.
     bool hasLoad = false;
+    /// Factor by which work takes longer there than usual at this moment (1: as usual); unset when the upstream does not say.
+    std::optional<double> slowdown;
     /// Requests a second that the upstream takes from all daemons together at present; unset when it names no limit.
     std::optional<double> requestLimit;
     /// Time after which the upstream closes an idle connection; unset when it does not say.
--- a/Source/Process/Load/UpstreamDirectory.cpp
+++ b/Source/Process/Load/UpstreamDirectory.cpp
@@ -1,5 +1,7 @@
 #include "Process/Load/UpstreamDirectory.h"
 
+#include "Request/Slowdown.h"
+
 #include <algorithm>
 
 namespace poplardock {
@@ -132,6 +134,8 @@
         view.ownBatch = own.batch;
         view.firstEventMs = entry.firstEventMs.value_or(groupFirstEventMs);
         view.serviceMs = entry.serviceMs.value_or(groupServiceMs);
+        view.slowdown = Slowdown::expectedAfter(entry.slowdown, entry.meanSlowdown, millisecondsBetween(entry.slowdownAt, now));
+        view.meanSlowdown = entry.meanSlowdown;
         view.isLocal = entry.upstream.dataCentre == dataCentre_;
         view.isSuspect = entry.usableUntil.has_value();
         view.ejectedUntil = entry.ejectedUntil;
@@ -183,19 +187,32 @@
     }
 }
 
-auto UpstreamDirectory::recordFirstEvent(const std::string &name, double milliseconds) -> void
+auto UpstreamDirectory::recordSlowdown(const std::string &name, double slowdown, BootTime now) -> void
+{
+    const auto found = entries_.find(name);
+    if (found != entries_.end()) {
+        Entry &entry = found->second;
+        entry.meanSlowdown = Slowdown::meanAfter(entry.meanSlowdown, slowdown, millisecondsBetween(entry.slowdownAt, now));
+        entry.slowdown = slowdown;
+        entry.slowdownAt = now;
+    }
+}
+
+auto UpstreamDirectory::recordFirstEvent(const std::string &name, double milliseconds, double slowdown) -> void
 {
     const auto found = entries_.find(name);
     if (found != entries_.end()) {
-        found->second.firstEventMs = movingAverage(found->second.firstEventMs, milliseconds);
+        Entry &entry = found->second;
+        entry.firstEventMs = movingAverage(entry.firstEventMs, milliseconds / slowdown);
     }
 }
 
-auto UpstreamDirectory::recordServiceTime(const std::string &name, double milliseconds) -> void
+auto UpstreamDirectory::recordServiceTime(const std::string &name, double milliseconds, double slowdown) -> void
 {
     const auto found = entries_.find(name);
     if (found != entries_.end()) {
-        found->second.serviceMs = movingAverage(found->second.serviceMs, milliseconds);
+        Entry &entry = found->second;
+        entry.serviceMs = movingAverage(entry.serviceMs, Slowdown::usualTimeOf(milliseconds, slowdown, entry.meanSlowdown));
     }
 }
 
--- a/Source/Process/Load/UpstreamDirectory.h
+++ b/Source/Process/Load/UpstreamDirectory.h
@@ -69,10 +69,13 @@
 
     /// Records the number of slots that the upstream has stated in a response.
     auto recordSlots(const std::string &name, int slots) -> void;
-    /// Records the time to the first event, or to the response, of a request that found an available slot.
-    auto recordFirstEvent(const std::string &name, double milliseconds) -> void;
+    /// Records the slowdown that the upstream has stated in a response; more than 0.
+    auto recordSlowdown(const std::string &name, double slowdown, BootTime now) -> void;
+    /// Records the time to the first event, or to the response, of a request that found an available slot. "slowdown" is the
+    /// one that the upstream stated with the response; the averages hold the times without it.
+    auto recordFirstEvent(const std::string &name, double milliseconds, double slowdown = 1) -> void;
     /// Records the duration of a whole request.
-    auto recordServiceTime(const std::string &name, double milliseconds) -> void;
+    auto recordServiceTime(const std::string &name, double milliseconds, double slowdown = 1) -> void;
     auto recordSuccess(const std::string &name) -> void;
     /// Records a failed connection, a truncated or invalid response, or a stall. Ejects the upstream for a time that
     /// doubles with each failure in a row.
@@ -89,6 +92,10 @@
         int failures = 0;
         std::optional<double> firstEventMs;
         std::optional<double> serviceMs;
+        /// The slowdown that was stated last, when it was stated, and the mean of the stated ones.
+        double slowdown = 1;
+        BootTime slowdownAt;
+        double meanSlowdown = 1;
     };
 
     /// Whether an upstream may be given new work: it is not leaving, and its time has not passed if it is suspect.
--- a/Source/Request/OnlineChoice.cpp
+++ b/Source/Request/OnlineChoice.cpp
@@ -1,5 +1,6 @@
 #include "Request/OnlineChoice.h"
 
+#include "Request/Slowdown.h"
 #include "Request/TieBreaker.h"
 
 #include <algorithm>
@@ -43,7 +44,7 @@
 auto costOf(const UpstreamView &view, double tieBreak, BootTime now) -> double
 {
     const double load = static_cast<double>(view.online + view.batch) / view.slots;
-    return expectedWaitMs(view) + view.firstEventMs + FULL_COST_MS * load * load + (view.isLocal ? 0 : REMOTE_COST_MS)
+    return expectedWaitMs(view) + expectedFirstEventMs(view) + FULL_COST_MS * load * load + (view.isLocal ? 0 : REMOTE_COST_MS)
            + (view.spareAt > now ? LIMITED_COST_MS : 0) + TIE_BREAK_MS * tieBreak;
 }
 
@@ -79,7 +80,7 @@
 {
     const UpstreamView &view = views[candidate.index];
     const bool isFull = view.online + view.batch >= view.slots;
-    return { candidate.index, expectedWaitMs(view) + view.firstEventMs, isFull && view.online < view.slots };
+    return { candidate.index, expectedWaitMs(view) + expectedFirstEventMs(view), isFull && view.online < view.slots };
 }
 
 } // namespace
@@ -92,7 +93,14 @@
     if (view.online < view.slots) {
         return PREEMPTION_MS;
     }
-    return view.serviceMs * (view.online - view.slots + 1) / view.slots;
+    return Slowdown::durationOf(view.serviceMs * (view.online - view.slots + 1) / view.slots, view.slowdown, view.meanSlowdown);
+}
+
+auto expectedFirstEventMs(const UpstreamView &view) -> double
+{
+    // A request that first waits for a slot starts under the slowdown expected at that time.
+    const double slowdown = Slowdown::expectedAfter(view.slowdown, view.meanSlowdown, expectedWaitMs(view));
+    return Slowdown::durationOf(view.firstEventMs, slowdown, view.meanSlowdown);
 }
 
 auto chooseForOnline(const std::vector<UpstreamView> &candidates, const std::set<std::string> &excluded, BootTime now, std::uint64_t random)
--- a/Source/Request/OnlineChoice.h
+++ b/Source/Request/OnlineChoice.h
@@ -28,6 +28,10 @@
 /// have ended.
 auto expectedWaitMs(const UpstreamView &view) -> double;
 
+/// Expected time in milliseconds from the start of a request at the upstream to its first event or response, when it need not
+/// wait for a slot.
+auto expectedFirstEventMs(const UpstreamView &view) -> double;
+
 /// Selects the upstream with the lowest cost: the expected time until the first event or response, plus small penalties
 /// for load and for a remote data centre. "random" breaks near ties, so that daemons with the same view do not all
 /// select the same upstream. Excluded candidates are never selected, ejected and suspect ones only when no other is
--- a/Source/Request/UpstreamView.h
+++ b/Source/Request/UpstreamView.h
@@ -17,10 +17,14 @@
     int batch = 0;
     /// Batch runs of this daemon at the upstream, which it can preempt itself.
     int ownBatch = 0;
-    /// Duration of one request from start to end, in milliseconds.
+    /// Duration of one request from start to end, in milliseconds, when work takes as long as usual.
     double serviceMs = 0;
-    /// Time from the start of a request to its first event or response, without waiting for a slot, in milliseconds.
+    /// Time from the start of a request to its first event or response, without waiting for a slot, in milliseconds, when work
+    /// takes as long as usual.
     double firstEventMs = 0;
+    /// Factor by which work there takes longer than usual, as expected now, and its mean over some seconds.
+    double slowdown = 1;
+    double meanSlowdown = 1;
     /// Whether the upstream is in the data centre of this daemon.
     bool isLocal = false;
     /// Its entry has disappeared from the store; used only when no other upstream is usable.
--- a/Tests/Platform/HeaderFormatTest.cpp
+++ b/Tests/Platform/HeaderFormatTest.cpp
@@ -108,6 +108,48 @@
     BOOST_TEST(decodeResponseMetadata(head).isMisdirected);
 }
 
+// Guards against losing the figures that can be read because others are missing, malformed or new.
+BOOST_AUTO_TEST_CASE(EachLoadFigureCountsByItself)
+{
+    const auto decode = [](const char *text) {
+        MessageHead head;
+        head.headers.add("Server-Load", text);
+        return decodeResponseMetadata(head);
+    };
+    struct Case
+    {
+        const char *text;
+        int running;
+        int waiting;
+        int slots;
+        double slowdown;
+    };
+    for (const Case &each : { Case { "3,1", 3, 1, 0, 0 },
+                              { "3,1,8", 3, 1, 8, 0 },
+                              { "3,1,8,250", 3, 1, 8, 2.5 },
+                              { "3,1,8,100,77", 3, 1, 8, 1 },
+                              { " 3, 1 ,8 , 80", 3, 1, 8, 0.8 },
+                              { "x,,8,250", 0, 0, 8, 2.5 },
+                              { "3,1,8,fast", 3, 1, 8, 0 },
+                              { "3,-1,8,-250", 3, 0, 8, 0 },
+                              { "3,99999999999,8,0", 3, 0, 8, 0 },
+                              { "3,1,8,2000000000", 3, 1, 8, 20 } }) {
+        const AnswerTerms terms = decode(each.text);
+        BOOST_TEST_CONTEXT(each.text)
+        {
+            BOOST_TEST(terms.hasLoad);
+            BOOST_TEST(terms.running == each.running);
+            BOOST_TEST(terms.waiting == each.waiting);
+            BOOST_TEST(terms.slots == each.slots);
+            BOOST_TEST(terms.slowdown.value_or(0) == each.slowdown);
+        }
+    }
+    for (const char *text : { "", ",,,", "none" }) {
+        BOOST_TEST(!decode(text).hasLoad, text);
+        BOOST_TEST(!decode(text).slowdown.has_value(), text);
+    }
+}
+
 // Guards against a time of many digits that overflows when it is added to a clock.
 BOOST_AUTO_TEST_CASE(StatedTimesAreBounded)
 {
--- a/Tests/Process/UpstreamDirectoryTest.cpp
+++ b/Tests/Process/UpstreamDirectoryTest.cpp
@@ -108,6 +108,41 @@
     BOOST_TEST(views[1].firstEventMs == 40);
 }
 
+// Guards against a slow phase that is remembered after it has passed, and against averages that count it a second time.
+BOOST_AUTO_TEST_CASE(AStatedSlowdownFadesAndIsNotInTheAverages)
+{
+    UpstreamDirectory directory = makeDirectory();
+    BOOST_TEST(directory.candidates("models", NOW)[0].slowdown == 1);
+    directory.recordSlowdown("a", 2.5, NOW);
+    directory.recordFirstEvent("a", 40, 2.5);
+    const auto slowdownAfter = [&directory](int ms) {
+        return directory.candidates("models", NOW + Milliseconds(ms))[0].slowdown;
+    };
+    BOOST_TEST(slowdownAfter(0) == 2.5);
+    BOOST_TEST(slowdownAfter(300) < 1.7);
+    BOOST_TEST(slowdownAfter(300) > 1.5);
+    BOOST_TEST(slowdownAfter(3000) < 1.1);
+    BOOST_TEST(directory.candidates("models", NOW)[0].firstEventMs == 16);
+    // 600 ms of work at 2.5, and the rest as usual.
+    directory.recordServiceTime("a", 1000, 2.5);
+    const double serviceMs = directory.candidates("models", NOW)[0].serviceMs;
+    BOOST_TEST(serviceMs > 500);
+    BOOST_TEST(serviceMs < 750);
+    BOOST_TEST(directory.candidates("models", NOW)[1].slowdown == 1);
+}
+
+// Guards against an upstream that is always slow and counts as usual whenever it has not been heard for a while.
+BOOST_AUTO_TEST_CASE(AnOldStatementGivesWayToTheMean)
+{
+    UpstreamDirectory directory = makeDirectory();
+    for (int second = 0; second < 100; ++second) {
+        directory.recordSlowdown("a", second % 2 == 0 ? 3 : 1, NOW + std::chrono::seconds(second));
+    }
+    const UpstreamView view = directory.candidates("models", NOW + std::chrono::seconds(110))[0];
+    BOOST_TEST(view.slowdown > 1.7);
+    BOOST_TEST(view.slowdown < 2.3);
+}
+
 // Guards against a request that is sent although its upstream has left, or its address is used by another one, since it was chosen.
 BOOST_AUTO_TEST_CASE(AChoiceLapses)
 {
--- a/Tests/Request/OnlineChoiceTest.cpp
+++ b/Tests/Request/OnlineChoiceTest.cpp
@@ -1,10 +1,12 @@
 #include "Request/OnlineChoice.h"
 
+#include "Request/Slowdown.h"
 #include "Support/UpstreamViews.h"
 
 #include <boost/test/unit_test.hpp>
 
 #include <map>
+#include <numeric>
 #include <random>
 
 namespace poplardock {
@@ -94,6 +96,33 @@
     BOOST_TEST(countChoices({ remote, localView("local", 8, 0) }, {})["remote"] == 2000);
 }
 
+// Load pattern: 15% of the VMs are 2.5 times slower for 600 ms at a time. Guards against queueing at an upstream that is slow right
+// now, and against avoiding one that was slow some time ago.
+BOOST_AUTO_TEST_CASE(UpstreamsThatAreSlowNowAreAvoided)
+{
+    std::vector<UpstreamView> views;
+    for (int index = 0; index < 20; ++index) {
+        views.push_back(localView((index < 3 ? "slow" : "usual") + std::to_string(index), 9, 0));
+        views.back().slowdown = index < 3 ? 2.5 : 1;
+    }
+    const auto slowChoices = [&views] {
+        const auto counts = countChoices(views, {});
+        return std::accumulate(counts.begin(), counts.end(), 0, [](int sum, const auto &each) {
+            return sum + (each.first.starts_with("slow") ? each.second : 0);
+        });
+    };
+    BOOST_TEST(slowChoices() == 0);
+    // A request need not wait for a fast upstream when a slow one has a free slot.
+    views[0].online = 0;
+    BOOST_TEST(countChoices(views, {})["slow0"] == 2000);
+    views[0].online = 9;
+    // An old statement has faded.
+    for (UpstreamView &view : views) {
+        view.slowdown = Slowdown::expectedAfter(view.slowdown, view.meanSlowdown, 3000);
+    }
+    BOOST_TEST(slowChoices() > 200);
+}
+
 // Guards against spending the burst of a limited upstream in calm, so that nothing is left of it for a wave, and against
 // leaving its limit unused. Load pattern: calm between waves.
 BOOST_AUTO_TEST_CASE(ALimitedUpstreamIsUsedFromItsSurplus)
