Keep requests away from evacuated data centres

Where the settings have bounds.evacuationMs, daemons follow the kind "evacuations" of the store: the leader and the store watchers watch it, all others learn its revision from FreshnessState (one more revision, left out where nobody follows evacuations) and fetch the set from the daemon that named it. A daemon is ready only once it knows the set. Upstreams of an evacuated data centre are no candidates, a request that was chosen and not sent is chosen again, and batch runs there are broken off and go on elsewhere. A group without any other data centre is refused at once, as not run and with a spread Retry-After. FrontDaemon::handleEvacuationEnd is the place for the cold mark.

The stand-in of the store now also leaves watches unanswered that wait when a view becomes silent; before, they were answered.

--- a/Source/Connection/FrontService.cpp
+++ b/Source/Connection/FrontService.cpp
@@ -16,6 +16,16 @@
 /// Part of the withdrawal bound that is kept for a slow loop and timers.
 constexpr Milliseconds FRESHNESS_MARGIN { 300 };
 constexpr Milliseconds STALE_RETRY_AFTER { 500 };
+/// Retry hint while all data centres of a group are evacuated, which an operator ends after minutes. Spread, so that the callers
+/// do not all come back at once when upstreams are cold.
+constexpr Milliseconds SHORTEST_EVACUATED_RETRY { 1000 };
+constexpr Milliseconds LONGEST_EVACUATED_RETRY { 4000 };
+
+auto evacuatedRetryAfter(std::mt19937_64 &random) -> Milliseconds
+{
+    std::uniform_int_distribution<Milliseconds::rep> spread(SHORTEST_EVACUATED_RETRY.count(), LONGEST_EVACUATED_RETRY.count());
+    return Milliseconds(spread(random));
+}
 
 } // namespace
 
@@ -144,13 +154,15 @@
                 parts_.limits.recordShortage(view.name, now);
             }
         }
+        const bool isEvacuated = views.empty() && parts_.directory.isWholeGroupEvacuated(order.group, now);
         refuse(order.caller,
                order.terms,
                views.empty() ? ResultCode::NoUpstream : ResultCode::Overloaded,
-               views.empty() && parts_.directory.isWholeGroupLeaving(order.group, now)
+               isEvacuated ? "all data centres with upstreams of " + order.group + " are evacuated"
+               : views.empty() && parts_.directory.isWholeGroupLeaving(order.group, now)
                    ? "all upstreams of " + order.group + " are leaving"
                    : "expected after " + std::to_string(static_cast<int>(admission.expectedMs)) + " ms",
-               admission.retryAfter);
+               isEvacuated ? std::optional(evacuatedRetryAfter(parts_.random)) : admission.retryAfter);
         return;
     }
     std::make_shared<OnlineRun>(parts_, std::move(order))->start();
--- a/Source/Connection/OnlineRun.cpp
+++ b/Source/Connection/OnlineRun.cpp
@@ -82,7 +82,8 @@
         giveUp(mayHaveRun_           ? ResultCode::RetriesExhausted
                : choice || isLimited ? ResultCode::Overloaded
                                      : ResultCode::NoUpstream,
-               "no upstream is left");
+               parts_.directory.isWholeGroupEvacuated(order_.group, now) ? "all data centres with upstreams of the group are evacuated"
+                                                                         : "no upstream is left");
         return;
     }
     startRun(views[choice->index], *choice);
--- a/Source/Connection/WireDialect.h
+++ b/Source/Connection/WireDialect.h
@@ -171,6 +171,8 @@
     std::string readyTarget;
     std::string configurationKind;
     std::string upstreamKind;
+    /// One object for each data centre that is evacuated, which it is named after.
+    std::string evacuationKind;
     std::string retirementKind;
 
     std::function<RequestTerms(const HeaderList &)> requestTerms;
--- a/Source/Process/Batch/JobRunner.cpp
+++ b/Source/Process/Batch/JobRunner.cpp
@@ -397,6 +397,21 @@
     return true;
 }
 
+auto JobRunner::leaveEvacuated() -> void
+{
+    std::vector<ItemKey> keys;
+    for (const auto &[key, active] : active_) {
+        const Upstream *upstream = context_.directory.find(active.attempt->upstream());
+        if (upstream != nullptr && context_.directory.isEvacuated(upstream->dataCentre)) {
+            keys.push_back(key);
+        }
+    }
+    for (const ItemKey &key : keys) {
+        context_.metrics.count("items_evacuated");
+        requeue(key, Milliseconds(0), "the data centre is evacuated");
+    }
+}
+
 auto JobRunner::stopJob(const std::string &id) -> void
 {
     std::vector<ItemKey> keys;
--- a/Source/Process/Batch/JobRunner.h
+++ b/Source/Process/Batch/JobRunner.h
@@ -28,6 +28,9 @@
     /// Preempts one attempt at the upstream for an online request: the one whose job is due last. Urgent attempts are
     /// not preempted; false when there is no other.
     auto preemptAt(const std::string &upstream) -> bool;
+    /// Breaks off the attempts at upstreams of evacuated data centres, urgent ones too. Their items go on
+    /// elsewhere after their last event.
+    auto leaveEvacuated() -> void;
     /// Aborts all attempts of a job.
     auto stopJob(const std::string &id) -> void;
     [[nodiscard]] auto runningCount() const -> std::size_t;
--- a/Source/Process/FrontDaemon.cpp
+++ b/Source/Process/FrontDaemon.cpp
@@ -2,6 +2,7 @@
 
 #include "Process/EventLog.h"
 #include "Process/MetricsText.h"
+#include "Process/StateDump.h"
 
 #include <absl/strings/match.h>
 #include <absl/strings/str_cat.h>
@@ -53,6 +54,7 @@
     , peers_(settings_.name, settings_.dataCentre, settings_.capacity)
     , directory_(settings_.dataCentre, peers_.upstreamLimits(), peers_.leavingUpstreams())
     , upstreams_(loop_, store_, dialect_, directory_, peerClient_, settings_.bounds.upstreamDrain)
+    , evacuations_(makeEvacuationFollower())
     , upstreamPool_(loop_, UPSTREAM_POOL)
     , peerLink_(loop_,
                 store_,
@@ -86,6 +88,7 @@
                    [this](const std::string &address) {
                        upstreams_.fetchFromPeer(address);
                    } },
+                 evacuationAccess(),
                  { [this](const std::string &address, const PeerMessage &message) { peerLink_.send(address, message); },
                    [this](std::function<void()> onRead) {
                        configuration_.read(std::move(onRead));
@@ -121,6 +124,44 @@
 
 FrontDaemon::~FrontDaemon() = default;
 
+auto FrontDaemon::makeEvacuationFollower() -> std::unique_ptr<EvacuationFollower>
+{
+    if (!settings_.bounds.evacuation) {
+        return nullptr;
+    }
+    return std::make_unique<EvacuationFollower>(loop_,
+                                                store_,
+                                                dialect_,
+                                                directory_,
+                                                peerClient_,
+                                                EvacuationFollower::Handlers { [this](const std::string & /*dataCentre*/) {
+                                                                                  metrics_.count("evacuations_begun");
+                                                                                  runner_.leaveEvacuated();
+                                                                              },
+                                                                               [this](const std::string &dataCentre) {
+                                                                                   metrics_.count("evacuations_ended");
+                                                                                   handleEvacuationEnd(dataCentre, BootClock::now());
+                                                                               } });
+}
+
+auto FrontDaemon::handleEvacuationEnd(const std::string & /*dataCentre*/, BootTime /*now*/) -> void
+{
+    // The cold limit is not part of the directory yet; its mark for all upstreams of a data centre belongs here.
+}
+
+auto FrontDaemon::evacuationAccess() -> std::optional<FreshnessExchange::Follower>
+{
+    if (evacuations_ == nullptr) {
+        return std::nullopt;
+    }
+    return FreshnessExchange::Follower { evacuations_->watch(),
+                                         [this] { return evacuations_->set().revision(); },
+                                         [this] { return evacuations_->set().syncedRevision(); },
+                                         [this](const std::string &address) {
+                                             evacuations_->fetchFromPeer(address);
+                                         } };
+}
+
 auto FrontDaemon::callerLimits() const -> CallerLimits
 {
     const ServingVersionPointer &version = configuration_.version();
@@ -154,6 +195,9 @@
     operators_ = *std::move(operators);
     configuration_.start();
     upstreams_.start();
+    if (evacuations_ != nullptr) {
+        evacuations_->start();
+    }
     freshness_.start();
     runner_.start();
     adoption_.start();
@@ -215,6 +259,11 @@
     return ready_->address();
 }
 
+auto FrontDaemon::operatorsAddress() const -> std::string
+{
+    return operators_->address();
+}
+
 auto FrontDaemon::busyCount() const -> std::uint64_t
 {
     return callers_->busyCount() + peerServer_->sendingCount();
@@ -347,6 +396,10 @@
         exchange->reply(upstreams_.responseForPeer(exchange->head().target));
         return;
     }
+    if (evacuations_ != nullptr && exchange->head().target == EvacuationFollower::PEER_PATH) {
+        exchange->reply(evacuations_->responseForPeer());
+        return;
+    }
     jobs_.handlePeer(exchange);
 }
 
@@ -366,9 +419,14 @@
     wasAlone_ = isAlone;
 }
 
+auto FrontDaemon::hasSynced() const -> bool
+{
+    return upstreams_.hasSynced() && (evacuations_ == nullptr || evacuations_->hasSynced());
+}
+
 auto FrontDaemon::isReady() const -> bool
 {
-    return !isStopping_ && upstreams_.hasSynced() && front_.isFresh(BootClock::now());
+    return !isStopping_ && hasSynced() && front_.isFresh(BootClock::now());
 }
 
 auto FrontDaemon::noteReadiness() -> void
@@ -383,6 +441,7 @@
                     { { "ready", isNowReady },
                       { "leaving", isStopping_ },
                       { "upstreams_listed", upstreams_.hasSynced() },
+                      { "evacuations_listed", evacuations_ == nullptr || evacuations_->hasSynced() },
                       { "config", static_cast<std::uint64_t>(configuration_.revision()) },
                       { "config_age_ms", configuration_.revision() == 0 ? 0.0 : millisecondsBetween(freshness_.confirmedAt(), now) } });
 }
@@ -396,10 +455,29 @@
 
 auto FrontDaemon::answerOperator(const std::shared_ptr<CallerExchange> &exchange) -> void
 {
-    if (exchange->head().target != "/metrics") {
+    const std::string &target = exchange->head().target;
+    if (target == "/metrics") {
+        exchange->reply(metricsResult());
+    } else if (target == "/dump") {
+        exchange->reply(dumpResult());
+    } else {
         exchange->reply({ HttpStatus::NOT_FOUND, {}, {} });
-        return;
     }
+}
+
+auto FrontDaemon::dumpResult() const -> HttpResult
+{
+    StateDump dump;
+    if (evacuations_ != nullptr) {
+        dump.add("evacuations", [this] { return evacuations_->toJson(BootClock::now()); });
+    }
+    HttpResult result { HttpStatus::OK, {}, Json::toText(*dump.toJson()) };
+    result.headers.add("Content-Type", "application/json");
+    return result;
+}
+
+auto FrontDaemon::metricsResult() const -> HttpResult
+{
     const ObjectStore::Counts &counts = store_.counts();
     HttpResult result { HttpStatus::OK, {}, metricsText(metrics_) };
     absl::StrAppend(&result.body,
@@ -430,8 +508,11 @@
                     "\npoplardock_items_running ",
                     runner_.runningCount(),
                     "\n");
+    if (evacuations_ != nullptr) {
+        absl::StrAppend(&result.body, "poplardock_evacuated_data_centres ", evacuations_->set().entries().size(), "\n");
+    }
     result.headers.add("Content-Type", "text/plain; version=0.0.4");
-    exchange->reply(result);
+    return result;
 }
 
 auto FrontDaemon::halt() -> void
--- a/Source/Process/FrontDaemon.h
+++ b/Source/Process/FrontDaemon.h
@@ -3,6 +3,7 @@
 #include "Connection/CallerServer.h"
 #include "Connection/JobService.h"
 #include "Process/ConfigurationFollower.h"
+#include "Process/Load/EvacuationFollower.h"
 #include "Process/Load/UpstreamFollower.h"
 #include "Process/Peers/FreshnessExchange.h"
 
@@ -40,9 +41,17 @@
     /// "IP:port" with the real ports. Precondition: started.
     [[nodiscard]] auto callersAddress() const -> std::string;
     [[nodiscard]] auto readyAddress() const -> std::string;
+    [[nodiscard]] auto operatorsAddress() const -> std::string;
 
 private:
     auto startTimers() -> void;
+    [[nodiscard]] auto makeEvacuationFollower() -> std::unique_ptr<EvacuationFollower>;
+    /// Handles the end of a data centre's evacuation: its upstreams are to be taken for cold from now on.
+    auto handleEvacuationEnd(const std::string &dataCentre, BootTime now) -> void;
+    [[nodiscard]] auto evacuationAccess() -> std::optional<FreshnessExchange::Follower>;
+    [[nodiscard]] auto hasSynced() const -> bool;
+    [[nodiscard]] auto metricsResult() const -> HttpResult;
+    [[nodiscard]] auto dumpResult() const -> HttpResult;
     [[nodiscard]] auto ownReport() -> DaemonReport;
     /// Asks another daemon for a token of an upstream's limit if this daemon's share does not suffice.
     auto requestLoan() -> void;
@@ -70,6 +79,8 @@
     PeerDirectory peers_;
     UpstreamDirectory directory_;
     UpstreamFollower upstreams_;
+    /// Unset where the settings do not enable evacuations.
+    std::unique_ptr<EvacuationFollower> evacuations_;
     ClientPool upstreamPool_;
     PeerLink peerLink_;
     AllowanceTable allowances_;
--- a/Source/Process/FrontSettings.h
+++ b/Source/Process/FrontSettings.h
@@ -3,6 +3,7 @@
 #include "Process/Clock.h"
 
 #include <cstdint>
+#include <optional>
 #include <string>
 
 namespace poplardock {
@@ -24,6 +25,9 @@
     Milliseconds allowanceWindow { 5000 };
     /// No item of a job may start later than this after the job was cancelled.
     Milliseconds jobCancel { 3000 };
+    /// No request may reach an upstream of an evacuated data centre later than this after the store has acknowledged the
+    /// evacuation. Unset: evacuations are neither read nor acted on.
+    std::optional<Milliseconds> evacuation;
 
     auto operator==(const FleetBounds &) const -> bool = default;
 };
--- a/Source/Process/Load/UpstreamDirectory.cpp
+++ b/Source/Process/Load/UpstreamDirectory.cpp
@@ -87,7 +87,43 @@
     return count == 0 ? fallback : sum / count;
 }
 
+auto UpstreamDirectory::setEvacuated(std::set<std::string> dataCentres) -> void
+{
+    evacuated_ = std::move(dataCentres);
+}
+
+auto UpstreamDirectory::isEvacuated(const std::string &dataCentre) const -> bool
+{
+    return evacuated_.contains(dataCentre);
+}
+
+auto UpstreamDirectory::knowsDataCentre(const std::string &dataCentre) const -> bool
+{
+    return std::any_of(
+        entries_.begin(), entries_.end(), [&dataCentre](const auto &each) { return each.second.upstream.dataCentre == dataCentre; });
+}
+
 auto UpstreamDirectory::isUsable(const Entry &entry, BootTime now) const -> bool
+{
+    return !isEvacuated(entry.upstream.dataCentre) && isServing(entry, now);
+}
+
+auto UpstreamDirectory::isWholeGroupEvacuated(const std::string &group, BootTime now) const -> bool
+{
+    bool hasEvacuated = false;
+    for (const auto &[name, entry] : entries_) {
+        if (entry.upstream.group != group || !isServing(entry, now)) {
+            continue;
+        }
+        if (!isEvacuated(entry.upstream.dataCentre)) {
+            return false;
+        }
+        hasEvacuated = true;
+    }
+    return hasEvacuated;
+}
+
+auto UpstreamDirectory::isServing(const Entry &entry, BootTime now) const -> bool
 {
     return !entry.upstream.isDraining && (!entry.usableUntil || now < *entry.usableUntil) && !leaving_.isLeaving(entry.upstream, now);
 }
--- a/Source/Process/Load/UpstreamDirectory.h
+++ b/Source/Process/Load/UpstreamDirectory.h
@@ -8,6 +8,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -50,6 +51,9 @@
     /// Removes the suspect upstreams whose time has passed.
     auto removeExpired(BootTime now) -> void;
 
+    /// Replaces the set of data centres whose upstreams get no new work. Unknown names have no effect.
+    auto setEvacuated(std::set<std::string> dataCentres) -> void;
+
     /// Null for an unknown upstream. The pointer is valid until the next change.
     [[nodiscard]] auto find(const std::string &name) const -> const Upstream *;
     /// Upstreams of a group that may be given new work, ordered by name. Includes suspect and ejected ones.
@@ -58,6 +62,11 @@
     [[nodiscard]] auto mayBeUsed(const std::string &name, const std::string &address, BootTime now) const -> bool;
     /// Whether the group has upstreams, and all of them leave.
     [[nodiscard]] auto isWholeGroupLeaving(const std::string &group, BootTime now) const -> bool;
+    /// Whether the group has no usable upstream, and one of them would be usable if its data centre were not evacuated.
+    [[nodiscard]] auto isWholeGroupEvacuated(const std::string &group, BootTime now) const -> bool;
+    [[nodiscard]] auto isEvacuated(const std::string &dataCentre) const -> bool;
+    /// Whether the directory has an upstream of that data centre.
+    [[nodiscard]] auto knowsDataCentre(const std::string &dataCentre) const -> bool;
     [[nodiscard]] auto size() const -> std::size_t;
 
     /// Count work in flight. Each recordStart() is followed by one recordEnd().
@@ -91,7 +100,9 @@
         std::optional<double> serviceMs;
     };
 
-    /// Whether an upstream may be given new work: it is not leaving, and its time has not passed if it is suspect.
+    /// Whether the upstream itself could take work: it is not leaving, and its time has not passed if it is suspect.
+    [[nodiscard]] auto isServing(const Entry &entry, BootTime now) const -> bool;
+    /// Whether an upstream may be given new work: it could take it, and its data centre is not evacuated.
     [[nodiscard]] auto isUsable(const Entry &entry, BootTime now) const -> bool;
     /// Mean of a member over the upstreams of a group that have samples, "fallback" if there are none.
     [[nodiscard]] auto groupMean(const std::string &group, std::optional<double> Entry::*member, double fallback) const -> double;
@@ -100,6 +111,7 @@
     const UpstreamLimits &limits_;
     const LeavingUpstreams &leaving_;
     std::map<std::string, Entry> entries_;
+    std::set<std::string> evacuated_;
     WorkCounts ownWork_;
     WorkCounts peerWork_;
 };
--- a/Source/Process/Peers/DaemonReport.cpp
+++ b/Source/Process/Peers/DaemonReport.cpp
@@ -79,6 +79,18 @@
     return value ? 1 : 0;
 }
 
+/// The last word of a freshness state, which is absent from a daemon that follows no evacuations.
+auto evacuationWord(const FreshnessState &state) -> std::string
+{
+    return state.evacuationRevision == 0 ? std::string() : absl::StrCat(" ", state.evacuationRevision);
+}
+
+/// Parses what evacuationWord() writes. "position": where the word stands if it is present.
+auto parseEvacuationWord(FreshnessState &state, const Words &words, std::size_t position) -> bool
+{
+    return words.size() == position || (words.size() == position + 1 && absl::SimpleAtoi(words[position], &state.evacuationRevision));
+}
+
 struct EncodeVisitor
 {
     auto operator()(const DaemonReport &report) const -> std::string
@@ -129,7 +141,7 @@
                                                 absl::StrCat(summary.freshness.configurationRevision),
                                                 absl::StrCat(summary.freshness.age.count()),
                                                 absl::StrCat(summary.freshness.upstreamRevision) };
-        std::string text = absl::StrJoin(head, " ");
+        std::string text = absl::StrCat(absl::StrJoin(head, " "), evacuationWord(summary.freshness));
         for (const RosterState &roster : summary.rosters) {
             absl::StrAppend(&text, "\nr ", roster.dataCentre, " ", roster.version, " ", roster.age.count());
         }
@@ -198,7 +210,8 @@
                             " ",
                             response.state.age.count(),
                             " ",
-                            response.state.upstreamRevision);
+                            response.state.upstreamRevision,
+                            evacuationWord(response.state));
     }
 };
 
@@ -361,7 +374,9 @@
         return freshnessRequest;
     }
     FreshnessResponse freshnessResponse;
-    if (words.size() == 5 && words[0] == FRESHNESS_RESPONSE_TAG && absl::SimpleAtoi(words[1], &freshnessResponse.correlationId)
+    constexpr std::size_t FRESHNESS_WORDS = 5;
+    if (words[0] == FRESHNESS_RESPONSE_TAG && parseEvacuationWord(freshnessResponse.state, words, FRESHNESS_WORDS)
+        && absl::SimpleAtoi(words[1], &freshnessResponse.correlationId)
         && absl::SimpleAtoi(words[2], &freshnessResponse.state.configurationRevision) && absl::SimpleAtoi(words[3], &milliseconds)
         && absl::SimpleAtoi(words[4], &freshnessResponse.state.upstreamRevision) && milliseconds >= 0) {
         freshnessResponse.state.age = boundedMilliseconds(milliseconds);
@@ -405,9 +420,10 @@
     constexpr std::size_t SUMMARY_WORDS = 8;
     FleetSummary summary;
     std::int64_t age = 0;
-    if (head[0] == SUMMARY_TAG && head.size() == SUMMARY_WORDS && absl::SimpleAtoi(head[3], &summary.sequence)
-        && absl::SimpleAtoi(head[4], &summary.echoedReport) && absl::SimpleAtoi(head[5], &summary.freshness.configurationRevision)
-        && absl::SimpleAtoi(head[6], &age) && age >= 0 && absl::SimpleAtoi(head[7], &summary.freshness.upstreamRevision)) {
+    if (head[0] == SUMMARY_TAG && parseEvacuationWord(summary.freshness, head, SUMMARY_WORDS)
+        && absl::SimpleAtoi(head[3], &summary.sequence) && absl::SimpleAtoi(head[4], &summary.echoedReport)
+        && absl::SimpleAtoi(head[5], &summary.freshness.configurationRevision) && absl::SimpleAtoi(head[6], &age) && age >= 0
+        && absl::SimpleAtoi(head[7], &summary.freshness.upstreamRevision)) {
         summary.sender = std::string(head[1]);
         summary.incarnation = std::string(head[2]);
         summary.freshness.age = boundedMilliseconds(age);
--- a/Source/Process/Peers/DaemonReport.h
+++ b/Source/Process/Peers/DaemonReport.h
@@ -136,6 +136,9 @@
     Milliseconds age { 0 };
     /// Highest revision of an upstream's entry that is known to the daemon.
     std::uint64_t upstreamRevision = 0;
+    /// Revision of the last change of the evacuations that is known to the daemon; 0 if it follows none. Left out of the text
+    /// then, so that daemons without the feature exchange the same messages as before.
+    std::uint64_t evacuationRevision = 0;
 
     auto operator==(const FreshnessState &) const -> bool = default;
 };
--- a/Source/Process/Peers/FreshnessExchange.cpp
+++ b/Source/Process/Peers/FreshnessExchange.cpp
@@ -32,8 +32,13 @@
 
 } // namespace
 
-FreshnessExchange::FreshnessExchange(
-    EventLoop &loop, const PeerDirectory &peers, std::string ownName, Follower configuration, Follower upstreams, Handlers handlers)
+FreshnessExchange::FreshnessExchange(EventLoop &loop,
+                                     const PeerDirectory &peers,
+                                     std::string ownName,
+                                     Follower configuration,
+                                     Follower upstreams,
+                                     std::optional<Follower> evacuations,
+                                     Handlers handlers)
     : loop_(loop)
     , peers_(peers)
     , ownName_(std::move(ownName))
@@ -41,6 +46,9 @@
     , upstreams_ { std::move(upstreams), {}, {}, {}, {} }
     , handlers_(std::move(handlers))
 {
+    if (evacuations) {
+        evacuations_.emplace(KindState { *std::move(evacuations), {}, {}, {}, {} });
+    }
 }
 
 auto FreshnessExchange::start() -> void
@@ -79,8 +87,15 @@
     if (now - startedAt_ > DISCOVERY_TIME) {
         configuration_.follower.watch.setWatching(isStoreWatcher);
         upstreams_.follower.watch.setWatching(isStoreWatcher || isLeader);
+        if (evacuations_) {
+            evacuations_->follower.watch.setWatching(isStoreWatcher || isLeader);
+        }
+    }
+    const Milliseconds wait = isLeader ? LEADER_WATCH_TIME : KindWatch::DEFAULT_WAIT;
+    upstreams_.follower.watch.setWait(wait);
+    if (evacuations_) {
+        evacuations_->follower.watch.setWait(wait);
     }
-    upstreams_.follower.watch.setWait(isLeader ? LEADER_WATCH_TIME : KindWatch::DEFAULT_WAIT);
     if (isLeader) {
         readAsLeader(now);
     } else if (peers_.isRelay(now) || now - confirmedAt() > MAX_RELAYED_AGE) {
@@ -91,10 +106,20 @@
     if (now - confirmedAt() > MAX_CONFIRMATION_AGE) {
         refresh(configuration_, now);
     }
+    const bool hasLongWatch = isStoreWatcher && !isLeader;
+    refreshIfStale(upstreams_, hasLongWatch, now);
+    if (evacuations_) {
+        closeGap(*evacuations_, now);
+        refreshIfStale(*evacuations_, hasLongWatch, now);
+    }
+}
+
+auto FreshnessExchange::refreshIfStale(KindState &kind, bool hasLongWatch, BootTime now) -> void
+{
     // A new leader's current watch may still be a long one, and peers may not respond.
-    const BootTime upstreamsKnownAt = std::max(upstreams_.caughtUpAt, upstreams_.follower.watch.confirmedAt());
-    if ((isLeader || !isStoreWatcher) && now - upstreamsKnownAt > MAX_CONFIRMATION_AGE) {
-        refresh(upstreams_, now);
+    const BootTime knownAt = std::max(kind.caughtUpAt, kind.follower.watch.confirmedAt());
+    if (!hasLongWatch && now - knownAt > MAX_CONFIRMATION_AGE) {
+        refresh(kind, now);
     }
 }
 
@@ -118,13 +143,18 @@
 {
     const BootTime now = BootClock::now();
     const auto age = std::chrono::ceil<Milliseconds>(now - confirmedAt());
+    return {
+        configuration_.follower.revision(), age, namedRevision(upstreams_, now), evacuations_ ? namedRevision(*evacuations_, now) : 0
+    };
+}
+
+auto FreshnessExchange::namedRevision(const KindState &kind, BootTime now) -> std::uint64_t
+{
     // The daemons that hear of revisions only through this one have to know that it is behind.
-    const auto behindSince = upstreams_.gap.since(upstreams_.follower.syncedRevision());
+    const auto behindSince = kind.gap.since(kind.follower.syncedRevision());
     const bool isLeftBehind = behindSince && now - *behindSince > STORE_READ_DELAY;
-    const std::uint64_t upstreamRevision = upstreams_.follower.revision();
-    return { configuration_.follower.revision(),
-             age,
-             isLeftBehind ? std::max(upstreams_.gap.highest(), upstreamRevision) : upstreamRevision };
+    const std::uint64_t revision = kind.follower.revision();
+    return isLeftBehind ? std::max(kind.gap.highest(), revision) : revision;
 }
 
 auto FreshnessExchange::handleRequest(const FreshnessRequest &request, const std::string &sender) -> void
@@ -155,6 +185,10 @@
         peerConfirmedAt_ = std::max(peerConfirmedAt_, sentAt - state.age);
     }
     reconcile(upstreams_, state.upstreamRevision, isLocal, sender, now);
+    // A daemon that does not follow evacuations, or has read none yet, names no revision and confirms nothing.
+    if (evacuations_ && state.evacuationRevision > 0) {
+        reconcile(*evacuations_, state.evacuationRevision, isLocal, sender, now);
+    }
 }
 
 auto FreshnessExchange::reconcile(KindState &kind, std::uint64_t revision, bool isLocal, const std::string &address, BootTime now) -> bool
--- a/Source/Process/Peers/FreshnessExchange.h
+++ b/Source/Process/Peers/FreshnessExchange.h
@@ -6,16 +6,17 @@
 
 #include <functional>
 #include <map>
+#include <optional>
 
 namespace poplardock {
 
 /// Keeps this daemon's configuration and upstreams up to date with few calls to the store.
 ///
 /// One daemon of the fleet, the leader, reads the configuration often. One daemon of each data centre, the store watcher,
-/// watches both kinds. The relays query the leader for the age of its view and for its revisions, and tell all others in
-/// their summaries. Whoever is behind fetches newer revisions from the daemon that told. A response confirms this daemon's
-/// configuration only if the responding daemon's is not newer, and as of the time at which the request, or the report that
-/// a summary echoes, was sent minus the age in the response. A daemon that receives no such response, or does not catch up,
+/// watches both kinds, and the evacuations where they are enabled. The relays query the leader for the age of its view and for its
+/// revisions, and tell all others in their summaries. Whoever is behind fetches newer revisions from the daemon that told. A response
+/// confirms this daemon's configuration only if the responding daemon's is not newer, and as of the time at which the request, or the
+/// report that a summary echoes, was sent minus the age in the response. A daemon that receives no such response, or does not catch up,
 /// queries the leader and then the store itself.
 /// Thread safety: the loop's thread only.
 class FreshnessExchange
@@ -39,8 +40,14 @@
         std::function<void(std::function<void()> onRead)> readConfiguration;
     };
 
-    FreshnessExchange(
-        EventLoop &loop, const PeerDirectory &peers, std::string ownName, Follower configuration, Follower upstreams, Handlers handlers);
+    /// "evacuations": unset where evacuations are not followed.
+    FreshnessExchange(EventLoop &loop,
+                      const PeerDirectory &peers,
+                      std::string ownName,
+                      Follower configuration,
+                      Follower upstreams,
+                      std::optional<Follower> evacuations,
+                      Handlers handlers);
 
     auto start() -> void;
     auto stop() -> void;
@@ -74,6 +81,10 @@
     auto sendRequest(const std::string &daemon, BootTime now) -> void;
     auto applyState(const FreshnessState &state, BootTime sentAt, bool isLocal, const std::string &sender) -> void;
     auto readAsLeader(BootTime now) -> void;
+    /// Reads a kind of which this daemon has not heard for long from the store. "hasLongWatch": its own watch may last longer.
+    static auto refreshIfStale(KindState &kind, bool hasLongWatch, BootTime now) -> void;
+    /// The revision to name to other daemons: that of a missed change, once this daemon has been behind for some time.
+    [[nodiscard]] static auto namedRevision(const KindState &kind, BootTime now) -> std::uint64_t;
     /// Compares another daemon's revision with this daemon's and fetches newer changes from a daemon of this data centre. Returns
     /// whether the other daemon knows nothing newer.
     static auto reconcile(KindState &kind, std::uint64_t revision, bool isLocal, const std::string &address, BootTime now) -> bool;
@@ -87,6 +98,7 @@
     const std::string ownName_;
     KindState configuration_;
     KindState upstreams_;
+    std::optional<KindState> evacuations_;
     Handlers handlers_;
     std::map<std::uint64_t, PendingRequest> pending_;
     std::uint64_t lastCorrelationId_ = 0;
--- a/Tests/Fakes/FakeObjectStore.cpp
+++ b/Tests/Fakes/FakeObjectStore.cpp
@@ -166,7 +166,7 @@
     ++calls_[absl::StrCat(exchange->head().method, " ", target)];
     const Faults &faults = views_[view].faults;
     const bool isConcerned = absl::StrContains(target, faults.onlyTargets);
-    if (isConcerned && faults.isSilent) {
+    if (isSilentFor(exchange, view)) {
         views_[view].unanswered.push_back(exchange);
         return;
     }
@@ -265,13 +265,24 @@
     if (replyEvents(watch)) {
         return;
     }
-    watch.timeout = loop_.at(BootClock::now() + Milliseconds(numberIn(query, "waitMs")), [this, exchange] {
+    watch.timeout = loop_.at(BootClock::now() + Milliseconds(numberIn(query, "waitMs")), [this, exchange, view] {
+        if (isSilentFor(exchange, view)) {
+            views_[view].unanswered.push_back(exchange);
+            std::erase_if(watches_, [&exchange](const Watch &each) { return each.exchange == exchange; });
+            return;
+        }
         exchange->reply({ 200, {}, absl::StrCat(R"({"events":[],"at":)", revision_, "}") });
         std::erase_if(watches_, [&exchange](const Watch &each) { return each.exchange == exchange; });
     });
     watches_.push_back(std::move(watch));
 }
 
+auto FakeObjectStore::isSilentFor(const std::shared_ptr<CallerExchange> &exchange, std::size_t view) const -> bool
+{
+    const Faults &faults = views_[view].faults;
+    return faults.isSilent && absl::StrContains(exchange->head().target, faults.onlyTargets);
+}
+
 auto FakeObjectStore::replyEvents(const Watch &watch) -> bool
 {
     std::vector<std::string> events;
@@ -283,6 +294,10 @@
     if (events.empty()) {
         return false;
     }
+    if (isSilentFor(watch.exchange, watch.view)) {
+        views_[watch.view].unanswered.push_back(watch.exchange);
+        return true;
+    }
     reply(
         watch.exchange, watch.view, { 200, {}, absl::StrCat(R"({"events":[)", absl::StrJoin(events, ","), R"(],"at":)", revision_, "}") });
     return true;
--- a/Tests/Fakes/FakeObjectStore.h
+++ b/Tests/Fakes/FakeObjectStore.h
@@ -21,7 +21,7 @@
     {
         /// Calls are answered with this status; 0 for none.
         int refuseStatus = 0;
-        /// Calls are not answered at all.
+        /// Calls are not answered at all; neither are watches that wait already.
         bool isSilent = false;
         /// The next writes are done and their connection is cut.
         int loseWriteAnswers = 0;
@@ -96,6 +96,7 @@
                     std::size_t view,
                     const std::string &kind,
                     const std::map<std::string, std::string> &query) -> void;
+    [[nodiscard]] auto isSilentFor(const std::shared_ptr<CallerExchange> &exchange, std::size_t view) const -> bool;
     auto replyEvents(const Watch &watch) -> bool;
     auto wakeWatches() -> void;
     auto record(const std::string &kind, const std::string &name, bool isRemoved) -> void;
--- a/Tests/Platform/SettingsFileTest.cpp
+++ b/Tests/Platform/SettingsFileTest.cpp
@@ -49,6 +49,15 @@
     BOOST_TEST(settings->bounds.shutdown.count() == 8500);
 }
 
+// Guards against evacuations that are followed where the platform has none.
+BOOST_AUTO_TEST_CASE(EvacuationsAreEnabledByTheirBound)
+{
+    BOOST_TEST(!parseSettings(SETTINGS, "s.conf")->bounds.evacuation.has_value());
+    BOOST_TEST(!parseSettings(settingsWith("bounds.evacuationMs="), "s.conf")->bounds.evacuation.has_value());
+    BOOST_TEST((parseSettings(settingsWith("bounds.evacuationMs=5000"), "s.conf")->bounds.evacuation == std::optional(Milliseconds(5000))));
+    BOOST_TEST(!parseSettings(settingsWith("bounds.evacuationMs=soon"), "s.conf").ok());
+}
+
 // Guards against starting with a setting that could not be parsed, and against error messages without key and line.
 BOOST_AUTO_TEST_CASE(ErrorsNameKeyAndLine)
 {
--- a/Tests/Process/PeerDirectoryTest.cpp
+++ b/Tests/Process/PeerDirectoryTest.cpp
@@ -97,6 +97,11 @@
     BOOST_TEST(survives(LimitTokenRequest { "u1" }));
     BOOST_TEST(survives(LimitTokenGrant { "u1" }));
     BOOST_TEST(survives(FreshnessResponse { 4, { 3, Milliseconds(2), 1 } }));
+    BOOST_TEST(survives(FreshnessResponse { 4, { 3, Milliseconds(2), 1, 7 } }));
+    summary.freshness.evacuationRevision = 9;
+    BOOST_TEST(survives(summary));
+    // A daemon without evacuations sends what it sent before there were any.
+    BOOST_TEST(encodePeerMessage(FreshnessResponse { 4, { 3, Milliseconds(2), 1 } }) == "freshanswer1 4 3 2 1");
 }
 
 // Guards against a crash or a partly decoded report when another program sends to the port.
--- a/Tests/Process/UpstreamDirectoryTest.cpp
+++ b/Tests/Process/UpstreamDirectoryTest.cpp
@@ -131,6 +131,31 @@
     BOOST_TEST(directory.candidates("models", NOW + Milliseconds(100)).empty());
 }
 
+// Guards against new work in an evacuated data centre, against a request that was chosen before and is sent after the evacuation has
+// begun, and against an evacuation that other data centres feel or that outlasts its end.
+BOOST_AUTO_TEST_CASE(AnEvacuatedDataCentreHasNoCandidates)
+{
+    UpstreamDirectory directory = makeDirectory();
+    Upstream remote = makeUpstream("c");
+    remote.dataCentre = "east-b";
+    directory.put(remote);
+    directory.setEvacuated({ "east-a", "nowhere" });
+    BOOST_TEST(!directory.mayBeUsed("a", remote.address, NOW));
+    const auto views = directory.candidates("models", NOW);
+    BOOST_REQUIRE(views.size() == 1U);
+    BOOST_TEST(views[0].name == "c");
+    BOOST_TEST(!directory.isWholeGroupEvacuated("models", NOW));
+    directory.setEvacuated({ "east-a", "east-b" });
+    BOOST_TEST(directory.candidates("models", NOW).empty());
+    BOOST_TEST(directory.isWholeGroupEvacuated("models", NOW));
+    BOOST_TEST(!directory.isWholeGroupEvacuated("others", NOW));
+    BOOST_TEST(directory.knowsDataCentre("east-b"));
+    BOOST_TEST(!directory.knowsDataCentre("nowhere"));
+    directory.setEvacuated({ "east-b" });
+    BOOST_TEST(directory.candidates("models", NOW).size() == 2U);
+    BOOST_TEST(directory.mayBeUsed("a", remote.address, NOW));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace poplardock
--- a/Tests/Support/PlatformFleet.cpp
+++ b/Tests/Support/PlatformFleet.cpp
@@ -85,6 +85,9 @@
     settings.peersAddress = absl::StrCat("127.0.0.1:", freePort());
     settings.operatorsAddress = "127.0.0.1:0";
     settings.storeAddress = store.address();
+    if (adjustSettings) {
+        adjustSettings(settings);
+    }
     daemons.push_back(std::make_unique<FrontDaemon>(loop, settings, platform::makeAdapter()));
     const absl::Status status = daemons.back()->start();
     if (!status.ok()) {
--- a/Tests/Support/PlatformFleet.h
+++ b/Tests/Support/PlatformFleet.h
@@ -29,6 +29,8 @@
     FakeObjectStore store;
     std::vector<std::unique_ptr<FakeEngine>> engines;
     std::vector<std::unique_ptr<FrontDaemon>> daemons;
+    /// Changes the settings of each daemon that is started from then on; unset for none.
+    std::function<void(FrontSettings &)> adjustSettings;
 
     /// Writes a configuration whose team "weavers" has these keys.
     auto configure(const std::vector<std::string> &keys) -> void;
