Decode the cold time of upstreams and its limits

The store's entries, the header Cold-Ms, the configuration's services and the settings name how long an upstream stays cold and how many requests it can handle meanwhile. A value that is not readable in an entry or an answer counts as unknown and does not cost the upstream; numbers with fractions are taken, rounded up.

--- a/Source/Connection/WireDialect.h
+++ b/Source/Connection/WireDialect.h
@@ -73,6 +73,8 @@
     bool hasLoad = false;
     /// Requests a second that the upstream takes from all daemons together at present; unset when it names no limit.
     std::optional<double> requestLimit;
+    /// How long the upstream stays cold, 0 when it is warm; unset when it does not say.
+    std::optional<Milliseconds> coldRemaining;
     /// Time after which the upstream closes an idle connection; unset when it does not say.
     std::optional<Milliseconds> idleTime;
 
--- a/Source/Process/FrontSettings.h
+++ b/Source/Process/FrontSettings.h
@@ -24,6 +24,9 @@
     Milliseconds allowanceWindow { 5000 };
     /// No item of a job may start later than this after the job was cancelled.
     Milliseconds jobCancel { 3000 };
+    /// A cold upstream gets at most the multiple of what it can handle, and so many requests more, in any second.
+    double coldOverage = 1.5;
+    double coldSlack = 5;
 
     auto operator==(const FleetBounds &) const -> bool = default;
 };
--- a/Source/Version/ServingVersion.h
+++ b/Source/Version/ServingVersion.h
@@ -34,6 +34,10 @@
     int tokensPerEvent = 0;
     /// Requests that one upstream runs at a time; 0 when unknown.
     int slots = 0;
+    /// How long an upstream is cold after a start; 0: never.
+    Milliseconds coldStart { 0 };
+    /// Requests per second that a cold upstream can handle; 0 for no limit.
+    double coldPerSecond = 0;
 
     auto operator==(const GroupLimits &) const -> bool = default;
 };
--- a/Source/Version/Upstream.h
+++ b/Source/Version/Upstream.h
@@ -1,6 +1,9 @@
 #pragma once
 
+#include "Process/Clock.h"
+
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -31,6 +34,9 @@
     int slots = 0;
     /// Unix milliseconds of the start of its run; 0 if the upstream does not state it.
     std::int64_t startedAtMs = 0;
+    /// How long the upstream stays cold, counted from the write of its entry; unset if it does not state it. Used once for each
+    /// version of the entry and not kept with the upstream.
+    std::optional<Milliseconds> coldRemaining;
 
     auto operator==(const Upstream &) const -> bool = default;
 };
--- a/Tests/Platform/HeaderFormatTest.cpp
+++ b/Tests/Platform/HeaderFormatTest.cpp
@@ -143,6 +143,23 @@
     }
 }
 
+// Guards against a cold time that is read from a malformed header or overflows, and against 0 that counts as unknown.
+BOOST_AUTO_TEST_CASE(ColdTimesAreRead)
+{
+    const auto coldTimeOf = [](const std::string &text) {
+        MessageHead head;
+        head.headers.add("Cold-Ms", text);
+        return decodeResponseMetadata(head).coldRemaining;
+    };
+    BOOST_TEST(coldTimeOf("4000")->count() == 4000);
+    BOOST_TEST(coldTimeOf("0.2")->count() == 1);
+    BOOST_TEST(coldTimeOf("0")->count() == 0);
+    BOOST_TEST(coldTimeOf("1e300")->count() > 0);
+    for (const std::string text : { "", "-1", "nan", "inf", "soon" }) {
+        BOOST_TEST(!coldTimeOf(text), text);
+    }
+}
+
 // Guards against a Retry-After that is rounded to whole seconds or given in milliseconds.
 BOOST_AUTO_TEST_CASE(RetryAfterIsInFractionalSeconds)
 {
--- a/Tests/Platform/SettingsFileTest.cpp
+++ b/Tests/Platform/SettingsFileTest.cpp
@@ -19,6 +19,8 @@
 bounds.revokeMs=5000
 bounds.drainMs=3000
 bounds.graceS=8.5
+bounds.coldOverage=1.25
+bounds.coldSlack=3
 platform.address=10.200.1.7:8408
 platform.valueBytes=1048576
 some.new.key=whatever
@@ -47,6 +49,8 @@
     BOOST_TEST(settings->storeAddress == "10.200.1.7:8408");
     BOOST_TEST(settings->bounds.upstreamDrain.count() == 3000);
     BOOST_TEST(settings->bounds.shutdown.count() == 8500);
+    BOOST_TEST(settings->bounds.coldOverage == 1.25);
+    BOOST_TEST(settings->bounds.coldSlack == 3);
 }
 
 // Guards against starting with a setting that could not be parsed, and against error messages without key and line.
@@ -55,9 +59,9 @@
     const auto settings = parseSettings(settingsWith("bounds.revokeMs=soon") + "listen.front=nowhere\nno equals sign\n", "s.conf");
     BOOST_REQUIRE(!settings.ok());
     const std::string message(settings.status().message());
-    BOOST_TEST(absl::StrContains(message, "s.conf:16: bounds.revokeMs: expected a number"), message);
+    BOOST_TEST(absl::StrContains(message, "s.conf:18: bounds.revokeMs: expected a number"), message);
     BOOST_TEST(absl::StrContains(message, "listen.front: expected IP:PORT"), message);
-    BOOST_TEST(absl::StrContains(message, "s.conf:18: no equals sign: expected KEY=VALUE"), message);
+    BOOST_TEST(absl::StrContains(message, "s.conf:20: no equals sign: expected KEY=VALUE"), message);
     BOOST_TEST(absl::IsNotFound(loadSettings("/nonexistent/settings").status()));
 }
 
--- a/Tests/Platform/StoreFormatTest.cpp
+++ b/Tests/Platform/StoreFormatTest.cpp
@@ -120,6 +120,28 @@
     }
 }
 
+// Guards against an upstream that is lost, or taken for warm, because of a cold time that is not readable.
+BOOST_AUTO_TEST_CASE(ColdTimesOfEntriesAreRead)
+{
+    const auto coldTimeOf = [](const std::string &value) {
+        const auto upstream = decodeUpstream(upstreamEntry(
+            R"({"service":"m","address":"10.0.0.1:80","zone":"a","slots":8,"state":"ready","coldRemainingMs":)" + value + "}"));
+        BOOST_REQUIRE(upstream.ok());
+        return upstream->coldRemaining;
+    };
+    BOOST_TEST(coldTimeOf("7500")->count() == 7500);
+    BOOST_TEST(coldTimeOf("0")->count() == 0);
+    for (const std::string value : { "null", "-1", R"("soon")", "[]" }) {
+        BOOST_TEST(!coldTimeOf(value), value);
+    }
+    const auto version = decodeConfiguration(
+        { "config", "main", 1, {}, R"({"services":[{"name":"m","coldStartS":7.5,"coldPerS":9.8},{"name":"n","coldPerS":-1}]})" });
+    BOOST_REQUIRE(version.ok());
+    BOOST_TEST(version->groups[0].coldStart.count() == 7500);
+    BOOST_TEST(version->groups[0].coldPerSecond == 9.8);
+    BOOST_TEST(version->groups[1].coldPerSecond == 0);
+}
+
 // Guards against sending requests to an address from an invalid entry of another writer.
 BOOST_AUTO_TEST_CASE(InvalidUpstreamEntriesAreRejected)
 {
@@ -129,6 +151,7 @@
     BOOST_TEST(upstream->name == "i-1");
     BOOST_TEST(upstream->isDraining);
     BOOST_TEST(upstream->slots == 8);
+    BOOST_TEST(!upstream->coldRemaining);
     for (const std::string spec : { R"("bytes")",
                                     "null",
                                     R"({"service":"m","address":"10.0.0.1:80","zone":"a","slots":8,"state":"dreaming"})",
