Limit the requests of all daemons to a cold upstream

An upstream that has started under traffic crashes when it gets far more requests than it can handle. Each daemon now has a quota of whole requests in any second for a cold upstream, by rendezvous order over all known daemons, whether or not it hears them. The quota is checked when the upstream is selected and again when the request is sent. Statements of upstreams go with the reports between daemons, for at most three hops. Without a service with coldPerS nothing is counted, decided or sent.

--- a/Source/Connection/UpstreamRun.cpp
+++ b/Source/Connection/UpstreamRun.cpp
@@ -43,7 +43,9 @@
 auto UpstreamRun::start() -> void
 {
     parts_.directory.recordStart(order_.upstream, order_.work);
-    parts_.limits.takeToken(order_.upstream, BootClock::now());
+    reservedAt_ = BootClock::now();
+    parts_.limits.takeToken(order_.upstream, reservedAt_);
+    parts_.limits.cold().reserve(order_.upstream, reservedAt_);
     isCounted_ = true;
     const Milliseconds freshness = order_.needsFreshConnection ? FRESH_REUSE_TIME : REUSE_TIME;
     const auto take = [self = shared_from_this()](const std::shared_ptr<ClientChannel> &channel) {
@@ -67,10 +69,18 @@
     }
     if (channel == nullptr) {
         parts_.directory.recordFailure(order_.upstream, BootClock::now());
+        parts_.limits.cold().recordUnreachable(order_.upstream, BootClock::now());
         EventLog::write("upstream_unreachable", { { "request", order_.requestId }, { "upstream", order_.upstream } });
         finish(RunEnd::NotRun);
         return;
     }
+    if (!parts_.limits.cold().confirm(order_.upstream, reservedAt_, BootClock::now())) {
+        parts_.upstreams.release(order_.upstream, channel);
+        parts_.metrics.count("cold_requests_withdrawn");
+        EventLog::write("run_withdrawn", { { "request", order_.requestId }, { "upstream", order_.upstream }, { "cold", true } });
+        finish(RunEnd::NotRun);
+        return;
+    }
     send(channel);
 }
 
@@ -120,6 +130,9 @@
     if (terms_.isLeaving && !terms_.isMisdirected) {
         recordLeaving();
     }
+    if (!terms_.isMisdirected) {
+        parts_.limits.cold().recordAnswer(order_.upstream, terms_.coldRemaining, BootClock::now());
+    }
     // An upstream that declines a request without naming a limit has not withdrawn the one that it named before.
     const bool isStatement = terms_.requestLimit.has_value() || !terms_.isNotRun;
     if (isStatement && !terms_.isMisdirected) {
@@ -273,6 +286,7 @@
             return;
         }
         self->recordLoss("closed");
+        self->parts_.limits.cold().recordUnreachable(self->order_.upstream, BootClock::now());
         self->recordCrash();
         self->finish(RunEnd::Lost);
     });
@@ -287,6 +301,7 @@
     // The next attempt waits for the outcome, so that the request does not crash a further upstream meanwhile.
     probe([self = shared_from_this()](Reachability reachability) {
         if (reachability == Reachability::Refusing) {
+            self->parts_.limits.cold().recordUnreachable(self->order_.upstream, BootClock::now());
             self->recordCrash();
         }
         self->finish(RunEnd::Lost);
--- a/Source/Connection/UpstreamRun.h
+++ b/Source/Connection/UpstreamRun.h
@@ -114,6 +114,7 @@
     std::shared_ptr<ClientChannel> channel_;
     EventSplitter splitter_;
     AnswerTerms terms_;
+    BootTime reservedAt_;
     BootTime sentAt_;
     /// Bytes of an answer that is collected whole.
     std::size_t bodyBytes_ = 0;
--- a/Source/Process/Batch/JobRunner.cpp
+++ b/Source/Process/Batch/JobRunner.cpp
@@ -197,8 +197,7 @@
         }
         startItem(*item, views[*choice].name);
         ++views[*choice].batch;
-        views[*choice].usableAt = context_.limits.usableAt(views[*choice].name);
-        views[*choice].spareAt = context_.limits.spareAt(views[*choice].name);
+        context_.directory.updateLimits(views[*choice], now);
         --starts;
     }
 }
--- a/Source/Process/FrontDaemon.cpp
+++ b/Source/Process/FrontDaemon.cpp
@@ -235,6 +235,7 @@
     report.demand = allowances_.demand(now);
     report.crashSuspects = peers_.crashSuspects().states(now);
     report.upstreamLimits = peers_.upstreamLimits().states(now);
+    report.coldStatements = peers_.upstreamLimits().cold().states(now);
     report.leavingUpstreams = peers_.leavingUpstreams().states(now);
     report.cancelledJobs = peers_.ownCancellations(now);
     book_.forEach([this, now, &report](const std::string &id, const OwnedJob &job) {
@@ -256,6 +257,25 @@
     }
 }
 
+auto FrontDaemon::updateColdUpstreams(BootTime now) -> void
+{
+    ColdUpstreams &cold = peers_.upstreamLimits().cold();
+    std::map<std::string, ColdPolicy> policies;
+    if (const ServingVersionPointer &version = configuration_.version(); version != nullptr) {
+        for (const GroupLimits &group : version->data().groups) {
+            if (group.coldPerSecond > 0) {
+                policies[group.name] = { group.coldStart,
+                                         group.coldPerSecond,
+                                         group.coldPerSecond * settings_.bounds.coldOverage + settings_.bounds.coldSlack };
+            }
+        }
+    }
+    cold.setPolicies(std::move(policies));
+    if (cold.isEnabled() && peerLink_.hasListedMembers()) {
+        cold.setDaemons(peers_.knownDaemons(now), peers_.aliveDaemons(now).size(), now);
+    }
+}
+
 auto FrontDaemon::takePeerReports() -> void
 {
     const BootTime now = BootClock::now();
@@ -267,6 +287,7 @@
     }
     allowances_.updatePeerDemand(now);
     peers_.upstreamLimits().setDaemons(peers_.aliveDaemons(now), peers_.aliveFraction(now), now);
+    updateColdUpstreams(now);
     adoption_.checkPeerReports();
 }
 
@@ -419,6 +440,8 @@
                     EventLog::droppedLineCount(),
                     "\npoplardock_upstreams ",
                     directory_.size(),
+                    "\npoplardock_cold_upstreams ",
+                    peers_.upstreamLimits().cold().coldCount(BootClock::now()),
                     "\npoplardock_leaving_marks ",
                     peers_.leavingUpstreams().size(),
                     "\npoplardock_peers ",
--- a/Source/Process/FrontDaemon.h
+++ b/Source/Process/FrontDaemon.h
@@ -46,6 +46,8 @@
     [[nodiscard]] auto ownReport() -> DaemonReport;
     /// Asks another daemon for a token of an upstream's limit if this daemon's share does not suffice.
     auto requestLoan() -> void;
+    /// Passes the configured limits of cold upstreams and the known daemons on.
+    auto updateColdUpstreams(BootTime now) -> void;
     auto takePeerReports() -> void;
     auto takePeerMessage(const std::string &sender, const PeerMessage &message) -> void;
     auto answerPeer(const std::shared_ptr<CallerExchange> &exchange) -> void;
--- a/Source/Process/Load/UpstreamDirectory.cpp
+++ b/Source/Process/Load/UpstreamDirectory.cpp
@@ -31,7 +31,7 @@
 
 } // namespace
 
-UpstreamDirectory::UpstreamDirectory(std::string dataCentre, const UpstreamLimits &limits, const LeavingUpstreams &leaving)
+UpstreamDirectory::UpstreamDirectory(std::string dataCentre, UpstreamLimits &limits, const LeavingUpstreams &leaving)
     : dataCentre_(std::move(dataCentre))
     , limits_(limits)
     , leaving_(leaving)
@@ -45,6 +45,21 @@
     entry.usableUntil.reset();
 }
 
+auto UpstreamDirectory::recordColdEntry(const Upstream &upstream, std::optional<Milliseconds> remaining, bool isFirstList, BootTime now)
+    -> void
+{
+    limits_.cold().recordEntry(upstream.name, upstream.group, upstream.startedAtMs, remaining, isFirstList || !hasTraffic_, now);
+}
+
+auto UpstreamDirectory::markDataCentreCold(const std::string &dataCentre, BootTime now) -> void
+{
+    for (const auto &[name, entry] : entries_) {
+        if (entry.upstream.dataCentre == dataCentre) {
+            limits_.cold().recordDoubt(name, "data centre", now);
+        }
+    }
+}
+
 auto UpstreamDirectory::markSuspect(const std::string &name, BootTime usableUntil) -> void
 {
     const auto found = entries_.find(name);
@@ -66,6 +81,7 @@
 auto UpstreamDirectory::removeExpired(BootTime now) -> void
 {
     std::erase_if(entries_, [now](const auto &each) { return each.second.usableUntil && *each.second.usableUntil <= now; });
+    limits_.cold().recordRemovals([this](const std::string &name) { return entries_.contains(name); }, now);
 }
 
 auto UpstreamDirectory::find(const std::string &name) const -> const Upstream *
@@ -135,13 +151,21 @@
         view.isLocal = entry.upstream.dataCentre == dataCentre_;
         view.isSuspect = entry.usableUntil.has_value();
         view.ejectedUntil = entry.ejectedUntil;
-        view.usableAt = limits_.usableAt(name);
-        view.spareAt = limits_.spareAt(name);
+        updateLimits(view, now);
         views.push_back(std::move(view));
     }
     return views;
 }
 
+auto UpstreamDirectory::updateLimits(UpstreamView &view, BootTime now) const -> void
+{
+    const ColdUpstreams::Use cold = limits_.cold().useOf(view.name, now);
+    view.isCold = cold.isCold;
+    view.usableAt = std::max(limits_.usableAt(view.name), cold.usableAt);
+    view.spareAt = std::max(limits_.spareAt(view.name), cold.spareAt);
+    view.warmUpAt = cold.warmUpAt;
+}
+
 auto UpstreamDirectory::size() const -> std::size_t
 {
     return entries_.size();
@@ -149,6 +173,7 @@
 
 auto UpstreamDirectory::recordStart(const std::string &name, Work work) -> void
 {
+    hasTraffic_ = true;
     WorkCount &count = ownWork_[name];
     ++(work == Work::Online ? count.online : count.batch);
 }
@@ -173,6 +198,7 @@
 auto UpstreamDirectory::setPeerWork(WorkCounts counts) -> void
 {
     peerWork_ = std::move(counts);
+    hasTraffic_ = hasTraffic_ || !peerWork_.empty();
 }
 
 auto UpstreamDirectory::recordSlots(const std::string &name, int slots) -> void
--- a/Source/Process/Load/UpstreamDirectory.h
+++ b/Source/Process/Load/UpstreamDirectory.h
@@ -37,10 +37,16 @@
 {
 public:
     /// "limits" and "leaving" must outlive the directory.
-    UpstreamDirectory(std::string dataCentre, const UpstreamLimits &limits, const LeavingUpstreams &leaving);
+    UpstreamDirectory(std::string dataCentre, UpstreamLimits &limits, const LeavingUpstreams &leaving);
 
     /// Adds or replaces an upstream.
     auto put(const Upstream &upstream) -> void;
+    /// Records what a new version of an upstream's entry says about its cold time, or that it says nothing. "isFirstList": the
+    /// entry is one of those that this daemon found at its start.
+    auto recordColdEntry(const Upstream &upstream, std::optional<Milliseconds> remaining, bool isFirstList, BootTime now) -> void;
+    /// Treats all upstreams of a data centre as cold for the start time of their group, unless a later entry or answer says that
+    /// they are warm; for the end of an evacuation.
+    auto markDataCentreCold(const std::string &dataCentre, BootTime now) -> void;
     /// Handles an entry that has disappeared from the store. An upstream that was draining is removed. Any other one may
     /// have crashed, or its entry may have expired because it could not be renewed: it becomes suspect, and is removed by
     /// removeExpired() once "usableUntil" has passed.
@@ -54,6 +60,8 @@
     [[nodiscard]] auto find(const std::string &name) const -> const Upstream *;
     /// Upstreams of a group that may be given new work, ordered by name. Includes suspect and ejected ones.
     [[nodiscard]] auto candidates(const std::string &group, BootTime now) const -> std::vector<UpstreamView>;
+    /// Sets the times of a view that depend on the limits of its upstream.
+    auto updateLimits(UpstreamView &view, BootTime now) const -> void;
     /// Whether a request that was chosen for the upstream at that address may still be sent to it.
     [[nodiscard]] auto mayBeUsed(const std::string &name, const std::string &address, BootTime now) const -> bool;
     /// Whether the group has upstreams, and all of them leave.
@@ -97,11 +105,13 @@
     [[nodiscard]] auto groupMean(const std::string &group, std::optional<double> Entry::*member, double fallback) const -> double;
 
     const std::string dataCentre_;
-    const UpstreamLimits &limits_;
+    UpstreamLimits &limits_;
     const LeavingUpstreams &leaving_;
     std::map<std::string, Entry> entries_;
     WorkCounts ownWork_;
     WorkCounts peerWork_;
+    /// Whether any daemon has sent a request since this one has started.
+    bool hasTraffic_ = false;
 };
 
 } // namespace poplardock
--- a/Source/Process/Load/UpstreamFollower.cpp
+++ b/Source/Process/Load/UpstreamFollower.cpp
@@ -12,6 +12,7 @@
 
 #include <algorithm>
 #include <set>
+#include <utility>
 
 namespace poplardock {
 
@@ -170,14 +171,19 @@
         EventLog::write("upstream_entry_unusable", { { "revision", object.version }, { "reason", "the name is no word" } });
         return;
     }
+    const bool isNewVersion = entry == entries_.end() || entry->second.version != object.version;
     entries_[object.name] = object;
     removals_.erase(object.name);
-    const auto upstream = dialect_.decodeUpstream(object);
+    auto upstream = dialect_.decodeUpstream(object);
     if (!upstream.ok()) {
         EventLog::write("upstream_entry_unusable", { { "entry", object.name }, { "reason", upstream.status().message() } });
         directory_.remove(object.name);
         return;
     }
+    const auto coldRemaining = std::exchange(upstream->coldRemaining, std::nullopt);
+    if (isNewVersion) {
+        directory_.recordColdEntry(*upstream, coldRemaining, !hasSynced_, BootClock::now());
+    }
     const Upstream *known = directory_.find(object.name);
     if (known == nullptr || *known != *upstream) {
         EventLog::write("upstream_changed",
--- a/Source/Process/Load/UpstreamLimits.cpp
+++ b/Source/Process/Load/UpstreamLimits.cpp
@@ -121,6 +121,7 @@
 UpstreamLimits::UpstreamLimits(std::string ownName)
     : ownName_(std::move(ownName))
     , aliveDaemons_ { ownName_ }
+    , cold_(ownName_)
 {
 }
 
@@ -329,6 +330,17 @@
 auto UpstreamLimits::removeExpired(BootTime now) -> void
 {
     std::erase_if(entries_, [now](const auto &each) { return now - each.second.statedAt >= RETENTION; });
+    cold_.removeExpired(now);
+}
+
+auto UpstreamLimits::cold() -> ColdUpstreams &
+{
+    return cold_;
+}
+
+auto UpstreamLimits::cold() const -> const ColdUpstreams &
+{
+    return cold_;
 }
 
 } // namespace poplardock
--- a/Source/Process/Load/UpstreamLimits.h
+++ b/Source/Process/Load/UpstreamLimits.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "Process/Clock.h"
+#include "Process/Load/ColdUpstreams.h"
 
 #include <absl/status/statusor.h>
 
@@ -109,6 +110,10 @@
     auto merge(const std::vector<UpstreamLimit> &states, BootTime now) -> void;
     auto removeExpired(BootTime now) -> void;
 
+    /// The upstreams that are cold, whose limit has a deadline and applies beside one that they have named.
+    [[nodiscard]] auto cold() -> ColdUpstreams &;
+    [[nodiscard]] auto cold() const -> const ColdUpstreams &;
+
 private:
     struct Entry
     {
@@ -146,6 +151,7 @@
     std::map<std::string, Entry> entries_;
     /// Until when states() names all limits.
     BootTime announceAllUntil_;
+    ColdUpstreams cold_;
 };
 
 } // namespace poplardock
--- a/Source/Process/Peers/DaemonReport.cpp
+++ b/Source/Process/Peers/DaemonReport.cpp
@@ -74,6 +74,13 @@
     }
 }
 
+auto appendColdStatements(std::string &text, const std::vector<ColdStatement> &statements) -> void
+{
+    for (const ColdStatement &statement : statements) {
+        absl::StrAppend(&text, "\nk ", encodeColdStatement(statement));
+    }
+}
+
 auto flag(bool value) -> int
 {
     return value ? 1 : 0;
@@ -100,6 +107,7 @@
         appendCancelledJobs(text, report.cancelledJobs);
         appendCrashSuspects(text, report.crashSuspects);
         appendUpstreamLimits(text, report.upstreamLimits);
+        appendColdStatements(text, report.coldStatements);
         appendLeavingUpstreams(text, report.leavingUpstreams);
         return text;
     }
@@ -115,6 +123,7 @@
         appendCancelledJobs(text, digest.cancelledJobs);
         appendCrashSuspects(text, digest.crashSuspects);
         appendUpstreamLimits(text, digest.upstreamLimits);
+        appendColdStatements(text, digest.coldStatements);
         appendLeavingUpstreams(text, digest.leavingUpstreams);
         return text;
     }
@@ -138,6 +147,7 @@
         appendCancelledJobs(text, summary.cancelledJobs);
         appendCrashSuspects(text, summary.crashSuspects);
         appendUpstreamLimits(text, summary.upstreamLimits);
+        appendColdStatements(text, summary.coldStatements);
         appendLeavingUpstreams(text, summary.leavingUpstreams);
         return text;
     }
@@ -268,6 +278,7 @@
     return parseJob(report.jobs, "j", words) || parseJob(report.cancelledJobs, "x", words)
            || parseTagged(report.crashSuspects, "s", words, decodeCrashSuspect)
            || parseTagged(report.upstreamLimits, "l", words, decodeUpstreamLimit)
+           || parseTagged(report.coldStatements, "k", words, decodeColdStatement)
            || parseTagged(report.leavingUpstreams, "v", words, decodeLeavingUpstream) || parseLoadLine(report, words);
 }
 
@@ -276,6 +287,7 @@
     return parseJobOwner(digest.jobs, words) || parseJob(digest.cancelledJobs, "x", words)
            || parseTagged(digest.crashSuspects, "s", words, decodeCrashSuspect)
            || parseTagged(digest.upstreamLimits, "l", words, decodeUpstreamLimit)
+           || parseTagged(digest.coldStatements, "k", words, decodeColdStatement)
            || parseTagged(digest.leavingUpstreams, "v", words, decodeLeavingUpstream) || parseLoadLine(digest, words);
 }
 
@@ -293,6 +305,7 @@
     return parseJobOwner(summary.jobs, words) || parseJob(summary.cancelledJobs, "x", words)
            || parseTagged(summary.crashSuspects, "s", words, decodeCrashSuspect)
            || parseTagged(summary.upstreamLimits, "l", words, decodeUpstreamLimit)
+           || parseTagged(summary.coldStatements, "k", words, decodeColdStatement)
            || parseTagged(summary.leavingUpstreams, "v", words, decodeLeavingUpstream) || parseLoadLine(summary, words);
 }
 
--- a/Source/Process/Peers/DaemonReport.h
+++ b/Source/Process/Peers/DaemonReport.h
@@ -57,6 +57,7 @@
     std::vector<std::string> cancelledJobs;
     std::vector<CrashSuspect> crashSuspects;
     std::vector<UpstreamLimit> upstreamLimits;
+    std::vector<ColdStatement> coldStatements;
     std::vector<LeavingUpstream> leavingUpstreams;
 
     auto operator==(const DaemonReport &) const -> bool = default;
@@ -111,6 +112,7 @@
     std::vector<std::string> cancelledJobs;
     std::vector<CrashSuspect> crashSuspects;
     std::vector<UpstreamLimit> upstreamLimits;
+    std::vector<ColdStatement> coldStatements;
     std::vector<LeavingUpstream> leavingUpstreams;
 
     auto operator==(const DataCentreDigest &) const -> bool = default;
@@ -155,6 +157,7 @@
     std::vector<std::string> cancelledJobs;
     std::vector<CrashSuspect> crashSuspects;
     std::vector<UpstreamLimit> upstreamLimits;
+    std::vector<ColdStatement> coldStatements;
     std::vector<LeavingUpstream> leavingUpstreams;
 
     auto operator==(const FleetSummary &) const -> bool = default;
--- a/Source/Process/Peers/PeerDirectory.cpp
+++ b/Source/Process/Peers/PeerDirectory.cpp
@@ -36,6 +36,8 @@
 /// Time for which a relay passes on the announcement of a job's owner.
 constexpr Milliseconds ANNOUNCEMENT_TIME { 600 };
 /// Announcements are kept while callers read the results, as many as a fleet at its target size needs.
+/// A daemon that has not been heard for a shorter time may only be cut off and still send requests.
+constexpr std::chrono::minutes KNOWN_RETENTION { 10 };
 constexpr std::chrono::seconds ANNOUNCEMENT_RETENTION { 60 };
 constexpr std::size_t MAXIMUM_ANNOUNCEMENTS = 10000;
 /// Cancellations without the owner are rare; more than these do not fit a datagram beside the sums. A relay passes on those
@@ -171,6 +173,7 @@
     addCancellations(report.cancelledJobs, Source::Report, now);
     crashSuspects_->merge(report.crashSuspects, now);
     upstreamLimits_->merge(report.upstreamLimits, now);
+    upstreamLimits_->cold().merge(report.coldStatements, now);
     mergeLeaving(report.leavingUpstreams, now);
     return true;
 }
@@ -206,6 +209,7 @@
     addCancellations(digest.cancelledJobs, Source::Digest, now);
     crashSuspects_->merge(digest.crashSuspects, now);
     upstreamLimits_->merge(digest.upstreamLimits, now);
+    upstreamLimits_->cold().merge(digest.coldStatements, now);
     mergeLeaving(digest.leavingUpstreams, now);
     if (!isPreferred(digestSenders_, digest.dataCentre, digest.sender, now)) {
         return false;
@@ -234,6 +238,7 @@
     addCancellations(summary.cancelledJobs, Source::Summary, now);
     crashSuspects_->merge(summary.crashSuspects, now);
     upstreamLimits_->merge(summary.upstreamLimits, now);
+    upstreamLimits_->cold().merge(summary.coldStatements, now);
     mergeLeaving(summary.leavingUpstreams, now);
     const bool isServing = isFirstRelay(now) && !reporters(now).empty();
     if (isServing || !isPreferred(summarySenders_, ownDataCentre_, summary.sender, now)) {
@@ -454,6 +459,7 @@
     digest.cancelledJobs = recentCancellations(Source::Own, Source::Report, now);
     digest.crashSuspects = crashSuspects_->states(now);
     digest.upstreamLimits = upstreamLimits_->states(now);
+    digest.coldStatements = upstreamLimits_->cold().states(now);
     digest.leavingUpstreams = leavingUpstreams_->states(now);
     for (const std::string &job : own.jobs) {
         digest.jobs.push_back({ job, ownName_ });
@@ -477,6 +483,7 @@
     summary.cancelledJobs = recentCancellations(Source::Own, Source::Digest, now);
     summary.crashSuspects = crashSuspects_->states(now);
     summary.upstreamLimits = upstreamLimits_->states(now);
+    summary.coldStatements = upstreamLimits_->cold().states(now);
     summary.leavingUpstreams = leavingUpstreams_->states(now);
     for (const std::string &job : own.jobs) {
         summary.jobs.push_back({ job, ownName_ });
@@ -873,6 +880,17 @@
     return names;
 }
 
+auto PeerDirectory::knownDaemons(BootTime now) const -> std::vector<std::string>
+{
+    std::vector<std::string> names = { ownName_ };
+    for (const auto &[name, peer] : peers_) {
+        if (now - std::max(peer.lastSeenAt, peer.addedAt) < KNOWN_RETENTION) {
+            names.push_back(name);
+        }
+    }
+    return names;
+}
+
 auto PeerDirectory::presumedCount(BootTime now) const -> int
 {
     return static_cast<int>(
--- a/Source/Process/Peers/PeerDirectory.h
+++ b/Source/Process/Peers/PeerDirectory.h
@@ -167,6 +167,8 @@
     [[nodiscard]] auto presumedCount(BootTime now) const -> int;
     /// Names of the daemons that are alive, or presumed to be, and not about to stop, and this one's.
     [[nodiscard]] auto aliveDaemons(BootTime now) const -> std::vector<std::string>;
+    /// Names of all daemons that may be running, whether or not this daemon hears them, and this one's.
+    [[nodiscard]] auto knownDaemons(BootTime now) const -> std::vector<std::string>;
     /// Which part of the daemons whose demand counts is alive, this one included. The others may only be partitioned, and
     /// admit requests on their own.
     [[nodiscard]] auto aliveFraction(BootTime now) const -> double;
--- a/Source/Process/Peers/PeerLink.cpp
+++ b/Source/Process/Peers/PeerLink.cpp
@@ -61,6 +61,11 @@
     return absl::OkStatus();
 }
 
+auto PeerLink::hasListedMembers() const -> bool
+{
+    return hasListedMembers_;
+}
+
 auto PeerLink::stop() -> void
 {
     reportTimer_.cancel();
@@ -110,6 +115,7 @@
 {
     store_.listAll(MEMBER_KIND, true, [this](const absl::StatusOr<StoreList> &list) {
         if (list.ok()) {
+            hasListedMembers_ = true;
             for (const StoredObject &record : list->objects) {
                 const auto spec = Json::parseObject(record.spec);
                 const auto address = spec.ok() ? Json::requireString(**spec, ADDRESS_FIELD) : spec.status();
--- a/Source/Process/Peers/PeerLink.h
+++ b/Source/Process/Peers/PeerLink.h
@@ -44,6 +44,8 @@
 
     /// Opens the socket and registers this daemon in the store. Errors: as DatagramSocket::open().
     auto start() -> absl::Status;
+    /// Whether the records of the daemons have been read from the store at least once.
+    [[nodiscard]] auto hasListedMembers() const -> bool;
     /// Stops sending and receiving.
     auto stop() -> void;
     auto send(const std::string &address, const PeerMessage &message) -> void;
@@ -85,6 +87,7 @@
     /// The relays of the last report, for the log.
     std::vector<std::string> relays_;
     int listingCount_ = 0;
+    bool hasListedMembers_ = false;
     bool isNotificationPending_ = false;
     Timer reportTimer_;
     Timer digestTimer_;
--- a/Source/Request/BatchPlan.cpp
+++ b/Source/Request/BatchPlan.cpp
@@ -33,6 +33,14 @@
     return std::max(0, view.slots - reserved - view.online - view.batch);
 }
 
+/// Whether batch work has to leave cold upstreams to online requests, since a warm one has an available slot.
+auto hasWarmSlot(const std::vector<UpstreamView> &views, int reserve, BootTime now) -> bool
+{
+    return std::any_of(views.begin(), views.end(), [reserve, now](const UpstreamView &view) {
+        return !view.isCold && availableSlots(view, reserve, now) > 0;
+    });
+}
+
 } // namespace
 
 auto reservedSlots(Milliseconds propagationDelay) -> int
@@ -42,7 +50,8 @@
 
 auto availableSlots(const UpstreamView &view, int reserve, BootTime now) -> int
 {
-    const BootTime limitedUntil = reserve > 0 ? view.spareAt : view.usableAt;
+    // Of the limit of a cold upstream, batch work gets only what online requests leave.
+    const BootTime limitedUntil = reserve > 0 || view.isCold ? std::max(view.spareAt, view.usableAt) : view.usableAt;
     return limitedUntil > now ? 0 : freeSlots(view, reserve, now);
 }
 
@@ -66,8 +75,9 @@
     int shared = 0;
     // A token of a limit is this daemon's own: no other daemon starts a run with it.
     int owned = 0;
+    const bool leavesCold = hasWarmSlot(views, reserve, now);
     for (const UpstreamView &view : views) {
-        const int available = availableSlots(view, reserve, now);
+        const int available = leavesCold && view.isCold ? 0 : availableSlots(view, reserve, now);
         shared += hasLimit(view) ? 0 : available;
         owned += hasLimit(view) ? std::min(1, available) : 0;
     }
@@ -79,9 +89,10 @@
 {
     std::optional<std::size_t> best;
     double bestScore = 0;
+    const bool leavesCold = hasWarmSlot(views, reserve, now);
     for (std::size_t index = 0; index < views.size(); ++index) {
         const UpstreamView &view = views[index];
-        const int available = availableSlots(view, reserve, now);
+        const int available = leavesCold && view.isCold ? 0 : availableSlots(view, reserve, now);
         if (available <= 0) {
             continue;
         }
--- a/Source/Request/BatchPlan.h
+++ b/Source/Request/BatchPlan.h
@@ -20,7 +20,8 @@
 auto reservedSlots(Milliseconds propagationDelay) -> int;
 
 /// Slots of one upstream that batch runs may take now; none at a suspect or ejected one, nor at one whose limit is used up
-/// or, with a reserve, was used by other requests a short time ago. For urgent work the caller passes a reserve of 0.
+/// or, with a reserve, was used by other requests a short time ago. For urgent work the caller passes a reserve of 0. At a cold one only
+/// while its limit has not been used for a time, whatever the reserve.
 auto availableSlots(const UpstreamView &view, int reserve, BootTime now) -> int;
 
 /// The upstreams whose limit alone keeps batch runs from starting now: those with a free slot but no token, as long as no
@@ -36,7 +37,8 @@
 auto startsPerTick(
     const std::vector<UpstreamView> &views, int reserve, int daemons, double tickFraction, double roundingRandom, BootTime now) -> int;
 
-/// Returns the index of the upstream for the next run: the one with the largest fraction of its slots available. Local
+/// Returns the index of the upstream for the next run: the one with the largest fraction of its slots available, a cold one only
+/// while no warm one has an available slot. Local
 /// upstreams get a bonus, and "random", uniform over all 64-bit values, breaks near ties. Unset when no upstream has an
 /// available slot.
 auto chooseForBatch(const std::vector<UpstreamView> &views, int reserve, BootTime now, std::uint64_t random) -> std::optional<std::size_t>;
--- a/Source/Request/OnlineChoice.cpp
+++ b/Source/Request/OnlineChoice.cpp
@@ -82,6 +82,31 @@
     return { candidate.index, expectedWaitMs(view) + view.firstEventMs, isFull && view.online < view.slots };
 }
 
+/// The candidates in the data centre of the daemon and the others.
+struct CandidateLists
+{
+    std::vector<Candidate> local;
+    std::vector<Candidate> remote;
+};
+
+/// "withCold": cold upstreams count beyond their warm-up requests.
+auto candidatesOf(const std::vector<UpstreamView> &views,
+                  const std::set<std::string> &excluded,
+                  bool withCold,
+                  BootTime now,
+                  std::uint64_t random) -> CandidateLists
+{
+    CandidateLists lists;
+    for (std::size_t index = 0; index < views.size(); ++index) {
+        const UpstreamView &view = views[index];
+        const bool mayBeUsed = withCold || !view.isCold || view.warmUpAt <= now;
+        if (mayBeUsed && !excluded.contains(view.name) && view.usableAt <= now) {
+            (view.isLocal ? lists.local : lists.remote).push_back({ index, rankOf(view, now), tieBreaker(random, index) });
+        }
+    }
+    return lists;
+}
+
 } // namespace
 
 auto expectedWaitMs(const UpstreamView &view) -> double
@@ -98,20 +123,19 @@
 auto chooseForOnline(const std::vector<UpstreamView> &candidates, const std::set<std::string> &excluded, BootTime now, std::uint64_t random)
     -> std::optional<OnlineChoice>
 {
-    std::vector<Candidate> local;
-    std::vector<Candidate> remote;
-    for (std::size_t index = 0; index < candidates.size(); ++index) {
-        const UpstreamView &view = candidates[index];
-        if (!excluded.contains(view.name) && view.usableAt <= now) {
-            (view.isLocal ? local : remote).push_back({ index, rankOf(view, now), tieBreaker(random, index) });
-        }
-    }
+    const CandidateLists preferred = candidatesOf(candidates, excluded, false, now, random);
     // Most requests find a free slot in the sample; all upstreams are compared only when the sample has none.
-    const auto sampled = bestOf(candidates, sampleOf(local), sampleOf(remote), now);
+    const auto sampled = bestOf(candidates, sampleOf(preferred.local), sampleOf(preferred.remote), now);
     if (sampled && sampled->rank == 0 && expectedWaitMs(candidates[sampled->index]) <= 0) {
         return makeChoice(candidates, *sampled);
     }
-    const auto best = bestOf(candidates, local, remote, now);
+    const auto warm = bestOf(candidates, preferred.local, preferred.remote, now);
+    // A slot that batch work holds is room for an online request.
+    if (warm && warm->rank == 0 && expectedWaitMs(candidates[warm->index]) <= PREEMPTION_MS) {
+        return makeChoice(candidates, *warm);
+    }
+    const CandidateLists all = candidatesOf(candidates, excluded, true, now, random);
+    const auto best = bestOf(candidates, all.local, all.remote, now);
     return best ? std::optional(makeChoice(candidates, *best)) : std::nullopt;
 }
 
--- a/Source/Request/OnlineChoice.h
+++ b/Source/Request/OnlineChoice.h
@@ -31,7 +31,8 @@
 /// Selects the upstream with the lowest cost: the expected time until the first event or response, plus small penalties
 /// for load and for a remote data centre. "random" breaks near ties, so that daemons with the same view do not all
 /// select the same upstream. Excluded candidates are never selected, ejected and suspect ones only when no other is
-/// left, and those whose limit is used up never. Unset when no candidate is usable. Pure function; thread-safe.
+/// left, and those whose limit is used up never. A cold candidate gets warm-up requests, and others only when no warm one has room. Unset
+/// when no candidate is usable. Pure function; thread-safe.
 auto chooseForOnline(const std::vector<UpstreamView> &candidates, const std::set<std::string> &excluded, BootTime now, std::uint64_t random)
     -> std::optional<OnlineChoice>;
 
--- a/Source/Request/UpstreamView.h
+++ b/Source/Request/UpstreamView.h
@@ -31,6 +31,9 @@
     /// others that come soon.
     BootTime usableAt;
     BootTime spareAt;
+    /// Has started a short time ago: gets warm-up requests from this time on, and more only when the warm ones are full.
+    bool isCold = false;
+    BootTime warmUpAt;
 
     auto operator==(const UpstreamView &) const -> bool = default;
 };
--- a/Tests/Fakes/FakeEngine.cpp
+++ b/Tests/Fakes/FakeEngine.cpp
@@ -4,6 +4,8 @@
 #include <absl/strings/numbers.h>
 #include <absl/strings/str_cat.h>
 
+#include <algorithm>
+
 namespace poplardock {
 
 namespace {
@@ -190,7 +192,15 @@
             "HTTP/1.1 421 Misdirected Request\r\nInstance-Id: ", name_, "\r\nRequest-Id: ", idOf(head), "\r\nContent-Length: 0\r\n\r\n"));
         return;
     }
-    arrivals_.push_back(BootClock::now());
+    const BootTime now = BootClock::now();
+    arrivals_.push_back(now);
+    const bool isOverloaded = now < behaviour_.coldUntil && behaviour_.crashingRequests > 0
+                              && mostArrivalsInSecond(now - std::chrono::seconds(1)) >= behaviour_.crashingRequests;
+    if (isOverloaded) {
+        // The crash ends the connection whose data handler is running.
+        loop_.post([this] { crash(); });
+        return;
+    }
     if (behaviour_.repeatsFormerAnswer) {
         connection->channel->send(connection->formerAnswer);
     }
@@ -318,9 +328,20 @@
     });
 }
 
+auto FakeEngine::mostArrivalsInSecond(BootTime from) const -> std::ptrdiff_t
+{
+    std::ptrdiff_t most = 0;
+    for (auto first = std::lower_bound(arrivals_.begin(), arrivals_.end(), from); first != arrivals_.end(); ++first) {
+        most = std::max(most, std::upper_bound(first, arrivals_.end(), *first + std::chrono::seconds(1)) - first);
+    }
+    return most;
+}
+
 auto FakeEngine::stateHeaders() const -> std::string
 {
-    return absl::StrCat(behaviour_.limit.empty() ? std::string() : absl::StrCat("Server-Limit: ", behaviour_.limit, "\r\n"),
+    const auto coldMs = std::chrono::ceil<Milliseconds>(std::max(BootTime::duration(0), behaviour_.coldUntil - BootClock::now())).count();
+    return absl::StrCat(behaviour_.coldUntil == BootTime() ? std::string() : absl::StrCat("Cold-Ms: ", coldMs, "\r\n"),
+                        behaviour_.limit.empty() ? std::string() : absl::StrCat("Server-Limit: ", behaviour_.limit, "\r\n"),
                         behaviour_.isLeaving ? LEAVING_HEADER : "");
 }
 
--- a/Tests/Fakes/FakeEngine.h
+++ b/Tests/Fakes/FakeEngine.h
@@ -58,6 +58,10 @@
         std::string crashesOnPart;
         /// Such a crash comes after the first event and closes the connections in order instead of resetting them.
         bool crashLooksWhole = false;
+        /// Until when the engine is cold, which all answers state; BootTime() for an engine that states nothing.
+        BootTime coldUntil;
+        /// Requests within a second that crash a cold engine; 0 for none.
+        std::ptrdiff_t crashingRequests = 0;
 
         auto operator==(const Behaviour &) const -> bool = default;
     };
@@ -90,6 +94,8 @@
     [[nodiscard]] auto runs() const -> std::vector<Run>;
     /// When requests arrived, the declined ones included and those that were meant for another server left out.
     [[nodiscard]] auto arrivals() const -> const std::vector<BootTime> &;
+    /// The most requests that arrived within any second from that time on.
+    [[nodiscard]] auto mostArrivalsInSecond(BootTime from) const -> std::ptrdiff_t;
     /// Runs of one request.
     [[nodiscard]] auto runsOf(const std::string &requestId) const -> int;
     [[nodiscard]] auto runsOfRequest(const std::string &requestId) const -> std::vector<Run>;
--- a/Tests/Process/PeerDirectoryTest.cpp
+++ b/Tests/Process/PeerDirectoryTest.cpp
@@ -32,6 +32,7 @@
     report.crashSuspects = { { "p0123456789abcdef", 2, Milliseconds(70), { { "u1", "0123456789abcdef", Milliseconds(90) } } },
                              { "r0123456789abcdef", 0, {}, {} } };
     report.upstreamLimits = { { "u1", 2.5, Milliseconds(70) }, { "u2", {}, Milliseconds(90) } };
+    report.coldStatements = { { "u1", 1700000000000, Milliseconds(4000), Milliseconds(30), 1 } };
     return report;
 }
 
--- a/Tests/Process/UpstreamDirectoryTest.cpp
+++ b/Tests/Process/UpstreamDirectoryTest.cpp
@@ -21,7 +21,7 @@
 
 auto makeDirectory() -> UpstreamDirectory
 {
-    static const UpstreamLimits NO_LIMITS("d1");
+    static UpstreamLimits NO_LIMITS("d1");
     static const LeavingUpstreams NONE_LEAVING;
     UpstreamDirectory directory("east-a", NO_LIMITS, NONE_LEAVING);
     directory.put(makeUpstream("a"));
@@ -111,7 +111,7 @@
 // Guards against a request that is sent although its upstream has left, or its address is used by another one, since it was chosen.
 BOOST_AUTO_TEST_CASE(AChoiceLapses)
 {
-    static const UpstreamLimits NO_LIMITS("d1");
+    static UpstreamLimits NO_LIMITS("d1");
     LeavingUpstreams leaving;
     UpstreamDirectory directory("east-a", NO_LIMITS, leaving);
     const Upstream upstream = makeUpstream("a");
--- a/Tests/Support/DirectoryFleet.cpp
+++ b/Tests/Support/DirectoryFleet.cpp
@@ -84,6 +84,8 @@
     report.cancelledJobs = view.ownCancellations(now_);
     report.crashSuspects = view.crashSuspects().states(now_);
     report.upstreamLimits = view.upstreamLimits().states(now_);
+    report.coldStatements = view.upstreamLimits().cold().states(now_);
+    view.upstreamLimits().cold().setDaemons(view.knownDaemons(now_), view.aliveDaemons(now_).size(), now_);
     view.upstreamLimits().setDaemons(view.aliveDaemons(now_), view.aliveFraction(now_), now_);
     view.recordOwnReport(report, now_);
     const std::vector<std::string> relays = view.relaysOf(report.dataCentre, now_);
--- a/Tests/Support/PlatformFleet.cpp
+++ b/Tests/Support/PlatformFleet.cpp
@@ -54,7 +54,7 @@
     runFor(Milliseconds(50));
 }
 
-auto PlatformFleet::configure(const std::vector<std::string> &keys) -> void
+auto PlatformFleet::configure(const std::vector<std::string> &keys, const std::string &serviceFields) -> void
 {
     std::vector<std::string> quoted;
     quoted.reserve(keys.size());
@@ -65,7 +65,9 @@
               "main",
               absl::StrCat(R"({"version":1,"routes":)",
                            ROUTES,
-                           R"(,"services":[{"name":"models","engine":{"slots":8,"stride":7}}],"tenants":[{"name":"weavers","apiKeys":[)",
+                           R"(,"services":[{"name":"models","engine":{"slots":8,"stride":7})",
+                           serviceFields,
+                           R"(}],"tenants":[{"name":"weavers","apiKeys":[)",
                            absl::StrJoin(quoted, ","),
                            R"(]},{"name":"dyers","apiKeys":["key2"],"ratePerS":1,"burst":1}]})"));
 }
--- a/Tests/Support/PlatformFleet.h
+++ b/Tests/Support/PlatformFleet.h
@@ -30,8 +30,9 @@
     std::vector<std::unique_ptr<FakeEngine>> engines;
     std::vector<std::unique_ptr<FrontDaemon>> daemons;
 
-    /// Writes a configuration whose team "weavers" has these keys.
-    auto configure(const std::vector<std::string> &keys) -> void;
+    /// Writes a configuration whose team "weavers" has these keys. "serviceFields" are further fields of the group, each with a
+    /// comma before it.
+    auto configure(const std::vector<std::string> &keys, const std::string &serviceFields = {}) -> void;
     /// Registers the engine in the store.
     auto registerEngine(const FakeEngine &engine, const std::string &state) -> void;
     /// Starts one more daemon of that name and returns its number.
