--- a/Source/Process/FrontDaemon.cpp
+++ b/Source/Process/FrontDaemon.cpp
@@ -144,9 +144,10 @@
                                                                                } });
 }
 
-auto FrontDaemon::handleEvacuationEnd(const std::string & /*dataCentre*/, BootTime /*now*/) -> void
+auto FrontDaemon::handleEvacuationEnd(const std::string &dataCentre, BootTime now) -> void
 {
-    // The cold limit is not part of the directory yet; its mark for all upstreams of a data centre belongs here.
+    // Its upstreams have lost what they had kept in memory, and not all of them have said so yet.
+    directory_.markDataCentreCold(dataCentre, now);
 }
 
 auto FrontDaemon::evacuationAccess() -> std::optional<FreshnessExchange::Follower>
@@ -284,6 +285,7 @@
     report.demand = allowances_.demand(now);
     report.crashSuspects = peers_.crashSuspects().states(now);
     report.upstreamLimits = peers_.upstreamLimits().states(now);
+    report.coldStatements = peers_.upstreamLimits().cold().states(now);
     report.leavingUpstreams = peers_.leavingUpstreams().states(now);
     report.cancelledJobs = peers_.ownCancellations(now);
     book_.forEach([this, now, &report](const std::string &id, const OwnedJob &job) {
@@ -305,6 +307,25 @@
     }
 }
 
+auto FrontDaemon::updateColdUpstreams(BootTime now) -> void
+{
+    ColdUpstreams &cold = peers_.upstreamLimits().cold();
+    std::map<std::string, ColdPolicy> policies;
+    if (const ServingVersionPointer &version = configuration_.version(); version != nullptr) {
+        for (const GroupLimits &group : version->data().groups) {
+            if (group.coldPerSecond > 0) {
+                policies[group.name] = { group.coldStart,
+                                         group.coldPerSecond,
+                                         group.coldPerSecond * settings_.bounds.coldOverage + settings_.bounds.coldSlack };
+            }
+        }
+    }
+    cold.setPolicies(std::move(policies));
+    if (cold.isEnabled() && peerLink_.hasListedMembers()) {
+        cold.setDaemons(peers_.knownDaemons(now), peers_.aliveDaemons(now).size(), now);
+    }
+}
+
 auto FrontDaemon::takePeerReports() -> void
 {
     const BootTime now = BootClock::now();
@@ -316,6 +337,7 @@
     }
     allowances_.updatePeerDemand(now);
     peers_.upstreamLimits().setDaemons(peers_.aliveDaemons(now), peers_.aliveFraction(now), now);
+    updateColdUpstreams(now);
     adoption_.checkPeerReports();
 }
 
@@ -497,6 +519,8 @@
                     EventLog::droppedLineCount(),
                     "\npoplardock_upstreams ",
                     directory_.size(),
+                    "\npoplardock_cold_upstreams ",
+                    peers_.upstreamLimits().cold().coldCount(BootClock::now()),
                     "\npoplardock_leaving_marks ",
                     peers_.leavingUpstreams().size(),
                     "\npoplardock_peers ",
--- a/Source/Process/FrontSettings.h
+++ b/Source/Process/FrontSettings.h
@@ -28,6 +28,9 @@
     /// No request may reach an upstream of an evacuated data centre later than this after the store has acknowledged the
     /// evacuation. Unset: evacuations are neither read nor acted on.
     std::optional<Milliseconds> evacuation;
+    /// A cold upstream gets at most the multiple of what it can handle, and so many requests more, in any second.
+    double coldOverage = 1.5;
+    double coldSlack = 5;
 
     auto operator==(const FleetBounds &) const -> bool = default;
 };
