End doubts about upstreams at their deadline, and spread warm-up requests

A daemon without a quota never gets an answer of an upstream that it could not reach, so its cold state had no end; a doubt now ends after the start time and the next answer raises a new one, unless a newer entry has come. Upstreams whose entries expired in an outage of the store and come back with the same start are not new. The first warm-up requests of the daemons are spread over their interval; all holders sent one at once.

ColdUpstreamsTest, OnlineChoiceTest and BatchPlanTest pass.

--- a/Source/Process/Load/ColdUpstreams.cpp
+++ b/Source/Process/Load/ColdUpstreams.cpp
@@ -50,7 +50,7 @@
 /// Older statements of other daemons are ignored.
 constexpr Milliseconds RETENTION { 60000 };
 /// Time for which an upstream without an entry is kept.
-constexpr Milliseconds REMOVAL_TIME { 10000 };
+constexpr Milliseconds REMOVAL_TIME { 60000 };
 /// From the daemon that heard it by its relay and that of another data centre. Each delay on the way makes the deadline later, so
 /// a statement must not circulate.
 constexpr int MAXIMUM_HOPS = 3;
@@ -170,7 +170,7 @@
 auto ColdUpstreams::factorOf(const Entry &entry, const ColdPolicy &policy, BootTime now) -> int
 {
     const BootTime until = coldUntil(entry, policy);
-    if (now < until || (entry.isUnreachable && policy.startTime.count() > 0)) {
+    if (now < until) {
         return 1;
     }
     const Milliseconds step = std::clamp(policy.startTime / RAMP_PART, SHORTEST_RAMP_STEP, LONGEST_RAMP_STEP);
@@ -200,7 +200,7 @@
     EventLog::write("upstream_cold",
                     { { "upstream", upstream },
                       { "by", source },
-                      { "cold", now < until || entry.isUnreachable },
+                      { "cold", now < until },
                       { "remaining_ms", std::max(0.0, millisecondsBetween(now, until)) },
                       { "age_ms", millisecondsBetween(entry.statedAt, now) },
                       { "quota", share.quota },
@@ -217,6 +217,9 @@
     const bool isChanged = wasCold != isCold || (isCold && std::chrono::abs(until - previousUntil) > DEADLINE_RESOLUTION);
     entry.statedAt = std::max(entry.statedAt, statedAt);
     entry.statedUntil = isCold ? until : std::min(previousUntil, now);
+    if (!wasCold) {
+        entry.coldSince = now;
+    }
     if (isChanged) {
         entry.changedAt = now;
         logState(upstream, entry, source, now);
@@ -225,6 +228,10 @@
 
 auto ColdUpstreams::setDoubt(const std::string &upstream, Entry &entry, BootTime statedAt, const char *reason, BootTime now) -> void
 {
+    const ColdPolicy *policy = policyOf(entry);
+    if (now >= coldUntil(entry, policy == nullptr ? ColdPolicy() : *policy)) {
+        entry.coldSince = now;
+    }
     entry.statedAt = std::max(entry.statedAt, statedAt);
     entry.statedUntil.reset();
     entry.doubtedAt = now;
@@ -240,7 +247,8 @@
 {
     const auto [found, isNew] = entries_.try_emplace(upstream);
     Entry &entry = found->second;
-    const bool isOtherRun = isNew || entry.removedAt || entry.startedAtMs != startedAtMs;
+    // A run whose start is not stated may be another one when its entry comes back.
+    const bool isOtherRun = isNew || entry.startedAtMs != startedAtMs || (entry.removedAt && startedAtMs == 0);
     entry.group = group;
     entry.removedAt.reset();
     if (isNew) {
@@ -259,6 +267,7 @@
         }
     } else if (remaining && statedAt > entry.statedAt) {
         entry.hops = 0;
+        entry.isUnreachable = false;
         setStatement(upstream, entry, statedAt, now + *remaining, "entry", now);
     }
 }
@@ -291,10 +300,17 @@
 auto ColdUpstreams::recordUnreachable(const std::string &upstream, BootTime now) -> void
 {
     const auto found = entries_.find(upstream);
-    if (found != entries_.end() && !found->second.isUnreachable) {
-        found->second.isUnreachable = true;
-        setDoubt(upstream, found->second, now, "unreachable", now);
+    if (found == entries_.end()) {
+        return;
     }
+    Entry &entry = found->second;
+    if (std::exchange(entry.isUnreachable, true) && !entry.statedUntil) {
+        // Logged at the first failure.
+        entry.statedAt = now;
+        entry.doubtedAt = now;
+        return;
+    }
+    setDoubt(upstream, entry, now, "unreachable", now);
 }
 
 auto ColdUpstreams::recordDoubt(const std::string &upstream, const char *reason, BootTime now) -> void
@@ -334,9 +350,14 @@
     use.spareAt = std::max(usableAt, now + durationOf((share.quota - tokens) / share.perSecond));
     if (!entry.sends.empty()) {
         use.spareAt = std::max(use.spareAt, entry.sends.back() + durationOf(1 / share.perSecond) + SPARE_TIME);
-        use.warmUpAt = std::max(usableAt, entry.sends.back() + durationOf(1 / (WARM_UP_PART * share.perSecond)));
-    } else {
-        use.warmUpAt = usableAt;
+    }
+    // The first warm-up requests of the daemons are spread over the interval between two of one daemon.
+    const BootTime::duration interval = durationOf(1 / (WARM_UP_PART * share.perSecond));
+    const BootTime::duration phase(static_cast<BootTime::rep>(stableHash(absl::StrCat("warm-up/", upstream, "/", ownName_))
+                                                              % static_cast<std::uint64_t>(interval.count())));
+    use.warmUpAt = std::max(usableAt, entry.coldSince + phase);
+    if (!entry.sends.empty()) {
+        use.warmUpAt = std::max(use.warmUpAt, entry.sends.back() + interval);
     }
     return use;
 }
--- a/Source/Process/Load/ColdUpstreams.h
+++ b/Source/Process/Load/ColdUpstreams.h
@@ -110,8 +110,7 @@
                      std::optional<Milliseconds> remaining,
                      bool isPresumedWarm,
                      BootTime now) -> void;
-    /// Records which upstreams have no usable entry any more. They are forgotten after a short time; one whose entry comes back is
-    /// new.
+    /// Records which upstreams have no usable entry any more. They are forgotten after a minute.
     auto recordRemovals(const std::function<bool(const std::string &upstream)> &isPresent, BootTime now) -> void;
     /// Records an answer of the upstream, and the cold time that it states.
     auto recordAnswer(const std::string &upstream, std::optional<Milliseconds> remaining, BootTime now) -> void;
@@ -149,7 +148,9 @@
         BootTime changedAt;
         /// How often the statement was passed on before it came here; 0 for one from the upstream or its entry.
         int hops = 0;
-        /// A connection has failed and no answer has come since.
+        /// When the last cold time began.
+        BootTime coldSince;
+        /// A connection has failed, and neither an answer nor a newer entry has come since: the next answer raises a doubt.
         bool isUnreachable = false;
         std::optional<BootTime> removedAt;
         double tokens = 0;
--- a/Tests/Process/ColdUpstreamsTest.cpp
+++ b/Tests/Process/ColdUpstreamsTest.cpp
@@ -30,6 +30,7 @@
 auto daemonNames(int count) -> std::vector<std::string>
 {
     std::vector<std::string> names;
+    names.reserve(static_cast<std::size_t>(count));
     for (int index = 0; index < count; ++index) {
         names.push_back(absl::StrCat("d", index));
     }
@@ -246,6 +247,26 @@
     }
 }
 
+// Guards against daemons that restart together and use their quotas a second time.
+BOOST_AUTO_TEST_CASE(ARestartedFleetStartsWithEmptyBuckets)
+{
+    for (unsigned seed = 0; seed < 10; ++seed) {
+        for (const int count : { 1, 3, 67 }) {
+            ColdFleet fleet(count, seed);
+            fleet.startUpstream(Milliseconds(1));
+            fleet.run(Milliseconds(450));
+            const std::size_t before = fleet.sentCount();
+            BOOST_TEST(before > LIMIT);
+            for (const std::string &name : fleet.names()) {
+                fleet.restart(name);
+            }
+            fleet.run(Milliseconds(6000));
+            BOOST_TEST(fleet.mostInSecond() <= BOUND, "seed " << seed << ", " << count << " daemons: " << fleet.mostInSecond());
+            BOOST_TEST(fleet.sentCount() > before + LIMIT);
+        }
+    }
+}
+
 // Guards against requests that were sent shortly before the upstream became cold and are not counted, and against a connection
 // that comes so late that its request exceeds the quota.
 BOOST_AUTO_TEST_CASE(RequestsBeforeTheColdTimeCount)
@@ -283,7 +304,8 @@
     BOOST_TEST((cold.useOf("u1", NOW).usableAt != BootTime()));
     cold.recordUnreachable("u1", NOW + SECOND);
     cold.recordEntry("u1", "models", 2, Milliseconds(0), false, NOW + 2 * SECOND);
-    BOOST_TEST(isCold("u1", 20 * START_TIME));
+    BOOST_TEST(isCold("u1", SECOND + START_TIME - Milliseconds(1)));
+    BOOST_TEST(!isCold("u1", SECOND + START_TIME));
     cold.recordAnswer("u1", {}, NOW + 2 * START_TIME);
     BOOST_TEST(isCold("u1", 3 * START_TIME - Milliseconds(1)));
     BOOST_TEST(!isCold("u1", 3 * START_TIME));
@@ -293,6 +315,42 @@
     BOOST_TEST(!isCold("u1", 4 * START_TIME + Milliseconds(2500)));
 }
 
+// Guards against upstreams that are all taken for cold after an outage of the store in which their entries expired, and against
+// a daemon without a quota that never learns that an upstream is reachable again.
+BOOST_AUTO_TEST_CASE(AKnownRunStaysWarmWhenItsEntryComesBack)
+{
+    ColdUpstreams cold = makeDaemon("d0", { "d0" });
+    cold.recordRemovals([](const std::string &) { return false; }, NOW);
+    cold.recordEntry("u1", "models", 1, Milliseconds(0), false, NOW + 5 * SECOND);
+    BOOST_TEST((cold.useOf("u1", NOW + 5 * SECOND) == ColdUpstreams::Use()));
+    cold.recordUnreachable("u1", NOW + 6 * SECOND);
+    cold.recordEntry("u1", "models", 1, Milliseconds(0), false, NOW + 9 * SECOND);
+    cold.recordAnswer("u1", {}, NOW + 10 * SECOND);
+    BOOST_TEST(!cold.useOf("u1", NOW + 10 * SECOND).isCold);
+    cold.removeExpired(NOW + std::chrono::minutes(5));
+    BOOST_TEST(!cold.useOf("u1", NOW + std::chrono::minutes(5)).isCold);
+}
+
+// Guards against a burst of warm-up requests of all daemons at the moment at which they learn of a cold upstream.
+BOOST_AUTO_TEST_CASE(WarmUpRequestsAreSpread)
+{
+    const std::vector<std::string> daemons = daemonNames(67);
+    int sent = 0;
+    for (const std::string &name : daemons) {
+        ColdUpstreams cold = makeDaemon(name, daemons);
+        cold.recordAnswer("u1", START_TIME, NOW);
+        for (BootTime now = NOW; now < NOW + 2 * SECOND; now += Milliseconds(20)) {
+            if (cold.useOf("u1", now).warmUpAt <= now) {
+                cold.reserve("u1", now);
+                BOOST_TEST(cold.confirm("u1", now, now));
+                ++sent;
+            }
+        }
+    }
+    BOOST_TEST(sent <= LIMIT, sent);
+    BOOST_TEST(sent >= 1);
+}
+
 // Guards against the whole traffic returning to an upstream at the moment at which it is warm.
 BOOST_AUTO_TEST_CASE(TheLimitRisesInSteps)
 {
--- a/Tests/Request/BatchPlanTest.cpp
+++ b/Tests/Request/BatchPlanTest.cpp
@@ -125,6 +125,26 @@
     BOOST_TEST(BatchPlan::limitingUpstreams({ view, makeView("busy", 8, 0) }, 1, VIEW_TIME).size() == 1U);
 }
 
+// Guards against batch work that takes the requests that a cold upstream can handle from online requests, urgent work too, and
+// that goes there while a warm upstream has a slot.
+BOOST_AUTO_TEST_CASE(BatchWorkGetsWhatOnlineRequestsLeaveOfAColdUpstream)
+{
+    UpstreamView cold = makeView("cold", 0, 0);
+    cold.isCold = true;
+    cold.usableAt = NOW;
+    cold.spareAt = NOW + Milliseconds(1);
+    const UpstreamView busy = makeView("busy", 8, 0);
+    for (const int reserve : { 0, 1 }) {
+        BOOST_TEST(BatchPlan::availableSlots(cold, reserve, NOW) == 0);
+        BOOST_TEST(!BatchPlan::chooseForBatch({ cold, busy }, reserve, NOW, 5).has_value());
+    }
+    cold.spareAt = NOW;
+    BOOST_TEST((BatchPlan::chooseForBatch({ cold, busy }, 0, NOW, 5) == std::optional<std::size_t>(0)));
+    BOOST_TEST((BatchPlan::chooseForBatch({ cold, makeView("warm", 6, 0) }, 0, NOW, 5) == std::optional<std::size_t>(1)));
+    BOOST_TEST(BatchPlan::startsPerTick({ cold, busy }, 1, 400, 0.5, 0, NOW) == 1);
+    BOOST_TEST(BatchPlan::startsPerTick({ cold, makeView("warm", 6, 0) }, 1, 400, 0.5, 0, NOW) == 0);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace poplardock
--- a/Tests/Request/OnlineChoiceTest.cpp
+++ b/Tests/Request/OnlineChoiceTest.cpp
@@ -109,6 +109,31 @@
     BOOST_TEST(chooseForOnline(views, {}, VIEW_TIME, 0)->index == 0);
 }
 
+// Load pattern: an upstream has just started and is empty, the others have some requests or are full. Guards against the traffic
+// that an empty upstream attracts while it is cold, and against one that is left alone although the others are full.
+BOOST_AUTO_TEST_CASE(AColdUpstreamGetsWarmUpRequestsWhileOthersHaveRoom)
+{
+    UpstreamView cold = localView("cold", 0, 0);
+    cold.isCold = true;
+    cold.usableAt = NOW;
+    cold.warmUpAt = NOW + Milliseconds(1);
+    const UpstreamView warm = localView("warm", 7, 0);
+    const UpstreamView withBatch = localView("batch", 4, 4);
+    const UpstreamView full = localView("full", 8, 0);
+    UpstreamView ejected = localView("ejected", 0, 0);
+    ejected.ejectedUntil = NOW + Milliseconds(100);
+    BOOST_TEST(countChoices({ cold, warm }, {})["warm"] == 2000);
+    BOOST_TEST(countChoices({ cold, withBatch }, {})["batch"] == 2000);
+    BOOST_TEST(countChoices({ cold, full }, {})["cold"] == 2000);
+    BOOST_TEST(countChoices({ cold, ejected }, {})["cold"] == 2000);
+    BOOST_TEST(countChoices({ cold, warm }, { "warm" })["cold"] == 2000);
+    cold.warmUpAt = NOW;
+    BOOST_TEST(countChoices({ cold, warm }, {})["cold"] > 0);
+    cold.usableAt = NOW + Milliseconds(1);
+    BOOST_TEST(countChoices({ cold, full }, {})["full"] == 2000);
+    BOOST_TEST(!chooseForOnline({ cold }, {}, NOW, 1));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace poplardock
