Keep requests and jobs in the regions that their route and team allow

RegionFilter, a pure value of both lists and the regions of the settings (zones.NAME=REGION), holds the allowed data centres; a data centre without a region is not allowed. UpstreamDirectory::candidates leaves out all others for admission, choice, retries, resumptions, stalls and items. A job is taken over by its home among the daemons of the allowed data centres or by the daemon that its record names; where any route or team is restricted, the home of each region reads the record of an orphaned job, since reports do not say its route. Requests and submissions without an allowed upstream are refused at once as not run. Without restrictions nothing changes, except that a daemon without a configuration takes over no job but its own.

--- a/Source/Connection/FrontService.cpp
+++ b/Source/Connection/FrontService.cpp
@@ -110,6 +110,9 @@
     order.version = version;
     order.route = route;
     order.team = team;
+    order.regions = RegionFilter(route->allowedRegions,
+                                 identity.team == nullptr ? std::vector<std::string>() : identity.team->allowedRegions,
+                                 parts_.settings.regions);
     order.terms = terms;
     order.subject = { crashFingerprint(team, caller->head().target, caller->body()), terms.sharedParts };
     // Before the allowance, so that requests that are never served take nothing from the team's sound ones.
@@ -144,7 +147,7 @@
 {
     order.group = groupOf(*order.route, parts_.random());
     const BootTime now = BootClock::now();
-    const auto views = parts_.directory.candidates(order.group, now);
+    const auto views = parts_.directory.candidates(order.group, now, order.regions);
     const auto passed = std::chrono::duration_cast<Milliseconds>(now - order.caller->receivedAt());
     const auto left = order.terms.patience ? std::optional(*order.terms.patience - passed) : std::nullopt;
     const Admission admission = admitOnline(views, order.route->target, left, now);
@@ -158,7 +161,8 @@
         refuse(order.caller,
                order.terms,
                views.empty() ? ResultCode::NoUpstream : ResultCode::Overloaded,
-               isEvacuated ? "all data centres with upstreams of " + order.group + " are evacuated"
+               isEvacuated                                     ? "all data centres with upstreams of " + order.group + " are evacuated"
+               : views.empty() && order.regions.isRestricted() ? "no upstream of " + order.group + " is available in the allowed regions"
                : views.empty() && parts_.directory.isWholeGroupLeaving(order.group, now)
                    ? "all upstreams of " + order.group + " are leaving"
                    : "expected after " + std::to_string(static_cast<int>(admission.expectedMs)) + " ms",
--- a/Source/Connection/JobService.cpp
+++ b/Source/Connection/JobService.cpp
@@ -9,6 +9,8 @@
 #include <absl/strings/str_cat.h>
 #include <absl/strings/str_split.h>
 
+#include <algorithm>
+
 namespace poplardock {
 
 namespace {
@@ -20,6 +22,9 @@
 /// Time in which a submission has to be in the store; callers wait for some seconds.
 constexpr Milliseconds ACCEPT_TIME { 3000 };
 constexpr Milliseconds RETRY_AFTER { 500 };
+/// Retry hint for a job that has no upstream in its allowed regions; a restarted upstream registers within seconds.
+constexpr Milliseconds REGION_RETRY_AFTER { 1000 };
+constexpr const char *NO_ALLOWED_UPSTREAM = "no upstream is available in the allowed regions";
 /// Records of other daemons' jobs and finished logs that are kept; the oldest names go first.
 constexpr std::size_t CACHED_RECORDS = 2000;
 constexpr std::size_t CACHED_LOGS = 64;
@@ -126,13 +131,29 @@
         caller->reply(refusalOf(parts_.dialect, ResultCode::JobInvalid, std::string(items.status().message()), std::nullopt));
         return;
     }
+    const JobRecord submitted = newRecord(request);
+    if (!mayRun(request, submitted)) {
+        EventLog::write("job_refused", { { "job", id }, { "reason", NO_ALLOWED_UPSTREAM } });
+        caller->reply(refusalOf(parts_.dialect, ResultCode::JobNotAccepted, NO_ALLOWED_UPSTREAM, REGION_RETRY_AFTER));
+        return;
+    }
     caller->takeBody();
     const BootTime receivedAt = caller->receivedAt();
     const auto patience = std::min(request.terms.patience.value_or(ACCEPT_TIME), ACCEPT_TIME);
     const auto onEnd = [this, items = *items, caller](JobRepository::Acceptance acceptance, bool isOwn, const JobRecord &record) {
         caller->reply(takeAcceptance(acceptance, isOwn, record, items));
     };
-    ledger_.accept(newRecord(request), *items, receivedAt + patience, onEnd);
+    ledger_.accept(submitted, *items, receivedAt + patience, onEnd);
+}
+
+auto JobService::mayRun(const FrontService::JobRequest &request, const JobRecord &record) const -> bool
+{
+    const RegionFilter regions = regionFilterOf(*request.version, record, parts_.settings.regions);
+    const BootTime now = BootClock::now();
+    return !regions.isRestricted()
+           || std::any_of(request.route->shares.begin(), request.route->shares.end(), [this, &regions, now](const RouteShare &share) {
+                  return !parts_.directory.candidates(share.group, now, regions).empty();
+              });
 }
 
 auto JobService::newRecord(const FrontService::JobRequest &request) const -> JobRecord
--- a/Source/Connection/JobService.h
+++ b/Source/Connection/JobService.h
@@ -41,6 +41,8 @@
     };
 
     auto submit(const FrontService::JobRequest &request) -> void;
+    /// Whether a job that is restricted to regions has an upstream in one of them.
+    [[nodiscard]] auto mayRun(const FrontService::JobRequest &request, const JobRecord &record) const -> bool;
     [[nodiscard]] auto newRecord(const FrontService::JobRequest &request) const -> JobRecord;
     auto takeAcceptance(JobRepository::Acceptance acceptance, bool isOwn, const JobRecord &record, const std::vector<JobItem> &items)
         -> HttpResult;
--- a/Source/Connection/OnlineRun.cpp
+++ b/Source/Connection/OnlineRun.cpp
@@ -75,7 +75,7 @@
         giveUp(mayHaveRun_ ? ResultCode::RetriesExhausted : ResultCode::RequestCrashesUpstreams, "such requests crash upstreams");
         return;
     }
-    const auto views = parts_.directory.candidates(order_.group, now);
+    const auto views = parts_.directory.candidates(order_.group, now, order_.regions);
     const auto choice = chooseForOnline(views, excluded_, now, parts_.random());
     if (!choice || declines_ >= MAXIMUM_DECLINES) {
         const bool isLimited = std::any_of(views.begin(), views.end(), [now](const UpstreamView &view) { return view.usableAt > now; });
@@ -83,6 +83,7 @@
                : choice || isLimited ? ResultCode::Overloaded
                                      : ResultCode::NoUpstream,
                parts_.directory.isWholeGroupEvacuated(order_.group, now) ? "all data centres with upstreams of the group are evacuated"
+               : order_.regions.isRestricted()                           ? "no upstream is left in the allowed regions"
                                                                          : "no upstream is left");
         return;
     }
@@ -303,7 +304,7 @@
     auto excluded = excluded_;
     excluded.insert(run_->upstream());
     const BootTime now = BootClock::now();
-    const auto choice = chooseForOnline(parts_.directory.candidates(order_.group, now), excluded, now, parts_.random());
+    const auto choice = chooseForOnline(parts_.directory.candidates(order_.group, now, order_.regions), excluded, now, parts_.random());
     if (!choice || choice->expectedMs > static_cast<double>(order_.route->target.count()) || !parts_.retries.tryAcquire(Clock::now())) {
         return;
     }
--- a/Source/Connection/OnlineRun.h
+++ b/Source/Connection/OnlineRun.h
@@ -28,6 +28,8 @@
         std::string group;
         /// Empty for an open route.
         std::string team;
+        /// Where the request may run.
+        RegionFilter regions;
         RequestTerms terms;
         /// What the crash of an upstream is attributed to.
         CrashSubject subject;
--- a/Source/Process/Batch/JobRecord.cpp
+++ b/Source/Process/Batch/JobRecord.cpp
@@ -29,6 +29,18 @@
     return !isCancelled && !isDone;
 }
 
+auto regionFilterOf(const ServingVersion &version, const JobRecord &record, const std::map<std::string, std::string> &regions)
+    -> RegionFilter
+{
+    if (!version.hasRegions()) {
+        return {};
+    }
+    const ServiceRoute *route = version.findRoute(record.host, record.prefix);
+    const ServedTeam *team = record.team.empty() ? nullptr : version.findTeam(record.team);
+    const std::vector<std::string> all;
+    return { route == nullptr ? all : route->allowedRegions, team == nullptr ? all : team->allowedRegions, regions };
+}
+
 auto toStored(const JobRecord &record) -> StoredObject
 {
     JsonObject spec;
--- a/Source/Process/Batch/JobRecord.h
+++ b/Source/Process/Batch/JobRecord.h
@@ -2,10 +2,13 @@
 
 #include "Process/Clock.h"
 #include "Process/StoredObject.h"
+#include "Request/RegionFilter.h"
+#include "Version/ServingVersion.h"
 
 #include <absl/status/statusor.h>
 
 #include <cstdint>
+#include <map>
 #include <string>
 
 namespace poplardock {
@@ -42,6 +45,11 @@
     auto operator==(const JobRecord &) const -> bool = default;
 };
 
+/// Where the job's items may run by its route and its team; a route or team that the configuration no longer has restricts nothing.
+/// Thread-safe.
+auto regionFilterOf(const ServingVersion &version, const JobRecord &record, const std::map<std::string, std::string> &regions)
+    -> RegionFilter;
+
 auto toStored(const JobRecord &record) -> StoredObject;
 /// Errors: InvalidArgument.
 auto jobRecordFrom(const StoredObject &object) -> absl::StatusOr<JobRecord>;
--- a/Source/Process/Batch/JobRunner.cpp
+++ b/Source/Process/Batch/JobRunner.cpp
@@ -76,12 +76,12 @@
         return;
     }
     const std::vector<WaitingItem> waiting = waitingItems(now);
-    std::map<std::string, std::vector<const WaitingItem *>> byGroup;
+    std::map<std::pair<std::string, RegionFilter>, std::vector<const WaitingItem *>> byTarget;
     for (const WaitingItem &each : waiting) {
-        byGroup[each.group].push_back(&each);
+        byTarget[{ each.group, each.regions }].push_back(&each);
     }
-    for (const auto &[group, items] : byGroup) {
-        startItems(group, items, now);
+    for (const auto &[target, items] : byTarget) {
+        startItems(items, now);
     }
 }
 
@@ -156,6 +156,7 @@
         if (route == nullptr || route->kind != RouteKind::Batch) {
             return;
         }
+        const RegionFilter regions = regionFilterOf(*version, record, context_.settings.regions);
         std::optional<bool> mayStart;
         for (const ItemProgress &item : job.items()) {
             if (item.phase != ItemPhase::Waiting || item.notBefore > now) {
@@ -167,7 +168,7 @@
             if (!*mayStart) {
                 return;
             }
-            waiting.push_back({ { id, item.item.id }, groupOf(*route, context_.random()), record.dueAt, rankOf(job, item) });
+            waiting.push_back({ { id, item.item.id }, groupOf(*route, context_.random()), regions, record.dueAt, rankOf(job, item) });
         }
     });
     std::stable_sort(waiting.begin(), waiting.end(), [](const WaitingItem &a, const WaitingItem &b) {
@@ -176,9 +177,9 @@
     return waiting;
 }
 
-auto JobRunner::startItems(const std::string &group, const std::vector<const WaitingItem *> &waiting, BootTime now) -> void
+auto JobRunner::startItems(const std::vector<const WaitingItem *> &waiting, BootTime now) -> void
 {
-    auto views = context_.directory.candidates(group, now);
+    auto views = context_.directory.candidates(waiting.front()->group, now, waiting.front()->regions);
     const int reserve = BatchPlan::reservedSlots(context_.peers.propagationDelay());
     for (const std::string &upstream : BatchPlan::limitingUpstreams(views, reserve, now)) {
         context_.limits.recordShortage(upstream, now);
--- a/Source/Process/Batch/JobRunner.h
+++ b/Source/Process/Batch/JobRunner.h
@@ -61,6 +61,7 @@
     {
         ItemKey key;
         std::string group;
+        RegionFilter regions;
         WallClock::time_point dueAt;
         /// Lower ranks start first. 0: urgent, must start now to be in time; 1: has time; 2: will be late in any case.
         int rank = 1;
@@ -73,7 +74,8 @@
     auto abortStalled(BootTime now) -> void;
     [[nodiscard]] auto waitingItems(BootTime now) -> std::vector<WaitingItem>;
     [[nodiscard]] auto rankOf(const OwnedJob &job, const ItemProgress &item) const -> int;
-    auto startItems(const std::string &group, const std::vector<const WaitingItem *> &waiting, BootTime now) -> void;
+    /// Starts items of one group that may run in the same data centres.
+    auto startItems(const std::vector<const WaitingItem *> &waiting, BootTime now) -> void;
     auto startItem(const WaitingItem &waiting, const std::string &upstream) -> void;
     auto onEvent(const ItemKey &key, const StreamEvent &event) -> void;
     auto onAttemptEnd(const ItemKey &key, RunEnd end) -> void;
--- a/Source/Process/Batch/JobTakeover.cpp
+++ b/Source/Process/Batch/JobTakeover.cpp
@@ -112,7 +112,7 @@
         const bool isOwned = registry_.find(id) != nullptr;
         if (isOwned && !hasRestarted && context_.peers.mayTakeWork(owner, now)) {
             contested.push_back(id);
-        } else if (!isOwned && (hasRestarted || hasLeft(owner, now)) && context_.peers.homeOf(id, now) == context_.settings.name) {
+        } else if (!isOwned && (hasRestarted || hasLeft(owner, now)) && mayBeResponsible(id, now)) {
             orphans.push_back(id);
         }
     });
@@ -373,13 +373,41 @@
         }
         return;
     }
-    // A record that names this daemon is taken over here whichever daemon is its home: no other daemon would do it.
-    const bool isResponsible = record.owner == context_.settings.name || context_.peers.homeOf(record.id, now) == context_.settings.name;
-    if (!isDraining_ && hasStoreContact(now) && isResponsible && needsTakeover(record, now)) {
+    if (!isDraining_ && hasStoreContact(now) && isResponsible(record, now) && needsTakeover(record, now)) {
         takeOver(record.id);
     }
 }
 
+auto JobTakeover::isResponsible(const JobRecord &record, BootTime now) const -> bool
+{
+    const ServingVersionPointer version = context_.version();
+    // A record that names this daemon is taken over here whichever daemon is its home: no other daemon would do it.
+    if (record.owner == context_.settings.name) {
+        return true;
+    }
+    return version != nullptr && context_.peers.isHomeAmong(record.id, regionFilterOf(*version, record, context_.settings.regions), now);
+}
+
+auto JobTakeover::mayHold(const JobRecord &record, BootTime now) const -> bool
+{
+    const ServingVersionPointer version = context_.version();
+    const bool hasRegions = version == nullptr || version->hasRegions();
+    return !hasRegions || isResponsible(record, now);
+}
+
+auto JobTakeover::mayBeResponsible(const std::string &id, BootTime now) const -> bool
+{
+    const ServingVersionPointer version = context_.version();
+    if (version == nullptr || !version->hasRegions()) {
+        return context_.peers.homeOf(id, now) == context_.settings.name;
+    }
+    // The home among the daemons of all allowed regions is also the home in its own region.
+    const auto own = context_.settings.regions.find(context_.settings.dataCentre);
+    const bool isRegional = own != context_.settings.regions.end()
+                            && context_.peers.isHomeAmong(id, RegionFilter({ own->second }, {}, context_.settings.regions), now);
+    return isRegional || context_.peers.homeOf(id, now) == context_.settings.name;
+}
+
 auto JobTakeover::needsTakeover(const JobRecord &record, BootTime now) const -> bool
 {
     if (record.owner == context_.settings.name) {
@@ -401,7 +429,8 @@
     }
     repository_.read(id, [this, id](const absl::StatusOr<JobRecord> &record) {
         const bool isOwned = registry_.find(id) != nullptr;
-        if (isOwned || !record.ok() || !record->isOpen() || !needsTakeover(*record, BootClock::now())) {
+        const BootTime now = BootClock::now();
+        if (isOwned || !record.ok() || !record->isOpen() || !needsTakeover(*record, now) || !mayHold(*record, now)) {
             endTakeover(id, "read", record.status());
             return;
         }
--- a/Source/Process/Batch/JobTakeover.h
+++ b/Source/Process/Batch/JobTakeover.h
@@ -78,6 +78,13 @@
     [[nodiscard]] auto isOwnRecord(const JobRecord &record) const -> bool;
     /// Whether an owner is gone, draining or without contact to the store.
     [[nodiscard]] auto hasLeft(const Peer &owner, BootTime now) const -> bool;
+    /// Whether this daemon is the one to take over a job: the record names it, or it is the job's home among the daemons of the data
+    /// centres in which the job may run. The items of a job reach no other daemon.
+    [[nodiscard]] auto isResponsible(const JobRecord &record, BootTime now) const -> bool;
+    /// Whether a job whose record is known now may be taken over here: always where no route or team has allowed regions.
+    [[nodiscard]] auto mayHold(const JobRecord &record, BootTime now) const -> bool;
+    /// As isResponsible() for a job whose record is not known: it may turn out that another daemon is.
+    [[nodiscard]] auto mayBeResponsible(const std::string &id, BootTime now) const -> bool;
     [[nodiscard]] auto needsTakeover(const JobRecord &record, BootTime now) const -> bool;
     auto takeOver(const std::string &id) -> void;
     /// Writes this daemon into the record as the owner, unless the record has changed meanwhile.
--- a/Source/Process/FrontSettings.h
+++ b/Source/Process/FrontSettings.h
@@ -3,6 +3,7 @@
 #include "Process/Clock.h"
 
 #include <cstdint>
+#include <map>
 #include <optional>
 #include <string>
 
@@ -55,6 +56,8 @@
     /// Period at which an upstream renews its entry in the store.
     Milliseconds upstreamHeartbeatPeriod { 1200 };
     FleetBounds bounds;
+    /// Region of each data centre that is known.
+    std::map<std::string, std::string> regions;
 
     auto operator==(const FrontSettings &) const -> bool = default;
 };
--- a/Source/Process/Load/UpstreamDirectory.cpp
+++ b/Source/Process/Load/UpstreamDirectory.cpp
@@ -149,13 +149,13 @@
     return hasLeaving;
 }
 
-auto UpstreamDirectory::candidates(const std::string &group, BootTime now) const -> std::vector<UpstreamView>
+auto UpstreamDirectory::candidates(const std::string &group, BootTime now, const RegionFilter &regions) const -> std::vector<UpstreamView>
 {
     const double groupFirstEventMs = groupMean(group, &Entry::firstEventMs, DEFAULT_FIRST_EVENT_MS);
     const double groupServiceMs = groupMean(group, &Entry::serviceMs, DEFAULT_SERVICE_MS);
     std::vector<UpstreamView> views;
     for (const auto &[name, entry] : entries_) {
-        if (entry.upstream.group != group || !isUsable(entry, now)) {
+        if (entry.upstream.group != group || !isUsable(entry, now) || !regions.allows(entry.upstream.dataCentre)) {
             continue;
         }
         const WorkCount own = countOf(ownWork_, name);
--- a/Source/Process/Load/UpstreamDirectory.h
+++ b/Source/Process/Load/UpstreamDirectory.h
@@ -2,6 +2,7 @@
 
 #include "Process/Load/LeavingUpstreams.h"
 #include "Process/Load/UpstreamLimits.h"
+#include "Request/RegionFilter.h"
 #include "Request/UpstreamView.h"
 #include "Version/Upstream.h"
 
@@ -56,8 +57,10 @@
 
     /// Null for an unknown upstream. The pointer is valid until the next change.
     [[nodiscard]] auto find(const std::string &name) const -> const Upstream *;
-    /// Upstreams of a group that may be given new work, ordered by name. Includes suspect and ejected ones.
-    [[nodiscard]] auto candidates(const std::string &group, BootTime now) const -> std::vector<UpstreamView>;
+    /// Upstreams of a group that may be given new work, ordered by name. Includes suspect and ejected ones. "regions": the data
+    /// centres that may run the request.
+    [[nodiscard]] auto candidates(const std::string &group, BootTime now, const RegionFilter &regions = {}) const
+        -> std::vector<UpstreamView>;
     /// Whether a request that was chosen for the upstream at that address may still be sent to it.
     [[nodiscard]] auto mayBeUsed(const std::string &name, const std::string &address, BootTime now) const -> bool;
     /// Whether the group has upstreams, and all of them leave.
--- a/Source/Process/Peers/PeerDirectory.cpp
+++ b/Source/Process/Peers/PeerDirectory.cpp
@@ -995,6 +995,13 @@
     return selectHome(key, [this, now](const Peer &peer) { return mayTakeWork(peer, now); });
 }
 
+auto PeerDirectory::isHomeAmong(const std::string &key, const RegionFilter &regions, BootTime now) const -> bool
+{
+    return regions.allows(ownDataCentre_) && selectHome(key, [this, now, &regions](const Peer &peer) {
+                                                 return regions.allows(peer.dataCentre) && mayTakeWork(peer, now);
+                                             }) == ownName_;
+}
+
 auto PeerDirectory::selectHome(const std::string &key, const std::function<bool(const Peer &)> &isEligible) const -> std::string
 {
     std::string best = ownName_;
--- a/Source/Process/Peers/PeerDirectory.h
+++ b/Source/Process/Peers/PeerDirectory.h
@@ -205,6 +205,8 @@
     /// The home of a key, the daemon responsible for it: selected by rendezvous hashing, weighted by capacity, from this
     /// daemon and all peers that may take work.
     [[nodiscard]] auto homeOf(const std::string &key, BootTime now) const -> std::string;
+    /// Whether this daemon is the home of a key among the daemons of the data centres that the filter allows.
+    [[nodiscard]] auto isHomeAmong(const std::string &key, const RegionFilter &regions, BootTime now) const -> bool;
 
 private:
     auto mergeLeaving(const std::vector<LeavingUpstream> &states, BootTime now) -> void;
--- a/Source/Version/ServiceRoute.h
+++ b/Source/Version/ServiceRoute.h
@@ -55,6 +55,8 @@
     /// Time from a job's submission until its remaining items may be given up.
     Milliseconds jobRetention { 0 };
     std::vector<RouteShare> shares;
+    /// Regions whose upstreams may run the requests; empty for all.
+    std::vector<std::string> allowedRegions;
 
     auto operator==(const ServiceRoute &) const -> bool = default;
 };
--- a/Source/Version/ServingVersion.cpp
+++ b/Source/Version/ServingVersion.cpp
@@ -13,7 +13,16 @@
         for (const ApiKey &key : data_.teams[index].team.keys) {
             teamIndexByKeyHash_.emplace(key.sha256, index);
         }
+        hasRegions_ = hasRegions_ || !data_.teams[index].allowedRegions.empty();
     }
+    for (const ServiceRoute &route : data_.routes) {
+        hasRegions_ = hasRegions_ || !route.allowedRegions.empty();
+    }
+}
+
+auto ServingVersion::hasRegions() const -> bool
+{
+    return hasRegions_;
 }
 
 auto ServingVersion::data() const -> const Data &
--- a/Source/Version/ServingVersion.h
+++ b/Source/Version/ServingVersion.h
@@ -38,11 +38,14 @@
     auto operator==(const GroupLimits &) const -> bool = default;
 };
 
-/// A team and its priority: 0 is the highest; negative if the team has none of its own.
+/// A team and what applies to its requests.
 struct ServedTeam
 {
     Team team;
+    /// 0 is the highest; negative if the team has none of its own.
     int priority = -1;
+    /// Regions whose upstreams may run the team's requests; empty for all.
+    std::vector<std::string> allowedRegions;
 
     auto operator==(const ServedTeam &) const -> bool = default;
 };
@@ -78,10 +81,14 @@
     /// If there are no teams, every request is allowed.
     [[nodiscard]] auto hasTeams() const -> bool;
 
+    /// Whether a route or a team has allowed regions.
+    [[nodiscard]] auto hasRegions() const -> bool;
+
     auto operator==(const ServingVersion &other) const -> bool;
 
 private:
     Data data_;
+    bool hasRegions_ = false;
     std::unordered_map<std::string, std::size_t> teamIndexByKeyHash_;
 };
 
--- a/Tests/Platform/SettingsFileTest.cpp
+++ b/Tests/Platform/SettingsFileTest.cpp
@@ -58,6 +58,15 @@
     BOOST_TEST(!parseSettings(settingsWith("bounds.evacuationMs=soon"), "s.conf").ok());
 }
 
+// Guards against a data centre that counts as one of unknown region, and against a region that no line names.
+BOOST_AUTO_TEST_CASE(RegionsOfDataCentres)
+{
+    const auto settings = parseSettings(settingsWith("zones.east-a=east") + "zones.west-a= west \nzones.empty=\nzones.=none\n", "s.conf");
+    BOOST_REQUIRE(settings.ok());
+    BOOST_TEST((settings->regions == std::map<std::string, std::string> { { "east-a", "east" }, { "west-a", "west" } }));
+    BOOST_TEST(parseSettings(SETTINGS, "s.conf")->regions.empty());
+}
+
 // Guards against starting with a setting that could not be parsed, and against error messages without key and line.
 BOOST_AUTO_TEST_CASE(ErrorsNameKeyAndLine)
 {
--- a/Tests/Platform/StoreFormatTest.cpp
+++ b/Tests/Platform/StoreFormatTest.cpp
@@ -74,6 +74,25 @@
     BOOST_TEST(listCall("jobs", stale).target == "/-/objects/jobs?after=b&allowStale=1");
 }
 
+// Guards against a restriction to regions that is dropped or read where there is none.
+BOOST_AUTO_TEST_CASE(AllowedRegionsAreDecoded)
+{
+    const auto none = decodeConfiguration({ "config", "main", 44, {}, CONFIGURATION });
+    BOOST_REQUIRE(none.ok());
+    BOOST_TEST(!ServingVersion(*none).hasRegions());
+    const std::string spec
+        = R"({"routes":[{"name":"r","host":"h","pathPrefix":"/","kind":"idempotent","service":"m","allowedRegions":["east","west"]}],)"
+          R"("tenants":[{"name":"t","apiKeys":["k"],"allowedRegions":["west"]}]})";
+    const auto data = decodeConfiguration({ "config", "main", 45, {}, spec });
+    BOOST_REQUIRE_MESSAGE(data.ok(), data.status().message());
+    const ServingVersion version(*data);
+    BOOST_TEST(version.hasRegions());
+    BOOST_TEST((version.findRoute("h", "/")->allowedRegions == std::vector<std::string> { "east", "west" }));
+    BOOST_TEST((version.findTeam("t")->allowedRegions == std::vector<std::string> { "west" }));
+    const std::string odd = R"({"tenants":[{"name":"t","apiKeys":["k"],"allowedRegions":"west"}]})";
+    BOOST_TEST(!decodeConfiguration({ "config", "main", 46, {}, odd }).ok());
+}
+
 // Guards against reading whether a route is retryable, its limits or the keys from the wrong fields.
 BOOST_AUTO_TEST_CASE(AConfigurationIsDecoded)
 {
