--- a/Source/Process/Load/UpstreamDirectory.h
+++ b/Source/Process/Load/UpstreamDirectory.h
@@ -2,6 +2,7 @@
 
 #include "Process/Load/LeavingUpstreams.h"
 #include "Process/Load/UpstreamLimits.h"
+#include "Request/RegionFilter.h"
 #include "Request/UpstreamView.h"
 #include "Version/Upstream.h"
 
@@ -62,8 +63,10 @@
 
     /// Null for an unknown upstream. The pointer is valid until the next change.
     [[nodiscard]] auto find(const std::string &name) const -> const Upstream *;
-    /// Upstreams of a group that may be given new work, ordered by name. Includes suspect and ejected ones.
-    [[nodiscard]] auto candidates(const std::string &group, BootTime now) const -> std::vector<UpstreamView>;
+    /// Upstreams of a group that may be given new work, ordered by name. Includes suspect and ejected ones. "regions": the data
+    /// centres that may run the request.
+    [[nodiscard]] auto candidates(const std::string &group, BootTime now, const RegionFilter &regions = {}) const
+        -> std::vector<UpstreamView>;
     /// Sets the times of a view that depend on the limits of its upstream.
     auto updateLimits(UpstreamView &view, BootTime now) const -> void;
     /// Whether a request that was chosen for the upstream at that address may still be sent to it.
