--- a/Tests/Fakes/FakeEngine.cpp
+++ b/Tests/Fakes/FakeEngine.cpp
@@ -182,7 +182,7 @@
     const MessageHead head = connection->reader.head();
     const std::string body = connection->reader.takeBody();
     const std::string rest = connection->reader.takeRest();
-    connection->reader = MessageReader(MessageReader::Kind::Request, { 65536, 1U << 20U });
+    connection->reader = MessageReader(MessageReader::Kind::Request, { 65536, 4U << 20U });
     connection->reader.feed(rest);
     const std::string expected(head.headers.valueOf("Expect-Instance"));
     if (!expected.empty() && expected != name_) {
@@ -238,7 +238,9 @@
 
 auto FakeEngine::answerPlain(const std::shared_ptr<Connection> &connection) -> void
 {
-    const std::string body = absl::StrCat("answer to ", connection->run->body);
+    // Answers are smaller than the largest requests.
+    constexpr std::size_t ECHOED_BYTES = 64U << 10U;
+    const std::string body = absl::StrCat("answer to ", connection->run->body.substr(0, ECHOED_BYTES));
     const std::string head
         = absl::StrCat("HTTP/1.1 ", behaviour_.status, " Status\r\n", commonHeaders(idOf(connection->run->head)), stateHeaders());
     connection->run->isComplete = true;
--- a/Tests/Fakes/FakeEngine.h
+++ b/Tests/Fakes/FakeEngine.h
@@ -105,7 +105,7 @@
     struct Connection
     {
         std::shared_ptr<Channel> channel;
-        MessageReader reader { MessageReader::Kind::Request, { 65536, 1U << 20U } };
+        MessageReader reader { MessageReader::Kind::Request, { 65536, 4U << 20U } };
         std::shared_ptr<Run> run;
         /// The last answer that was no stream.
         std::string formerAnswer;
