Let the stand-in of an engine echo bodies of up to 1000 KiB

The bound of 64 KiB that came with the reproduction of the exhaustion broke FrontDaemonTest/AStopWaitsForTheLastByte, which waits for an echo of 900 KiB: received 65671 <= 921600. Daemons take answers of at most 1 MiB.

--- a/Tests/Fakes/FakeEngine.cpp
+++ b/Tests/Fakes/FakeEngine.cpp
@@ -238,8 +238,8 @@
 
 auto FakeEngine::answerPlain(const std::shared_ptr<Connection> &connection) -> void
 {
-    // Answers are smaller than the largest requests.
-    constexpr std::size_t ECHOED_BYTES = 64U << 10U;
+    // Daemons take answers of at most 1 MiB, and larger requests.
+    constexpr std::size_t ECHOED_BYTES = 1000U << 10U;
     const std::string body = absl::StrCat("answer to ", connection->run->body.substr(0, ECHOED_BYTES));
     const std::string head
         = absl::StrCat("HTTP/1.1 ", behaviour_.status, " Status\r\n", commonHeaders(idOf(connection->run->head)), stateHeaders());
