Bound the memory and descriptors that a front daemon holds for others

Cause: nothing bounded the sum of what connections, requests, answers and jobs hold; limits.memoryMb and limits.maxFds were not read, and a body that stopped short was kept as long as its connection was open.

Change: one account (Process/HeldBytes) of the bytes held for callers, peers and jobs, bounded by half of the VM's memory with a reserve for small requests. A declared length is charged before its bytes are read, a chunked body as its buffer grows, both with the copies that serving it takes. Without room, the connections that have held most for longest without progress are ended, and otherwise the request is refused with 503 as not run. A body or an answer without progress ends after idleTimeoutMs. Connections are bounded by limits.maxFds with a part for upstreams and peers; the one without a request that has waited longest makes way. Parsers, queues and the heap give up spare capacity; receive buffers have 64 KiB; requests of peers and operators have bodies of at most 64 KiB, as they need none. Refused connections are not read on.

--- a/Source/Connection/CallerExchange.cpp
+++ b/Source/Connection/CallerExchange.cpp
@@ -7,11 +7,14 @@
 
 namespace poplardock {
 
-CallerExchange::CallerExchange(std::weak_ptr<CallerSession> session, MessageHead head, std::string body, BootTime receivedAt)
+CallerExchange::CallerExchange(
+    std::weak_ptr<CallerSession> session, MessageHead head, std::string body, BootTime receivedAt, std::shared_ptr<HeldBytes> account)
     : session_(std::move(session))
     , head_(std::move(head))
     , body_(std::move(body))
     , receivedAt_(receivedAt)
+    , requestCharge_(account)
+    , answerCharge_(account)
 {
 }
 
@@ -108,6 +111,11 @@
     return session == nullptr ? 0 : session->queuedBytes();
 }
 
+auto CallerExchange::setCollectedBytes(std::size_t bytes) -> void
+{
+    answerCharge_.set(bytes);
+}
+
 auto CallerExchange::setGoneHandler(std::function<void()> onGone) -> void
 {
     onGone_ = std::move(onGone);
--- a/Source/Connection/CallerExchange.h
+++ b/Source/Connection/CallerExchange.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "Connection/WireDialect.h"
+#include "Process/HeldBytes.h"
 
 #include <functional>
 #include <memory>
@@ -17,7 +18,8 @@
 class CallerExchange
 {
 public:
-    CallerExchange(std::weak_ptr<CallerSession> session, MessageHead head, std::string body, BootTime receivedAt);
+    CallerExchange(
+        std::weak_ptr<CallerSession> session, MessageHead head, std::string body, BootTime receivedAt, std::shared_ptr<HeldBytes> account);
 
     [[nodiscard]] auto head() const -> const MessageHead &;
     [[nodiscard]] auto body() const -> const std::string &;
@@ -39,6 +41,9 @@
     /// Bytes of the answer that the caller's connection has not taken yet.
     [[nodiscard]] auto queuedBytes() const -> std::size_t;
 
+    /// Charges bytes of the answer that are collected before they are sent.
+    auto setCollectedBytes(std::size_t bytes) -> void;
+
     /// Called once if the caller closes its connection before the answer is complete.
     auto setGoneHandler(std::function<void()> onGone) -> void;
     /// Called when queued bytes have been taken.
@@ -51,6 +56,9 @@
     MessageHead head_;
     std::string body_;
     BootTime receivedAt_;
+    /// Also covers work that goes on when the caller is gone.
+    HeldBytes::Charge requestCharge_;
+    HeldBytes::Charge answerCharge_;
     std::function<void()> onGone_;
     std::function<void()> onDrained_;
     bool hasBegun_ = false;
--- a/Source/Connection/CallerServer.h
+++ b/Source/Connection/CallerServer.h
@@ -13,10 +13,24 @@
 class CallerServer
 {
 public:
+    struct Options
+    {
+        std::function<CallerLimits()> limits;
+        /// Null for a server whose memory is not accounted.
+        std::shared_ptr<HeldBytes> account;
+        /// Most connections at a time; 0 for no bound.
+        std::size_t maximumConnections = 0;
+        /// As in SessionEnvironment.
+        std::function<int(const MessageHead &)> bodyCopies;
+        std::function<HttpResult()> overloadAnswer;
+        std::function<void()> onBodyTimeout;
+        /// Called for each connection that is ended, or not accepted, because of the bound.
+        std::function<void()> onConnectionBound;
+    };
     using RequestHandler = std::function<void(const std::shared_ptr<CallerExchange> &)>;
 
     /// Errors: InvalidArgument for a malformed address, Unavailable when it cannot be bound.
-    static auto open(EventLoop &loop, const std::string &address, std::function<CallerLimits()> limits, RequestHandler onRequest)
+    static auto open(EventLoop &loop, const std::string &address, Options options, RequestHandler onRequest)
         -> absl::StatusOr<std::unique_ptr<CallerServer>>;
 
     CallerServer(const CallerServer &) = delete;
@@ -39,14 +53,32 @@
     [[nodiscard]] auto address() const -> std::string;
 
 private:
+    /// A connection without a session that still sends its last answer.
+    struct Closing
+    {
+        std::shared_ptr<Channel> channel;
+        std::unique_ptr<HeldBytes::Charge> charge;
+        std::size_t undelivered = 0;
+        BootTime progressAt;
+        bool isRefused = false;
+    };
+
     CallerServer() = default;
+    auto accept(const std::shared_ptr<Channel> &channel) -> void;
+    auto takeEnd(const CallerSession *session) -> void;
+    auto sweep() -> void;
+    /// Ends the connection without a request that runs that has waited longest. Returns false when there is none.
+    auto endLongestWaiting(BootTime now) -> bool;
+    [[nodiscard]] auto worstHolder(BootTime now) -> std::optional<HeldBytes::Candidate>;
 
     std::shared_ptr<SessionEnvironment> environment_;
     std::unordered_map<const CallerSession *, std::shared_ptr<CallerSession>> sessions_;
-    /// Connections without a session that still send their last answer.
-    std::vector<std::shared_ptr<Channel>> closing_;
+    Options options_;
+    std::vector<Closing> closing_;
     std::unique_ptr<Listener> listener_;
-    Timer sweep_;
+    Timer sweepTimer_;
+    /// Ends with the server, for the account, which may live longer.
+    std::shared_ptr<CallerServer *> self_;
     bool isDraining_ = false;
 };
 
--- a/Source/Connection/CallerSession.cpp
+++ b/Source/Connection/CallerSession.cpp
@@ -4,12 +4,17 @@
 
 #include <absl/strings/match.h>
 
+#include <algorithm>
+
 namespace poplardock {
 
 namespace {
 
 /// Bytes of following requests that are kept while one runs; callers send one request at a time.
 constexpr std::size_t EARLY_BYTES = 64U << 10U;
+/// Objects, timers and headers of a connection that is idle, and of one that has begun a request.
+constexpr std::uint64_t IDLE_CONNECTION_BYTES = 4U << 10U;
+constexpr std::uint64_t BUSY_CONNECTION_BYTES = 16U << 10U;
 
 } // namespace
 
@@ -17,6 +22,8 @@
     : channel_(std::move(channel))
     , environment_(std::move(environment))
     , idleSince_(BootClock::now())
+    , progressAt_(idleSince_)
+    , charge_(environment_->account)
 {
 }
 
@@ -31,6 +38,7 @@
 auto CallerSession::start() -> void
 {
     beginNext({});
+    charge_.set(chargedBytes());
     channel_->start(
         [weak = weak_from_this()](std::string_view bytes) {
             if (const auto self = weak.lock()) {
@@ -55,6 +63,7 @@
     const CallerLimits limits = environment_->limits();
     reader_.emplace(MessageReader::Kind::Request, MessageReader::Limits { limits.headBytes, limits.bodyBytes });
     wantsContinue_ = false;
+    bodyCopies_ = 0;
     if (!rest.empty()) {
         startedAt_ = BootClock::now();
         reader_->feed(rest);
@@ -63,11 +72,13 @@
 
 auto CallerSession::takeData(std::string_view bytes) -> void
 {
+    progressAt_ = BootClock::now();
     if (exchange_ != nullptr) {
         early_.append(bytes);
         if (early_.size() > EARLY_BYTES) {
             channel_->pause();
         }
+        charge_.set(chargedBytes());
         return;
     }
     if (!reader_->hasBytes()) {
@@ -104,6 +115,9 @@
             refuse(state == ReadState::HeadTooLarge ? HttpStatus::HEAD_TOO_LARGE : HttpStatus::CONTENT_TOO_LARGE);
             return;
         }
+        if (!charge()) {
+            return;
+        }
         if (state == ReadState::Body && !wantsContinue_) {
             const std::string_view expect = reader_->head().headers.valueOf("Expect");
             wantsContinue_ = true;
@@ -116,8 +130,12 @@
         }
         keeps_ = reader_->isKeepAlive();
         early_ = reader_->takeRest();
-        exchange_ = std::make_shared<CallerExchange>(weak_from_this(), reader_->head(), reader_->takeBody(), startedAt_);
+        const std::uint64_t requestBytes = charge_.bytes();
+        exchange_
+            = std::make_shared<CallerExchange>(weak_from_this(), reader_->head(), reader_->takeBody(), startedAt_, environment_->account);
         const auto exchange = exchange_;
+        exchange->requestCharge_.set(requestBytes);
+        charge_.set(chargedBytes());
         try {
             environment_->onRequest(exchange);
         } catch (...) {
@@ -131,20 +149,113 @@
 auto CallerSession::refuse(int status) -> void
 {
     EventLog::write("request_unreadable", { { "status", status } });
-    channel_->send(encodeResponse(status, {}, {}, false));
+    refuseWith({ status, {}, {} });
+}
+
+auto CallerSession::refuseWith(const HttpResult &result) -> void
+{
+    isRefused_ = true;
+    channel_->send(encodeResponse(result.status, result.headers, result.body, false));
+    // What has been read of the request is not needed any more.
+    reader_.emplace(MessageReader::Kind::Request, MessageReader::Limits {});
     close();
 }
 
+auto CallerSession::chargedBytes() const -> std::uint64_t
+{
+    std::uint64_t bytes = IDLE_CONNECTION_BYTES + early_.capacity() + heldBack_.capacity() + channel_->heldBytes();
+    if (exchange_ == nullptr && reader_->hasBytes()) {
+        const std::uint64_t body = std::max<std::uint64_t>(reader_->declaredBytes().value_or(0), reader_->heldBytes());
+        bytes += BUSY_CONNECTION_BYTES + static_cast<std::uint64_t>(std::max(1, bodyCopies_)) * body;
+    }
+    return bytes;
+}
+
+auto CallerSession::charge() -> bool
+{
+    const ReadState state = reader_->state();
+    if (bodyCopies_ == 0 && (state == ReadState::Body || state == ReadState::Done)) {
+        bodyCopies_ = environment_->bodyCopies ? environment_->bodyCopies(reader_->head()) : 1;
+    }
+    if (charge_.trySet(chargedBytes(), BootClock::now())) {
+        return true;
+    }
+    refuseWith(environment_->overloadAnswer ? environment_->overloadAnswer() : HttpResult { HttpStatus::UNAVAILABLE, {}, {} });
+    return false;
+}
+
+auto CallerSession::endForRoom() -> void
+{
+    const auto self = shared_from_this();
+    if (exchange_ == nullptr && reader_->hasBytes() && channel_->queuedBytes() == 0) {
+        refuseWith(environment_->overloadAnswer ? environment_->overloadAnswer() : HttpResult { HttpStatus::UNAVAILABLE, {}, {} });
+    } else if (exchange_ == nullptr && channel_->queuedBytes() == 0) {
+        close();
+    } else {
+        // The answer is not taken: as if the caller had closed the connection.
+        channel_->abort();
+        takeEnd();
+    }
+    charge_.set(0);
+}
+
+auto CallerSession::holding(BootTime now) -> Holding
+{
+    noteDelivery(now);
+    charge_.set(chargedBytes());
+    return { charge_.bytes(), progressAt_ };
+}
+
+auto CallerSession::progressAt() const -> BootTime
+{
+    return progressAt_;
+}
+
+auto CallerSession::hasRequest() const -> bool
+{
+    return exchange_ != nullptr;
+}
+
+auto CallerSession::isEndable() const -> bool
+{
+    return exchange_ == nullptr || channel_->queuedBytes() > 0;
+}
+
+auto CallerSession::isRefused() const -> bool
+{
+    return isRefused_;
+}
+
+auto CallerSession::noteDelivery(BootTime now) -> void
+{
+    const std::size_t queued = channel_->queuedBytes();
+    if (queued != undelivered_) {
+        undelivered_ = queued;
+        progressAt_ = now;
+    }
+}
+
 auto CallerSession::closeIfLate(BootTime now) -> void
 {
+    noteDelivery(now);
+    charge_.set(chargedBytes());
+    const CallerLimits limits = environment_->limits();
+    if (channel_->queuedBytes() > 0 && now - progressAt_ > limits.idleTimeout) {
+        endForRoom();
+        return;
+    }
     if (exchange_ != nullptr) {
         return;
     }
-    const CallerLimits limits = environment_->limits();
     if (!reader_->hasBytes() && now - idleSince_ > limits.idleTimeout) {
         close();
     } else if (reader_->hasBytes() && reader_->state() == ReadState::Head && now - startedAt_ > limits.headTimeout) {
         refuse(HttpStatus::REQUEST_TIMEOUT);
+    } else if (reader_->state() == ReadState::Body && now - progressAt_ > limits.idleTimeout) {
+        if (environment_->onBodyTimeout) {
+            environment_->onBodyTimeout();
+        }
+        refuse(HttpStatus::REQUEST_TIMEOUT);
     }
 }
 
@@ -173,7 +284,7 @@
     }
     heldBack_.append(bytes);
     channel_->send(heldBack_);
-    heldBack_.clear();
+    std::string().swap(heldBack_);
 }
 
 auto CallerSession::holdBack(std::string bytes) -> void
@@ -187,6 +298,8 @@
     heldBack_.clear();
     exchange_ = nullptr;
     idleSince_ = BootClock::now();
+    progressAt_ = idleSince_;
+    undelivered_ = channel_->queuedBytes();
     if (!isComplete) {
         channel_->abort();
         close();
@@ -197,6 +310,7 @@
         return;
     }
     beginNext(std::exchange(early_, {}));
+    charge_.set(chargedBytes());
     channel_->resume();
     if (reader_->hasBytes()) {
         // The next request is handled from the loop, so that answers given at once do not nest.
@@ -225,8 +339,9 @@
         return;
     }
     isClosed_ = true;
-    if (environment_->isDraining()) {
-        // A daemon that stops waits until its answers have arrived.
+    if (environment_->isDraining() || isRefused_) {
+        // A daemon that stops waits until its answers have arrived. A refused caller may still be sending: closing the socket
+        // with bytes unread would reset the connection before the refusal has arrived.
         channel_->closeAfterDelivery();
     } else {
         channel_->close();
--- a/Source/Connection/CallerSession.h
+++ b/Source/Connection/CallerSession.h
@@ -3,6 +3,7 @@
 #include "Connection/CallerExchange.h"
 #include "Connection/Io/Channel.h"
 #include "Connection/Io/MessageReader.h"
+#include "Process/HeldBytes.h"
 
 #include <functional>
 #include <memory>
@@ -18,6 +19,14 @@
     /// True once connections are to be closed after their answer.
     std::function<bool()> isDraining;
     std::function<void(const CallerSession *)> onEnd;
+    /// Null for a server whose memory is not accounted.
+    std::shared_ptr<HeldBytes> account;
+    /// Copies of its body that a request takes while it is served; unset for one.
+    std::function<int(const MessageHead &)> bodyCopies;
+    /// The answer to a request that is not read because there is no room for it; unset for a bare 503.
+    std::function<HttpResult()> overloadAnswer;
+    /// Called for each body that is ended because nothing more came of it.
+    std::function<void()> onBodyTimeout;
 };
 
 /// One connection from a caller: reads requests one after the other and writes their answers.
@@ -34,8 +43,20 @@
 
     /// Call once after construction.
     auto start() -> void;
-    /// Closes the connection when it was idle, or has taken its time over a head, for longer than the limits allow.
+    /// Closes the connection when it was idle, has taken its time over a head, or has made no progress with a body or in taking
+    /// an answer for longer than the limits allow.
     auto closeIfLate(BootTime now) -> void;
+    /// Refuses the request that is being read as not run, or ends the connection if there is none.
+    auto endForRoom() -> void;
+    /// What the connection holds, apart from a request that runs.
+    [[nodiscard]] auto holding(BootTime now) -> Holding;
+    [[nodiscard]] auto progressAt() const -> BootTime;
+    /// Whether a request runs, or its answer is being sent.
+    [[nodiscard]] auto hasRequest() const -> bool;
+    /// Whether the connection may be ended without breaking off a request that runs.
+    [[nodiscard]] auto isEndable() const -> bool;
+    /// Whether the last answer was a refusal to read on.
+    [[nodiscard]] auto isRefused() const -> bool;
     /// Closes the connection if it carries no request.
     auto closeIfIdle() -> void;
     [[nodiscard]] auto isBusy() const -> bool;
@@ -55,6 +76,12 @@
     auto takeEnd() -> void;
     auto advance() -> void;
     auto refuse(int status) -> void;
+    auto refuseWith(const HttpResult &result) -> void;
+    /// Charges what the connection holds now. Refuses the request that is being read if there is no room for it.
+    auto charge() -> bool;
+    [[nodiscard]] auto chargedBytes() const -> std::uint64_t;
+    /// Notes whether the queue has changed, which shows that the caller reads or that an answer goes on.
+    auto noteDelivery(BootTime now) -> void;
     auto beginNext(std::string_view rest) -> void;
     auto close() -> void;
 
@@ -67,9 +94,16 @@
     std::string early_;
     BootTime startedAt_;
     BootTime idleSince_;
+    /// When bytes last came, or were last taken.
+    BootTime progressAt_;
+    std::size_t undelivered_ = 0;
+    HeldBytes::Charge charge_;
+    /// For the request that is being read; 0 until it is asked for.
+    int bodyCopies_ = 0;
     bool wantsContinue_ = false;
     bool keeps_ = true;
     bool isClosed_ = false;
+    bool isRefused_ = false;
 };
 
 } // namespace poplardock
--- a/Source/Connection/Io/Channel.cpp
+++ b/Source/Connection/Io/Channel.cpp
@@ -165,6 +165,11 @@
     return queue_.size();
 }
 
+auto Channel::heldBytes() const -> std::size_t
+{
+    return queue_.capacity();
+}
+
 auto Channel::setDrainHandler(std::function<void()> onDrained) -> void
 {
     onDrained_ = std::move(onDrained);
@@ -228,6 +233,13 @@
     return ioctl(descriptor, SIOCOUTQ, &count) == 0 ? count : 0;
 }
 
+auto Channel::discard() -> void
+{
+    if (isOpen_) {
+        release(false);
+    }
+}
+
 auto Channel::abort() -> void
 {
     if (isOpen_) {
@@ -323,6 +335,8 @@
             self->write();
             return;
         }
+        // A kept connection does not keep the capacity for its largest message.
+        std::string().swap(self->queue_);
         if (self->isClosing_) {
             self->finishSending();
         } else if (self->onDrained_) {
@@ -344,6 +358,7 @@
 auto Channel::release(bool withReset) -> void
 {
     isOpen_ = false;
+    std::string().swap(queue_);
     onData_ = nullptr;
     onEnd_ = nullptr;
     onDrained_ = nullptr;
--- a/Source/Connection/Io/Channel.h
+++ b/Source/Connection/Io/Channel.h
@@ -76,6 +76,8 @@
     [[nodiscard]] auto isSending() const -> bool;
     /// Bytes that the socket has not accepted yet.
     [[nodiscard]] auto queuedBytes() const -> std::size_t;
+    /// Bytes of memory that the queue takes, spare capacity included.
+    [[nodiscard]] auto heldBytes() const -> std::size_t;
     /// The handler is called each time the queue becomes empty.
     auto setDrainHandler(std::function<void()> onDrained) -> void;
     /// Stops reading; the receive window fills up, which slows down the peer.
@@ -86,6 +88,8 @@
     /// As close(), but keeps the socket until the channel is destroyed, so that isSending() still tells what the kernel holds.
     /// Nothing more is read: bytes that the peer sends from now on count as not received.
     auto closeAfterDelivery() -> void;
+    /// Closes the socket at once; what the peer has not received may be lost.
+    auto discard() -> void;
     /// Drops queued bytes and resets the connection.
     auto abort() -> void;
     [[nodiscard]] auto isOpen() const -> bool;
--- a/Source/Connection/Io/Listener.cpp
+++ b/Source/Connection/Io/Listener.cpp
@@ -14,6 +14,9 @@
 constexpr Milliseconds ACCEPT_RETRY_DELAY { 20 };
 // Connections that may wait to be accepted: many callers may reconnect within a few milliseconds.
 constexpr int BACKLOG = 512;
+// Received bytes that the process has not read count toward the memory of its VM, and the kernel's own choice reaches
+// megabytes for each connection. 64 KiB in a millisecond are enough for the largest body within the shortest target.
+constexpr int RECEIVE_BUFFER_BYTES = 64 << 10;
 
 struct Listener::Acceptor : std::enable_shared_from_this<Listener::Acceptor>
 {
@@ -56,6 +59,7 @@
     boost::system::error_code error;
     acceptor->acceptor.open(endpoint->protocol(), error);
     acceptor->acceptor.set_option(Tcp::acceptor::reuse_address(true), error);
+    acceptor->acceptor.set_option(asio::socket_base::receive_buffer_size(RECEIVE_BUFFER_BYTES), error);
     acceptor->acceptor.bind(*endpoint, error);
     if (!error) {
         acceptor->acceptor.listen(BACKLOG, error);
--- a/Source/Connection/Io/MessageReader.cpp
+++ b/Source/Connection/Io/MessageReader.cpp
@@ -45,8 +45,12 @@
     auto on_header_impl(Error & /*error*/) -> void override
     {
     }
-    auto on_body_init_impl(const boost::optional<std::uint64_t> & /*length*/, Error & /*error*/) -> void override
+    auto on_body_init_impl(const boost::optional<std::uint64_t> &length, Error & /*error*/) -> void override
     {
+        // A body that grows step by step takes up to three times its size. Answers are taken in pieces.
+        if (isRequest && length) {
+            body.reserve(*length);
+        }
     }
     auto on_body_impl(BeastView bytes, Error & /*error*/) -> std::size_t override
     {
@@ -85,12 +89,13 @@
             collector);
     }
 
-    auto parseUnread(auto &each) -> ReadState
+    /// Parses the bytes, which are "unread" or follow nothing unread, and keeps in "unread" those that were not consumed.
+    auto parse(auto &each, std::string_view bytes) -> ReadState
     {
         std::size_t consumed = 0;
-        while (!each.is_done() && consumed < unread.size()) {
+        while (!each.is_done() && consumed < bytes.size()) {
             boost::beast::error_code error;
-            const std::size_t count = each.put(boost::asio::buffer(unread.data() + consumed, unread.size() - consumed), error);
+            const std::size_t count = each.put(boost::asio::buffer(bytes.data() + consumed, bytes.size() - consumed), error);
             consumed += count;
             if (error == http::error::need_more) {
                 break;
@@ -103,7 +108,8 @@
                 break;
             }
         }
-        unread.erase(0, consumed);
+        // A new string, so that a connection does not keep the capacity for the largest piece that it has read.
+        unread = std::string(bytes.substr(consumed));
         if (each.is_done()) {
             return ReadState::Done;
         }
@@ -144,9 +150,13 @@
 {
     Parser &parser = *parser_;
     parser.hasBytes = parser.hasBytes || !bytes.empty();
-    parser.unread.append(bytes);
-    if (parser.state == ReadState::Head || parser.state == ReadState::Body) {
-        parser.state = std::visit([&parser](auto &each) { return parser.parseUnread(each); }, parser.collector);
+    const bool isParsing = parser.state == ReadState::Head || parser.state == ReadState::Body;
+    if (!isParsing || !parser.unread.empty()) {
+        parser.unread.append(bytes);
+    }
+    if (isParsing) {
+        const std::string_view input = parser.unread.empty() ? bytes : std::string_view(parser.unread);
+        parser.state = std::visit([&parser, input](auto &each) { return parser.parse(each, input); }, parser.collector);
     }
     return parser.state;
 }
@@ -182,6 +192,21 @@
     return std::visit([](const auto &each) -> const MessageHead & { return each.head; }, parser_->collector);
 }
 
+auto MessageReader::declaredBytes() const -> std::optional<std::uint64_t>
+{
+    return std::visit(
+        [](const auto &each) -> std::optional<std::uint64_t> {
+            const auto length = each.is_header_done() ? each.content_length() : boost::none;
+            return length ? std::optional<std::uint64_t>(*length) : std::nullopt;
+        },
+        parser_->collector);
+}
+
+auto MessageReader::heldBytes() const -> std::size_t
+{
+    return std::visit([](const auto &each) { return each.body.capacity(); }, parser_->collector) + parser_->unread.capacity();
+}
+
 auto MessageReader::takeBody() -> std::string
 {
     return std::visit([](auto &each) { return std::exchange(each.body, {}); }, parser_->collector);
--- a/Source/Connection/Io/MessageReader.h
+++ b/Source/Connection/Io/MessageReader.h
@@ -4,6 +4,7 @@
 
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -63,6 +64,10 @@
 
     /// Precondition: state() is Body or Done.
     [[nodiscard]] auto head() const -> const MessageHead &;
+    /// The length of the body that the head states; unset without one, and before the head is complete.
+    [[nodiscard]] auto declaredBytes() const -> std::optional<std::uint64_t>;
+    /// Bytes of memory taken by the decoded body and by what is not parsed yet, spare capacity included.
+    [[nodiscard]] auto heldBytes() const -> std::size_t;
     /// Returns and clears the decoded bytes of the body that were parsed since the last call.
     auto takeBody() -> std::string;
     /// Returns and clears the bytes after the end of the message.
--- a/Source/Connection/JobService.cpp
+++ b/Source/Connection/JobService.cpp
@@ -120,6 +120,12 @@
         caller->reply(refusalOf(parts_.dialect, ResultCode::JobNotAccepted, "the store does not answer", RETRY_AFTER));
         return;
     }
+    // Online requests keep the other half.
+    if (book_.heldBytes() > parts_.heldBytes->bounds().bytes / 2) {
+        parts_.metrics.count("jobs_refused_for_memory");
+        caller->reply(refusalOf(parts_.dialect, ResultCode::JobNotAccepted, "the memory for jobs is in use", RETRY_AFTER));
+        return;
+    }
     auto items = parts_.dialect.decodeSubmission(caller->body());
     if (!items.ok()) {
         EventLog::write("job_refused", { { "job", id }, { "reason", items.status().message() } });
--- a/Source/Connection/OnlineRun.cpp
+++ b/Source/Connection/OnlineRun.cpp
@@ -124,6 +124,7 @@
     };
     handlers.onBody = [self](std::string_view bytes) {
         self->result_.body.append(bytes);
+        self->order_.caller->setCollectedBytes(self->result_.body.capacity());
     };
     handlers.onEvent = [self](const StreamEvent &event) {
         self->takeEvent(event);
--- a/Source/Process/Batch/JobRegistry.cpp
+++ b/Source/Process/Batch/JobRegistry.cpp
@@ -16,6 +16,24 @@
 /// Most bytes of result text in one log entry: JSON escapes may double them, and the store's objects hold 1 MB.
 constexpr std::size_t MAX_ENTRY_BYTES = 400U << 10U;
 
+/// Objects of one item of a job, its headers included.
+constexpr std::uint64_t ITEM_BYTES = 1024;
+
+auto bytesOf(OwnedJob &job) -> std::uint64_t
+{
+    std::uint64_t bytes = 0;
+    for (const ItemProgress &item : job.items()) {
+        bytes += ITEM_BYTES + item.item.body.capacity();
+    }
+    for (const JobResult &result : job.committed()) {
+        bytes += result.text.capacity();
+    }
+    for (const JobResult &result : job.uncommitted()) {
+        bytes += result.text.capacity();
+    }
+    return bytes;
+}
+
 auto countThatFits(const std::vector<JobResult> &results) -> std::size_t
 {
     std::size_t bytes = 0;
@@ -46,7 +64,8 @@
                     { { "job", id },
                       { "items", static_cast<std::uint64_t>(job.items().size()) },
                       { "listed", static_cast<std::uint64_t>(job.committed().size()) } });
-    entries_[id] = std::make_unique<Entry>(std::move(job));
+    entries_[id] = std::make_unique<Entry>(std::move(job), context_.heldBytes);
+    entries_[id]->charge.set(bytesOf(entries_[id]->job));
     if (entries_[id]->job.isComplete()) {
         markDone(id);
     }
@@ -85,6 +104,15 @@
     return entries_.size();
 }
 
+auto JobRegistry::heldBytes() const -> std::uint64_t
+{
+    std::uint64_t bytes = 0;
+    for (const auto &[id, entry] : entries_) {
+        bytes += entry->charge.bytes();
+    }
+    return bytes;
+}
+
 auto JobRegistry::forEach(const std::function<void(const std::string &id, OwnedJob &job)> &visit) -> void
 {
     for (const auto &[id, entry] : entries_) {
@@ -109,6 +137,9 @@
 auto JobRegistry::scheduleCommit(const std::string &id) -> void
 {
     const auto found = entries_.find(id);
+    if (found != entries_.end()) {
+        found->second->charge.set(bytesOf(found->second->job));
+    }
     if (found == entries_.end() || found->second->isCommitting || found->second->commitTimer.isPending()
         || found->second->job.uncommitted().empty()) {
         return;
@@ -161,6 +192,7 @@
         return;
     }
     entry.job.markCommitted(count);
+    entry.charge.set(bytesOf(entry.job));
     entry.job.proveOwned(sentAt);
     EventLog::write("results_listed",
                     { { "job", id },
--- a/Source/Process/Batch/JobRegistry.h
+++ b/Source/Process/Batch/JobRegistry.h
@@ -26,6 +26,8 @@
     [[nodiscard]] auto find(const std::string &id) -> OwnedJob *;
     [[nodiscard]] auto ids() const -> std::vector<std::string>;
     [[nodiscard]] auto size() const -> std::size_t;
+    /// Bytes that the jobs take, a part of the account of held bytes.
+    [[nodiscard]] auto heldBytes() const -> std::uint64_t;
     /// Calls "visit" for each owned job; it must neither add nor drop one.
     auto forEach(const std::function<void(const std::string &id, OwnedJob &job)> &visit) -> void;
     /// The handler is called when a commit finds an unknown entry in the result log: one of another owner, or one that
@@ -58,11 +60,13 @@
     };
     struct Entry
     {
-        explicit Entry(OwnedJob owned)
+        Entry(OwnedJob owned, std::shared_ptr<HeldBytes> account)
             : job(std::move(owned))
+            , charge(std::move(account))
         {
         }
         OwnedJob job;
+        HeldBytes::Charge charge;
         /// A write to the result log is in flight, or blocked until the log has been reloaded after a conflict.
         bool isCommitting = false;
         bool hasConflict = false;
--- a/Source/Process/FrontDaemon.cpp
+++ b/Source/Process/FrontDaemon.cpp
@@ -1,5 +1,6 @@
 #include "Process/FrontDaemon.h"
 
+#include "Connection/Refusal.h"
 #include "Process/EventLog.h"
 #include "Process/MetricsText.h"
 
@@ -7,6 +8,8 @@
 #include <absl/strings/str_cat.h>
 
 #include <csignal>
+#include <sys/resource.h>
+#include <unistd.h>
 
 namespace poplardock {
 
@@ -32,10 +35,48 @@
 /// Retries in 30 s that a daemon may make however few requests it has.
 constexpr std::uint64_t MINIMUM_RETRIES = 20;
 
-/// Peers and operators are this fleet's own; their messages are small.
+/// Peers and operators are this fleet's own; their requests have no bodies.
 auto internalLimits() -> CallerLimits
 {
-    return {};
+    constexpr std::uint64_t INTERNAL_BODY_BYTES = 64U << 10U;
+    CallerLimits limits;
+    limits.bodyBytes = INTERNAL_BODY_BYTES;
+    return limits;
+}
+
+/// Copies of a body: the request's own, the one of the attempt at an upstream, the message that is sent, and the queue of the
+/// upstream's connection. A submission is parsed into values and written to the store besides.
+constexpr int ONLINE_BODY_COPIES = 4;
+constexpr int SUBMISSION_BODY_COPIES = 8;
+/// Time after which a request for which there was no room may come again: longer than a slow client is waited for.
+constexpr Milliseconds MEMORY_RETRY_AFTER { 2000 };
+
+auto heldBoundsOf(const FrontSettings &settings) -> HeldBytes::Bounds
+{
+    const auto machineBytes = static_cast<std::uint64_t>(sysconf(_SC_PHYS_PAGES)) * static_cast<std::uint64_t>(sysconf(_SC_PAGESIZE));
+    return HeldBytes::Bounds::ofMemory(settings.memoryBytes > 0 ? settings.memoryBytes : machineBytes);
+}
+
+/// The most connections of each server.
+struct ConnectionBounds
+{
+    std::size_t callers = 0;
+    std::size_t peers = 0;
+    std::size_t operators = 0;
+};
+
+/// Splits the descriptors so that upstreams, peers and the store have theirs, however many callers connect.
+auto connectionBoundsOf(const FrontSettings &settings) -> ConnectionBounds
+{
+    /// Listeners, the loop's own descriptors, files, and connections to the store.
+    constexpr std::size_t FIXED_DESCRIPTORS = 32;
+    constexpr std::size_t OPERATOR_CONNECTIONS = 8;
+    rlimit limit {};
+    getrlimit(RLIMIT_NOFILE, &limit);
+    const std::size_t total = settings.maxDescriptors > 0 ? std::min<std::size_t>(settings.maxDescriptors, limit.rlim_cur) : limit.rlim_cur;
+    const std::size_t shared = total - std::min(total, FIXED_DESCRIPTORS);
+    // A caller's request takes a second connection, to its upstream.
+    return { std::max<std::size_t>(1, shared * 3 / 8), std::max<std::size_t>(1, shared / 8), OPERATOR_CONNECTIONS };
 }
 
 } // namespace
@@ -44,6 +85,7 @@
     : settings_(std::move(settings))
     , dialect_(std::move(dialect))
     , loop_(loop)
+    , heldBytes_(std::make_shared<HeldBytes>(heldBoundsOf(settings_)))
     , retries_(MINIMUM_RETRIES)
     , random_(std::random_device()())
     , store_(loop_, dialect_, settings_.storeAddress)
@@ -107,9 +149,8 @@
                random_,
                [this] { return configuration_.version(); },
                [this] { return freshness_.confirmedAt(); },
-               [this](const std::string &upstream) {
-                   return runner_.preemptAt(upstream);
-               } }
+               [this](const std::string &upstream) { return runner_.preemptAt(upstream); },
+               heldBytes_ }
     , ledger_(loop_, store_, dialect_, settings_.maxStoreValueBytes)
     , book_(parts_, ledger_)
     , runner_(parts_, book_)
@@ -127,22 +168,53 @@
     return version == nullptr ? CallerLimits() : version->data().callerLimits;
 }
 
+auto FrontDaemon::bodyCopies(const MessageHead &head) const -> int
+{
+    const ServingVersionPointer &version = configuration_.version();
+    const ServiceRoute *route = version == nullptr ? nullptr : version->findRoute(dialect_.requestTerms(head.headers).host, head.target);
+    return route != nullptr && route->kind == RouteKind::Batch ? SUBMISSION_BODY_COPIES : ONLINE_BODY_COPIES;
+}
+
+auto FrontDaemon::serverOptions(std::size_t maximumConnections) -> CallerServer::Options
+{
+    CallerServer::Options options;
+    options.limits = internalLimits;
+    options.account = heldBytes_;
+    options.maximumConnections = maximumConnections;
+    options.overloadAnswer = [this] {
+        return refusalOf(dialect_, ResultCode::Overloaded, "the memory for requests is in use", MEMORY_RETRY_AFTER);
+    };
+    options.onBodyTimeout = [this] {
+        metrics_.count("bodies_timed_out");
+    };
+    options.onConnectionBound = [this] {
+        metrics_.count("connections_over_bound");
+    };
+    return options;
+}
+
 auto FrontDaemon::start() -> absl::Status
 {
     EventLog::write("start",
                     { { "vm", settings_.name }, { "data_centre", settings_.dataCentre }, { "incarnation", peerLink_.incarnation() } });
-    auto callers = CallerServer::open(
-        loop_,
-        settings_.callersAddress,
-        [this] { return callerLimits(); },
-        [this](const auto &exchange) {
-            retries_.recordRequest(Clock::now());
-            front_.handle(exchange);
-        });
-    auto ready = CallerServer::open(loop_, settings_.readyAddress, internalLimits, [this](const auto &exchange) { answerReady(exchange); });
-    auto peers = CallerServer::open(loop_, settings_.peersAddress, internalLimits, [this](const auto &exchange) { answerPeer(exchange); });
-    auto operators
-        = CallerServer::open(loop_, settings_.operatorsAddress, internalLimits, [this](const auto &exchange) { answerOperator(exchange); });
+    const ConnectionBounds bounds = connectionBoundsOf(settings_);
+    CallerServer::Options callerOptions = serverOptions(bounds.callers);
+    callerOptions.limits = [this] {
+        return callerLimits();
+    };
+    callerOptions.bodyCopies = [this](const MessageHead &head) {
+        return bodyCopies(head);
+    };
+    auto callers = CallerServer::open(loop_, settings_.callersAddress, std::move(callerOptions), [this](const auto &exchange) {
+        retries_.recordRequest(Clock::now());
+        front_.handle(exchange);
+    });
+    auto ready = CallerServer::open(
+        loop_, settings_.readyAddress, serverOptions(bounds.operators), [this](const auto &exchange) { answerReady(exchange); });
+    auto peers = CallerServer::open(
+        loop_, settings_.peersAddress, serverOptions(bounds.peers), [this](const auto &exchange) { answerPeer(exchange); });
+    auto operators = CallerServer::open(
+        loop_, settings_.operatorsAddress, serverOptions(bounds.operators), [this](const auto &exchange) { answerOperator(exchange); });
     for (const absl::Status &status : { callers.status(), ready.status(), peers.status(), operators.status(), peerLink_.start() }) {
         if (!status.ok()) {
             return status;
@@ -429,6 +501,14 @@
                     busyCount(),
                     "\npoplardock_items_running ",
                     runner_.runningCount(),
+                    "\npoplardock_held_bytes ",
+                    heldBytes_->bytes(),
+                    "\npoplardock_held_bytes_bound ",
+                    heldBytes_->bounds().bytes,
+                    "\npoplardock_memory_refusals_total ",
+                    heldBytes_->counts().refused,
+                    "\npoplardock_memory_ended_connections_total ",
+                    heldBytes_->counts().ended,
                     "\n");
     result.headers.add("Content-Type", "text/plain; version=0.0.4");
     exchange->reply(result);
--- a/Source/Process/FrontDaemon.h
+++ b/Source/Process/FrontDaemon.h
@@ -56,11 +56,16 @@
     auto answerOperator(const std::shared_ptr<CallerExchange> &exchange) -> void;
     auto continueShutdown() -> void;
     [[nodiscard]] auto callerLimits() const -> CallerLimits;
+    /// Copies of its body that a request of a caller takes while it is served.
+    [[nodiscard]] auto bodyCopies(const MessageHead &head) const -> int;
+    /// The options of a server with that many connections at most.
+    [[nodiscard]] auto serverOptions(std::size_t maximumConnections) -> CallerServer::Options;
 
     const FrontSettings settings_;
     const WireDialect dialect_;
     EventLoop &loop_;
     Metrics metrics_;
+    std::shared_ptr<HeldBytes> heldBytes_;
     RetryBudget retries_;
     std::mt19937_64 random_;
     ObjectStore store_;
--- a/Source/Process/FrontParts.h
+++ b/Source/Process/FrontParts.h
@@ -4,6 +4,7 @@
 #include "Connection/WireDialect.h"
 #include "Process/CrashSuspects.h"
 #include "Process/FrontSettings.h"
+#include "Process/HeldBytes.h"
 #include "Process/Load/UpstreamDirectory.h"
 #include "Process/Metrics.h"
 #include "Process/Peers/PeerDirectory.h"
@@ -41,6 +42,8 @@
     std::function<BootTime()> versionConfirmedAt;
     /// Breaks off one of this daemon's batch runs at the upstream; false when there is none.
     std::function<bool(const std::string &upstream)> yieldOwnBatch;
+    /// Never null.
+    std::shared_ptr<HeldBytes> heldBytes;
 };
 
 } // namespace poplardock
--- a/Source/Process/FrontSettings.h
+++ b/Source/Process/FrontSettings.h
@@ -48,6 +48,9 @@
     std::uint64_t maxStoreValueBytes = 1048576;
     /// Processor capacity of the VM in hundredths of a core, at least 1. Duties for other daemons go to VMs with more of it.
     int capacity = 1;
+    /// Memory of the VM in bytes, and the most descriptors that the process may have open; 0 for what the machine allows.
+    std::uint64_t memoryBytes = 0;
+    std::uint64_t maxDescriptors = 0;
     /// Period at which an upstream renews its entry in the store.
     Milliseconds upstreamHeartbeatPeriod { 1200 };
     FleetBounds bounds;
--- a/Tests/Failure/UntrustedClientsTest.cpp
+++ b/Tests/Failure/UntrustedClientsTest.cpp
@@ -94,7 +94,7 @@
 class Deployment
 {
 public:
-    Deployment()
+    explicit Deployment(std::size_t maxFds = MAX_FDS)
         : store(loop)
         , engine(loop, "engine")
         , folder_(std::filesystem::temp_directory_path() / absl::StrCat("poplardock-untrusted-", getpid()))
@@ -122,7 +122,7 @@
         std::ofstream(settings) << "nodeName=daemon\nzone=east-a\nregion=east\nserves=front\nipAddress=127.0.0.1\ninternalPorts=" << port
                                 << "," << port + 1 << "\nlisten.front=" << callers << "\nlisten.ready=" << ready_
                                 << "\nplatform.address=" << store.address() << "\nlimits.memoryMb=" << MEMORY_MB
-                                << "\nlimits.maxFds=" << MAX_FDS << "\n";
+                                << "\nlimits.maxFds=" << maxFds << "\n";
         auto process = ChildProcess::start(
             { binaryFolder() + "/poplardock", { "front" }, { { "POPLARDOCK_CONFIG", settings } }, folder_ / "daemon.log" });
         BOOST_REQUIRE_MESSAGE(process.ok(), process.status().message());
@@ -271,6 +271,28 @@
     BOOST_TEST(isAnswered);
 }
 
+/// Guards against a memory that is bounded only by way of the connections: all clients may connect here.
+BOOST_DATA_TEST_CASE(TheMemoryIsBoundedWithManyDescriptors,
+                     boost::unit_test::data::make({ Endpoint::Route, Endpoint::Submission })
+                         * boost::unit_test::data::make({ Kind::WholeBodies, Kind::AlmostWhole, Kind::LargeChunks, Kind::OneByteChunks }),
+                     endpoint,
+                     kind)
+{
+    constexpr std::size_t MANY_FDS = 1000;
+    Deployment deployment(MANY_FDS);
+    deployment.engine.behaviour().isSilent = true;
+    UntrustedCrowd crowd(deployment.loop, planOf(endpoint, kind, deployment));
+    const Timer sampling = deployment.loop.every(SAMPLE_PERIOD, [&deployment] { deployment.sample(); });
+    deployment.loop.runUntil(BootClock::now() + CROWD_TIME);
+    deployment.engine.behaviour().isSilent = false;
+    BOOST_TEST(deployment.isOrdinaryRequestAnswered(ANSWER_TIME));
+    std::cout << "many descriptors, " << endpoint << " " << kind << ": sent " << crowd.sentBytes() / MEBIBYTE << " MiB, memory at most "
+              << deployment.mostMemory / MEBIBYTE << " MiB (resident " << deployment.mostResident / MEBIBYTE << "), descriptors at most "
+              << deployment.mostDescriptors << std::endl;
+    BOOST_TEST(deployment.isAlive());
+    BOOST_TEST(deployment.mostMemory <= MEMORY_MB * MEBIBYTE);
+}
+
 /// The smallest VM serves the largest permitted body of the usual configuration in calm, 4 MiB.
 BOOST_AUTO_TEST_CASE(TheLargestBodyIsServedInCalm)
 {
--- a/Tests/Fakes/FakeObjectStore.cpp
+++ b/Tests/Fakes/FakeObjectStore.cpp
@@ -44,13 +44,12 @@
 auto FakeObjectStore::openView(Rewrite rewrite) -> std::size_t
 {
     const std::size_t view = views_.size();
-    auto server = CallerServer::open(
-        loop_,
-        "127.0.0.1:0",
-        [] {
-            return CallerLimits { 16384, 4U << 20U };
-        },
-        [this, view](const auto &exchange) { handle(exchange, view); });
+    CallerServer::Options options;
+    options.limits = [] {
+        return CallerLimits { 16384, 4U << 20U };
+    };
+    auto server
+        = CallerServer::open(loop_, "127.0.0.1:0", std::move(options), [this, view](const auto &exchange) { handle(exchange, view); });
     views_.push_back({ *std::move(server), std::move(rewrite), {}, {} });
     return view;
 }
