--- a/Tests/Support/FrontProcesses.cpp
+++ b/Tests/Support/FrontProcesses.cpp
@@ -39,10 +39,12 @@
 
 } // namespace
 
-FrontProcesses::FrontProcesses(EventLoop &eventLoop, std::string folder, std::size_t daemonCount, std::size_t engineCount)
+FrontProcesses::FrontProcesses(
+    EventLoop &eventLoop, std::string folder, std::size_t daemonCount, std::size_t engineCount, std::string settings)
     : loop(eventLoop)
     , store(eventLoop)
     , folder_(std::move(folder))
+    , settings_(std::move(settings))
 {
     configure("");
     for (std::size_t index = 0; index < engineCount; ++index) {
@@ -78,7 +80,8 @@
     file << "nodeName=" << daemon.name << "\nzone=" << daemon.dataCentre
          << "\nregion=east\nserves=front\nipAddress=127.0.0.1\ninternalPorts=" << peersPort << "," << std::stoi(peersPort) + 1
          << "\nlisten.front=" << callersAddress << "\nlisten.ready=" << daemon.readyAddress
-         << "\nplatform.address=" << daemon.store->address() << "\n";
+         << "\nplatform.address=" << daemon.store->address() << "\n"
+         << settings_;
     if (!file.flush()) {
         throw std::runtime_error(daemon.settingsFile + " cannot be written");
     }
--- a/Tests/Support/FrontProcesses.h
+++ b/Tests/Support/FrontProcesses.h
@@ -43,8 +43,8 @@
         bool hasCrashed = false;
     };
 
-    /// The folder takes settings and logs; it must exist.
-    FrontProcesses(EventLoop &loop, std::string folder, std::size_t daemons, std::size_t engines);
+    /// The folder takes settings and logs; it must exist. "settings": further lines of each daemon's settings file.
+    FrontProcesses(EventLoop &loop, std::string folder, std::size_t daemons, std::size_t engines, std::string settings = {});
 
     /// Writes a configuration; "key" is a key of team "weavers" beside "key1", empty for none.
     auto configure(const std::string &key) -> void;
@@ -74,6 +74,7 @@
     auto registerEngine(const Engine &engine, const std::string &state) -> void;
 
     const std::string folder_;
+    const std::string settings_;
     int version_ = 0;
 };
 
