--- a/Tests/Process/UpstreamDirectoryTest.cpp
+++ b/Tests/Process/UpstreamDirectoryTest.cpp
@@ -21,9 +21,9 @@
 
 auto makeDirectory() -> UpstreamDirectory
 {
-    static UpstreamLimits NO_LIMITS("d1");
+    static UpstreamLimits limits("d1");
     static const LeavingUpstreams NONE_LEAVING;
-    UpstreamDirectory directory("east-a", NO_LIMITS, NONE_LEAVING);
+    UpstreamDirectory directory("east-a", limits, NONE_LEAVING);
     directory.put(makeUpstream("a"));
     directory.put(makeUpstream("b"));
     return directory;
@@ -111,9 +111,9 @@
 // Guards against a request that is sent although its upstream has left, or its address is used by another one, since it was chosen.
 BOOST_AUTO_TEST_CASE(AChoiceLapses)
 {
-    static UpstreamLimits NO_LIMITS("d1");
+    static UpstreamLimits limits("d1");
     LeavingUpstreams leaving;
-    UpstreamDirectory directory("east-a", NO_LIMITS, leaving);
+    UpstreamDirectory directory("east-a", limits, leaving);
     const Upstream upstream = makeUpstream("a");
     directory.put(upstream);
     BOOST_TEST(directory.mayBeUsed("a", upstream.address, NOW));
