--- a/Source/Connection/CallerExchange.cpp
+++ b/Source/Connection/CallerExchange.cpp
@@ -7,8 +7,11 @@
 
 namespace poplardock {
 
-CallerExchange::CallerExchange(
-    std::weak_ptr<CallerSession> session, MessageHead head, std::string body, BootTime receivedAt, std::shared_ptr<HeldBytes> account)
+CallerExchange::CallerExchange(std::weak_ptr<CallerSession> session,
+                               MessageHead head,
+                               std::string body,
+                               BootTime receivedAt,
+                               const std::shared_ptr<HeldBytes> &account)
     : session_(std::move(session))
     , head_(std::move(head))
     , body_(std::move(body))
--- a/Source/Connection/CallerExchange.h
+++ b/Source/Connection/CallerExchange.h
@@ -18,8 +18,11 @@
 class CallerExchange
 {
 public:
-    CallerExchange(
-        std::weak_ptr<CallerSession> session, MessageHead head, std::string body, BootTime receivedAt, std::shared_ptr<HeldBytes> account);
+    CallerExchange(std::weak_ptr<CallerSession> session,
+                   MessageHead head,
+                   std::string body,
+                   BootTime receivedAt,
+                   const std::shared_ptr<HeldBytes> &account);
 
     [[nodiscard]] auto head() const -> const MessageHead &;
     [[nodiscard]] auto body() const -> const std::string &;
