--- a/Tests/Failure/FrontEvacuationTest.cpp
+++ b/Tests/Failure/FrontEvacuationTest.cpp
@@ -23,7 +23,7 @@
 constexpr std::size_t EVACUATED_ENGINES = 2;
 constexpr Milliseconds BOUND { 5000 };
 constexpr Milliseconds START_TIME { 10000 };
-/// A disturbance ends so early that one that begins with an evacuation leaves time for the news.
+/// A fault ends so early that one that begins with an evacuation leaves time for the news.
 constexpr int SHORTEST_MS = 300;
 constexpr int LONGEST_MS = 2000;
 constexpr Milliseconds FAULT_PERIOD { 500 };
