Correct the comment on the end of an evacuation

Cause: the comment claimed more than is known: upstreams may have become cold, not that they have lost their memory. Change: one comment. Result: the formatter accepts it; no code changed.

--- a/Source/Process/FrontDaemon.cpp
+++ b/Source/Process/FrontDaemon.cpp
@@ -187,7 +187,7 @@
 
 auto FrontDaemon::handleEvacuationEnd(const std::string &dataCentre, BootTime now) -> void
 {
-    // Its upstreams have lost what they had kept in memory, and not all of them have said so yet.
+    // Its upstreams are usually cold by then, and not all of them have said so yet.
     directory_.markDataCentreCold(dataCentre, now);
 }
 
