--- a/review/Support-2/CaseEngine.cpp
+++ b/review/Support-2/CaseEngine.cpp
@@ -7,6 +7,14 @@
 
 namespace {
 
+constexpr Milliseconds PLAIN_DELAY { 5 };
+/// No text in UTF-8 holds these bytes.
+constexpr std::string_view NOISE = "\xff\xfe\xff\xfe";
+constexpr int SPOILT_EVENT = 3;
+constexpr Milliseconds ENDLESS_PAUSE { 5 };
+constexpr std::size_t ENDLESS_BYTES = 250000;
+constexpr std::size_t ENDLESS_EVENT_BYTES = 4000;
+
 auto chunk(const std::string &bytes) -> std::string
 {
     return absl::StrCat(absl::Hex(bytes.size()), "\r\n", bytes, "\r\n");
@@ -69,14 +77,31 @@
     return runs_;
 }
 
+auto CaseEngine::runTimes() const -> const std::vector<BootTime> &
+{
+    return runTimes_;
+}
+
 auto CaseEngine::lastWorkAt() const -> BootTime
 {
     return lastWorkAt_;
 }
 
-auto CaseEngine::setPlainDelay(Milliseconds delay) -> void
+auto CaseEngine::spoilStreams(int every) -> void
+{
+    spoilEvery_ = every;
+    streams_ = 0;
+}
+
+auto CaseEngine::sendEndlessStreams(int every) -> void
+{
+    endlessEvery_ = every;
+    streams_ = 0;
+}
+
+auto CaseEngine::spoilt() const -> const std::vector<std::string> &
 {
-    plainDelay_ = delay;
+    return spoilt_;
 }
 
 auto CaseEngine::note(const std::string &line) -> void
@@ -130,12 +155,13 @@
     ++running_;
     ++runs_[connection->requestId];
     lastWorkAt_ = BootClock::now();
+    runTimes_.push_back(lastWorkAt_);
     const std::string last(head.headers.valueOf("Last-Event-Id"));
     note(absl::StrCat("runs ", connection->requestId, last.empty() ? "" : " after event ", last));
     const std::string common
         = absl::StrCat("Request-Id: ", connection->requestId, "\r\nServer-Stamp: ", name_, ".", connection->requestId, "\r\n");
     if (head.headers.find("Token-Count") == nullptr) {
-        connection->timer = loop_.at(BootClock::now() + plainDelay_, [this, connection, common] {
+        connection->timer = loop_.at(BootClock::now() + PLAIN_DELAY, [this, connection, common] {
             const std::string body = "answer to " + connection->requestId;
             connection->channel->send(absl::StrCat("HTTP/1.1 200 OK\r\n", common, "Content-Length: ", body.size(), "\r\n\r\n", body));
             end(connection, "answers");
@@ -143,11 +169,37 @@
         });
         return;
     }
+    connection->isSpoilt = spoilEvery_ > 0 && streams_ % spoilEvery_ == 0;
+    connection->isEndless = endlessEvery_ > 0 && streams_ % endlessEvery_ == 0;
+    ++streams_;
+    if (connection->isSpoilt || connection->isEndless) {
+        spoilt_.push_back(connection->requestId);
+        note((connection->isSpoilt ? "spoils an event of " : "sends without end for ") + connection->requestId);
+    }
     int after = 0;
     static_cast<void>(absl::SimpleAtoi(last, &after));
     connection->channel->send(
         absl::StrCat("HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n", common, "Transfer-Encoding: chunked\r\n\r\n"));
-    sendFrom(connection, after + 1);
+    if (connection->isEndless) {
+        sendWithoutEnd(connection, after + 1);
+    } else {
+        sendFrom(connection, after + 1);
+    }
+}
+
+auto CaseEngine::sendWithoutEnd(const std::shared_ptr<Connection> &connection, std::int64_t number) -> void
+{
+    connection->timer = loop_.at(BootClock::now() + ENDLESS_PAUSE, [this, connection, number] {
+        std::int64_t next = number;
+        if (connection->channel->queuedBytes() < ENDLESS_BYTES) {
+            std::string events;
+            for (; events.size() < ENDLESS_BYTES; ++next) {
+                absl::StrAppend(&events, "id: ", next, "\ndata: ", std::string(ENDLESS_EVENT_BYTES, 'x'), "\n\n");
+            }
+            connection->channel->send(chunk(events));
+        }
+        sendWithoutEnd(connection, next);
+    });
 }
 
 auto CaseEngine::sendFrom(const std::shared_ptr<Connection> &connection, int number) -> void
@@ -157,7 +209,11 @@
         int next = number;
         const int stop = shape_.eventPause.count() == 0 ? shape_.events + 1 : std::min(number + 1, shape_.events + 1);
         for (; next < stop; ++next) {
-            absl::StrAppend(&events, "id: ", next, "\ndata: ", dataOf(connection->requestId, next), "\n\n");
+            std::string data = dataOf(connection->requestId, next);
+            if (connection->isSpoilt && next == SPOILT_EVENT) {
+                data.replace(data.size() / 2, NOISE.size(), NOISE);
+            }
+            absl::StrAppend(&events, "id: ", next, "\ndata: ", data, "\n\n");
         }
         connection->channel->send(events.empty() ? std::string() : chunk(events));
         if (next <= shape_.events) {
--- a/review/Support-2/CaseEngine.h
+++ b/review/Support-2/CaseEngine.h
@@ -37,10 +37,18 @@
     [[nodiscard]] auto runningCount() const -> std::size_t;
     /// Runs that have begun, by request.
     [[nodiscard]] auto runs() const -> const std::map<std::string, int> &;
+    /// When each run began.
+    [[nodiscard]] auto runTimes() const -> const std::vector<BootTime> &;
     /// When the last run began or ended.
     [[nodiscard]] auto lastWorkAt() const -> BootTime;
-    /// Requests without tokens are answered after this time.
-    auto setPlainDelay(Milliseconds delay) -> void;
+    /// Makes the server faulty: each "every"th of its streams, the first one included, has bytes that are no text in the middle of
+    /// the data of one event. 0: none.
+    auto spoilStreams(int every) -> void;
+    /// Makes the server faulty: each "every"th of its streams, the first one included, goes on without end, at 50 MB a second,
+    /// until the caller closes the connection. 0: none.
+    auto sendEndlessStreams(int every) -> void;
+    /// The requests whose streams were spoilt or had no end.
+    [[nodiscard]] auto spoilt() const -> const std::vector<std::string> &;
 
 private:
     struct Connection
@@ -49,6 +57,8 @@
         MessageReader reader { MessageReader::Kind::Request, { 65536, 8U << 20U } };
         std::string requestId;
         bool isRunning = false;
+        bool isSpoilt = false;
+        bool isEndless = false;
         Timer timer;
     };
 
@@ -56,6 +66,7 @@
     auto take(const std::shared_ptr<Connection> &connection) -> void;
     auto run(const std::shared_ptr<Connection> &connection, const MessageHead &head) -> void;
     auto sendFrom(const std::shared_ptr<Connection> &connection, int number) -> void;
+    auto sendWithoutEnd(const std::shared_ptr<Connection> &connection, std::int64_t number) -> void;
     auto end(const std::shared_ptr<Connection> &connection, const char *how) -> void;
     [[nodiscard]] auto dataOf(const std::string &requestId, int number) const -> std::string;
     auto note(const std::string &line) -> void;
@@ -65,9 +76,13 @@
     const Shape shape_;
     CaseRecord *record_;
     std::unique_ptr<Listener> listener_;
-    Milliseconds plainDelay_ { 5 };
     std::size_t running_ = 0;
+    int spoilEvery_ = 0;
+    int endlessEvery_ = 0;
+    int streams_ = 0;
+    std::vector<std::string> spoilt_;
     std::map<std::string, int> runs_;
+    std::vector<BootTime> runTimes_;
     BootTime lastWorkAt_;
 };
 
--- a/review/Support-2/CaseFleet.cpp
+++ b/review/Support-2/CaseFleet.cpp
@@ -4,7 +4,10 @@
 #include "Support/FreePort.h"
 
 #include <absl/strings/escaping.h>
+#include <absl/strings/match.h>
+#include <absl/strings/numbers.h>
 #include <absl/strings/str_cat.h>
+#include <absl/strings/str_split.h>
 
 #include <csignal>
 #include <cstdlib>
@@ -115,7 +118,7 @@
     return engines_.size() - 1;
 }
 
-auto CaseFleet::configure(const std::string &routes) -> void
+auto CaseFleet::configure(const std::string &routes, const std::string &allotment) -> void
 {
     ++version_;
     store_.put("config",
@@ -126,7 +129,9 @@
                             routes,
                             R"(,"services":[{"name":"models","healthPath":"/health","maxConnections":300}],)",
                             R"("limits":{"maxHeaderBytes":16384,"maxBodyBytes":4194304,"headerTimeoutMs":5000,"idleTimeoutMs":20000},)",
-                            R"("tenants":[{"name":"weavers","apiKeys":["key1"]},{"name":"dyers","apiKeys":["key2"]}]})"));
+                            R"("tenants":[{"name":"weavers","apiKeys":["key1"]},{"name":"dyers","apiKeys":["key2"])",
+                            allotment,
+                            "}]}"));
     record_.write(absl::StrCat("operator writes config version ", version_, ": ", routes));
 }
 
@@ -172,14 +177,18 @@
     return true;
 }
 
-auto CaseFleet::call(std::size_t daemon, HttpCall call, Milliseconds time, const std::string &key) -> std::optional<HttpResult>
+auto CaseFleet::send(std::size_t daemon, HttpCall call, Milliseconds time, const std::string &key, HttpClient::Handler handler) -> void
 {
     call.headers.set("Host", "shop.example");
     call.headers.set("Authorization", "Bearer " + key);
     call.headers.set("Connection", "close");
+    client_.call(daemons_[daemon].callersAddress, call, BootClock::now() + time, std::move(handler));
+}
+
+auto CaseFleet::call(std::size_t daemon, HttpCall call, Milliseconds time, const std::string &key) -> std::optional<HttpResult>
+{
     auto outcome = std::make_shared<std::optional<HttpCallOutcome>>();
-    client_.call(
-        daemons_[daemon].callersAddress, call, BootClock::now() + time, [outcome](const HttpCallOutcome &result) { *outcome = result; });
+    send(daemon, std::move(call), time, key, [outcome](const HttpCallOutcome &result) { *outcome = result; });
     runUntil([&outcome] { return outcome->has_value(); }, time + Milliseconds(500));
     const auto *result = *outcome ? std::get_if<HttpResult>(&**outcome) : nullptr;
     return result == nullptr ? std::nullopt : std::optional(*result);
@@ -240,6 +249,23 @@
     return page;
 }
 
+auto CaseFleet::residentKb(std::size_t daemon) const -> std::uint64_t
+{
+    if (daemons_[daemon].process == nullptr) {
+        return 0;
+    }
+    std::ifstream stream(absl::StrCat("/proc/", daemons_[daemon].process->pid(), "/status"));
+    std::string line;
+    while (std::getline(stream, line)) {
+        if (absl::StartsWith(line, "VmRSS:")) {
+            const std::vector<std::string> words = absl::StrSplit(line, absl::ByAnyChar(" \t"), absl::SkipEmpty());
+            std::uint64_t size = 0;
+            return words.size() > 1 && absl::SimpleAtoi(words[1], &size) ? size : 0;
+        }
+    }
+    return 0;
+}
+
 auto CaseFleet::loop() -> EventLoop &
 {
     return loop_;
--- a/review/Support-2/CaseFleet.h
+++ b/review/Support-2/CaseFleet.h
@@ -56,7 +56,8 @@
     auto stopDaemon(std::size_t daemon) -> bool;
     auto addEngine(const std::string &zone, CaseEngine::Shape shape, bool isRecorded = true) -> std::size_t;
     /// Writes a configuration with the given routes (a JSON array) and the teams "weavers" (key1) and "dyers" (key2).
-    auto configure(const std::string &routes) -> void;
+    /// "allotment": further fields of the team "dyers", each after a comma.
+    auto configure(const std::string &routes, const std::string &allotment = {}) -> void;
 
     /// Runs the loop for a time, or until the condition holds; returns whether it holds.
     auto runFor(Milliseconds time) -> void;
@@ -66,11 +67,15 @@
 
     /// One call of a client on a connection of its own, with a key; unset when there is no answer.
     auto call(std::size_t daemon, HttpCall call, Milliseconds time, const std::string &key = "key1") -> std::optional<HttpResult>;
+    /// As call(), without waiting for the answer.
+    auto send(std::size_t daemon, HttpCall call, Milliseconds time, const std::string &key, HttpClient::Handler handler) -> void;
     /// Submits a job of items "ID-0", "ID-1", ... Returns the status, 0 without an answer.
     auto submit(std::size_t daemon, const std::string &job, int items, std::size_t bodyBytes) -> int;
     /// Reads results from a position; unset unless the answer is 200.
     auto read(std::size_t daemon, const std::string &job, std::size_t from) -> std::optional<ResultPage>;
 
+    /// The resident memory of a daemon's process; 0 without one.
+    [[nodiscard]] auto residentKb(std::size_t daemon) const -> std::uint64_t;
     [[nodiscard]] auto loop() -> EventLoop &;
     [[nodiscard]] auto store() -> CaseStore &;
     [[nodiscard]] auto daemons() -> std::vector<Daemon> &;
--- a/review/Support-2/CaseStore.cpp
+++ b/review/Support-2/CaseStore.cpp
@@ -8,6 +8,8 @@
 #include <absl/strings/str_split.h>
 #include <absl/strings/strip.h>
 
+#include <utility>
+
 namespace poplardock::review {
 
 namespace {
@@ -30,6 +32,28 @@
     return found != query.end() && absl::SimpleAtoi(found->second, &number) ? number : 0;
 }
 
+auto isUtf8(std::string_view text) -> bool
+{
+    for (std::size_t position = 0; position < text.size();) {
+        const auto first = static_cast<unsigned char>(text[position]);
+        const std::size_t size = first < 0x80                    ? 1
+                                 : first >= 0xc2 && first < 0xe0 ? 2
+                                 : first >= 0xe0 && first < 0xf0 ? 3
+                                 : first >= 0xf0 && first < 0xf5 ? 4
+                                                                 : 0;
+        if (size == 0 || position + size > text.size()) {
+            return false;
+        }
+        for (std::size_t next = position + 1; next < position + size; ++next) {
+            if ((static_cast<unsigned char>(text[next]) & 0xc0U) != 0x80U) {
+                return false;
+            }
+        }
+        position += size;
+    }
+    return true;
+}
+
 /// Result logs are never watched, so their changes need not be kept.
 auto isWatched(const std::string &kind) -> bool
 {
@@ -53,6 +77,16 @@
     return server_->address();
 }
 
+auto CaseStore::setDown(bool isDown) -> void
+{
+    isDown_ = isDown;
+    if (isDown) {
+        for (const Watch &each : std::exchange(watches_, {})) {
+            each.exchange->breakOff();
+        }
+    }
+}
+
 auto CaseStore::exists(const std::string &kind, const std::string &name) const -> bool
 {
     const auto found = objects_.find(kind);
@@ -101,6 +135,10 @@
 
 auto CaseStore::handle(const std::shared_ptr<CallerExchange> &exchange) -> void
 {
+    if (isDown_) {
+        exchange->breakOff();
+        return;
+    }
     const std::pair<std::string, std::string> target = absl::StrSplit(exchange->head().target, absl::MaxSplits('?', 1));
     Query query;
     for (const absl::string_view pair : absl::StrSplit(target.second, '&', absl::SkipEmpty())) {
@@ -133,7 +171,8 @@
         objects_[kind].erase(words[1]);
         return { 200, {}, "{}" };
     }
-    const auto members = JsonText::members(body);
+    // JSON is text in UTF-8.
+    const auto members = isUtf8(body) ? JsonText::members(body) : absl::InvalidArgumentError("no JSON");
     const auto metadata = members.ok() ? JsonText::members(members->at("metadata")) : members;
     if (!metadata.ok()) {
         return { 400, {}, "{}" };
--- a/review/Support-2/CaseStore.h
+++ b/review/Support-2/CaseStore.h
@@ -20,6 +20,8 @@
     [[nodiscard]] auto address() const -> std::string;
     /// Creates or replaces an object, as the operator and the servers do.
     auto put(const std::string &kind, const std::string &name, const std::string &spec) -> void;
+    /// While it is down, the store resets all calls and does nothing.
+    auto setDown(bool isDown) -> void;
     /// Empty when there is none.
     [[nodiscard]] auto specOf(const std::string &kind, const std::string &name) const -> std::string;
 
@@ -60,6 +62,7 @@
     std::vector<Change> history_;
     std::vector<Watch> watches_;
     std::uint64_t revision_ = 1;
+    bool isDown_ = false;
 };
 
 } // namespace poplardock::review
