--- a/review/Support-2/CaseFleet.cpp
+++ b/review/Support-2/CaseFleet.cpp
@@ -1,7 +1,7 @@
 #include "CaseFleet.h"
 
+#include "../../Tests/Support/FreePort.h"
 #include "Process/Json.h"
-#include "Support/FreePort.h"
 
 #include <absl/strings/escaping.h>
 #include <absl/strings/match.h>
--- a/review/Support-2/CaseFleet.h
+++ b/review/Support-2/CaseFleet.h
@@ -1,9 +1,9 @@
 #pragma once
 
+#include "../../Tests/Support/ChildProcess.h"
 #include "CaseEngine.h"
 #include "CaseStore.h"
 #include "Connection/HttpClient.h"
-#include "Support/ChildProcess.h"
 
 #include <memory>
 #include <optional>
