Refuse JSON whose values would take far more memory than its text

One entry of another writer among the servers, 1,040,003 bytes of legal size, took every daemon of 260 MB over its memory, again after each start.

Cause: the parser bounds the nesting and not the number of values. An empty object of three bytes takes 871 bytes (100,000 of them: 85 MB, measured with a program of ten lines); the entry holds 347,000. Each list parses it, and the feed hands it on.

Change: Json::parseObject(), through which all parsing goes, estimates the memory from brackets, quotes and commas and refuses more than 32 MiB before anything is built. The largest configuration (1 MiB) and submission (4 MiB) stay below. An unusable entry is logged once for its version.

--- a/Source/Process/Json.cpp
+++ b/Source/Process/Json.cpp
@@ -11,6 +11,13 @@
 namespace {
 
 constexpr std::size_t MAX_NESTING_DEPTH = 64;
+/// Memory of Poco's values with their shares of the containers that hold them, on a 64-bit machine.
+constexpr std::uint64_t OBJECT_BYTES = 900;
+constexpr std::uint64_t ARRAY_BYTES = 160;
+constexpr std::uint64_t MEMBER_BYTES = 160;
+constexpr std::uint64_t ELEMENT_BYTES = 80;
+/// The text of strings stands in the parser's buffer and in the values.
+constexpr std::uint64_t TEXT_COPIES = 2;
 
 auto typeMismatch(const std::string &key, const char *expected) -> absl::Status
 {
@@ -24,8 +31,34 @@
 
 } // namespace
 
+auto parsedBytes(std::string_view text) -> std::uint64_t
+{
+    std::uint64_t bytes = 0;
+    std::uint64_t textBytes = 0;
+    bool isInString = false;
+    for (std::size_t position = 0; position < text.size(); ++position) {
+        const char next = text[position];
+        if (isInString) {
+            ++textBytes;
+            position += next == '\\' ? 1 : 0;
+            isInString = next != '"';
+            continue;
+        }
+        isInString = next == '"';
+        bytes += next == '{'   ? OBJECT_BYTES
+                 : next == '[' ? ARRAY_BYTES
+                 : next == ':' ? MEMBER_BYTES
+                 : next == ',' ? ELEMENT_BYTES
+                               : 0;
+    }
+    return bytes + TEXT_COPIES * textBytes;
+}
+
 auto parseObject(const std::string &text) -> absl::StatusOr<JsonObject::Ptr>
 {
+    if (const std::uint64_t bytes = parsedBytes(text); bytes > MAXIMUM_PARSED_BYTES) {
+        return absl::InvalidArgumentError(absl::StrCat("the values of the JSON text would take ", bytes, " bytes of memory"));
+    }
     try {
         Poco::JSON::Parser parser;
         parser.setDepth(MAX_NESTING_DEPTH);
--- a/Source/Process/Json.h
+++ b/Source/Process/Json.h
@@ -7,6 +7,7 @@
 
 #include <cstdint>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace poplardock {
@@ -18,7 +19,16 @@
 /// malformed input as InvalidArgument, naming the key and the expected type; they do not throw.
 namespace Json {
 
-/// Parses text whose top level is an object. Nesting deeper than 64 levels is an error.
+/// Most bytes that the values of one parsed text may take. Small values take far more memory than text: an empty object, three
+/// bytes with its comma, takes almost a thousand. The largest configuration that the store accepts stays below.
+constexpr std::uint64_t MAXIMUM_PARSED_BYTES = 32U << 20U;
+
+/// An upper estimate of the memory that parseObject() takes for the text, in bytes. Reads brackets, quotes and commas only, so it
+/// also holds for malformed text.
+auto parsedBytes(std::string_view text) -> std::uint64_t;
+
+/// Parses text whose top level is an object. Nesting deeper than 64 levels and text whose values would take more than
+/// MAXIMUM_PARSED_BYTES are errors; nothing is built for the latter.
 auto parseObject(const std::string &text) -> absl::StatusOr<JsonObject::Ptr>;
 auto toText(const JsonObject &object) -> std::string;
 auto toText(const JsonArray &array) -> std::string;
--- a/Source/Process/Load/UpstreamFollower.cpp
+++ b/Source/Process/Load/UpstreamFollower.cpp
@@ -176,7 +176,9 @@
     removals_.erase(object.name);
     auto upstream = dialect_.decodeUpstream(object);
     if (!upstream.ok()) {
-        EventLog::write("upstream_entry_unusable", { { "entry", object.name }, { "reason", upstream.status().message() } });
+        if (isNewVersion) {
+            EventLog::write("upstream_entry_unusable", { { "entry", object.name }, { "reason", upstream.status().message() } });
+        }
         directory_.remove(object.name);
         return;
     }
--- a/Tests/Connection/FrontDaemonTest.cpp
+++ b/Tests/Connection/FrontDaemonTest.cpp
@@ -486,6 +486,10 @@
         return text;
     };
     constexpr std::size_t DEPTH = 100000;
+    std::string manyObjects;
+    while (manyObjects.size() < 1000000U) {
+        manyObjects.append("{},");
+    }
     const std::vector<std::string> specs {
         entry("zone", R"("\udcff")"),
         entry("x", "\"\xff\xfe\""),
@@ -494,6 +498,7 @@
         entry("slots", "99999999999"),
         entry("x", std::string(DEPTH, '[') + std::string(DEPTH, ']')),
         entry("x", "\n\"\n\""),
+        entry("zone", "[" + manyObjects + "{}]"),
         FakeEngine::entryAt("127.0.0.1:99999", "ready"),
         FakeEngine::entryAt("127.0.0.1:-1", "ready"),
         FakeEngine::entryAt("nowhere:80", "ready"),
--- a/Tests/Platform/StoreFormatTest.cpp
+++ b/Tests/Platform/StoreFormatTest.cpp
@@ -212,6 +212,21 @@
     }
 }
 
+// Guards against an entry of another writer that is kept and passed on at its whole size, beside those of servers.
+BOOST_AUTO_TEST_CASE(LargeEntriesOfServersAreNotKept)
+{
+    const std::string large = R"({"metadata":{"name":"a","revision":4},"spec":{"zone":")" + std::string(1U << 20U, 'z') + R"("}})";
+    const auto list = decodeList("servers", R"({"items":[)" + large + R"(],"hasMore":false,"at":7})");
+    BOOST_REQUIRE(list.ok());
+    BOOST_REQUIRE(list->objects.size() == 1U);
+    BOOST_TEST(list->objects[0].name == "a");
+    BOOST_TEST(list->objects[0].spec.capacity() < 100U);
+    BOOST_TEST(!decodeUpstream(list->objects[0]).ok());
+    const auto payloads = decodeList("payloads", R"({"items":[)" + large + R"(],"hasMore":false,"at":7})");
+    BOOST_REQUIRE(payloads.ok());
+    BOOST_TEST(payloads->objects[0].spec.size() > 1U << 20U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace poplardock::platform
