Bound and charge the text of a running item

Two of four servers answer one item in 40 with events that never end, at 50 MB/s; processes of 260 MB end over their memory three times on two machines within 20 s.

Cause: only the connection's bound of 64 MB limits the text of an item, and the text is not charged to the account of held bytes. Collected answers are charged but never refused, so eight answers of 900 kB pass a bound of 4 MB.

Change: the output tokens of an item bound its text (1 KiB a token and 64 KiB, at most 900,000 bytes). More is no answer: the events are discarded, the upstream counts as failed, the item runs again after a growing pause. Texts and collected answers are charged before they grow; without room the item gives its text up and the request ends with 502. A handover carries 8 MiB of texts.

--- a/Source/Connection/CallerExchange.cpp
+++ b/Source/Connection/CallerExchange.cpp
@@ -114,9 +114,9 @@
     return session == nullptr ? 0 : session->queuedBytes();
 }
 
-auto CallerExchange::setCollectedBytes(std::size_t bytes) -> void
+auto CallerExchange::tryCollect(std::size_t bytes) -> bool
 {
-    answerCharge_.set(bytes);
+    return answerCharge_.trySet(bytes, BootClock::now());
 }
 
 auto CallerExchange::setGoneHandler(std::function<void()> onGone) -> void
--- a/Source/Connection/CallerExchange.h
+++ b/Source/Connection/CallerExchange.h
@@ -44,8 +44,9 @@
     /// Bytes of the answer that the caller's connection has not taken yet.
     [[nodiscard]] auto queuedBytes() const -> std::size_t;
 
-    /// Charges bytes of the answer that are collected before they are sent.
-    auto setCollectedBytes(std::size_t bytes) -> void;
+    /// Charges bytes of the answer that are collected before they are sent. Returns false, with the charge as it was, when the
+    /// account of held bytes has no room.
+    [[nodiscard]] auto tryCollect(std::size_t bytes) -> bool;
 
     /// Called once if the caller closes its connection before the answer is complete.
     auto setGoneHandler(std::function<void()> onGone) -> void;
--- a/Source/Connection/OnlineRun.cpp
+++ b/Source/Connection/OnlineRun.cpp
@@ -125,8 +125,7 @@
         self->takeHead(head);
     };
     handlers.onBody = [self](std::string_view bytes) {
-        self->result_.body.append(bytes);
-        self->order_.caller->setCollectedBytes(self->result_.body.capacity());
+        self->takeBody(bytes);
     };
     handlers.onEvent = [self](const StreamEvent &event) {
         self->takeEvent(event);
@@ -179,6 +178,24 @@
     }
 }
 
+auto OnlineRun::takeBody(std::string_view bytes) -> void
+{
+    std::string &body = result_.body;
+    const std::size_t needed = body.size() + bytes.size();
+    if (needed > body.capacity()) {
+        const std::size_t wanted = std::max(needed, 2 * body.capacity());
+        if (!order_.caller->tryCollect(wanted)) {
+            if (!isOver_) {
+                parts_.metrics.count("answers_without_memory");
+                giveUp(ResultCode::UpstreamLost, "no memory for the answer");
+            }
+            return;
+        }
+        body.reserve(wanted);
+    }
+    body.append(bytes);
+}
+
 auto OnlineRun::takeEvent(const StreamEvent &event) -> void
 {
     if (event.id && hasEvents_ && *event.id <= lastEventId_) {
--- a/Source/Connection/OnlineRun.h
+++ b/Source/Connection/OnlineRun.h
@@ -52,6 +52,7 @@
     auto startRun(const UpstreamView &view, const OnlineChoice &choice) -> void;
     auto makeRoomAt(const std::string &upstream) -> void;
     auto takeHead(const MessageHead &head) -> void;
+    auto takeBody(std::string_view bytes) -> void;
     auto takeEvent(const StreamEvent &event) -> void;
     /// Ends the attempt, whose upstream does not go on where the caller's stream broke off.
     auto refuseHole(std::int64_t eventId) -> void;
--- a/Source/Process/Batch/JobRegistry.cpp
+++ b/Source/Process/Batch/JobRegistry.cpp
@@ -23,7 +23,7 @@
 {
     std::uint64_t bytes = 0;
     for (const ItemProgress &item : job.items()) {
-        bytes += ITEM_BYTES + item.item.body.capacity();
+        bytes += ITEM_BYTES + item.item.body.capacity() + item.text.capacity();
     }
     for (const JobResult &result : job.committed()) {
         bytes += result.text.capacity();
@@ -113,6 +113,30 @@
     return bytes;
 }
 
+auto JobRegistry::tryReserveText(const std::string &id, ItemProgress &item, std::size_t bytes) -> bool
+{
+    const auto found = entries_.find(id);
+    const std::size_t held = item.text.capacity();
+    if (found == entries_.end() || bytes <= held) {
+        return true;
+    }
+    const std::size_t wanted = std::max(bytes, 2 * held);
+    HeldBytes::Charge &charge = found->second->charge;
+    if (!charge.trySet(charge.bytes() + wanted - held, BootClock::now())) {
+        return false;
+    }
+    item.text.reserve(wanted);
+    return true;
+}
+
+auto JobRegistry::updateCharge(const std::string &id) -> void
+{
+    const auto found = entries_.find(id);
+    if (found != entries_.end()) {
+        found->second->charge.set(bytesOf(found->second->job));
+    }
+}
+
 auto JobRegistry::forEach(const std::function<void(const std::string &id, OwnedJob &job)> &visit) -> void
 {
     for (const auto &[id, entry] : entries_) {
--- a/Source/Process/Batch/JobRegistry.h
+++ b/Source/Process/Batch/JobRegistry.h
@@ -28,6 +28,11 @@
     [[nodiscard]] auto size() const -> std::size_t;
     /// Bytes that the jobs take, a part of the account of held bytes.
     [[nodiscard]] auto heldBytes() const -> std::uint64_t;
+    /// Makes room for that many bytes of the text of an item of an owned job, and charges it. Returns false, with the text as it
+    /// was, when the account of held bytes has no room.
+    [[nodiscard]] auto tryReserveText(const std::string &id, ItemProgress &item, std::size_t bytes) -> bool;
+    /// Charges what a job takes now. Call after a text has been discarded; the functions that change results do so themselves.
+    auto updateCharge(const std::string &id) -> void;
     /// Calls "visit" for each owned job; it must neither add nor drop one.
     auto forEach(const std::function<void(const std::string &id, OwnedJob &job)> &visit) -> void;
     /// The handler is called when a commit finds an unknown entry in the result log: one of another owner, or one that
--- a/Source/Process/Batch/JobRunner.cpp
+++ b/Source/Process/Batch/JobRunner.cpp
@@ -1,6 +1,7 @@
 #include "Process/Batch/JobRunner.h"
 
 #include "Process/EventLog.h"
+#include "Request/TextBound.h"
 
 #include <algorithm>
 
@@ -30,6 +31,12 @@
 /// An item that has less than this fraction of its expected duration left is late in any case.
 constexpr double FEASIBLE_FRACTION = 0.6;
 
+/// "losses": attempts in a row, this one included, that brought the item no further.
+auto backoffAfterLoss(int losses) -> Milliseconds
+{
+    return FAILURE_BACKOFF * (1 << std::clamp(losses - 1, 0, MAXIMUM_BACKOFF_DOUBLINGS));
+}
+
 } // namespace
 
 JobRunner::JobRunner(FrontParts &context, JobRegistry &registry)
@@ -229,8 +236,8 @@
     order.work = Work::Batch;
     order.isStream = true;
     order.needsEventIds = true;
-    order.subject = { crashFingerprint(record.team, item->item.path, item->item.body),
-                      context_.dialect.requestTerms(order.call.headers).sharedParts };
+    const RequestTerms terms = context_.dialect.requestTerms(order.call.headers);
+    order.subject = { crashFingerprint(record.team, item->item.path, item->item.body), terms.sharedParts };
     RunHandlers handlers;
     handlers.onHead = [this, key = waiting.key](const MessageHead &head) {
         const auto active = active_.find(key);
@@ -262,6 +269,7 @@
     active.dueAt = record.dueAt;
     active.initialEventCount = item->eventCount;
     active.lastEventId = item->lastEventId;
+    active.maximumTextBytes = maximumTextBytes(terms.outputTokens > 0 ? terms.outputTokens : item->item.tokens);
     const auto attempt = active.attempt;
     active_[waiting.key] = std::move(active);
     attempt->start();
@@ -285,10 +293,19 @@
     if (item->lastEventId && event.id != expectedId) {
         // The events of successive attempts must join without a gap; otherwise the item restarts from its first event.
         EventLog::write("item_event_out_of_order", { { "item", key.item }, { "event", event.id.value_or(-1) }, { "due", expectedId } });
-        item->lastEventId.reset();
-        item->text.clear();
-        item->eventCount = 0;
-        requeue(key, FAILURE_BACKOFF, "event out of order");
+        restart(key, *item, "event out of order");
+        return;
+    }
+    const std::size_t textBytes = item->text.size() + event.data.size() + (item->eventCount > 0 ? 1 : 0);
+    if (textBytes > active->second.maximumTextBytes) {
+        context_.metrics.count("items_oversized");
+        context_.directory.recordFailure(active->second.attempt->upstream(), BootClock::now());
+        restart(key, *item, "the answer is longer than the item allows");
+        return;
+    }
+    if (!registry_.tryReserveText(key.job, *item, textBytes)) {
+        context_.metrics.count("items_without_memory");
+        restart(key, *item, "no memory for the answer");
         return;
     }
     item->text.append(item->eventCount > 0 ? "\n" : "").append(event.data);
@@ -297,6 +314,13 @@
     active->second.lastEventId = event.id;
 }
 
+auto JobRunner::restart(const ItemKey &key, ItemProgress &item, const char *reason) -> void
+{
+    item.discardAnswer();
+    registry_.updateCharge(key.job);
+    requeue(key, backoffAfterLoss(++item.losses), reason);
+}
+
 auto JobRunner::onAttemptEnd(const ItemKey &key, RunEnd end) -> void
 {
     const auto active = active_.find(key);
@@ -318,7 +342,7 @@
     if (end != RunEnd::Complete) {
         // The next attempt resumes after the last event.
         item->losses = active->second.attempt->hasFirst() ? 0 : item->losses + 1;
-        requeue(key, FAILURE_BACKOFF * (1 << std::clamp(item->losses - 1, 0, MAXIMUM_BACKOFF_DOUBLINGS)), "lost");
+        requeue(key, backoffAfterLoss(item->losses), "lost");
         return;
     }
     const ServingVersionPointer version = context_.version();
--- a/Source/Process/Batch/JobRunner.h
+++ b/Source/Process/Batch/JobRunner.h
@@ -55,6 +55,8 @@
         int initialEventCount = 0;
         /// The last event that the attempt was asked to go on after, or that it has brought.
         std::optional<std::int64_t> lastEventId;
+        /// Most bytes of the item's text; an upstream that sends more has not answered the request.
+        std::size_t maximumTextBytes = 0;
         HttpResult response;
     };
     struct WaitingItem
@@ -78,6 +80,8 @@
     auto startItems(const std::vector<const WaitingItem *> &waiting, BootTime now) -> void;
     auto startItem(const WaitingItem &waiting, const std::string &upstream) -> void;
     auto onEvent(const ItemKey &key, const StreamEvent &event) -> void;
+    /// Discards what the item has of its answer, which then restarts from its first event, and puts the item back.
+    auto restart(const ItemKey &key, ItemProgress &item, const char *reason) -> void;
     auto onAttemptEnd(const ItemKey &key, RunEnd end) -> void;
     /// Aborts the attempt of an item, which waits for at least "backoff" before the next one.
     auto requeue(const ItemKey &key, Milliseconds backoff, const char *reason) -> void;
--- a/Source/Process/Batch/OwnedJob.cpp
+++ b/Source/Process/Batch/OwnedJob.cpp
@@ -7,6 +7,20 @@
 
 namespace poplardock {
 
+namespace {
+
+/// Most bytes of texts that are handed to the next owner. An item beyond them runs again from its first event.
+constexpr std::size_t MAXIMUM_PROGRESS_BYTES = 8U << 20U;
+
+} // namespace
+
+auto ItemProgress::discardAnswer() -> void
+{
+    lastEventId.reset();
+    std::string().swap(text);
+    eventCount = 0;
+}
+
 OwnedJob::OwnedJob(JobRecord record, std::vector<JobItem> items, const JobRepository::ResultLog &log)
     : record_(std::move(record))
     , ownedSince_(BootClock::now())
@@ -84,7 +98,7 @@
     }
     item.phase = ItemPhase::Finished;
     uncommitted_.push_back({ item.item.id, isCompleted, isCompleted ? std::move(item.text) : std::string() });
-    item.text.clear();
+    std::string().swap(item.text);
 }
 
 auto OwnedJob::uncommitted() const -> const std::vector<JobResult> &
@@ -101,8 +115,8 @@
 {
     if (ItemProgress *item = findItem(result.itemId)) {
         item->phase = ItemPhase::Committed;
-        item->text.clear();
-        item->item.body.clear();
+        std::string().swap(item->text);
+        std::string().swap(item->item.body);
     }
     committed_.push_back(result);
 }
@@ -119,6 +133,12 @@
 auto OwnedJob::progressText() const -> std::string
 {
     JsonArray::Ptr entries = new JsonArray;
+    std::size_t bytes = 0;
+    const auto hasRoomFor = [&bytes](const std::string &text) {
+        const bool fits = bytes + text.size() <= MAXIMUM_PROGRESS_BYTES;
+        bytes += fits ? text.size() : 0;
+        return fits;
+    };
     const auto add = [&entries](const std::string &id, const std::string &text) {
         JsonObject::Ptr entry = new JsonObject;
         entry->set("id", id);
@@ -128,15 +148,19 @@
     };
     for (const ItemProgress &item : items_) {
         if (item.phase == ItemPhase::Waiting && (item.lastEventId || item.failures > 0)) {
-            JsonObject::Ptr entry = add(item.item.id, item.text);
-            entry->set("events", item.eventCount);
+            const bool isWhole = hasRoomFor(item.text);
+            JsonObject::Ptr entry = add(item.item.id, isWhole ? item.text : std::string());
+            entry->set("events", isWhole ? item.eventCount : 0);
             entry->set("failures", item.failures);
-            if (item.lastEventId) {
+            if (item.lastEventId && isWhole) {
                 entry->set("last_event", *item.lastEventId);
             }
         }
     }
     for (const JobResult &result : uncommitted_) {
+        if (!hasRoomFor(result.text)) {
+            continue;
+        }
         add(result.itemId, result.text)->set("completed", result.isCompleted);
     }
     JsonObject object;
--- a/Source/Process/Batch/OwnedJob.h
+++ b/Source/Process/Batch/OwnedJob.h
@@ -29,11 +29,13 @@
     int eventCount = 0;
     /// Responses with a server error.
     int failures = 0;
-    /// Attempts in a row that broke off before their first event.
+    /// Attempts in a row that broke off before their first event, or whose events had to be discarded.
     int losses = 0;
     /// Earliest time of the next attempt.
     BootTime notBefore;
 
+    /// Forgets the events received, and frees their memory: the next attempt starts from the first event.
+    auto discardAnswer() -> void;
     auto operator==(const ItemProgress &) const -> bool = default;
 };
 
@@ -79,7 +81,8 @@
     /// items that have a result in it are dropped.
     auto replaceResultLog(const JobRepository::ResultLog &log) -> void;
 
-    /// Serializes the progress of items that have begun or finished but are not committed, as JSON, for the next owner.
+    /// Serializes the progress of items that have begun or finished but are not committed, as JSON, for the next owner. Texts are
+    /// left out beyond 8 MiB in all; their items start again there.
     [[nodiscard]] auto progressText() const -> std::string;
     /// Applies the progressText() of the previous owner. Errors: InvalidArgument; the items before the malformed entry
     /// have been applied then.
--- a/Source/Process/Json.cpp
+++ b/Source/Process/Json.cpp
@@ -45,11 +45,7 @@
             continue;
         }
         isInString = next == '"';
-        bytes += next == '{'   ? OBJECT_BYTES
-                 : next == '[' ? ARRAY_BYTES
-                 : next == ':' ? MEMBER_BYTES
-                 : next == ',' ? ELEMENT_BYTES
-                               : 0;
+        bytes += next == '{' ? OBJECT_BYTES : next == '[' ? ARRAY_BYTES : next == ':' ? MEMBER_BYTES : next == ',' ? ELEMENT_BYTES : 0;
     }
     return bytes + TEXT_COPIES * textBytes;
 }
--- a/Tests/Connection/EndlessAnswerTest.cpp
+++ b/Tests/Connection/EndlessAnswerTest.cpp
@@ -1,6 +1,7 @@
 #include "Support/EndlessServer.h"
 #include "Support/PlatformFleet.h"
 
+#include <absl/strings/numbers.h>
 #include <absl/strings/str_cat.h>
 #include <boost/test/unit_test.hpp>
 
@@ -20,6 +21,19 @@
     std::string piece;
 };
 
+/// A figure of a daemon's metrics.
+auto metricOf(PlatformFleet &fleet, const std::string &name) -> std::int64_t
+{
+    const auto result = fleet.callAddress(fleet.daemons[0]->operatorsAddress(), { "GET", "/metrics", {}, {} });
+    BOOST_REQUIRE(result.has_value());
+    const std::size_t position = result->body.find("\n" + name + " ");
+    BOOST_REQUIRE(position != std::string::npos);
+    std::int64_t value = 0;
+    const std::size_t begin = position + name.size() + 2;
+    BOOST_REQUIRE(absl::SimpleAtoi(result->body.substr(begin, result->body.find('\n', begin) - begin), &value));
+    return value;
+}
+
 auto repeated(const std::string &text, std::size_t bytes) -> std::string
 {
     std::string result;
@@ -115,6 +129,85 @@
     BOOST_TEST(server.connectionCount() >= 1);
 }
 
+// Guards against an item whose stream has no end and fills the memory of its daemon: only the connection's bound of 64 MB held.
+BOOST_AUTO_TEST_CASE(AnItemWhoseAnswerNeverEndsIsRunAgain)
+{
+    PlatformFleet fleet(1, 1);
+    fleet.runFor(Milliseconds(1600));
+    FakeEngine &engine = *fleet.engines[0];
+    const FakeEngine::Behaviour sound = engine.behaviour();
+    engine.behaviour().events = 1 << 30;
+    engine.behaviour().eventPause = Milliseconds(1);
+    engine.behaviour().eventPadding = std::string(16384, 'x');
+    BOOST_TEST(fleet.call(0, PlatformFleet::submission("job", 1, "key1"))->status == 202);
+    BOOST_REQUIRE(fleet.runUntil([&engine] { return !engine.runs().empty() && engine.runs().front().isCut; }, Milliseconds(2000)));
+    // The item names 35 output tokens.
+    BOOST_TEST(static_cast<std::size_t>(engine.runs().front().sent) * engine.behaviour().eventPadding.size() < 1U << 20U);
+    engine.behaviour() = sound;
+    std::vector<JobResult> results;
+    BOOST_TEST(fleet.runUntil(
+        [&fleet, &results] {
+            results = fleet.results(0, "job", "key1");
+            return !results.empty();
+        },
+        Milliseconds(5000)));
+    BOOST_REQUIRE(results.size() == 1U);
+    BOOST_TEST(results[0].isCompleted);
+    BOOST_TEST(results[0].text == FakeEngine::dataOf("job-0", sound.events));
+}
+
+// Guards against texts that grow beside the account of held bytes: many running items of sound length could fill the memory.
+BOOST_AUTO_TEST_CASE(TheTextOfARunningItemIsCharged)
+{
+    constexpr std::int64_t EVENT_BYTES = 4096;
+    constexpr std::int64_t ITEMS = 4;
+    PlatformFleet fleet(1, 1);
+    fleet.runFor(Milliseconds(1600));
+    FakeEngine &engine = *fleet.engines[0];
+    engine.behaviour().events = 20;
+    engine.behaviour().eventPause = Milliseconds(100);
+    engine.behaviour().eventPadding = std::string(EVENT_BYTES, 'x');
+    BOOST_TEST(fleet.call(0, PlatformFleet::submission("job", ITEMS, "key1"))->status == 202);
+    const std::int64_t before = metricOf(fleet, "poplardock_held_bytes");
+    BOOST_REQUIRE(fleet.runUntil(
+        [&engine] {
+            const auto runs = engine.runs();
+            return runs.size() >= ITEMS && runs[ITEMS - 1].sent >= 10;
+        },
+        Milliseconds(5000)));
+    BOOST_TEST(metricOf(fleet, "poplardock_held_bytes") >= before + 9 * ITEMS * EVENT_BYTES);
+}
+
+// Guards against answers of legal size that fill the memory together while they are collected.
+BOOST_AUTO_TEST_CASE(CollectedAnswersStayWithinTheMemory)
+{
+    constexpr int REQUESTS = 8;
+    PlatformFleet fleet(0, 1);
+    fleet.adjustSettings = [](FrontSettings &settings) {
+        settings.memoryBytes = 8U << 20U;
+    };
+    fleet.startDaemon("daemon0");
+    fleet.awaitReady();
+    FakeEngine &engine = *fleet.engines[0];
+    engine.behaviour().unfinishedBodyBytes = 900000;
+    for (int index = 0; index < REQUESTS; ++index) {
+        fleet.post(0, PlatformFleet::request("/once/x", absl::StrCat("r", index), "key1"));
+    }
+    const std::int64_t bound = metricOf(fleet, "poplardock_held_bytes_bound");
+    std::int64_t most = 0;
+    for (int round = 0; round < 20; ++round) {
+        fleet.runFor(Milliseconds(20));
+        most = std::max(most, metricOf(fleet, "poplardock_held_bytes"));
+    }
+    BOOST_TEST(engine.runs().size() == REQUESTS);
+    BOOST_TEST(most <= bound);
+    BOOST_TEST(most > bound / 4);
+    // The others are served again when the room is free.
+    engine.behaviour().unfinishedBodyBytes = 0;
+    fleet.runFor(Milliseconds(1200));
+    BOOST_TEST(fleet.call(0, PlatformFleet::request("/once/x", "last", "key1"))->status == 200);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace poplardock
--- a/Tests/Fakes/FakeEngine.cpp
+++ b/Tests/Fakes/FakeEngine.cpp
@@ -253,6 +253,11 @@
     const std::string body = absl::StrCat("answer to ", connection->run->body.substr(0, ECHOED_BYTES));
     const std::string head
         = absl::StrCat("HTTP/1.1 ", behaviour_.status, " Status\r\n", commonHeaders(idOf(connection->run->head)), stateHeaders());
+    if (behaviour_.unfinishedBodyBytes > 0) {
+        connection->channel->send(absl::StrCat(
+            head, "Content-Length: ", behaviour_.unfinishedBodyBytes + 1, "\r\n\r\n", std::string(behaviour_.unfinishedBodyBytes, 'x')));
+        return;
+    }
     connection->run->isComplete = true;
     connection->run = nullptr;
     if (behaviour_.omitsLength) {
@@ -324,7 +329,9 @@
             loop_.post([connection] { connection->channel->abort(); });
             return;
         }
-        connection->channel->send(framed(eventOf(idOf(connection->run->head), number)));
+        std::string event = eventOf(idOf(connection->run->head), number);
+        event.insert(event.size() - 2, behaviour_.eventPadding);
+        connection->channel->send(framed(event));
         ++connection->run->sent;
         sendEvent(connection, number + 1);
     });
--- a/Tests/Fakes/FakeEngine.h
+++ b/Tests/Fakes/FakeEngine.h
@@ -46,8 +46,12 @@
         std::string resumedBody;
         /// Bytes before each event and before the end of a sound stream.
         std::string comment;
+        /// Follows the data of each event of a sound stream.
+        std::string eventPadding;
         /// Answers have neither a length nor chunks and end with the connection.
         bool omitsLength = false;
+        /// Bytes of a plain answer's body after which nothing more comes, although its length is larger; 0 for a sound one.
+        std::size_t unfinishedBodyBytes = 0;
         /// Requests are read and never answered.
         bool isSilent = false;
         /// Status of all answers.
--- a/Tests/Process/OwnedJobTest.cpp
+++ b/Tests/Process/OwnedJobTest.cpp
@@ -98,6 +98,28 @@
     BOOST_TEST(!jobRecordFrom({ "jobs", "x", 1, {}, "{}" }).ok());
 }
 
+// Guards against a handover that takes several times the memory of all texts of a large job at both daemons.
+BOOST_AUTO_TEST_CASE(AHandoverLeavesOutWhatIsTooLarge)
+{
+    constexpr std::size_t TEXT_BYTES = 5U << 20U;
+    OwnedJob former = makeJob();
+    for (const char *id : { "a", "b" }) {
+        ItemProgress &item = *former.findItem(id);
+        item.text = std::string(TEXT_BYTES, 'x');
+        item.lastEventId = 7;
+        item.eventCount = 8;
+        item.failures = 1;
+    }
+    OwnedJob next = makeJob();
+    BOOST_TEST(next.applyProgress(former.progressText()).ok());
+    BOOST_TEST(next.findItem("a")->text.size() == TEXT_BYTES);
+    BOOST_TEST(next.findItem("a")->lastEventId.value_or(0) == 7);
+    BOOST_TEST(next.findItem("b")->text.empty());
+    BOOST_TEST(!next.findItem("b")->lastEventId.has_value());
+    BOOST_TEST(next.findItem("b")->eventCount == 0);
+    BOOST_TEST(next.findItem("b")->failures == 1);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace poplardock
