Do not take a fleet that has not been learned for a fleet of one

Cause: four, of which the first hide the others. Lists of the members that failed count like those that came, so that the next one waits 15 s; a daemon that knows of nobody is "not isolated" and acts as the home of every team; its share is then the whole allowance; and members that were listed and never heard count as gone after 3 s.

Change: MembershipState tells "not learned" from "out of touch" and "in touch". A daemon has learned when a list came that was sent after its own record was in the store, or when it has heard another daemon long enough. Until then it admits nothing of limited teams, has no full view, and confirms no cancellation as heard by all. Unheard members count for the allowances for 15 s, like silent ones. Failed lists are repeated after 0.3 to 1.2 s, spread over the fleet. A relay settles anew when it learns of the others.

The fixture of AllowanceTableTest lists the members now for daemons that have run for a while, as daemons do; its checks are unchanged.

--- a/Source/Connection/JobService.cpp
+++ b/Source/Connection/JobService.cpp
@@ -439,7 +439,7 @@
 auto JobService::checkUnconfirmed() -> void
 {
     const BootTime now = BootClock::now();
-    const bool isAlone = !parts_.peers.hasOtherRelay(now) && !parts_.peers.isIsolated(now);
+    const bool isAlone = !parts_.peers.hasOtherRelay(now) && parts_.peers.membership(now) == MembershipState::InTouch;
     const std::vector<UnconfirmedCancellation> unconfirmed = std::move(unconfirmed_);
     unconfirmed_.clear();
     for (const UnconfirmedCancellation &each : unconfirmed) {
--- a/Source/Process/FrontDaemon.cpp
+++ b/Source/Process/FrontDaemon.cpp
@@ -505,7 +505,7 @@
     if (const auto lostSince = store_.lostSince()) {
         upstreams_.recordStoreLost(*lostSince, now);
     }
-    const bool isAlone = peers_.isIsolated(now);
+    const bool isAlone = peers_.membership(now) == MembershipState::OutOfTouch;
     if (wasPaused || (isAlone && !wasAlone_)) {
         EventLog::write("ownership_doubted", { { "paused", wasPaused }, { "alone", isAlone } });
         adoption_.verifyOwnership();
--- a/Source/Process/Load/AllowanceTable.cpp
+++ b/Source/Process/Load/AllowanceTable.cpp
@@ -21,6 +21,8 @@
 /// A reachable home responds within a few milliseconds. Waiting longer for an unreachable one would use up too much of
 /// the request's latency target.
 constexpr Milliseconds HOME_RESPONSE_TIMEOUT { 40 };
+/// Retry hint of a daemon that has not learned of the others; the records of the others come soon after the store is back.
+constexpr Milliseconds NOT_LEARNED_RETRY_AFTER { 500 };
 
 } // namespace
 
@@ -56,12 +58,18 @@
 
 auto AllowanceTable::isHome(const std::string &homeName, BootTime now) const -> bool
 {
-    return homeName == ownName_ && !peers_.isIsolated(now) && peers_.daemonCount(now) > peers_.presumedCount(now);
+    return homeName == ownName_ && peers_.membership(now) == MembershipState::InTouch
+           && peers_.daemonCount(now) > peers_.presumedCount(now);
 }
 
 auto AllowanceTable::tryAcquire(const Team &team, Handler handler) -> void
 {
     const BootTime now = BootClock::now();
+    if (team.ratePerSecond > 0 && peers_.membership(now) == MembershipState::NotLearned) {
+        // Any number of daemons may be in the same state, so no share of the allowance is safe.
+        handler(NOT_LEARNED_RETRY_AFTER);
+        return;
+    }
     const std::optional<Milliseconds> fallbackDecision = tryAcquireFrom(shares_, team, false, now);
     if (team.ratePerSecond <= 0) {
         handler(std::nullopt);
--- a/Source/Process/Peers/PeerDirectory.cpp
+++ b/Source/Process/Peers/PeerDirectory.cpp
@@ -30,6 +30,8 @@
 constexpr Milliseconds FIRST_RELAY_SILENCE { 400 };
 /// A data centre from which nothing is heard for this time counts as gone with all its daemons.
 constexpr Milliseconds GROUP_SILENCE { 6000 };
+/// Time in which a daemon that runs is heard by one that knows its address.
+constexpr Milliseconds HEARING_TIME { 2500 };
 /// Age of an echoed report up to which a daemon knows itself heard; below the liveness timeout by the time that the
 /// loss takes at least to spread.
 constexpr Milliseconds HEARD_TIME { 1200 };
@@ -101,6 +103,15 @@
     }
 }
 
+auto PeerDirectory::recordMembersListed(BootTime now) -> void
+{
+    if (!membersListedAt_) {
+        membersListedAt_ = now;
+        // The daemons that have just been found begin to report here only now.
+        settledAt_ = std::max(settledAt_, now + settlingTime());
+    }
+}
+
 auto PeerDirectory::isNewer(std::map<std::string, Sender> &senders,
                             const std::string &name,
                             const std::string &incarnation,
@@ -134,6 +145,7 @@
     if (isNew) {
         peer.addedAt = seenAt;
     }
+    firstHeardAt_ = firstHeardAt_.value_or(seenAt);
     if (isNew || before.dataCentre != dataCentre) {
         peer.relayScore = relayScoreOf(entry.name, dataCentre);
     }
@@ -297,16 +309,20 @@
 
 auto PeerDirectory::recordOwnReport(const DaemonReport &report, BootTime now) -> void
 {
-    // A daemon that has passed this one over reports to it only now and then.
-    const auto settlingTime = static_cast<std::int64_t>(PROBE_REPORTS + 1) * reportPeriod();
-    if (now - lastOwnReportAt_ > settlingTime) {
-        settledAt_ = now + settlingTime;
+    if (now - lastOwnReportAt_ > settlingTime()) {
+        settledAt_ = now + settlingTime();
     }
     lastOwnReportAt_ = now;
     ownHasStoreContact_ = report.hasStoreContact;
     load_.recordOwnReport(report, now);
 }
 
+auto PeerDirectory::settlingTime() const -> Milliseconds
+{
+    // A daemon that has passed this one over reports to it only now and then.
+    return static_cast<std::int64_t>(PROBE_REPORTS + 1) * reportPeriod();
+}
+
 auto PeerDirectory::addAnnouncements(const std::vector<JobOwner> &jobs, Source source, BootTime now) -> void
 {
     for (const JobOwner &each : jobs) {
@@ -502,6 +518,11 @@
     return !peer.isUnlisted && peer.incarnation.empty() && now - peer.addedAt < PRESUMED_ALIVE;
 }
 
+auto PeerDirectory::mayRunUnheard(const Peer &peer, BootTime now) -> bool
+{
+    return !peer.isUnlisted && peer.incarnation.empty() && now - peer.addedAt < FleetLoad::DEMAND_RETENTION;
+}
+
 auto PeerDirectory::isPassedOver(const std::string &name, BootTime now) const -> bool
 {
     const auto state = relayStates_.find(name);
@@ -770,8 +791,27 @@
     return isAlive(peer, now) && !peer.isDraining && peer.hasStoreContact;
 }
 
+auto PeerDirectory::learnedAt(BootTime now) const -> std::optional<BootTime>
+{
+    if (membersListedAt_ || !firstHeardAt_) {
+        return membersListedAt_;
+    }
+    // What the first daemon that is heard knows of the others arrives with the next reports and summaries.
+    const BootTime learnedAt = *firstHeardAt_ + settlingTime();
+    return now >= learnedAt ? std::optional(learnedAt) : std::nullopt;
+}
+
+auto PeerDirectory::isUnheardGone(BootTime now) const -> bool
+{
+    const auto since = learnedAt(now);
+    return since && now - *since > (hasFullView(now) ? HEARING_TIME : GROUP_SILENCE);
+}
+
 auto PeerDirectory::hasFullView(BootTime now) const -> bool
 {
+    if (!learnedAt(now)) {
+        return false;
+    }
     std::set<std::string> heard;
     std::set<std::string> known;
     for (const auto &[name, peer] : peers_) {
@@ -895,7 +935,7 @@
 auto PeerDirectory::presumedCount(BootTime now) const -> int
 {
     return static_cast<int>(
-        std::count_if(peers_.begin(), peers_.end(), [now](const auto &each) { return isPresumedAlive(each.second, now); }));
+        std::count_if(peers_.begin(), peers_.end(), [now](const auto &each) { return mayRunUnheard(each.second, now); }));
 }
 
 auto PeerDirectory::aliveFraction(BootTime now) const -> double
@@ -959,21 +999,24 @@
     if (allowanceHomes_.size() > MAXIMUM_CACHED_HOMES) {
         allowanceHomes_.clear();
     }
-    std::string home = selectHome(team, [this, now](const Peer &peer) { return countsForDemand(peer, now) || isPresumedAlive(peer, now); });
+    std::string home = selectHome(team, [this, now](const Peer &peer) { return countsForDemand(peer, now) || mayRunUnheard(peer, now); });
     allowanceHomes_[team] = { home, now + HOME_CACHE_TIME };
     return home;
 }
 
-auto PeerDirectory::isIsolated(BootTime now) const -> bool
+auto PeerDirectory::membership(BootTime now) const -> MembershipState
 {
+    if (!learnedAt(now)) {
+        return MembershipState::NotLearned;
+    }
     bool hasPeers = false;
     for (const auto &[name, peer] : peers_) {
         if (isAlive(peer, now)) {
-            return false;
+            return MembershipState::InTouch;
         }
-        hasPeers = hasPeers || !peer.incarnation.empty();
+        hasPeers = hasPeers || !peer.incarnation.empty() || mayRunUnheard(peer, now);
     }
-    return hasPeers;
+    return hasPeers ? MembershipState::OutOfTouch : MembershipState::InTouch;
 }
 
 auto PeerDirectory::storeWatcher(BootTime now) const -> std::string
--- a/Source/Process/Peers/PeerDirectory.h
+++ b/Source/Process/Peers/PeerDirectory.h
@@ -35,6 +35,18 @@
     auto operator==(const Peer &) const -> bool = default;
 };
 
+/// What a daemon knows of whether there are others.
+enum class MembershipState
+{
+    /// Nothing since its start: neither the records in the store nor another daemon have told it who the others are. It must not
+    /// act as if it were the only one.
+    NotLearned,
+    /// It knows of others that may be running, and hears none of them.
+    OutOfTouch,
+    /// It hears others, or has learned that there are none that may be running.
+    InTouch,
+};
+
 /// The other daemons: from their records in the store, from the reports that this daemon receives as a relay, and from
 /// the rosters of the data centres.
 ///
@@ -61,6 +73,9 @@
     /// Adds a daemon that has a record in the store. The address, data centre and capacity are used until a relay has heard
     /// the daemon.
     auto addMember(const std::string &name, const std::string &address, const std::string &dataCentre, int capacity, BootTime now) -> void;
+    /// All records in the store at a moment when this daemon's own was there have been added. The first such call is when this
+    /// daemon learns who the others are.
+    auto recordMembersListed(BootTime now) -> void;
     /// Applies a report to this daemon as a relay unless a newer one of the same incarnation has been applied, or it is
     /// this daemon's own. Returns whether it was applied.
     auto handleReport(const DaemonReport &report, const std::string &address, BootTime now) -> bool;
@@ -137,8 +152,12 @@
     [[nodiscard]] auto isGone(const Peer &peer, BootTime now) const -> bool;
     /// Whether the peer is alive, in contact with the store and not draining.
     [[nodiscard]] auto mayTakeWork(const Peer &peer, BootTime now) const -> bool;
-    /// Whether this daemon hears of all data centres, so that a daemon that it does not know is unknown to all.
+    /// Whether this daemon hears of all data centres, so that a daemon that it does not know is unknown to all. False while it has
+    /// not learned who the others are.
     [[nodiscard]] auto hasFullView(BootTime now) const -> bool;
+    /// Whether a daemon that this one has never heard counts as gone. It must have had time to be heard since this daemon learned
+    /// of the others; if data centres are silent, as much as a data centre that has been heard is given.
+    [[nodiscard]] auto isUnheardGone(BootTime now) const -> bool;
     /// Whether all relays of this daemon's data centre have recently heard it. Until their liveness timeout after the report
     /// that they echoed, no other daemon can find it gone.
     [[nodiscard]] auto isHeard(BootTime now) const -> bool;
@@ -162,8 +181,8 @@
     [[nodiscard]] auto reportSentAt(std::uint64_t sequence) const -> std::optional<BootTime>;
     /// Number of daemons whose demand counts, including this one.
     [[nodiscard]] auto daemonCount(BootTime now) const -> int;
-    /// Number of daemons that were found in the store a short time ago and have not been heard yet: most of the fleet, right
-    /// after the start of this daemon.
+    /// Number of daemons that were found in the store and have not been heard yet, but may be admitting requests: most of the fleet,
+    /// right after the start of this daemon.
     [[nodiscard]] auto presumedCount(BootTime now) const -> int;
     /// Names of the daemons that are alive, or presumed to be, and not about to stop, and this one's.
     [[nodiscard]] auto aliveDaemons(BootTime now) const -> std::vector<std::string>;
@@ -192,12 +211,11 @@
     /// Forgets announcements and senders that are too old to matter.
     auto removeExpired(BootTime now) -> void;
 
-    /// The daemon that holds a team's bucket, selected from all daemons whose demand counts or that are presumed to be alive, so
-    /// that daemons that start together select the same one. A daemon that was not seen for
-    /// a short time keeps its buckets, since it may still be granting tokens.
+    /// The daemon that holds a team's bucket, selected from all daemons whose demand counts or that may be admitting requests unheard,
+    /// so that daemons that start together select the same one. A daemon that was not seen for a short time keeps its buckets,
+    /// since it may still be granting tokens.
     [[nodiscard]] auto allowanceHomeOf(const std::string &team, BootTime now) const -> std::string;
-    /// Whether other daemons are known but none is alive.
-    [[nodiscard]] auto isIsolated(BootTime now) const -> bool;
+    [[nodiscard]] auto membership(BootTime now) const -> MembershipState;
     /// The store watcher of this data centre, the daemon that watches the store for the others: its first relay, or the
     /// second one if the first has no contact with the store.
     [[nodiscard]] auto storeWatcher(BootTime now) const -> std::string;
@@ -304,6 +322,9 @@
     [[nodiscard]] auto mayRelay(const Peer &peer, BootTime now) const -> bool;
     /// Whether a daemon that was found in the store a short time ago, and has not been heard yet, counts as alive.
     [[nodiscard]] static auto isPresumedAlive(const Peer &peer, BootTime now) -> bool;
+    /// Whether a daemon that was found in the store, and has not been heard since, may be running out of reach. As long as one that
+    /// has been heard counts for the allowances.
+    [[nodiscard]] static auto mayRunUnheard(const Peer &peer, BootTime now) -> bool;
     [[nodiscard]] auto isPassedOver(const std::string &name, BootTime now) const -> bool;
     [[nodiscard]] auto rankRelays(const std::string &dataCentre, BootTime now) const -> std::vector<std::string>;
     /// The daemons that would be relays if all were alive, and one more of this data centre, another in each round.
@@ -312,6 +333,10 @@
     [[nodiscard]] auto selectHome(const std::string &key, const std::function<bool(const Peer &)> &isEligible) const -> std::string;
     /// Every how many summary periods a relay answers the daemons for which it is the second relay.
     [[nodiscard]] auto backupSummaryTicks() const -> int;
+    /// When this daemon learned who the others are, from the store or from them; unset until then.
+    [[nodiscard]] auto learnedAt(BootTime now) const -> std::optional<BootTime>;
+    /// Time in which a relay that has begun to report hears all daemons that report to it.
+    [[nodiscard]] auto settlingTime() const -> Milliseconds;
     [[nodiscard]] auto localCount() const -> std::int64_t;
     auto handleChange() -> void;
 
@@ -344,6 +369,10 @@
     /// As in the last own report.
     bool ownHasStoreContact_ = true;
     BootTime settledAt_;
+    /// When this daemon first had the records of all others; unset until then.
+    std::optional<BootTime> membersListedAt_;
+    /// When this daemon first heard another one; unset until then.
+    std::optional<BootTime> firstHeardAt_;
     mutable std::map<std::string, CachedHome> allowanceHomes_;
     mutable std::map<std::string, CachedRelays> relays_;
 };
--- a/Source/Process/Peers/PeerLink.cpp
+++ b/Source/Process/Peers/PeerLink.cpp
@@ -5,7 +5,7 @@
 
 #include <absl/strings/str_cat.h>
 
-#include <random>
+#include <algorithm>
 
 namespace poplardock {
 
@@ -22,6 +22,8 @@
 constexpr Milliseconds INITIAL_LIST_INTERVAL { 600 };
 constexpr Milliseconds LIST_INTERVAL { 15000 };
 constexpr int INITIAL_LISTINGS = 3;
+/// How often the interval doubles at most while lists fail.
+constexpr int MAXIMUM_LIST_DOUBLINGS = 1;
 /// Shortest time between two requests for the same roster; the answer takes a few milliseconds.
 constexpr Milliseconds ROSTER_REQUEST_INTERVAL { 40 };
 /// Reports that arrive within this time share one notification.
@@ -42,6 +44,7 @@
     , identity_(std::move(identity))
     , incarnation_(generateIncarnation())
     , handlers_(std::move(handlers))
+    , random_(std::random_device()())
 {
 }
 
@@ -63,7 +66,7 @@
 
 auto PeerLink::hasListedMembers() const -> bool
 {
-    return hasListedMembers_;
+    return listCount_ > 0;
 }
 
 auto PeerLink::stop() -> void
@@ -88,51 +91,97 @@
     record.name = identity_.name;
     record.spec = Json::toText(spec);
     store_.create(record, [this, record](const absl::StatusOr<StoredObject> &created) {
-        const absl::Status &status = created.status();
-        if (status.ok()) {
+        if (created.ok()) {
+            handleRegistered();
+        } else if (absl::IsAlreadyExists(created.status())) {
+            replaceRecord(record);
+        } else {
+            retryRegistration(created.status());
+        }
+    });
+}
+
+auto PeerLink::replaceRecord(const StoredObject &record) -> void
+{
+    store_.read(MEMBER_KIND, identity_.name, [this, record](const absl::StatusOr<StoredObject> &found) {
+        if (!found.ok()) {
+            retryRegistration(found.status());
             return;
         }
-        if (!absl::IsAlreadyExists(status)) {
-            registerTimer_ = loop_.at(BootClock::now() + REGISTRATION_RETRY_DELAY, [this] { registerSelf(); });
+        if (found->spec == record.spec) {
+            handleRegistered();
             return;
         }
-        // The record of an earlier start is replaced only if its address or data centre has changed.
-        store_.read(MEMBER_KIND, identity_.name, [this, record](const absl::StatusOr<StoredObject> &found) {
-            if (found.ok() && found->spec != record.spec) {
-                StoredObject changed = record;
-                changed.version = found->version;
-                store_.replace(changed, [](const absl::StatusOr<StoredObject> &result) {
-                    if (!result.ok()) {
-                        EventLog::write("member_record_failed", { { "reason", result.status().message() } });
-                    }
-                });
+        StoredObject changed = record;
+        changed.version = found->version;
+        store_.replace(changed, [this](const absl::StatusOr<StoredObject> &result) {
+            if (result.ok()) {
+                handleRegistered();
+            } else {
+                retryRegistration(result.status());
             }
         });
     });
 }
 
+auto PeerLink::retryRegistration(const absl::Status &status) -> void
+{
+    EventLog::write("member_record_failed", { { "reason", status.message() } });
+    registerTimer_ = loop_.at(BootClock::now() + REGISTRATION_RETRY_DELAY, [this] { registerSelf(); });
+}
+
+auto PeerLink::handleRegistered() -> void
+{
+    isRegistered_ = true;
+    listMembers();
+}
+
 auto PeerLink::listMembers() -> void
 {
-    store_.listAll(MEMBER_KIND, true, [this](const absl::StatusOr<StoreList> &list) {
+    listTimer_.cancel();
+    // Only the first list has to show what was written a moment ago.
+    const bool allowsStale = listCount_ > 0 || !isRegistered_;
+    const auto take = [this, isComplete = isRegistered_](const absl::StatusOr<StoreList> &list) {
         if (list.ok()) {
-            hasListedMembers_ = true;
-            for (const StoredObject &record : list->objects) {
-                const auto spec = Json::parseObject(record.spec);
-                const auto address = spec.ok() ? Json::requireString(**spec, ADDRESS_FIELD) : spec.status();
-                const auto dataCentre = spec.ok() ? Json::requireString(**spec, DATA_CENTRE_FIELD) : spec.status();
-                const auto capacity = spec.ok() ? Json::optionalInteger(**spec, CAPACITY_FIELD, 1) : spec.status();
-                const absl::Status status = !address.ok() ? address.status() : !dataCentre.ok() ? dataCentre.status() : capacity.status();
-                if (status.ok()) {
-                    directory_.addMember(record.name, *address, *dataCentre, static_cast<int>(*capacity), BootClock::now());
-                } else {
-                    EventLog::write("member_record_unreadable", { { "member", record.name }, { "reason", status.message() } });
-                }
+            failedLists_ = 0;
+            handleMembers(*list);
+            if (isComplete) {
+                ++listCount_;
+                directory_.recordMembersListed(BootClock::now());
             }
+        } else {
+            ++failedLists_;
         }
-        ++listingCount_;
-        const Milliseconds interval = listingCount_ <= INITIAL_LISTINGS ? INITIAL_LIST_INTERVAL : LIST_INTERVAL;
-        listTimer_ = loop_.at(BootClock::now() + interval, [this] { listMembers(); });
-    });
+        listTimer_ = loop_.at(BootClock::now() + nextListDelay(), [this] { listMembers(); });
+    };
+    store_.listAll(MEMBER_KIND, allowsStale, take);
+}
+
+auto PeerLink::handleMembers(const StoreList &list) -> void
+{
+    for (const StoredObject &record : list.objects) {
+        const auto spec = Json::parseObject(record.spec);
+        const auto address = spec.ok() ? Json::requireString(**spec, ADDRESS_FIELD) : spec.status();
+        const auto dataCentre = spec.ok() ? Json::requireString(**spec, DATA_CENTRE_FIELD) : spec.status();
+        const auto capacity = spec.ok() ? Json::optionalInteger(**spec, CAPACITY_FIELD, 1) : spec.status();
+        const absl::Status status = !address.ok() ? address.status() : !dataCentre.ok() ? dataCentre.status() : capacity.status();
+        if (status.ok()) {
+            directory_.addMember(record.name, *address, *dataCentre, static_cast<int>(*capacity), BootClock::now());
+        } else {
+            EventLog::write("member_record_unreadable", { { "member", record.name }, { "reason", status.message() } });
+        }
+    }
+}
+
+auto PeerLink::nextListDelay() -> Milliseconds
+{
+    if (listCount_ > 0) {
+        return listCount_ <= INITIAL_LISTINGS ? INITIAL_LIST_INTERVAL : LIST_INTERVAL;
+    }
+    // All daemons of a fleet may have started while the store was away.
+    std::uniform_real_distribution<double> jitter(0.5, 1.0);
+    const Milliseconds longest = INITIAL_LIST_INTERVAL * (1 << std::min(failedLists_, MAXIMUM_LIST_DOUBLINGS));
+    return std::chrono::duration_cast<Milliseconds>(longest * jitter(random_));
 }
 
 auto PeerLink::scheduleReport() -> void
--- a/Source/Process/Peers/PeerLink.h
+++ b/Source/Process/Peers/PeerLink.h
@@ -5,6 +5,7 @@
 #include "Process/Store/ObjectStore.h"
 
 #include <functional>
+#include <random>
 
 namespace poplardock {
 
@@ -44,7 +45,7 @@
 
     /// Opens the socket and registers this daemon in the store. Errors: as DatagramSocket::open().
     auto start() -> absl::Status;
-    /// Whether the records of the daemons have been read from the store at least once.
+    /// Whether the records of the daemons have been read from the store at least once since this daemon's own was there.
     [[nodiscard]] auto hasListedMembers() const -> bool;
     /// Stops sending and receiving.
     auto stop() -> void;
@@ -56,7 +57,14 @@
 
 private:
     auto registerSelf() -> void;
+    /// Writes the record again in place of the one of an earlier start if its address or data centre has changed.
+    auto replaceRecord(const StoredObject &record) -> void;
+    auto retryRegistration(const absl::Status &status) -> void;
+    /// The record is in the store: a list that is read from now on shows all daemons that cannot find this one there.
+    auto handleRegistered() -> void;
     auto listMembers() -> void;
+    auto handleMembers(const StoreList &list) -> void;
+    [[nodiscard]] auto nextListDelay() -> Milliseconds;
     auto scheduleReport() -> void;
     [[nodiscard]] auto makeReport() -> DaemonReport;
     auto sendDigest() -> void;
@@ -86,8 +94,11 @@
     std::map<std::string, BootTime> rostersRequestedAt_;
     /// The relays of the last report, for the log.
     std::vector<std::string> relays_;
-    int listingCount_ = 0;
-    bool hasListedMembers_ = false;
+    std::mt19937 random_;
+    /// Lists that came since this daemon's record was in the store, and those in a row that failed.
+    int listCount_ = 0;
+    int failedLists_ = 0;
+    bool isRegistered_ = false;
     bool isNotificationPending_ = false;
     Timer reportTimer_;
     Timer digestTimer_;
--- a/Tests/Connection/FrontDaemonTest.cpp
+++ b/Tests/Connection/FrontDaemonTest.cpp
@@ -632,6 +632,26 @@
     BOOST_TEST(fleet.runUntil([&fleet] { return fleet.daemons[0]->hasStopped(); }, Milliseconds(1000)));
 }
 
+// Guards against a list of the daemons that failed and counts like one that came: after a restart without the store nobody was
+// found for 15 s, and each daemon acted as the only one.
+BOOST_AUTO_TEST_CASE(DaemonsFindEachOtherSoonAfterTheStoreIsBack)
+{
+    PlatformFleet fleet(0, 1);
+    FakeObjectStore::Faults down;
+    down.refuseStatus = HttpStatus::UNAVAILABLE;
+    fleet.store.setFaults(down);
+    for (const char *name : { "daemon0", "daemon1", "daemon2" }) {
+        fleet.startDaemon(name);
+    }
+    fleet.runFor(Milliseconds(4000));
+    fleet.store.setFaults({});
+    const auto peersOf = [&fleet](std::size_t daemon) {
+        const auto result = fleet.callAddress(fleet.daemons[daemon]->operatorsAddress(), { "GET", "/metrics", {}, {} });
+        return result && absl::StrContains(result->body, "\npoplardock_peers 2\n");
+    };
+    BOOST_TEST(fleet.runUntil([&peersOf] { return peersOf(0) && peersOf(1) && peersOf(2); }, Milliseconds(3000)));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace poplardock
--- a/Tests/Process/PeerDirectoryTest.cpp
+++ b/Tests/Process/PeerDirectoryTest.cpp
@@ -675,6 +675,64 @@
     }
 }
 
+// Guards against a set of members that is empty because nothing was learned yet and is taken for a fleet of one, and against
+// members that are out of reach and are taken for gone.
+BOOST_AUTO_TEST_CASE(AnEmptySetOfMembersIsNoFleetOfOne)
+{
+    const auto at = [](int milliseconds) {
+        return NOW + Milliseconds(milliseconds);
+    };
+    PeerDirectory peers("a0", "a");
+    BOOST_TEST((peers.membership(at(60000)) == MembershipState::NotLearned));
+    BOOST_TEST(!peers.hasFullView(at(60000)));
+    BOOST_TEST(!peers.isUnheardGone(at(60000)));
+    peers.addMember("b0", "b0", "b", 1, at(0));
+    BOOST_TEST((peers.membership(at(0)) == MembershipState::NotLearned));
+    peers.recordMembersListed(at(0));
+    BOOST_TEST((peers.membership(at(1)) == MembershipState::OutOfTouch));
+    // Never heard: it may run out of reach as long as one that was heard, and then counts as gone.
+    BOOST_TEST((peers.membership(at(14000)) == MembershipState::OutOfTouch));
+    BOOST_TEST((peers.membership(at(16000)) == MembershipState::InTouch));
+    BOOST_TEST(peers.presumedCount(at(14000)) == 1);
+    BOOST_TEST(peers.presumedCount(at(16000)) == 0);
+    PeerDirectory alone("a0", "a");
+    alone.recordMembersListed(at(0));
+    BOOST_TEST((alone.membership(at(1)) == MembershipState::InTouch));
+}
+
+// Guards against a daemon that hears one other and takes it for all there are, before that one has told of the rest.
+BOOST_AUTO_TEST_CASE(TheFirstDaemonHeardIsNotTheWholeFleet)
+{
+    PeerDirectory peers("a0", "a");
+    DaemonReport report;
+    report.name = "a1";
+    report.dataCentre = "a";
+    report.incarnation = "i1";
+    report.sequence = 1;
+    report.capacity = 1;
+    BOOST_TEST(peers.handleReport(report, "a1", NOW));
+    BOOST_TEST((peers.membership(NOW + Milliseconds(50)) == MembershipState::NotLearned));
+    BOOST_TEST((peers.membership(NOW + Milliseconds(1000)) == MembershipState::InTouch));
+}
+
+// Guards against a data centre whose only daemon is lost for good and that keeps those which have never heard it from ever finding
+// it gone: its jobs were never taken over.
+BOOST_AUTO_TEST_CASE(ASilentDataCentreIsGoneAfterItsTime)
+{
+    PeerDirectory peers("a0", "a");
+    peers.addMember("b0", "b0", "b", 1, NOW);
+    peers.recordMembersListed(NOW);
+    BOOST_TEST(!peers.hasFullView(NOW + Milliseconds(7000)));
+    BOOST_TEST(!peers.isUnheardGone(NOW + Milliseconds(5000)));
+    BOOST_TEST(peers.isUnheardGone(NOW + Milliseconds(7000)));
+    // With a full view, the time in which a living daemon is heard is enough.
+    PeerDirectory local("a0", "a");
+    local.addMember("a1", "a1", "a", 1, NOW);
+    local.recordMembersListed(NOW);
+    BOOST_TEST(!local.isUnheardGone(NOW + Milliseconds(2000)));
+    BOOST_TEST(local.isUnheardGone(NOW + Milliseconds(3000)));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace poplardock
--- a/Tests/Support/DirectoryFleet.cpp
+++ b/Tests/Support/DirectoryFleet.cpp
@@ -25,6 +25,7 @@
         view.addMember(name, name, dataCentre, capacity, now_);
         views.at(name).addMember(other, other, reports[other].dataCentre, reports[other].capacity, now_);
     }
+    views.at(name).recordMembersListed(now_);
 }
 
 auto DirectoryFleet::restart(const std::string &name) -> void
@@ -36,6 +37,7 @@
     for (const auto &[other, view] : views) {
         views.at(name).addMember(other, other, reports[other].dataCentre, reports[other].capacity, now_);
     }
+    views.at(name).recordMembersListed(now_);
 }
 
 auto DirectoryFleet::now() const -> BootTime
