Take jobs over from an owner that was never heard and whose data centre is silent

Cause: needsTakeover() asks for a full view before it takes over from an owner that this daemon has never heard, and a data centre without a living daemon keeps the view from being full for ever, since the records of the daemons are never removed.

--- a/Source/Process/Batch/JobTakeover.cpp
+++ b/Source/Process/Batch/JobTakeover.cpp
@@ -415,7 +415,7 @@
     }
     const Peer *owner = context_.peers.find(record.owner);
     if (owner == nullptr || owner->incarnation.empty()) {
-        return now - startedAt_ > STARTUP_GRACE && context_.peers.hasFullView(now);
+        return now - startedAt_ > STARTUP_GRACE && context_.peers.isUnheardGone(now);
     }
     return owner->incarnation != record.ownerIncarnation || hasLeft(*owner, now);
 }
--- a/Tests/Connection/JobServiceTest.cpp
+++ b/Tests/Connection/JobServiceTest.cpp
@@ -736,6 +736,37 @@
     BOOST_TEST(results.front().isCompleted);
 }
 
+// Guards against jobs that nobody takes over because the only daemon of a data centre owned them, is lost for good, and was never
+// heard by those that are left, which were restarted at the same moment: 0 of 10 items were ever listed.
+BOOST_AUTO_TEST_CASE(JobsOfALostDataCentreAreTakenOverAfterARestart)
+{
+    PlatformFleet fleet(0, 2);
+    fleet.adjustSettings = [](FrontSettings &settings) {
+        settings.dataCentre = settings.name.substr(0, settings.name.find('.'));
+    };
+    const std::vector<std::string> names { "east-a.0", "east-a.1", "east-b.0" };
+    for (const std::string &name : names) {
+        fleet.startDaemon(name);
+    }
+    fleet.awaitReady();
+    fleet.runFor(Milliseconds(1000));
+    BOOST_TEST(fleet.call(2, PlatformFleet::submission("job", 10, "key1"))->status == 202);
+    for (std::size_t daemon : { std::size_t(2), std::size_t(0), std::size_t(1) }) {
+        fleet.killDaemon(daemon);
+    }
+    fleet.startDaemon(names[0]);
+    fleet.startDaemon(names[1]);
+    fleet.awaitReady();
+    std::vector<JobResult> results;
+    fleet.runUntil(
+        [&fleet, &results] {
+            results = fleet.results(3, "job", "key1");
+            return results.size() == 10U;
+        },
+        Milliseconds(15000));
+    BOOST_TEST(results.size() == 10U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace poplardock
