Take no success without an upstream's stamp for an answer

Cause: AnswerTerms::isFromUpstream was decoded and never used.

Change: a success without the stamp is no upstream's answer. A request that may be repeated goes elsewhere, another one ends with 502; items and streams run again.

--- a/Source/Connection/UpstreamRun.cpp
+++ b/Source/Connection/UpstreamRun.cpp
@@ -145,6 +145,10 @@
     if (terms_.isNotRun || terms_.isMisdirected) {
         return;
     }
+    if (HttpStatus::isSuccess(status_) && !terms_.isFromUpstream) {
+        endInvalid("no_stamp");
+        return;
+    }
     if (order_.needsEventIds && HttpStatus::isSuccess(status_) && !isEventStream(head)) {
         endInvalid("no_event_stream");
         return;
--- a/Source/Connection/WireDialect.h
+++ b/Source/Connection/WireDialect.h
@@ -63,6 +63,7 @@
     bool isNotRun = false;
     /// Another upstream has the address.
     bool isMisdirected = false;
+    /// The answer bears the mark of an upstream. A success without it is none of an upstream's.
     bool isFromUpstream = false;
     /// The upstream states that it leaves: it is to get no more requests.
     bool isLeaving = false;
