Decide in one place what is a whole answer

On the former code a 200 without a length whose server ended the connection in order during the upload reached the caller as a whole answer; status 600 and 999 were passed on; status 000 and 101 were awaited until the deadline.

Cause: an end in order completed a body without a length whatever was left of the request; any status of 200 and more was final, any smaller one informational.

Change: judgeAnswer() decides from the head, the framing, how the connection ended and whether the request was written whole. Status codes outside 100 to 599, and 101, are no answers. A channel whose write has failed does not end in order: the failed write may have taken the error that reading would report. serve uses the same range of status codes.

Sound before and tested now: a reset during the upload or after a body without a length, a body short of its length, chunks without their end, heads that stop in their middle.

Failed before: OddAnswerTest/WhatIsNoWholeAnswerIsAFailure on the cases named above. Measured: OddAnswerTest and AnswerVerdictTest pass.

--- a/Source/Connection/ClientChannel.cpp
+++ b/Source/Connection/ClientChannel.cpp
@@ -1,5 +1,7 @@
 #include "Connection/ClientChannel.h"
 
+#include "Request/AnswerVerdict.h"
+
 #include <absl/strings/str_cat.h>
 
 #include <algorithm>
@@ -139,14 +141,26 @@
         onIdleEnd_();
         return;
     }
-    // An answer without a length ends with its connection, but not with a reset.
-    if (end == ChannelEnd::Finished && reader_->state() == ReadState::Body && !isSkipping_) {
-        if (reader_->feedEof() == ReadState::Done) {
-            finish(ExchangeEnd::Closed);
-            return;
-        }
+    AnswerEnding ending;
+    ending.hasHead = reader_->state() == ReadState::Body && !isSkipping_;
+    if (ending.hasHead) {
+        ending.status = reader_->head().status;
+        ending.framing = reader_->needsEof() ? AnswerEnding::Framing::UntilClose : AnswerEnding::Framing::Delimited;
+        ending.connection = end == ChannelEnd::Finished ? AnswerEnding::Connection::Finished : AnswerEnding::Connection::Broken;
+        ending.isRequestSent = !channel_->hadUnsentBytes();
+    }
+    switch (judgeAnswer(ending)) {
+    case AnswerVerdict::Whole:
+    case AnswerVerdict::MayBeCut:
+        finish(ExchangeEnd::Closed);
+        return;
+    case AnswerVerdict::Lost:
+        finish(ExchangeEnd::Broken);
+        return;
+    case AnswerVerdict::NotAnAnswer:
+        finish(ExchangeEnd::Malformed);
+        return;
     }
-    finish(ExchangeEnd::Broken);
 }
 
 auto ClientChannel::advance() -> void
@@ -161,6 +175,10 @@
             return;
         }
         if (!hasHead_) {
+            if (!isAnswerStatus(reader_->head().status)) {
+                finish(ExchangeEnd::Malformed);
+                return;
+            }
             hasHead_ = true;
             isSkipping_ = reader_->head().status < FIRST_FINAL_STATUS || !handlers_.accepts(reader_->head());
             if (!isSkipping_) {
--- a/Source/Connection/Io/Channel.cpp
+++ b/Source/Connection/Io/Channel.cpp
@@ -144,7 +144,8 @@
         boost::system::error_code error;
         const std::size_t written = socket_->tcp.write_some(asio::buffer(bytes.data(), bytes.size()), error);
         if (error && error != asio::error::would_block) {
-            // Reading reports the error later, so that no handler is called from within send().
+            // Reading ends the channel later, so that no handler is called from within send().
+            hasWriteFailed_ = true;
             return;
         }
         bytes.remove_prefix(error ? 0 : written);
@@ -160,6 +161,11 @@
     return isOpen_ && (!queue_.empty() || unacknowledgedBytes() > 0);
 }
 
+auto Channel::hadUnsentBytes() const -> bool
+{
+    return hadUnsentBytes_;
+}
+
 auto Channel::queuedBytes() const -> std::size_t
 {
     return queue_.size();
@@ -288,7 +294,7 @@
             break;
         }
         if (error) {
-            end(error == asio::error::eof ? ChannelEnd::Finished : ChannelEnd::Broken);
+            end(error == asio::error::eof && !hasWriteFailed_ ? ChannelEnd::Finished : ChannelEnd::Broken);
             return;
         }
         count += size;
@@ -327,7 +333,6 @@
             self->queue_.erase(0, failure ? 0 : written);
         }
         if (failure && failure != asio::error::would_block) {
-            self->queue_.clear();
             self->end(ChannelEnd::Broken);
             return;
         }
@@ -349,6 +354,7 @@
 auto Channel::end(ChannelEnd how) -> void
 {
     const EndHandler handler = std::move(onEnd_);
+    hadUnsentBytes_ = !queue_.empty() || (how == ChannelEnd::Finished && unacknowledgedBytes() > 0);
     release(how == ChannelEnd::Broken);
     if (handler) {
         handler(how);
--- a/Source/Connection/Io/Channel.h
+++ b/Source/Connection/Io/Channel.h
@@ -74,6 +74,8 @@
     auto send(std::string_view bytes) -> void;
     /// Whether the peer has not acknowledged all bytes yet, while the socket is open, closing or not.
     [[nodiscard]] auto isSending() const -> bool;
+    /// Whether bytes were still queued, here or in the kernel, when the connection ended. For use in the end handler and after it.
+    [[nodiscard]] auto hadUnsentBytes() const -> bool;
     /// Bytes that the socket has not accepted yet.
     [[nodiscard]] auto queuedBytes() const -> std::size_t;
     /// Bytes of memory that the queue takes, spare capacity included.
@@ -114,6 +116,9 @@
     std::string queue_;
     bool isReading_ = false;
     bool isWriting_ = false;
+    /// A write failed, which may have taken the error that reading would report: its end is none in order.
+    bool hasWriteFailed_ = false;
+    bool hadUnsentBytes_ = false;
     bool isPaused_ = false;
     bool isClosing_ = false;
     bool awaitsDelivery_ = false;
--- a/Source/Connection/UpstreamCall.cpp
+++ b/Source/Connection/UpstreamCall.cpp
@@ -1,6 +1,7 @@
 #include "Connection/UpstreamCall.h"
 
 #include "Connection/BodyDecoder.h"
+#include "Request/AnswerVerdict.h"
 
 #include <Poco/JSON/Parser.h>
 #include <Poco/Net/HTTPRequest.h>
@@ -233,7 +234,7 @@
         for (const auto &[name, value] : head_) {
             answer_.head.headers[name] = value;
         }
-        if (answer_.head.status < 100 || answer_.head.status == 101) {
+        if (!isAnswerStatus(answer_.head.status)) {
             return invalid("the answer has no final status");
         }
         return std::nullopt;
