Believe in no more slots than an upstream has registered

Found by the review by reading: a server that spoils Server-Load makes a daemon believe in any number of slots until its next answer.

Cause: recordSlots() takes any positive figure.

Change: the figure of an answer counts up to the slots of the upstream's entry, where the entry names some.

Failed before: UpstreamDirectoryTest/AnAnswerNamesNoMoreSlotsThanAreRegistered. Measured: the test passes.

--- a/Source/Process/Load/UpstreamDirectory.cpp
+++ b/Source/Process/Load/UpstreamDirectory.cpp
@@ -44,6 +44,7 @@
 {
     Entry &entry = entries_[upstream.name];
     entry.upstream = upstream;
+    entry.registeredSlots = upstream.slots;
     entry.usableUntil.reset();
 }
 
@@ -244,9 +245,12 @@
 auto UpstreamDirectory::recordSlots(const std::string &name, int slots) -> void
 {
     const auto found = entries_.find(name);
-    if (found != entries_.end() && slots > 0) {
-        found->second.upstream.slots = slots;
+    if (found == entries_.end() || slots <= 0) {
+        return;
     }
+    Entry &entry = found->second;
+    // A spoilt figure must not make this daemon send far more than the upstream has registered slots for.
+    entry.upstream.slots = entry.registeredSlots > 0 ? std::min(slots, entry.registeredSlots) : slots;
 }
 
 auto UpstreamDirectory::recordSlowdown(const std::string &name, double slowdown, BootTime now) -> void
--- a/Source/Process/Load/UpstreamDirectory.h
+++ b/Source/Process/Load/UpstreamDirectory.h
@@ -105,6 +105,8 @@
     struct Entry
     {
         Upstream upstream;
+        /// As in its entry in the store; 0 if that names none.
+        int registeredSlots = 0;
         /// Set while the upstream is suspect.
         std::optional<BootTime> usableUntil;
         BootTime ejectedUntil;
--- a/Tests/Process/UpstreamDirectoryTest.cpp
+++ b/Tests/Process/UpstreamDirectoryTest.cpp
@@ -191,6 +191,23 @@
     BOOST_TEST(directory.mayBeUsed("a", remote.address, NOW));
 }
 
+// Guards against a spoilt figure that makes a daemon believe in any number of slots.
+BOOST_AUTO_TEST_CASE(AnAnswerNamesNoMoreSlotsThanAreRegistered)
+{
+    UpstreamDirectory directory = makeDirectory();
+    directory.recordSlots("a", 900000);
+    BOOST_TEST(directory.find("a")->slots == 8);
+    directory.recordSlots("a", 5);
+    BOOST_TEST(directory.find("a")->slots == 5);
+    directory.recordSlots("a", 8);
+    BOOST_TEST(directory.find("a")->slots == 8);
+    Upstream unstated = makeUpstream("b");
+    unstated.slots = 0;
+    directory.put(unstated);
+    directory.recordSlots("b", 12);
+    BOOST_TEST(directory.find("b")->slots == 12);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace poplardock
