Let no request end without an answer in a planned stop

A second request that was read behind the one under way was dropped when the daemon drained.

Cause: a connection with half a request stays open, and a whole request is passed on however little of the grace is left; at the end nothing answers what is under way. A session that drains closes after the answer with bytes of the next request unread.

Change: from the moment the listener closes, a request is passed on only if its deadline lies before the last answers; otherwise it gets 503 at once, as not run. 0.3 s before the end, requests without an answer get 502, which promises nothing. A request that was read behind another one is answered unless the answer before it said that the connection closes.

Failed before: PlannedStopTest, cases ALateRequestThatMayNotFitIsRefusedAsNotRun, AnUnfinishedRequestIsAnsweredAtTheEnd, APipelinedRequestIsAnsweredBeforeTheConnectionCloses.

--- a/Source/Connection/CallerExchange.cpp
+++ b/Source/Connection/CallerExchange.cpp
@@ -49,7 +49,7 @@
     isAnswered_ = true;
     onGone_ = nullptr;
     if (const auto session = session_.lock()) {
-        session->send(encodeResponse(result.status, result.headers, result.body, session->keepsConnection()));
+        session->send(encodeResponse(result.status, result.headers, result.body, session->announceKeeping()));
         session->finishExchange(true);
     }
 }
@@ -58,7 +58,7 @@
 {
     hasBegun_ = true;
     if (const auto session = session_.lock()) {
-        session->holdBack(absl::StrCat(encodeHead(status, headers, session->keepsConnection()), "Transfer-Encoding: chunked\r\n\r\n"));
+        session->holdBack(absl::StrCat(encodeHead(status, headers, session->announceKeeping()), "Transfer-Encoding: chunked\r\n\r\n"));
     }
 }
 
--- a/Source/Connection/CallerServer.cpp
+++ b/Source/Connection/CallerServer.cpp
@@ -184,6 +184,14 @@
     listener_ = nullptr;
 }
 
+auto CallerServer::answerUnfinished(const HttpResult &result) -> void
+{
+    const auto sessions = sessions_;
+    for (const auto &[key, session] : sessions) {
+        session->answerUnfinished(result);
+    }
+}
+
 auto CallerServer::busyCount() const -> std::size_t
 {
     const auto sessions = std::count_if(sessions_.begin(), sessions_.end(), [](const auto &entry) { return entry.second->isBusy(); });
--- a/Source/Connection/CallerServer.h
+++ b/Source/Connection/CallerServer.h
@@ -45,6 +45,8 @@
     auto closeIdle() -> void;
     /// Accepts no more connections.
     auto stopAccepting() -> void;
+    /// Gives this answer to all requests that were read whole and whose answer has not begun; what runs for them ends.
+    auto answerUnfinished(const HttpResult &result) -> void;
     /// Connections that carry a request, or an answer whose last byte has not been handed to the socket; once drain() was called,
     /// an answer whose last byte has not been acknowledged. A connection whose reader is gone does not count.
     [[nodiscard]] auto busyCount() const -> std::size_t;
--- a/Source/Connection/CallerSession.cpp
+++ b/Source/Connection/CallerSession.cpp
@@ -259,6 +259,20 @@
     }
 }
 
+auto CallerSession::answerUnfinished(const HttpResult &result) -> void
+{
+    const auto self = shared_from_this();
+    const auto exchange = exchange_;
+    if (exchange == nullptr || exchange->hasBegun()) {
+        return;
+    }
+    exchange->isGone_ = true;
+    if (const auto onGone = std::exchange(exchange->onGone_, nullptr)) {
+        onGone();
+    }
+    exchange->reply(result);
+}
+
 auto CallerSession::closeIfIdle() -> void
 {
     if (!isBusy()) {
@@ -325,7 +339,14 @@
 
 auto CallerSession::keepsConnection() const -> bool
 {
-    return keeps_ && !environment_->isDraining();
+    // A request that was read behind the one that ends is answered before the connection closes.
+    return keeps_ && !hasAnnouncedClose_ && (!environment_->isDraining() || !early_.empty());
+}
+
+auto CallerSession::announceKeeping() -> bool
+{
+    hasAnnouncedClose_ = !keepsConnection();
+    return !hasAnnouncedClose_;
 }
 
 auto CallerSession::queuedBytes() const -> std::size_t
--- a/Source/Connection/CallerSession.h
+++ b/Source/Connection/CallerSession.h
@@ -57,6 +57,8 @@
     [[nodiscard]] auto isEndable() const -> bool;
     /// Whether the last answer was a refusal to read on.
     [[nodiscard]] auto isRefused() const -> bool;
+    /// Gives the request that runs this answer unless its own has begun, as if its caller had gone.
+    auto answerUnfinished(const HttpResult &result) -> void;
     /// Closes the connection if it carries no request.
     auto closeIfIdle() -> void;
     [[nodiscard]] auto isBusy() const -> bool;
@@ -69,6 +71,8 @@
     auto holdBack(std::string bytes) -> void;
     auto finishExchange(bool isComplete) -> void;
     [[nodiscard]] auto keepsConnection() const -> bool;
+    /// As keepsConnection(), for the head of an answer: once it has said that the connection closes, it does.
+    auto announceKeeping() -> bool;
     [[nodiscard]] auto queuedBytes() const -> std::size_t;
 
 private:
@@ -101,6 +105,7 @@
     /// For the request that is being read; 0 until it is asked for.
     int bodyCopies_ = 0;
     bool wantsContinue_ = false;
+    bool hasAnnouncedClose_ = false;
     bool keeps_ = true;
     bool isClosed_ = false;
     bool isRefused_ = false;
--- a/Source/Connection/FrontService.cpp
+++ b/Source/Connection/FrontService.cpp
@@ -105,6 +105,12 @@
         onJob_({ caller, *job, terms, team, isOnJobRoute ? route : nullptr, version });
         return;
     }
+    // Passed on, it could be cut without an answer; another daemon can still serve it.
+    const auto endsAt = parts_.endsAt();
+    if (endsAt && OnlineRun::deadlineOf(caller->receivedAt(), terms, *route) > *endsAt) {
+        refuse(caller, terms, ResultCode::ShuttingDown, "the rest of the shutdown is too short for it", Milliseconds(0));
+        return;
+    }
     OnlineRun::Order order;
     order.caller = caller;
     order.version = version;
--- a/Source/Connection/OnlineRun.cpp
+++ b/Source/Connection/OnlineRun.cpp
@@ -41,13 +41,15 @@
     return order_.route->kind == RouteKind::Stream;
 }
 
+auto OnlineRun::deadlineOf(BootTime receivedAt, const RequestTerms &terms, const ServiceRoute &route) -> BootTime
+{
+    const Milliseconds patience = terms.patience.value_or(USUAL_PATIENCE);
+    return receivedAt + (route.timeout.count() > 0 ? std::min(patience, route.timeout) : patience);
+}
+
 auto OnlineRun::start() -> void
 {
-    const BootTime receivedAt = order_.caller->receivedAt();
-    deadline_ = receivedAt + order_.terms.patience.value_or(USUAL_PATIENCE);
-    if (order_.route->timeout.count() > 0) {
-        deadline_ = std::min(deadline_, receivedAt + order_.route->timeout);
-    }
+    deadline_ = deadlineOf(order_.caller->receivedAt(), order_.terms, *order_.route);
     if (isStream() && order_.terms.lastEventId) {
         lastEventId_ = *order_.terms.lastEventId;
         hasEvents_ = true;
--- a/Source/Connection/OnlineRun.h
+++ b/Source/Connection/OnlineRun.h
@@ -37,6 +37,9 @@
         bool isCrashTrial = false;
     };
 
+    /// When a request is answered at the latest: its caller's patience or its route's timeout has passed.
+    static auto deadlineOf(BootTime receivedAt, const RequestTerms &terms, const ServiceRoute &route) -> BootTime;
+
     OnlineRun(FrontParts &parts, Order order);
     OnlineRun(const OnlineRun &) = delete;
     auto operator=(const OnlineRun &) -> OnlineRun & = delete;
--- a/Source/Process/FrontDaemon.cpp
+++ b/Source/Process/FrontDaemon.cpp
@@ -25,6 +25,8 @@
 constexpr Milliseconds LEAVE_TIME { 2600 };
 /// Time before the kill at which a shutdown ends in any case.
 constexpr Milliseconds SHUTDOWN_MARGIN { 600 };
+/// Time before the margin in which requests that have no answer yet get one, so that no connection ends without it.
+constexpr Milliseconds LAST_ANSWERS_TIME { 300 };
 constexpr Milliseconds SHUTDOWN_STEP { 50 };
 constexpr ClientPool::Options UPSTREAM_POOL { { 1500, 1000 }, Milliseconds(400), Milliseconds(20000) };
 /// Time for which reports name a job that this daemon has come to own, so that a read at another daemon needs no call to
@@ -153,7 +155,10 @@
                [this] { return configuration_.version(); },
                [this] { return freshness_.confirmedAt(); },
                [this](const std::string &upstream) { return runner_.preemptAt(upstream); },
-               heldBytes_ }
+               heldBytes_,
+               [this] {
+                   return endsAt(BootClock::now());
+               } }
     , ledger_(loop_, store_, dialect_, settings_.maxStoreValueBytes)
     , book_(parts_, ledger_)
     , runner_(parts_, book_)
@@ -649,6 +654,12 @@
     stopTimer_ = loop_.every(SHUTDOWN_STEP, [this] { continueShutdown(); });
 }
 
+auto FrontDaemon::endsAt(BootTime now) const -> std::optional<BootTime>
+{
+    const bool isLate = isStopping_ && now - stoppingSince_ > LEAVE_TIME;
+    return isLate ? std::optional(stoppingSince_ + settings_.bounds.shutdown - SHUTDOWN_MARGIN - LAST_ANSWERS_TIME) : std::nullopt;
+}
+
 auto FrontDaemon::continueShutdown() -> void
 {
     const auto elapsed = BootClock::now() - stoppingSince_;
@@ -660,6 +671,10 @@
     callers_->stopAccepting();
     callers_->closeIdle();
     book_.flush();
+    if (elapsed > settings_.bounds.shutdown - SHUTDOWN_MARGIN - LAST_ANSWERS_TIME) {
+        // Whether they have run is not known.
+        callers_->answerUnfinished(refusalOf(dialect_, ResultCode::UpstreamLost, "the daemon has stopped", std::nullopt));
+    }
     const bool isIdle = busyCount() == 0 && book_.isFlushed();
     if (isIdle || elapsed > settings_.bounds.shutdown - SHUTDOWN_MARGIN) {
         hasStopped_ = true;
--- a/Source/Process/FrontDaemon.h
+++ b/Source/Process/FrontDaemon.h
@@ -65,6 +65,8 @@
     auto noteReadiness() -> void;
     auto answerReady(const std::shared_ptr<CallerExchange> &exchange) -> void;
     auto answerOperator(const std::shared_ptr<CallerExchange> &exchange) -> void;
+    /// Late in a shutdown, when this daemon ends at the latest.
+    [[nodiscard]] auto endsAt(BootTime now) const -> std::optional<BootTime>;
     auto continueShutdown() -> void;
     [[nodiscard]] auto callerLimits() const -> CallerLimits;
     /// Copies of its body that a request of a caller takes while it is served.
--- a/Source/Process/FrontParts.h
+++ b/Source/Process/FrontParts.h
@@ -44,6 +44,8 @@
     std::function<bool(const std::string &upstream)> yieldOwnBatch;
     /// Never null.
     std::shared_ptr<HeldBytes> heldBytes;
+    /// Late in a shutdown, when this daemon ends: a request that may take longer is refused. Unset otherwise.
+    std::function<std::optional<BootTime>()> endsAt;
 };
 
 } // namespace poplardock
