Keep bytes that are no text out of the results of a job

Cause: the text of events is not checked where it enters, the store refuses the entry for good, and a refused write is repeated with the same results.

Change: an event that is no UTF-8 ends its run, which counts as a failure of the upstream; the item goes on after its last sound event. A write that the store refuses is split until the result at fault stands alone; its item runs again. The store's 5xx are told from refusals. The stand-in of the store refuses what is no UTF-8, as the platform's does.

--- a/Source/Process/Batch/JobRegistry.cpp
+++ b/Source/Process/Batch/JobRegistry.cpp
@@ -13,6 +13,8 @@
 /// Results this close to the due time are written at once, since callers poll only about twice a second.
 constexpr Milliseconds DUE_MARGIN { 2500 };
 constexpr Milliseconds RETRY_DELAY { 200 };
+/// Time before an item runs again whose result the store has refused.
+constexpr Milliseconds REFUSED_RESULT_BACKOFF { 1000 };
 /// Most bytes of result text in one log entry: JSON escapes may double them, and the store's objects hold 1 MB.
 constexpr std::size_t MAX_ENTRY_BYTES = 400U << 10U;
 
@@ -188,7 +190,7 @@
     }
     Entry &entry = *found->second;
     entry.isCommitting = true;
-    const std::size_t count = countThatFits(entry.job.uncommitted());
+    const std::size_t count = std::min(countThatFits(entry.job.uncommitted()), entry.commitLimit);
     const std::vector<JobResult> results(entry.job.uncommitted().begin(),
                                          entry.job.uncommitted().begin() + static_cast<std::ptrdiff_t>(count));
     repository_.append(id, entry.job.nextEntryNumber(), results, [this, id, count, sentAt = BootClock::now()](const absl::Status &status) {
@@ -210,11 +212,16 @@
         onConflict_(id);
         return;
     }
+    if (absl::IsInvalidArgument(status)) {
+        onCommitRefused(id, entry, count);
+        return;
+    }
     if (!status.ok()) {
         EventLog::write("results_not_written", { { "job", id }, { "reason", status.message() } });
         startCommitTimer(entry, id, RETRY_DELAY);
         return;
     }
+    entry.commitLimit = std::numeric_limits<std::size_t>::max();
     entry.job.markCommitted(count);
     entry.charge.set(bytesOf(entry.job));
     entry.job.proveOwned(sentAt);
@@ -231,6 +238,23 @@
     }
 }
 
+auto JobRegistry::onCommitRefused(const std::string &id, Entry &entry, std::size_t count) -> void
+{
+    const std::string &itemId = entry.job.uncommitted().front().itemId;
+    EventLog::write("results_refused", { { "job", id }, { "count", static_cast<std::uint64_t>(count) }, { "first_item", itemId } });
+    context_.metrics.count("result_writes_refused");
+    if (count > 1) {
+        entry.commitLimit = (count + 1) / 2;
+    } else {
+        entry.job.withdrawResult(BootClock::now() + REFUSED_RESULT_BACKOFF);
+        entry.commitLimit = std::numeric_limits<std::size_t>::max();
+        entry.charge.set(bytesOf(entry.job));
+    }
+    if (!entry.job.uncommitted().empty()) {
+        startCommitTimer(entry, id, Milliseconds(0));
+    }
+}
+
 auto JobRegistry::reloadResultLog(const std::string &id) -> void
 {
     repository_.readResultLog(id, [this, id](const absl::StatusOr<JobRepository::ResultLog> &log) {
--- a/Source/Process/Batch/JobRegistry.h
+++ b/Source/Process/Batch/JobRegistry.h
@@ -4,6 +4,7 @@
 #include "Process/FrontParts.h"
 
 #include <functional>
+#include <limits>
 #include <map>
 #include <memory>
 
@@ -74,6 +75,8 @@
         HeldBytes::Charge charge;
         /// A write to the result log is in flight, or blocked until the log has been reloaded after a conflict.
         bool isCommitting = false;
+        /// Most results of the next write: fewer after the store has refused one, so that the one at fault is found.
+        std::size_t commitLimit = std::numeric_limits<std::size_t>::max();
         bool hasConflict = false;
         bool isMarkingDone = false;
         bool isCancelling = false;
@@ -83,6 +86,8 @@
 
     auto commit(const std::string &id) -> void;
     auto onCommitDone(const std::string &id, std::size_t count, BootTime sentAt, const absl::Status &status) -> void;
+    /// The store refuses what was to be written, and would refuse it again.
+    auto onCommitRefused(const std::string &id, Entry &entry, std::size_t count) -> void;
     auto reloadResultLog(const std::string &id) -> void;
     auto startCommitTimer(Entry &entry, const std::string &id, Milliseconds delay) -> void;
     auto wakeReaders(Entry &entry) -> void;
--- a/Source/Process/Batch/JobRunner.cpp
+++ b/Source/Process/Batch/JobRunner.cpp
@@ -2,6 +2,7 @@
 
 #include "Process/EventLog.h"
 #include "Request/TextBound.h"
+#include "Request/Utf8Text.h"
 
 #include <algorithm>
 
@@ -296,6 +297,13 @@
         restart(key, *item, "event out of order");
         return;
     }
+    if (!isUtf8(event.data)) {
+        // The store takes no such bytes, and no event of a sound upstream holds any.
+        context_.metrics.count("items_no_text");
+        context_.directory.recordFailure(active->second.attempt->upstream(), BootClock::now());
+        requeue(key, backoffAfterLoss(++item->losses), "the event is no text");
+        return;
+    }
     const std::size_t textBytes = item->text.size() + event.data.size() + (item->eventCount > 0 ? 1 : 0);
     if (textBytes > active->second.maximumTextBytes) {
         context_.metrics.count("items_oversized");
--- a/Source/Process/Batch/OwnedJob.cpp
+++ b/Source/Process/Batch/OwnedJob.cpp
@@ -101,6 +101,16 @@
     std::string().swap(item.text);
 }
 
+auto OwnedJob::withdrawResult(BootTime notBefore) -> void
+{
+    if (ItemProgress *item = findItem(uncommitted_.front().itemId)) {
+        item->phase = ItemPhase::Waiting;
+        item->discardAnswer();
+        item->notBefore = notBefore;
+    }
+    uncommitted_.erase(uncommitted_.begin());
+}
+
 auto OwnedJob::uncommitted() const -> const std::vector<JobResult> &
 {
     return uncommitted_;
--- a/Source/Process/Batch/OwnedJob.h
+++ b/Source/Process/Batch/OwnedJob.h
@@ -29,7 +29,7 @@
     int eventCount = 0;
     /// Responses with a server error.
     int failures = 0;
-    /// Attempts in a row that broke off before their first event, or whose events had to be discarded.
+    /// Attempts in a row that broke off before their first event, or brought events that are no answer.
     int losses = 0;
     /// Earliest time of the next attempt.
     BootTime notBefore;
@@ -73,6 +73,8 @@
     auto finishItem(ItemProgress &item, bool isCompleted) -> void;
     /// Results that are still to be written to the result log.
     [[nodiscard]] auto uncommitted() const -> const std::vector<JobResult> &;
+    /// Takes back the first uncommitted result, which the store refuses: its item runs again, not before "notBefore".
+    auto withdrawResult(BootTime notBefore) -> void;
     /// Number of the next entry of the result log.
     [[nodiscard]] auto nextEntryNumber() const -> std::size_t;
     /// The first "count" uncommitted results have been written as the next log entry.
--- a/Source/Process/Store/ObjectStore.cpp
+++ b/Source/Process/Store/ObjectStore.cpp
@@ -33,8 +33,10 @@
     case HttpStatus::UNAVAILABLE:
         return absl::UnavailableError("the store refused the call");
     default:
-        return absl::InvalidArgumentError("unexpected response status " + std::to_string(status));
+        break;
     }
+    const std::string message = "unexpected response status " + std::to_string(status);
+    return status >= HttpStatus::SERVER_ERROR ? absl::InternalError(message) : absl::InvalidArgumentError(message);
 }
 
 } // namespace
--- a/Tests/Fakes/FakeObjectStore.cpp
+++ b/Tests/Fakes/FakeObjectStore.cpp
@@ -1,5 +1,7 @@
 #include "Fakes/FakeObjectStore.h"
 
+#include "Request/Utf8Text.h"
+
 #include <absl/strings/match.h>
 #include <absl/strings/numbers.h>
 #include <absl/strings/str_cat.h>
@@ -173,6 +175,10 @@
         exchange->reply({ faults.refuseStatus, {}, "{}" });
         return;
     }
+    if (isConcerned && !faults.refusedText.empty() && absl::StrContains(exchange->body(), faults.refusedText)) {
+        exchange->reply({ 400, {}, "{}" });
+        return;
+    }
     answer(exchange, view);
 }
 
@@ -219,7 +225,7 @@
         return { exists ? 200 : 404, {}, "{}" };
     }
     const auto json = Json::parseObject(body);
-    if (!json.ok()) {
+    if (!json.ok() || !isUtf8(body)) {
         return { 400, {}, "{}" };
     }
     const JsonObject::Ptr metadata = (*json)->getObject("metadata");
--- a/Tests/Process/OwnedJobTest.cpp
+++ b/Tests/Process/OwnedJobTest.cpp
@@ -120,6 +120,27 @@
     BOOST_TEST(next.findItem("b")->failures == 1);
 }
 
+// Guards against a result that the store refuses and that is lost, or kept as the item's only one.
+BOOST_AUTO_TEST_CASE(AWithdrawnResultRunsAgain)
+{
+    const BootTime notBefore = BootTime() + std::chrono::hours(1);
+    OwnedJob job = makeJob();
+    for (const char *id : { "a", "b" }) {
+        job.findItem(id)->text = id;
+        job.findItem(id)->lastEventId = 3;
+        job.findItem(id)->eventCount = 4;
+        job.finishItem(*job.findItem(id), true);
+    }
+    job.withdrawResult(notBefore);
+    BOOST_REQUIRE(job.uncommitted().size() == 1U);
+    BOOST_TEST(job.uncommitted()[0].itemId == "b");
+    const ItemProgress &item = *job.findItem("a");
+    BOOST_TEST((item.phase == ItemPhase::Waiting));
+    BOOST_TEST(!item.lastEventId.has_value());
+    BOOST_TEST(item.eventCount == 0);
+    BOOST_TEST((item.notBefore == notBefore));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace poplardock
