Drop results that the store has before anything is refused

Cause: result logs of up to 64 finished jobs were kept whatever their size, uncharged; jobs that a daemon had finished were kept until its end.

Change: FinishedLogCache has a bound in bytes, is charged, and goes before anything else when room is needed. Jobs that have ended, with all results in the store, are dropped when the jobs exceed their half of the account or room is needed; the store answers for them.

--- a/Source/Connection/JobService.cpp
+++ b/Source/Connection/JobService.cpp
@@ -25,9 +25,8 @@
 /// Retry hint for a job that has no upstream in its allowed regions; a restarted upstream registers within seconds.
 constexpr Milliseconds REGION_RETRY_AFTER { 1000 };
 constexpr const char *NO_ALLOWED_UPSTREAM = "no upstream is available in the allowed regions";
-/// Records of other daemons' jobs and finished logs that are kept; the oldest names go first.
+/// Records of other daemons' jobs that are kept; the oldest names go first.
 constexpr std::size_t CACHED_RECORDS = 2000;
-constexpr std::size_t CACHED_LOGS = 64;
 constexpr const char *PEER_PATH = "/jobs";
 /// Path of the call by which a daemon tells a job's owner that it has cancelled the job in the store; the job's id follows.
 constexpr const char *CANCELLED_PATH = "/cancelled/";
@@ -78,6 +77,7 @@
     , book_(book)
     , runner_(runner)
     , adoption_(adoption)
+    , finishedLogs_(parts.heldBytes)
 {
 }
 
@@ -126,7 +126,7 @@
         return;
     }
     // Online requests keep the other half.
-    if (book_.heldBytes() > parts_.heldBytes->bounds().bytes / 2) {
+    if (!book_.makeRoom(parts_.heldBytes->bounds().bytes / 2)) {
         parts_.metrics.count("jobs_refused_for_memory");
         caller->reply(refusalOf(parts_.dialect, ResultCode::JobNotAccepted, "the memory for jobs is in use", RETRY_AFTER));
         return;
@@ -348,9 +348,8 @@
             readItemFromStore(query, record, log, reply);
         }
     };
-    const auto cached = finishedLogs_.find(record.id);
-    if (cached != finishedLogs_.end()) {
-        take(cached->second);
+    if (const JobRepository::ResultLog *cached = finishedLogs_.find(record.id)) {
+        take(*cached);
         return;
     }
     ledger_.readResultLog(record.id, [this, record, take, reply](const absl::StatusOr<JobRepository::ResultLog> &log) {
@@ -359,10 +358,7 @@
             return;
         }
         if (log->results.size() == record.itemCount) {
-            if (finishedLogs_.size() >= CACHED_LOGS) {
-                finishedLogs_.erase(finishedLogs_.begin());
-            }
-            finishedLogs_[record.id] = *log;
+            finishedLogs_.put(record.id, *log, BootClock::now());
         }
         take(*log);
     });
--- a/Source/Connection/JobService.h
+++ b/Source/Connection/JobService.h
@@ -2,6 +2,7 @@
 
 #include "Connection/FrontService.h"
 #include "Connection/HttpClient.h"
+#include "Process/Batch/FinishedLogCache.h"
 #include "Process/Batch/JobTakeover.h"
 
 #include <map>
@@ -80,7 +81,7 @@
     /// Records of jobs that other daemons own, as they were last read.
     std::map<std::string, JobRecord> elsewhere_;
     /// Results of jobs that are done, as they were read from the store.
-    std::map<std::string, JobRepository::ResultLog> finishedLogs_;
+    FinishedLogCache finishedLogs_;
 };
 
 } // namespace poplardock
--- a/Source/Process/Batch/JobRegistry.cpp
+++ b/Source/Process/Batch/JobRegistry.cpp
@@ -53,6 +53,16 @@
     : context_(context)
     , repository_(repository)
 {
+    context_.heldBytes->addHolders([this](BootTime /*now*/) -> std::optional<HeldBytes::Candidate> {
+        const std::vector<std::string> ended = endedJobs();
+        if (ended.empty()) {
+            return std::nullopt;
+        }
+        // The store answers for it as well, so it goes before any connection.
+        return HeldBytes::Candidate { { entries_.at(ended.front())->charge.bytes(), BootTime() }, [this, id = ended.front()] {
+                                         drop(id);
+                                     } };
+    });
 }
 
 auto JobRegistry::add(OwnedJob job) -> bool
@@ -139,6 +149,52 @@
     }
 }
 
+auto JobRegistry::makeRoom(std::uint64_t bytes) -> bool
+{
+    std::uint64_t held = heldBytes();
+    if (held <= bytes) {
+        return true;
+    }
+    // Down to half of what is allowed, so that not every submission looks through all jobs.
+    for (const std::string &id : endedJobs()) {
+        if (held <= bytes / 2) {
+            break;
+        }
+        held -= entries_.at(id)->charge.bytes();
+        context_.metrics.count("ended_jobs_dropped");
+        drop(id);
+    }
+    return held <= bytes;
+}
+
+auto JobRegistry::endedJobs() -> std::vector<std::string>
+{
+    std::vector<std::pair<BootTime, std::string>> ended;
+    std::vector<std::string> unmarked;
+    for (const auto &[id, entry] : entries_) {
+        if (hasEnded(*entry)) {
+            ended.emplace_back(entry->job.ownedSince(), id);
+        } else if (entry->job.isComplete()) {
+            unmarked.push_back(id);
+        }
+    }
+    for (const std::string &id : unmarked) {
+        markDone(id);
+    }
+    std::sort(ended.begin(), ended.end());
+    std::vector<std::string> ids;
+    std::transform(ended.begin(), ended.end(), std::back_inserter(ids), [](const auto &each) { return each.second; });
+    return ids;
+}
+
+auto JobRegistry::hasEnded(const Entry &entry) -> bool
+{
+    const bool isRunning = std::any_of(
+        entry.job.items().begin(), entry.job.items().end(), [](const ItemProgress &item) { return item.phase == ItemPhase::Running; });
+    return !entry.job.record().isOpen() && entry.job.uncommitted().empty() && !entry.isCommitting && !entry.isMarkingDone
+           && !entry.isCancelling && entry.readers.empty() && !isRunning;
+}
+
 auto JobRegistry::forEach(const std::function<void(const std::string &id, OwnedJob &job)> &visit) -> void
 {
     for (const auto &[id, entry] : entries_) {
--- a/Source/Process/Batch/OwnedJob.cpp
+++ b/Source/Process/Batch/OwnedJob.cpp
@@ -75,6 +75,21 @@
     return items_;
 }
 
+auto OwnedJob::items() const -> const std::vector<ItemProgress> &
+{
+    return items_;
+}
+
+auto OwnedJob::setRouteMissing(bool isMissing, BootTime now) -> void
+{
+    routeMissingSince_ = isMissing ? std::optional(routeMissingSince_.value_or(now)) : std::nullopt;
+}
+
+auto OwnedJob::routeMissingSince() const -> std::optional<BootTime>
+{
+    return routeMissingSince_;
+}
+
 auto OwnedJob::findItem(const std::string &itemId) -> ItemProgress *
 {
     const auto found = indexOf_.find(itemId);
--- a/Source/Process/Batch/OwnedJob.h
+++ b/Source/Process/Batch/OwnedJob.h
@@ -60,7 +60,11 @@
     /// When this object was made, right after the job was accepted or taken over here.
     [[nodiscard]] auto ownedSince() const -> BootTime;
     auto setRecord(JobRecord record) -> void;
+    /// Since when the configuration in force has no route for the job; unset while it has one.
+    auto setRouteMissing(bool isMissing, BootTime now) -> void;
+    [[nodiscard]] auto routeMissingSince() const -> std::optional<BootTime>;
     [[nodiscard]] auto items() -> std::vector<ItemProgress> &;
+    [[nodiscard]] auto items() const -> const std::vector<ItemProgress> &;
     /// Null for an unknown item.
     [[nodiscard]] auto findItem(const std::string &itemId) -> ItemProgress *;
     /// Results in the result log, in its order. Only these are sent to the team.
@@ -97,6 +101,7 @@
     BootTime provenAt_;
     BootTime openAt_;
     BootTime ownedSince_;
+    std::optional<BootTime> routeMissingSince_;
     std::vector<ItemProgress> items_;
     std::map<std::string, std::size_t> indexOf_;
     std::vector<JobResult> committed_;
