Give up the waiting items of a job whose route was removed

Cause: waitingItems() skips such jobs, and giveUpExpired() looks at the time only.

Change: when a configuration that the store has confirmed since the job came here has had no batch route for it for 5 s, waiting items are listed as given up. Items that run may complete.

--- a/Source/Process/Batch/JobRunner.cpp
+++ b/Source/Process/Batch/JobRunner.cpp
@@ -24,6 +24,8 @@
 constexpr Milliseconds DECLINED_BACKOFF { 100 };
 constexpr Milliseconds FAILURE_BACKOFF { 300 };
 constexpr Milliseconds PREEMPTION_BACKOFF { 30 };
+/// Time after the removal of a route in which it may come back and its items run.
+constexpr Milliseconds ROUTE_REMOVAL_TIME { 5000 };
 /// How often FAILURE_BACKOFF doubles at most. An item is run again however often upstreams crash under it: it never causes
 /// the crash, and it is owed until it is given up.
 constexpr int MAXIMUM_BACKOFF_DOUBLINGS = 3;
@@ -97,14 +99,17 @@
 {
     const auto now = WallClock::now();
     registry_.forEach([this, now](const std::string &id, OwnedJob &job) {
-        if (!job.record().isOpen() || now < job.record().giveUpAt) {
+        const bool isExpired = now >= job.record().giveUpAt;
+        if (!job.record().isOpen() || (!isExpired && !hasLostRoute(job, BootClock::now()))) {
             return;
         }
         bool hasResults = false;
         for (ItemProgress &item : job.items()) {
-            if (item.phase == ItemPhase::Waiting || item.phase == ItemPhase::Running) {
-                requeue({ id, item.item.id }, Milliseconds(0), "expired");
-                giveUp(job, item, "expired");
+            // What runs when its route is removed may still complete.
+            if (item.phase == ItemPhase::Waiting || (isExpired && item.phase == ItemPhase::Running)) {
+                const char *reason = isExpired ? "expired" : "the route was removed";
+                requeue({ id, item.item.id }, Milliseconds(0), reason);
+                giveUp(job, item, reason);
                 hasResults = true;
             }
         }
@@ -114,6 +119,21 @@
     });
 }
 
+auto JobRunner::routeOf(const ServingVersion &version, const JobRecord &record) -> const ServiceRoute *
+{
+    const ServiceRoute *route = version.findRoute(record.host, record.prefix);
+    return route != nullptr && route->kind == RouteKind::Batch ? route : nullptr;
+}
+
+auto JobRunner::hasLostRoute(OwnedJob &job, BootTime now) const -> bool
+{
+    const ServingVersionPointer version = context_.version();
+    // A version that was the newest before the job was accepted may not have the route yet.
+    const bool isNewer = version != nullptr && context_.versionConfirmedAt() > job.ownedSince();
+    job.setRouteMissing(isNewer && routeOf(*version, job.record()) == nullptr, now);
+    return job.routeMissingSince() && now - *job.routeMissingSince() > ROUTE_REMOVAL_TIME;
+}
+
 auto JobRunner::giveUp(OwnedJob &job, ItemProgress &item, std::string_view reason) -> void
 {
     job.finishItem(item, false);
@@ -160,8 +180,8 @@
     std::vector<WaitingItem> waiting;
     registry_.forEach([this, now, &version, &waiting](const std::string &id, OwnedJob &job) {
         const JobRecord &record = job.record();
-        const ServiceRoute *route = record.isOpen() ? version->findRoute(record.host, record.prefix) : nullptr;
-        if (route == nullptr || route->kind != RouteKind::Batch) {
+        const ServiceRoute *route = record.isOpen() ? routeOf(*version, record) : nullptr;
+        if (route == nullptr) {
             return;
         }
         const RegionFilter regions = regionFilterOf(*version, record, context_.settings.regions);
--- a/Source/Process/Batch/JobRunner.h
+++ b/Source/Process/Batch/JobRunner.h
@@ -70,7 +70,12 @@
     };
 
     auto tick() -> void;
+    /// Lists the items as given up whose job's time is over, and those that cannot start any more since their route was removed.
     auto giveUpExpired() -> void;
+    /// Whether the route of a job was removed, long enough ago that it is no mistake that is mended at once.
+    [[nodiscard]] auto hasLostRoute(OwnedJob &job, BootTime now) const -> bool;
+    /// The batch route of a job in the version; null if it has none.
+    [[nodiscard]] static auto routeOf(const ServingVersion &version, const JobRecord &record) -> const ServiceRoute *;
     /// Lists an item as given up. The caller schedules the commit.
     static auto giveUp(OwnedJob &job, ItemProgress &item, std::string_view reason) -> void;
     auto abortStalled(BootTime now) -> void;
