--- a/Tests/Connection/JobServiceTest.cpp
+++ b/Tests/Connection/JobServiceTest.cpp
@@ -775,7 +775,11 @@
     engine.behaviour().noise = "id: 2\ndata: \xff\xfe\xff\xfe\n\n";
     engine.behaviour().eventsBeforeNoise = 2;
     BOOST_TEST(fleet.call(0, PlatformFleet::submission("job", 4, "key1"))->status == 202);
-    BOOST_REQUIRE(fleet.runUntil([&engine] { return engine.runs().size() >= 4; }, Milliseconds(3000)));
+    const auto areSpoilt = [&engine] {
+        const auto runs = engine.runs();
+        return std::count_if(runs.begin(), runs.end(), [](const FakeEngine::Run &run) { return run.isCut; }) >= 4;
+    };
+    BOOST_REQUIRE(fleet.runUntil(areSpoilt, Milliseconds(3000)));
     engine.behaviour().noise.clear();
     const auto results = awaitResults(fleet, 0, "job", 4);
     BOOST_REQUIRE(results.size() == 4U);
