Mark ended jobs again only when a submission needs room

Cause: each request that needs room looked for ended jobs and marked those again that lack their mark in the store. While the store resets calls, that repeats them as often as requests are refused.

Change: only a submission marks them again, which is refused before while the store does not answer. FinishedJobsMakeRoomForSubmissions covers the path that stays.

--- a/Source/Process/Batch/JobRegistry.cpp
+++ b/Source/Process/Batch/JobRegistry.cpp
@@ -155,6 +155,11 @@
     if (held <= bytes) {
         return true;
     }
+    for (const std::string &id : ids()) {
+        if (find(id)->isComplete()) {
+            markDone(id);
+        }
+    }
     // Down to half of what is allowed, so that not every submission looks through all jobs.
     for (const std::string &id : endedJobs()) {
         if (held <= bytes / 2) {
@@ -167,20 +172,14 @@
     return held <= bytes;
 }
 
-auto JobRegistry::endedJobs() -> std::vector<std::string>
+auto JobRegistry::endedJobs() const -> std::vector<std::string>
 {
     std::vector<std::pair<BootTime, std::string>> ended;
-    std::vector<std::string> unmarked;
     for (const auto &[id, entry] : entries_) {
         if (hasEnded(*entry)) {
             ended.emplace_back(entry->job.ownedSince(), id);
-        } else if (entry->job.isComplete()) {
-            unmarked.push_back(id);
         }
     }
-    for (const std::string &id : unmarked) {
-        markDone(id);
-    }
     std::sort(ended.begin(), ended.end());
     std::vector<std::string> ids;
     std::transform(ended.begin(), ended.end(), std::back_inserter(ids), [](const auto &each) { return each.second; });
--- a/Source/Process/Batch/JobRegistry.h
+++ b/Source/Process/Batch/JobRegistry.h
@@ -34,8 +34,8 @@
     [[nodiscard]] auto tryReserveText(const std::string &id, ItemProgress &item, std::size_t bytes) -> bool;
     /// Charges what a job takes now. Call after a text has been discarded; the functions that change results do so themselves.
     auto updateCharge(const std::string &id) -> void;
-    /// Drops jobs that have ended, all of whose results are in the store, until the jobs take at most that many bytes. Returns
-    /// whether they do.
+    /// Drops jobs that have ended, all of whose results are in the store, until the jobs take at most that many bytes. Jobs that only
+    /// lack their mark in the store are marked again, and can be dropped later. Returns whether there is room.
     auto makeRoom(std::uint64_t bytes) -> bool;
     /// Calls "visit" for each owned job; it must neither add nor drop one.
     auto forEach(const std::function<void(const std::string &id, OwnedJob &job)> &visit) -> void;
@@ -89,8 +89,8 @@
 
     /// Whether nothing of the job is left to do or to write, so that the store answers for it as well as this daemon.
     [[nodiscard]] static auto hasEnded(const Entry &entry) -> bool;
-    /// The jobs that have ended, those that are owned for longest first. Marks those again that only lack the mark in the store.
-    [[nodiscard]] auto endedJobs() -> std::vector<std::string>;
+    /// The jobs that have ended, those that are owned for longest first.
+    [[nodiscard]] auto endedJobs() const -> std::vector<std::string>;
     auto commit(const std::string &id) -> void;
     auto onCommitDone(const std::string &id, std::size_t count, BootTime sentAt, const absl::Status &status) -> void;
     /// The store refuses what was to be written, and would refuse it again.
