Let serve parse its large documents

Cause: the bound of 32 MiB for the values of a parsed text also held for submissions of serve, which may have 100,000 items, and for the lists and shards of its store.

Change: parseObject() takes the bound as an argument. The documents of serve have 1 GiB, which is above the memory of a small VM and stays open in docs/design/bytes-from-outside.md.

--- a/Source/Connection/JobRoutes.cpp
+++ b/Source/Connection/JobRoutes.cpp
@@ -217,7 +217,7 @@
 auto parseSubmission(const std::string &text, const std::string &team, const Configuration &configuration)
     -> std::variant<JobSubmission, RequestError>
 {
-    const auto object = Json::parseObject(text);
+    const auto object = Json::parseObject(text, Json::MAXIMUM_DOCUMENT_BYTES);
     if (!object.ok()) {
         return RequestError { ResultCode::MalformedJson, std::string(object.status().message()) };
     }
--- a/Source/Process/Json.cpp
+++ b/Source/Process/Json.cpp
@@ -50,9 +50,9 @@
     return bytes + TEXT_COPIES * textBytes;
 }
 
-auto parseObject(const std::string &text) -> absl::StatusOr<JsonObject::Ptr>
+auto parseObject(const std::string &text, std::uint64_t maximumBytes) -> absl::StatusOr<JsonObject::Ptr>
 {
-    if (const std::uint64_t bytes = parsedBytes(text); bytes > MAXIMUM_PARSED_BYTES) {
+    if (const std::uint64_t bytes = parsedBytes(text); bytes > maximumBytes) {
         return absl::InvalidArgumentError(absl::StrCat("the values of the JSON text would take ", bytes, " bytes of memory"));
     }
     try {
--- a/Source/Process/Json.h
+++ b/Source/Process/Json.h
@@ -27,9 +27,12 @@
 /// also holds for malformed text.
 auto parsedBytes(std::string_view text) -> std::uint64_t;
 
-/// Parses text whose top level is an object. Nesting deeper than 64 levels and text whose values would take more than
-/// MAXIMUM_PARSED_BYTES are errors; nothing is built for the latter.
-auto parseObject(const std::string &text) -> absl::StatusOr<JsonObject::Ptr>;
+/// For the documents of "serve": submissions of up to 100,000 items, and lists and shards of its store.
+constexpr std::uint64_t MAXIMUM_DOCUMENT_BYTES = 1U << 30U;
+
+/// Parses text whose top level is an object. Nesting deeper than 64 levels and text whose values would take more than "maximumBytes"
+/// of memory are errors; nothing is built for the latter.
+auto parseObject(const std::string &text, std::uint64_t maximumBytes = MAXIMUM_PARSED_BYTES) -> absl::StatusOr<JsonObject::Ptr>;
 auto toText(const JsonObject &object) -> std::string;
 auto toText(const JsonArray &array) -> std::string;
 /// Serializes any JSON value; strings are quoted and escaped.
--- a/Source/Process/StoreClient.cpp
+++ b/Source/Process/StoreClient.cpp
@@ -86,7 +86,7 @@
 
 auto parseAndDecode(const std::string &kind, const std::string &text) -> absl::StatusOr<DecodedObject>
 {
-    const auto document = Json::parseObject(text);
+    const auto document = Json::parseObject(text, Json::MAXIMUM_DOCUMENT_BYTES);
     if (!document.ok()) {
         return absl::UnavailableError("the store sent malformed JSON");
     }
@@ -110,7 +110,7 @@
 /// Decodes one line of a watch; nullopt for a bookmark. NotFound when the object was deleted.
 auto decodeWatchEvent(const std::string &kind, const std::string &line) -> absl::StatusOr<std::optional<StoredObject>>
 {
-    const auto event = Json::parseObject(line);
+    const auto event = Json::parseObject(line, Json::MAXIMUM_DOCUMENT_BYTES);
     if (!event.ok()) {
         return event.status();
     }
@@ -206,7 +206,7 @@
     if (response->status != 200) {
         return statusFromHttp(response->status, false, kind);
     }
-    const auto document = Json::parseObject(response->body);
+    const auto document = Json::parseObject(response->body, Json::MAXIMUM_DOCUMENT_BYTES);
     const auto items
         = document.ok() ? Json::optionalObjects(**document, "items") : absl::StatusOr<std::vector<JsonObject::Ptr>>(document.status());
     if (!items.ok()) {
@@ -316,7 +316,7 @@
     if (response->status != 200) {
         return statusFromHttp(response->status, false, "the VM list");
     }
-    const auto document = Json::parseObject(response->body);
+    const auto document = Json::parseObject(response->body, Json::MAXIMUM_DOCUMENT_BYTES);
     const auto items
         = document.ok() ? Json::optionalObjects(**document, "items") : absl::StatusOr<std::vector<JsonObject::Ptr>>(document.status());
     if (!items.ok()) {
--- a/Source/Process/VersionLoader.cpp
+++ b/Source/Process/VersionLoader.cpp
@@ -103,7 +103,7 @@
     if (!content.ok()) {
         return content.status();
     }
-    const auto object = Json::parseObject(*content);
+    const auto object = Json::parseObject(*content, Json::MAXIMUM_DOCUMENT_BYTES);
     return object.ok() ? MemberTable::fromJson(**object) : object.status();
 }
 
--- a/Source/Version/FleetCodec.cpp
+++ b/Source/Version/FleetCodec.cpp
@@ -32,7 +32,7 @@
 /// Sorts the keys of objects and normalizes white space and numbers.
 auto canonicalText(const std::string &text) -> absl::StatusOr<std::string>
 {
-    const auto object = Json::parseObject(text);
+    const auto object = Json::parseObject(text, Json::MAXIMUM_DOCUMENT_BYTES);
     return object.ok() ? absl::StatusOr<std::string>(Json::toText(**object)) : object.status();
 }
 
@@ -252,7 +252,7 @@
 
 auto FleetRoot::fromText(const std::string &text) -> absl::StatusOr<FleetRoot>
 {
-    const auto object = Json::parseObject(text);
+    const auto object = Json::parseObject(text, Json::MAXIMUM_DOCUMENT_BYTES);
     if (!object.ok()) {
         return object.status();
     }
