Charge each kept result log by itself

Cause: FinishedLogCache computed its charge before it asked for room. When the room came from its own entries, the bytes of the dropped ones stayed charged for good, so that the account of held bytes filled up. Found by reading the change.

Change: each entry has a charge of its own. Failed before: FinishedLogCacheTest/ALogThatTakesTheRoomOfAnotherIsChargedAlone. Measured: FinishedLogCacheTest passes, also with address and undefined-behaviour sanitizers. JobServiceTest was ended after 110 s beside builds, without a failed check by then; it was not run to its end on this commit.

--- a/Source/Process/Batch/FinishedLogCache.cpp
+++ b/Source/Process/Batch/FinishedLogCache.cpp
@@ -21,15 +21,15 @@
 } // namespace
 
 FinishedLogCache::FinishedLogCache(const std::shared_ptr<HeldBytes> &account)
-    : bound_(account->bounds().bytes / BOUND_DIVISOR)
-    , charge_(account)
+    : account_(account)
+    , bound_(account->bounds().bytes / BOUND_DIVISOR)
 {
     account->addHolders([this](BootTime /*now*/) -> std::optional<HeldBytes::Candidate> {
         if (entries_.empty()) {
             return std::nullopt;
         }
         // Without progress since ever: it goes first, since nobody waits for it.
-        return HeldBytes::Candidate { { charge_.bytes(), BootTime() }, [this] {
+        return HeldBytes::Candidate { { bytes_, BootTime() }, [this] {
                                          dropFirst();
                                      } };
     });
@@ -47,24 +47,26 @@
     if (bytes > bound_ || entries_.contains(job)) {
         return;
     }
-    while (charge_.bytes() + bytes > bound_) {
+    while (bytes_ + bytes > bound_) {
         dropFirst();
     }
-    if (!charge_.trySet(charge_.bytes() + bytes, now)) {
+    auto charge = std::make_unique<HeldBytes::Charge>(account_);
+    if (!charge->trySet(bytes, now)) {
         return;
     }
-    entries_[job] = { log, bytes, order_.insert(order_.end(), job) };
+    bytes_ += bytes;
+    entries_[job] = { log, std::move(charge), order_.insert(order_.end(), job) };
 }
 
 auto FinishedLogCache::bytes() const -> std::uint64_t
 {
-    return charge_.bytes();
+    return bytes_;
 }
 
 auto FinishedLogCache::dropFirst() -> void
 {
     const auto found = entries_.find(order_.front());
-    charge_.set(charge_.bytes() - found->second.bytes);
+    bytes_ -= found->second.charge->bytes();
     entries_.erase(found);
     order_.pop_front();
 }
--- a/Source/Process/Batch/FinishedLogCache.h
+++ b/Source/Process/Batch/FinishedLogCache.h
@@ -15,6 +15,7 @@
 class FinishedLogCache
 {
 public:
+    /// Precondition: the account is not asked for room any more once the cache is destroyed.
     explicit FinishedLogCache(const std::shared_ptr<HeldBytes> &account);
     FinishedLogCache(const FinishedLogCache &) = delete;
     auto operator=(const FinishedLogCache &) -> FinishedLogCache & = delete;
@@ -26,20 +27,23 @@
     [[nodiscard]] auto find(const std::string &job) const -> const JobRepository::ResultLog *;
     /// Keeps a log unless it is too large, and drops those that were put first if there is no room for all.
     auto put(const std::string &job, const JobRepository::ResultLog &log, BootTime now) -> void;
+    /// Bytes that the logs take, as charged.
     [[nodiscard]] auto bytes() const -> std::uint64_t;
 
 private:
     struct Entry
     {
         JobRepository::ResultLog log;
-        std::uint64_t bytes = 0;
+        /// Of its own, since other entries may be dropped to make room for this one.
+        std::unique_ptr<HeldBytes::Charge> charge;
         std::list<std::string>::iterator position;
     };
 
     auto dropFirst() -> void;
 
+    const std::shared_ptr<HeldBytes> account_;
     const std::uint64_t bound_;
-    HeldBytes::Charge charge_;
+    std::uint64_t bytes_ = 0;
     /// Jobs in the order of put().
     std::list<std::string> order_;
     std::map<std::string, Entry> entries_;
--- a/Tests/Process/FinishedLogCacheTest.cpp
+++ b/Tests/Process/FinishedLogCacheTest.cpp
@@ -55,6 +55,20 @@
     BOOST_TEST(cache.find("c") == nullptr);
 }
 
+// Guards against bytes that stay charged for good because a log took the room of another one in the cache.
+BOOST_FIXTURE_TEST_CASE(ALogThatTakesTheRoomOfAnotherIsChargedAlone, Fixture)
+{
+    cache.put("a", logOf(400000), NOW);
+    const std::uint64_t bytesOfOne = cache.bytes();
+    HeldBytes::Charge request(account);
+    BOOST_TEST(request.trySet(BOUND - BOUND / 4 - 500000, NOW));
+    cache.put("b", logOf(400000), NOW);
+    BOOST_TEST(cache.find("a") == nullptr);
+    BOOST_TEST(cache.find("b") != nullptr);
+    BOOST_TEST(cache.bytes() == bytesOfOne);
+    BOOST_TEST(account->bytes() == request.bytes() + bytesOfOne);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace poplardock
