Take what is heard of the fleet for a part of it

Cause: a daemon that had heard others for some 0.3 s counted as one that knows who the others are. Daemons that restart at the same moment are in no roster yet, so those of one data centre did not know each other; two of them were the home of one team, and shares were worked out from too few daemons.

Change: who the others are is known from the records in the store alone. A daemon that hears others and has not read the records has a partial view: it is no home, fills no share, has no full view and finds nobody gone. It asks the home that the others select, and refuses what that one does not grant. The test TheFirstDaemonHeardIsNotTheWholeFleet stated the opposite, that a second of hearing is enough; it checks more now.

--- a/Source/Process/Load/AllowanceTable.cpp
+++ b/Source/Process/Load/AllowanceTable.cpp
@@ -21,8 +21,8 @@
 /// A reachable home responds within a few milliseconds. Waiting longer for an unreachable one would use up too much of
 /// the request's latency target.
 constexpr Milliseconds HOME_RESPONSE_TIMEOUT { 40 };
-/// Retry hint of a daemon that has not learned of the others; the records of the others come soon after the store is back.
-constexpr Milliseconds NOT_LEARNED_RETRY_AFTER { 500 };
+/// Retry hint of a daemon that does not know who the others are; their records come soon after the store is back.
+constexpr Milliseconds UNKNOWN_MEMBERS_RETRY_AFTER { 500 };
 
 } // namespace
 
@@ -65,12 +65,12 @@
 auto AllowanceTable::tryAcquire(const Team &team, Handler handler) -> void
 {
     const BootTime now = BootClock::now();
-    if (team.ratePerSecond > 0 && peers_.membership(now) == MembershipState::NotLearned) {
-        // Any number of daemons may be in the same state, so no share of the allowance is safe.
-        handler(NOT_LEARNED_RETRY_AFTER);
-        return;
-    }
-    const std::optional<Milliseconds> fallbackDecision = tryAcquireFrom(shares_, team, false, now);
+    const MembershipState membership = peers_.membership(now);
+    const bool knowsMembers = membership == MembershipState::InTouch || membership == MembershipState::OutOfTouch;
+    // Any number of daemons that do not know each other may be in the same state, so no share of the allowance is safe, and none is
+    // filled. The home can still be asked.
+    const std::optional<Milliseconds> fallbackDecision
+        = team.ratePerSecond > 0 && !knowsMembers ? UNKNOWN_MEMBERS_RETRY_AFTER : tryAcquireFrom(shares_, team, false, now);
     if (team.ratePerSecond <= 0) {
         handler(std::nullopt);
         return;
--- a/Source/Process/Load/AllowanceTable.h
+++ b/Source/Process/Load/AllowanceTable.h
@@ -17,7 +17,7 @@
 /// from its own share, whose size follows from the recent demand at all daemons. The shares add up to the allowance, and
 /// a share is also charged for requests that the home admitted, so falling back to it admits nothing extra. The home
 /// leaves their part of the allowance to daemons that have become silent. A daemon that is out of touch with all peers it knows
-/// does not act as home, and one that has not learned who the others are admits nothing of a limited team.
+/// does not act as home, and one that has not read the records of the others admits only what the home of a limited team grants it.
 /// Thread safety: the loop's thread only.
 class AllowanceTable
 {
@@ -49,8 +49,8 @@
         Timer timeout;
     };
 
-    /// Whether "homeName" is this daemon and it hears the others: it is in touch with them, and does not know most of them from the
-    /// store only.
+    /// Whether "homeName" is this daemon and it hears the others: it has read their records, is in touch with them, and does not know
+    /// most of them from the store only.
     [[nodiscard]] auto isHome(const std::string &homeName, BootTime now) const -> bool;
     auto tryAcquireFrom(std::map<std::string, AllowanceShare> &buckets, const Team &team, bool isHomeBucket, BootTime now)
         -> std::optional<Milliseconds>;
--- a/Source/Process/Peers/PeerDirectory.cpp
+++ b/Source/Process/Peers/PeerDirectory.cpp
@@ -6,6 +6,7 @@
 #include <absl/strings/str_cat.h>
 
 #include <algorithm>
+#include <limits>
 #include <tuple>
 
 namespace poplardock {
@@ -107,6 +108,7 @@
 {
     if (!membersListedAt_) {
         membersListedAt_ = now;
+        allowanceHomes_.clear();
         // The daemons that have just been found begin to report here only now.
         settledAt_ = std::max(settledAt_, now + settlingTime());
     }
@@ -145,7 +147,6 @@
     if (isNew) {
         peer.addedAt = seenAt;
     }
-    firstHeardAt_ = firstHeardAt_.value_or(seenAt);
     if (isNew || before.dataCentre != dataCentre) {
         peer.relayScore = relayScoreOf(entry.name, dataCentre);
     }
@@ -791,25 +792,14 @@
     return isAlive(peer, now) && !peer.isDraining && peer.hasStoreContact;
 }
 
-auto PeerDirectory::learnedAt(BootTime now) const -> std::optional<BootTime>
-{
-    if (membersListedAt_ || !firstHeardAt_) {
-        return membersListedAt_;
-    }
-    // What the first daemon that is heard knows of the others arrives with the next reports and summaries.
-    const BootTime learnedAt = *firstHeardAt_ + settlingTime();
-    return now >= learnedAt ? std::optional(learnedAt) : std::nullopt;
-}
-
 auto PeerDirectory::isUnheardGone(BootTime now) const -> bool
 {
-    const auto since = learnedAt(now);
-    return since && now - *since > (hasFullView(now) ? HEARING_TIME : GROUP_SILENCE);
+    return membersListedAt_ && now - *membersListedAt_ > (hasFullView(now) ? HEARING_TIME : GROUP_SILENCE);
 }
 
 auto PeerDirectory::hasFullView(BootTime now) const -> bool
 {
-    if (!learnedAt(now)) {
+    if (!membersListedAt_) {
         return false;
     }
     std::set<std::string> heard;
@@ -999,23 +989,26 @@
     if (allowanceHomes_.size() > MAXIMUM_CACHED_HOMES) {
         allowanceHomes_.clear();
     }
-    std::string home = selectHome(team, [this, now](const Peer &peer) { return countsForDemand(peer, now) || mayRunUnheard(peer, now); });
+    std::string home = selectHome(
+        team,
+        [this, now](const Peer &peer) { return countsForDemand(peer, now) || mayRunUnheard(peer, now); },
+        membersListedAt_.has_value());
     allowanceHomes_[team] = { home, now + HOME_CACHE_TIME };
     return home;
 }
 
 auto PeerDirectory::membership(BootTime now) const -> MembershipState
 {
-    if (!learnedAt(now)) {
-        return MembershipState::NotLearned;
-    }
     bool hasPeers = false;
     for (const auto &[name, peer] : peers_) {
         if (isAlive(peer, now)) {
-            return MembershipState::InTouch;
+            return membersListedAt_ ? MembershipState::InTouch : MembershipState::Partial;
         }
         hasPeers = hasPeers || !peer.incarnation.empty() || mayRunUnheard(peer, now);
     }
+    if (!membersListedAt_) {
+        return MembershipState::NotLearned;
+    }
     return hasPeers ? MembershipState::OutOfTouch : MembershipState::InTouch;
 }
 
@@ -1063,10 +1056,11 @@
                                              }) == ownName_;
 }
 
-auto PeerDirectory::selectHome(const std::string &key, const std::function<bool(const Peer &)> &isEligible) const -> std::string
+auto PeerDirectory::selectHome(const std::string &key, const std::function<bool(const Peer &)> &isEligible, bool isOwnEligible) const
+    -> std::string
 {
     std::string best = ownName_;
-    double bestScore = rendezvousScore(ownName_, key, ownCapacity_);
+    double bestScore = isOwnEligible ? rendezvousScore(ownName_, key, ownCapacity_) : std::numeric_limits<double>::lowest();
     for (const auto &[name, peer] : peers_) {
         const double score = rendezvousScore(name, key, peer.capacity);
         if (score > bestScore && isEligible(peer)) {
--- a/Source/Process/Peers/PeerDirectory.h
+++ b/Source/Process/Peers/PeerDirectory.h
@@ -38,9 +38,10 @@
 /// What a daemon knows of whether there are others.
 enum class MembershipState
 {
-    /// Nothing since its start: neither the records in the store nor another daemon have told it who the others are. It must not
-    /// act as if it were the only one.
+    /// Nothing since its start: it has not read the records in the store, and hears nobody. It must not act as if it were the only one.
     NotLearned,
+    /// It hears others, and has not read the records in the store: there may be daemons that none of those knows yet.
+    Partial,
     /// It knows of others that may be running, and hears none of them.
     OutOfTouch,
     /// It hears others, or has learned that there are none that may be running.
@@ -74,7 +75,7 @@
     /// the daemon.
     auto addMember(const std::string &name, const std::string &address, const std::string &dataCentre, int capacity, BootTime now) -> void;
     /// All records in the store at a moment when this daemon's own was there have been added. The first such call is when this
-    /// daemon learns who the others are.
+    /// daemon learns who the others are. What it hears does not tell: daemons that restart at the same moment are in no roster yet.
     auto recordMembersListed(BootTime now) -> void;
     /// Applies a report to this daemon as a relay unless a newer one of the same incarnation has been applied, or it is
     /// this daemon's own. Returns whether it was applied.
@@ -213,7 +214,7 @@
 
     /// The daemon that holds a team's bucket, selected from all daemons whose demand counts or that may be admitting requests unheard,
     /// so that daemons that start together select the same one. A daemon that was not seen for a short time keeps its buckets,
-    /// since it may still be granting tokens.
+    /// since it may still be granting tokens. Another daemon, if there is one, as long as this one does not know who the others are.
     [[nodiscard]] auto allowanceHomeOf(const std::string &team, BootTime now) const -> std::string;
     [[nodiscard]] auto membership(BootTime now) const -> MembershipState;
     /// The store watcher of this data centre, the daemon that watches the store for the others: its first relay, or the
@@ -330,11 +331,12 @@
     /// The daemons that would be relays if all were alive, and one more of this data centre, another in each round.
     [[nodiscard]] auto probeTargets(std::uint64_t round) const -> std::vector<std::string>;
     [[nodiscard]] auto countsForDemand(const Peer &peer, BootTime now) const -> bool;
-    [[nodiscard]] auto selectHome(const std::string &key, const std::function<bool(const Peer &)> &isEligible) const -> std::string;
+    /// "isOwnEligible": whether this daemon may be selected when there is another one.
+    [[nodiscard]] auto selectHome(const std::string &key,
+                                  const std::function<bool(const Peer &)> &isEligible,
+                                  bool isOwnEligible = true) const -> std::string;
     /// Every how many summary periods a relay answers the daemons for which it is the second relay.
     [[nodiscard]] auto backupSummaryTicks() const -> int;
-    /// When this daemon learned who the others are, from the store or from them; unset until then.
-    [[nodiscard]] auto learnedAt(BootTime now) const -> std::optional<BootTime>;
     /// Time in which a relay that has begun to report hears all daemons that report to it.
     [[nodiscard]] auto settlingTime() const -> Milliseconds;
     [[nodiscard]] auto localCount() const -> std::int64_t;
@@ -371,8 +373,6 @@
     BootTime settledAt_;
     /// When this daemon first had the records of all others; unset until then.
     std::optional<BootTime> membersListedAt_;
-    /// When this daemon first heard another one; unset until then.
-    std::optional<BootTime> firstHeardAt_;
     mutable std::map<std::string, CachedHome> allowanceHomes_;
     mutable std::map<std::string, CachedRelays> relays_;
 };
--- a/Tests/Process/PeerDirectoryTest.cpp
+++ b/Tests/Process/PeerDirectoryTest.cpp
@@ -700,7 +700,7 @@
     BOOST_TEST((alone.membership(at(1)) == MembershipState::InTouch));
 }
 
-// Guards against a daemon that hears one other and takes it for all there are, before that one has told of the rest.
+// Guards against a daemon that hears one other and takes it for all there are: that one does not know either who else has restarted.
 BOOST_AUTO_TEST_CASE(TheFirstDaemonHeardIsNotTheWholeFleet)
 {
     PeerDirectory peers("a0", "a");
@@ -711,10 +711,56 @@
     report.sequence = 1;
     report.capacity = 1;
     BOOST_TEST(peers.handleReport(report, "a1", NOW));
-    BOOST_TEST((peers.membership(NOW + Milliseconds(50)) == MembershipState::NotLearned));
+    BOOST_TEST((peers.membership(NOW + Milliseconds(50)) == MembershipState::Partial));
+    BOOST_TEST((peers.membership(NOW + Milliseconds(1000)) == MembershipState::Partial));
+    BOOST_TEST(!peers.hasFullView(NOW + Milliseconds(1000)));
+    // It is not a home itself, however the names compare.
+    for (int team = 0; team < 20; ++team) {
+        BOOST_TEST(peers.allowanceHomeOf("team" + std::to_string(team), NOW + Milliseconds(1000)) == "a1");
+    }
+    peers.recordMembersListed(NOW + Milliseconds(1000));
     BOOST_TEST((peers.membership(NOW + Milliseconds(1000)) == MembershipState::InTouch));
 }
 
+// Guards against daemons of which some restart while the store is away, do not know each other, and are each the home of a team: it
+// got its allowance twice, 203 requests in a window that allows 152.
+BOOST_AUTO_TEST_CASE(DaemonsThatDoNotKnowEachOtherAreNoTwoHomes)
+{
+    const auto homesOf = [](const DirectoryFleet &fleet, const std::string &team) {
+        return std::count_if(fleet.views.begin(), fleet.views.end(), [&fleet, &team](const auto &each) {
+            return each.second.allowanceHomeOf(team, fleet.now()) == each.first
+                   && each.second.membership(fleet.now()) == MembershipState::InTouch;
+        });
+    };
+    for (const std::vector<std::string> &restarted :
+         { std::vector<std::string> { "a0", "a1", "a2" }, { "a0", "b0", "c0" }, { "a1", "a2" } }) {
+        DirectoryFleet fleet(THREE, 3, NOW);
+        fleet.run(SETTLED);
+        for (const std::string &name : restarted) {
+            fleet.restartWithoutStore(name);
+        }
+        std::ptrdiff_t most = 0;
+        const auto check = [&fleet, &most, &homesOf](int steps) {
+            for (int step = 0; step < steps; ++step) {
+                fleet.run(PeerDirectory::DIGEST_PERIOD);
+                for (int team = 0; team < 20; ++team) {
+                    most = std::max(most, homesOf(fleet, "team" + std::to_string(team)));
+                }
+            }
+        };
+        check(40);
+        for (const std::string &name : restarted) {
+            fleet.listMembers(name);
+            check(5);
+        }
+        BOOST_TEST(most == 1);
+        check(20);
+        for (int team = 0; team < 20; ++team) {
+            BOOST_TEST(homesOf(fleet, "team" + std::to_string(team)) == 1);
+        }
+    }
+}
+
 // Guards against a data centre whose only daemon is lost for good and that keeps those which have never heard it from ever finding
 // it gone: its jobs were never taken over.
 BOOST_AUTO_TEST_CASE(ASilentDataCentreIsGoneAfterItsTime)
--- a/Tests/Support/DaemonTables.h
+++ b/Tests/Support/DaemonTables.h
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -28,16 +29,21 @@
     /// Daemons that have just started and have not heard of each other.
     explicit DaemonTables(int count)
     {
+        directories.resize(static_cast<std::size_t>(count));
+        tables.resize(static_cast<std::size_t>(count));
+        incarnations_.resize(static_cast<std::size_t>(count));
         for (int index = 0; index < count; ++index) {
-            const std::string name = "d" + std::to_string(index);
-            directories.push_back(std::make_unique<PeerDirectory>(name));
-            tables.push_back(std::make_unique<AllowanceTable>(
-                loop, *directories.back(), name, [this, name](const std::string &address, const PeerMessage &message) {
-                    deliver(name, address, message);
-                }));
+            start(static_cast<std::size_t>(index));
         }
     }
 
+    /// Replaces a daemon by one that knows nobody. Until listMembers(), it does not reach others that have restarted so.
+    auto restartWithoutStore(std::size_t daemon) -> void
+    {
+        start(daemon);
+        unlisted_.insert(daemon);
+    }
+
     /// All daemons find all others in the store, as after a restart of the whole fleet.
     auto listMembers() -> void
     {
@@ -48,6 +54,7 @@
             }
             directory->recordMembersListed(BootClock::now());
         }
+        unlisted_.clear();
     }
 
     /// Delivers each daemon's demand to all daemons.
@@ -58,7 +65,7 @@
         for (std::size_t from = 0; from < tables.size(); ++from) {
             DaemonReport report;
             report.name = "d" + std::to_string(from);
-            report.incarnation = "i";
+            report.incarnation = incarnations_[from];
             report.sequence = sequence_;
             report.demand = tables[from]->demand(now);
             directories[from]->recordOwnReport(report, now);
@@ -71,7 +78,7 @@
         for (std::size_t from = 0; from < tables.size(); ++from) {
             DaemonReport own;
             own.name = "d" + std::to_string(from);
-            own.incarnation = "i";
+            own.incarnation = incarnations_[from];
             own.demand = tables[from]->demand(now);
             FleetSummary summary = directories[from]->makeSummary(own, own.name, now);
             summary.sequence = sequence_;
@@ -128,10 +135,25 @@
 
 private:
     std::uint64_t sequence_ = 0;
+    std::vector<std::string> incarnations_;
+    std::set<std::size_t> unlisted_;
+
+    auto start(std::size_t daemon) -> void
+    {
+        const std::string name = "d" + std::to_string(daemon);
+        incarnations_[daemon] += "i";
+        tables[daemon] = nullptr;
+        directories[daemon] = std::make_unique<PeerDirectory>(name);
+        tables[daemon] = std::make_unique<AllowanceTable>(
+            loop, *directories[daemon], name, [this, name](const std::string &address, const PeerMessage &message) {
+                deliver(name, address, message);
+            });
+    }
 
     [[nodiscard]] auto isConnected(std::size_t from, std::size_t to) const -> bool
     {
-        return !isSplit || from % 2 == to % 2;
+        const bool areStrangers = from != to && unlisted_.contains(from) && unlisted_.contains(to);
+        return !areStrangers && (!isSplit || from % 2 == to % 2);
     }
 
     auto deliver(const std::string &from, const std::string &to, const PeerMessage &message) -> void
--- a/Tests/Support/DirectoryFleet.cpp
+++ b/Tests/Support/DirectoryFleet.cpp
@@ -29,11 +29,21 @@
 }
 
 auto DirectoryFleet::restart(const std::string &name) -> void
+{
+    restartWithoutStore(name);
+    listMembers(name);
+}
+
+auto DirectoryFleet::restartWithoutStore(const std::string &name) -> void
 {
     DaemonReport &report = reports.at(name);
     report.incarnation += "'";
     views.erase(name);
     views.emplace(name, PeerDirectory(name, report.dataCentre, report.capacity));
+}
+
+auto DirectoryFleet::listMembers(const std::string &name) -> void
+{
     for (const auto &[other, view] : views) {
         views.at(name).addMember(other, other, reports[other].dataCentre, reports[other].capacity, now_);
     }
--- a/Tests/Support/DirectoryFleet.h
+++ b/Tests/Support/DirectoryFleet.h
@@ -22,6 +22,10 @@
     auto add(const std::string &name, const std::string &dataCentre, int capacity) -> void;
     /// Replaces a daemon by one of the same name that knows nothing but the others' records in the store.
     auto restart(const std::string &name) -> void;
+    /// Replaces a daemon by one of the same name that knows nothing, until listMembers().
+    auto restartWithoutStore(const std::string &name) -> void;
+    /// The daemon reads the records of all daemons in the store.
+    auto listMembers(const std::string &name) -> void;
     /// Runs steps until that time has passed.
     auto run(Milliseconds time) -> void;
     [[nodiscard]] auto now() const -> BootTime;
