Give the tests of job results a program of their own

PlatformFleet::results() reads all pages instead of the first one, which its description promised; pages of 100,000 bytes and more are followed by another read.

Failed before: nothing; a move.

--- /dev/null
+++ b/Tests/Connection/JobResultsTest.cpp
@@ -0,0 +1,97 @@
+#include "Support/JobChecks.h"
+
+#include <absl/strings/str_cat.h>
+#include <boost/test/unit_test.hpp>
+
+namespace poplardock {
+
+BOOST_AUTO_TEST_SUITE(JobResultsSuite)
+
+// Guards against one event that is no text and keeps all results of its job from the store for good.
+BOOST_AUTO_TEST_CASE(AnEventThatIsNoTextHoldsNothingBack)
+{
+    PlatformFleet fleet(1, 1);
+    FakeEngine &engine = *fleet.engines[0];
+    engine.behaviour().noise = "id: 2\ndata: \xff\xfe\xff\xfe\n\n";
+    engine.behaviour().eventsBeforeNoise = 2;
+    BOOST_TEST(fleet.call(0, PlatformFleet::submission("job", 4, "key1"))->status == 202);
+    const auto areSpoilt = [&engine] {
+        const auto runs = engine.runs();
+        return std::count_if(runs.begin(), runs.end(), [](const FakeEngine::Run &run) { return run.isCut; }) >= 4;
+    };
+    BOOST_REQUIRE(fleet.runUntil(areSpoilt, Milliseconds(3000)));
+    engine.behaviour().noise.clear();
+    const auto results = awaitResults(fleet, 0, "job", 4);
+    BOOST_REQUIRE(results.size() == 4U);
+    for (const JobResult &result : results) {
+        BOOST_TEST(result.isCompleted);
+        BOOST_TEST(result.text == FakeEngine::dataOf(result.itemId, engine.behaviour().events));
+    }
+}
+
+// Guards against a result that the store refuses for another reason and that keeps its neighbours out with it.
+BOOST_AUTO_TEST_CASE(AResultThatTheStoreRefusesStandsAlone)
+{
+    PlatformFleet fleet(1, 1);
+    FakeObjectStore::Faults faults;
+    faults.refusedText = "job-2:1";
+    fleet.store.setFaults(faults);
+    BOOST_TEST(fleet.call(0, PlatformFleet::submission("job", 6, "key1"))->status == 202);
+    const auto results = awaitResults(fleet, 0, "job", 5);
+    BOOST_TEST(results.size() == 5U);
+    fleet.store.setFaults({});
+    BOOST_TEST(awaitResults(fleet, 0, "job", 6).size() == 6U);
+}
+
+// Guards against finished jobs that are kept until the process ends: at a quarter of the memory all submissions were refused for good.
+BOOST_AUTO_TEST_CASE(FinishedJobsMakeRoomForSubmissions)
+{
+    constexpr int JOBS = 12;
+    PlatformFleet fleet(0, 1);
+    fleet.adjustSettings = [](FrontSettings &settings) {
+        settings.memoryBytes = 4U << 20U;
+    };
+    fleet.startDaemon("daemon0");
+    fleet.awaitReady();
+    FakeEngine &engine = *fleet.engines[0];
+    engine.behaviour().eventPadding = std::string(4000, 'x');
+    for (int job = 0; job < JOBS; ++job) {
+        const std::string id = absl::StrCat("job", job);
+        BOOST_TEST(fleet.call(0, PlatformFleet::submission(id, 10, "key1"))->status == 202, id);
+        BOOST_TEST(awaitResults(fleet, 0, id, 10).size() == 10U, id);
+    }
+    // All of them can be read, from the store as well.
+    for (int job = 0; job < JOBS; ++job) {
+        BOOST_TEST(fleet.results(0, absl::StrCat("job", job), "key1").size() == 10U, job);
+    }
+    // A submission that is repeated is accepted once.
+    BOOST_TEST(fleet.call(0, PlatformFleet::submission("job0", 10, "key1"))->status == 202);
+    BOOST_TEST(totalRuns(fleet, "job0-0") == 1);
+}
+
+// Guards against items that wait until the end of their retention after their route was removed.
+BOOST_AUTO_TEST_CASE(ItemsOfARemovedRouteAreGivenUp)
+{
+    PlatformFleet fleet(1, 1);
+    FakeEngine &engine = *fleet.engines[0];
+    engine.behaviour().events = 200;
+    engine.behaviour().eventPause = Milliseconds(10);
+    BOOST_TEST(fleet.call(0, PlatformFleet::submission("job", 24, "key1"))->status == 202);
+    BOOST_REQUIRE(fleet.runUntil([&engine] { return engine.runs().size() >= 4; }, Milliseconds(3000)));
+    fleet.store.put(
+        "config",
+        "main",
+        R"({"version":2,"routes":[{"name":"plain","host":"shop","pathPrefix":"/plain/","kind":"idempotent","service":"models"}],)"
+        R"("services":[{"name":"models"}],"tenants":[{"name":"weavers","apiKeys":["key1"]}]})");
+    const auto results = awaitResults(fleet, 0, "job", 24);
+    BOOST_REQUIRE(results.size() == 24U);
+    for (const JobResult &result : results) {
+        BOOST_TEST((!result.isCompleted || result.text == FakeEngine::dataOf(result.itemId, 200)));
+    }
+    BOOST_TEST(std::any_of(results.begin(), results.end(), [](const JobResult &result) { return result.isCompleted; }));
+    BOOST_TEST(std::any_of(results.begin(), results.end(), [](const JobResult &result) { return !result.isCompleted; }));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace poplardock
--- a/Tests/Support/PlatformFleet.cpp
+++ b/Tests/Support/PlatformFleet.cpp
@@ -162,10 +162,21 @@
 
 auto PlatformFleet::results(std::size_t daemon, const std::string &job, const std::string &key) -> std::vector<JobResult>
 {
-    const auto result = call(daemon, { "GET", "/-/lots/" + job + "?after=0", request("", "r", key).headers, {} });
-    const auto decoded
-        = result && result->status == 200 ? platform::makeAdapter().decodeResults(result->body) : absl::NotFoundError("none");
-    return decoded.value_or(std::vector<JobResult>());
+    // A full page is followed by others.
+    constexpr std::size_t FULL_PAGE_BYTES = 100000;
+    std::vector<JobResult> results;
+    for (std::size_t pageBytes = FULL_PAGE_BYTES; pageBytes >= FULL_PAGE_BYTES;) {
+        const std::string target = absl::StrCat("/-/lots/", job, "?after=", results.size());
+        const auto result = call(daemon, { "GET", target, request("", "r", key).headers, {} });
+        const auto page
+            = result && result->status == 200 ? platform::makeAdapter().decodeResults(result->body) : absl::NotFoundError("none");
+        if (!page.ok() || page->empty()) {
+            break;
+        }
+        results.insert(results.end(), page->begin(), page->end());
+        pageBytes = result->body.size();
+    }
+    return results;
 }
 
 auto PlatformFleet::request(const std::string &path, const std::string &id, const std::string &key) -> HttpCall
