Tell a refusal of the content from other answers of the store

A submission whose record the store had was refused with 503, a promise that nothing runs, when a gateway answered 502 for it.

Cause: each unknown status below 500 and each unreadable answer counted as a refusal of the content; 500, 502 and 504 counted as not done.

Change: 400, 413 and 422 speak of the content. Other statuses below 500 speak of the call, which is repeated. An answer of 500 and above other than 503, or one to a write that cannot be read, leaves open whether the write was done: the next try finds out.

Failed before, with these tests on: JobResultsTest/AStoreInTroubleTakesNoResultBack (12 of 16 items ran twice), AnUnreadableAnswerToAWriteIsNoRefusal (2 runs), JobServiceTest/AGatewaysErrorIsNoRefusal (503). They pass now.

--- a/Source/Process/Store/ObjectStore.cpp
+++ b/Source/Process/Store/ObjectStore.cpp
@@ -32,11 +32,28 @@
     case HttpStatus::TOO_MANY_REQUESTS:
     case HttpStatus::UNAVAILABLE:
         return absl::UnavailableError("the store refused the call");
+    case HttpStatus::BAD_REQUEST:
+    case HttpStatus::CONTENT_TOO_LARGE:
+    case HttpStatus::UNPROCESSABLE:
+        return absl::InvalidArgumentError("the store refused the content with status " + std::to_string(status));
     default:
         break;
     }
     const std::string message = "unexpected response status " + std::to_string(status);
-    return status >= HttpStatus::SERVER_ERROR ? absl::InternalError(message) : absl::InvalidArgumentError(message);
+    // What a gateway answers for the store does not tell whether the store has done the call. Other statuses speak of the call, not of
+    // its content, which may be taken later.
+    return status >= HttpStatus::SERVER_ERROR ? absl::UnknownError(message) : absl::InternalError(message);
+}
+
+/// The object in the response to a write that the store has done.
+auto decodeWritten(const WireDialect &adapter, const std::string &kind, const absl::StatusOr<HttpResult> &result)
+    -> absl::StatusOr<StoredObject>
+{
+    if (!result.ok()) {
+        return result.status();
+    }
+    auto object = adapter.decodeObject(kind, result->body);
+    return object.ok() ? object : absl::UnknownError(object.status().message());
 }
 
 } // namespace
@@ -168,7 +185,7 @@
                  handler(absl::AlreadyExistsError("the object exists"));
                  return;
              }
-             handler(result.ok() ? adapter_.decodeObject(kind, result->body) : result.status());
+             handler(decodeWritten(adapter_, kind, result));
          });
 }
 
@@ -179,9 +196,7 @@
     send(adapter_.replaceCall(object),
          Milliseconds(0),
          CALL_TIMEOUT,
-         [this, kind = object.kind, handler = std::move(handler)](const auto &result) {
-             handler(result.ok() ? adapter_.decodeObject(kind, result->body) : result.status());
-         });
+         [this, kind = object.kind, handler = std::move(handler)](const auto &result) { handler(decodeWritten(adapter_, kind, result)); });
 }
 
 auto ObjectStore::remove(const std::string &kind, const std::string &name, DoneHandler handler) -> void
--- a/Source/Process/Store/ObjectStore.h
+++ b/Source/Process/Store/ObjectStore.h
@@ -14,8 +14,9 @@
 ///
 /// Errors of all calls: NotFound; AlreadyExists (create); Aborted (a conditional update found another version);
 /// OutOfRange (the store no longer has the history that a watch needs); Unavailable (refused or not sent: nothing was
-/// done); Unknown (no response: a write may have taken effect, or may do so later); InvalidArgument (an unexpected
-/// status, or a response that cannot be decoded).
+/// done); Unknown (no response, or one that does not tell: a write may have taken effect, or may do so later);
+/// InvalidArgument (the store refused the content of the call, and would refuse it again; for reads also a response that
+/// cannot be decoded); Internal (refused with any other status: nothing was done).
 /// Thread safety: the loop's thread only.
 class ObjectStore
 {
--- a/Tests/Connection/JobResultsTest.cpp
+++ b/Tests/Connection/JobResultsTest.cpp
@@ -1,5 +1,6 @@
 #include "Support/JobChecks.h"
 
+#include <absl/strings/match.h>
 #include <absl/strings/str_cat.h>
 #include <boost/test/unit_test.hpp>
 
@@ -43,6 +44,42 @@
     BOOST_TEST(awaitResults(fleet, 0, "job", 6).size() == 6U);
 }
 
+// Guards against finished results that are taken back, and items that run a second time, because the store or something before it
+// refuses the calls for a while with a status that says nothing of their content.
+BOOST_AUTO_TEST_CASE(AStoreInTroubleTakesNoResultBack)
+{
+    for (const int status : { 301, 401, 408, 425 }) {
+        PlatformFleet fleet(1, 1);
+        FakeObjectStore::Faults faults;
+        faults.refuseStatus = status;
+        faults.onlyTargets = "results-";
+        fleet.store.setFaults(faults);
+        BOOST_TEST(fleet.call(0, PlatformFleet::submission("job", 4, "key1"))->status == 202);
+        BOOST_REQUIRE(fleet.runUntil([&fleet] { return fleet.store.callCount("POST /-/objects/results-job") >= 4; }, Milliseconds(6000)));
+        fleet.store.setFaults({});
+        BOOST_TEST(awaitResults(fleet, 0, "job", 4).size() == 4U);
+        for (int item = 0; item < 4; ++item) {
+            BOOST_TEST(totalRuns(fleet, absl::StrCat("job-", item)) == 1, "status " << status << ", item " << item);
+        }
+    }
+}
+
+// Guards against a result that the store has, and that is taken back because the store's answer to the write cannot be read.
+BOOST_AUTO_TEST_CASE(AnUnreadableAnswerToAWriteIsNoRefusal)
+{
+    PlatformFleet fleet(0, 1);
+    const std::size_t view = fleet.store.openView(
+        [](const std::string &body) { return absl::StartsWith(body, "{\"metadata") && absl::StrContains(body, "completed") ? "{" : body; });
+    fleet.adjustSettings = [&fleet, view](FrontSettings &settings) {
+        settings.storeAddress = fleet.store.viewAddress(view);
+    };
+    fleet.startDaemon("daemon0");
+    fleet.awaitReady();
+    BOOST_TEST(fleet.call(0, PlatformFleet::submission("job", 1, "key1"))->status == 202);
+    BOOST_TEST(awaitResults(fleet, 0, "job", 1).size() == 1U);
+    BOOST_TEST(totalRuns(fleet, "job-0") == 1);
+}
+
 // Guards against finished jobs that are kept until the process ends: at a quarter of the memory all submissions were refused for good.
 BOOST_AUTO_TEST_CASE(FinishedJobsMakeRoomForSubmissions)
 {
--- a/Tests/Connection/JobServiceTest.cpp
+++ b/Tests/Connection/JobServiceTest.cpp
@@ -182,6 +182,19 @@
     BOOST_TEST(result->status == 504);
 }
 
+// Guards against a 503, a promise that nothing runs, after a gateway in front of the store has answered for a write that was done.
+BOOST_AUTO_TEST_CASE(AGatewaysErrorIsNoRefusal)
+{
+    PlatformFleet fleet(1, 1);
+    FakeObjectStore::Faults lost;
+    lost.loseWriteAnswers = 1;
+    lost.lostAnswerStatus = 502;
+    lost.onlyTargets = "/jobs";
+    fleet.store.setFaults(lost);
+    BOOST_TEST(fleet.call(0, PlatformFleet::submission("j8", 2, "key1"))->status == 202);
+    BOOST_TEST(awaitResults(fleet, 0, "j8", 2).size() == 2);
+}
+
 // Guards against items that are given up too early or too late.
 BOOST_AUTO_TEST_CASE(ItemsThatCannotBeDoneAreGivenUp)
 {
--- a/Tests/Fakes/FakeObjectStore.cpp
+++ b/Tests/Fakes/FakeObjectStore.cpp
@@ -200,7 +200,11 @@
     if (exchange->head().method != "GET") {
         const HttpResult result = answerWrite(exchange->head().method, words, exchange->body());
         if (takesLostAnswer(view, target)) {
-            exchange->breakOff();
+            if (const int status = views_[view].faults.lostAnswerStatus; status != 0) {
+                exchange->reply({ status, {}, "{}" });
+            } else {
+                exchange->breakOff();
+            }
             return;
         }
         reply(exchange, view, result);
--- a/Tests/Fakes/FakeObjectStore.h
+++ b/Tests/Fakes/FakeObjectStore.h
@@ -25,6 +25,8 @@
         bool isSilent = false;
         /// The next writes are done and their connection is cut.
         int loseWriteAnswers = 0;
+        /// Their answer has this status instead; 0 for the cut.
+        int lostAnswerStatus = 0;
         /// Writes whose body contains this text are refused with 400; empty for none.
         std::string refusedText;
         /// Only calls whose target contains this text are concerned; empty for all.
