Reckon with the bytes that a text takes as JSON

Groups of results full of control characters were refused and split each time. A handover of such texts was refused as a whole, so that all its items began anew. Pages of results came to 2.4 MB where 1 MB is the bound.

Cause: room was reckoned with the text, or twice of it, where JSON takes up to six bytes for one.

Change: Json::encodedBytes() tells what a text takes.

--- a/Source/Process/Batch/JobRegistry.cpp
+++ b/Source/Process/Batch/JobRegistry.cpp
@@ -15,8 +15,9 @@
 constexpr Milliseconds RETRY_DELAY { 200 };
 /// Time before an item runs again whose result the store has refused.
 constexpr Milliseconds REFUSED_RESULT_BACKOFF { 1000 };
-/// Most bytes of result text in one log entry: JSON escapes may double them, and the store's objects hold 1 MB.
-constexpr std::size_t MAX_ENTRY_BYTES = 400U << 10U;
+/// Most bytes of several results in one log entry. A single result may take as many as an entry holds. The function that encodes
+/// entries also makes pages for readers, and leaves out what exceeds 900,000 bytes.
+constexpr std::size_t MAXIMUM_GROUP_BYTES = 800U << 10U;
 
 /// Objects of one item of a job, its headers included.
 constexpr std::uint64_t ITEM_BYTES = 1024;
@@ -36,12 +37,15 @@
     return bytes;
 }
 
-auto countThatFits(const std::vector<JobResult> &results) -> std::size_t
+auto countThatFits(const std::vector<JobResult> &results, std::size_t maximumBytes) -> std::size_t
 {
     std::size_t bytes = 0;
     std::size_t count = 0;
-    while (count < results.size() && (count == 0 || bytes + results[count].text.size() <= MAX_ENTRY_BYTES)) {
-        bytes += results[count].text.size();
+    while (count < results.size()) {
+        bytes += JobRepository::entryBytes(results[count]);
+        if (count > 0 && bytes > maximumBytes) {
+            break;
+        }
         ++count;
     }
     return count;
@@ -141,6 +145,11 @@
     return true;
 }
 
+auto JobRegistry::maximumStoredTextBytes() const -> std::size_t
+{
+    return repository_.maximumEntryBytes() - std::min(repository_.maximumEntryBytes(), JobRepository::entryBytes({}));
+}
+
 auto JobRegistry::updateCharge(const std::string &id) -> void
 {
     const auto found = entries_.find(id);
@@ -245,7 +254,8 @@
     }
     Entry &entry = *found->second;
     entry.isCommitting = true;
-    const std::size_t count = std::min(countThatFits(entry.job.uncommitted()), entry.commitLimit);
+    const std::size_t groupBytes = std::min(MAXIMUM_GROUP_BYTES, repository_.maximumEntryBytes());
+    const std::size_t count = std::min(countThatFits(entry.job.uncommitted(), groupBytes), entry.commitLimit);
     const std::vector<JobResult> results(entry.job.uncommitted().begin(),
                                          entry.job.uncommitted().begin() + static_cast<std::ptrdiff_t>(count));
     repository_.append(id, entry.job.nextEntryNumber(), results, [this, id, count, sentAt = BootClock::now()](const absl::Status &status) {
--- a/Source/Process/Batch/JobRegistry.h
+++ b/Source/Process/Batch/JobRegistry.h
@@ -32,6 +32,8 @@
     /// Makes room for that many bytes of the text of an item of an owned job, and charges it. Returns false, with the text as it
     /// was, when the account of held bytes has no room.
     [[nodiscard]] auto tryReserveText(const std::string &id, ItemProgress &item, std::size_t bytes) -> bool;
+    /// Most bytes that the text of one item may take as a JSON string, so that the store can hold its result.
+    [[nodiscard]] auto maximumStoredTextBytes() const -> std::size_t;
     /// Charges what a job takes now. Call after a text has been discarded; the functions that change results do so themselves.
     auto updateCharge(const std::string &id) -> void;
     /// Drops jobs that have ended, all of whose results are in the store, until the jobs take at most that many bytes. Jobs that only
--- a/Source/Process/Batch/JobRepository.cpp
+++ b/Source/Process/Batch/JobRepository.cpp
@@ -22,6 +22,10 @@
 constexpr double PAYLOAD_FRACTION = 0.6;
 constexpr Milliseconds RETRY_DELAY { 100 };
 constexpr std::size_t ENTRY_DIGITS = 6;
+/// Part of an object that is left for what an entry holds beside its results.
+constexpr std::uint64_t ENTRY_RESERVE_BYTES = 16U << 10U;
+/// The id of an item, its state and the names of the fields.
+constexpr std::size_t RESULT_OVERHEAD_BYTES = 256;
 /// Entries of other writers that are remembered as logged.
 constexpr std::size_t MAXIMUM_ODD_ENTRIES = 1000;
 
@@ -242,6 +246,16 @@
     }
 }
 
+auto JobRepository::maximumEntryBytes() const -> std::size_t
+{
+    return static_cast<std::size_t>(valueBytes_ - std::min(valueBytes_, ENTRY_RESERVE_BYTES));
+}
+
+auto JobRepository::entryBytes(const JobResult &result) -> std::size_t
+{
+    return RESULT_OVERHEAD_BYTES + Json::encodedBytes(result.text);
+}
+
 auto JobRepository::append(const std::string &id, std::size_t entryNumber, const std::vector<JobResult> &results, AppendHandler handler)
     -> void
 {
--- a/Source/Process/Batch/JobRepository.h
+++ b/Source/Process/Batch/JobRepository.h
@@ -66,6 +66,10 @@
     /// Creates an entry without results, after which appends of former owners fail. "claimVersion" is the version of the
     /// record that made the caller the owner.
     auto appendFence(const std::string &id, std::size_t entryNumber, std::uint64_t claimVersion, AppendHandler handler) -> void;
+    /// Most bytes that the results of one entry may take, by entryBytes(), so that the store takes it.
+    [[nodiscard]] auto maximumEntryBytes() const -> std::size_t;
+    /// Bytes that a result takes in an entry, at most. Thread-safe.
+    static auto entryBytes(const JobResult &result) -> std::size_t;
     /// Creates one entry of the result log.
     auto append(const std::string &id, std::size_t entryNumber, const std::vector<JobResult> &results, AppendHandler handler) -> void;
     /// Removes all objects of a job, the record last.
--- a/Source/Process/Batch/JobRunner.cpp
+++ b/Source/Process/Batch/JobRunner.cpp
@@ -1,6 +1,7 @@
 #include "Process/Batch/JobRunner.h"
 
 #include "Process/EventLog.h"
+#include "Process/Json.h"
 #include "Request/TextBound.h"
 #include "Request/Utf8Text.h"
 
@@ -324,8 +325,10 @@
         requeue(key, backoffAfterLoss(++item->losses), "the event is no text");
         return;
     }
-    const std::size_t textBytes = item->text.size() + event.data.size() + (item->eventCount > 0 ? 1 : 0);
-    if (textBytes > active->second.maximumTextBytes) {
+    const std::size_t separatorBytes = item->eventCount > 0 ? 1 : 0;
+    const std::size_t textBytes = item->text.size() + event.data.size() + separatorBytes;
+    const std::size_t storedBytes = item->storedTextBytes + Json::encodedBytes(event.data) + 2 * separatorBytes;
+    if (textBytes > active->second.maximumTextBytes || storedBytes > registry_.maximumStoredTextBytes()) {
         context_.metrics.count("items_oversized");
         context_.directory.recordFailure(active->second.attempt->upstream(), BootClock::now());
         restart(key, *item, "the answer is longer than the item allows");
@@ -336,8 +339,7 @@
         restart(key, *item, "no memory for the answer");
         return;
     }
-    item->text.append(item->eventCount > 0 ? "\n" : "").append(event.data);
-    ++item->eventCount;
+    item->appendEvent(event.data);
     item->lastEventId = event.id;
     active->second.lastEventId = event.id;
 }
--- a/Source/Process/Batch/OwnedJob.cpp
+++ b/Source/Process/Batch/OwnedJob.cpp
@@ -9,15 +9,24 @@
 
 namespace {
 
-/// Most bytes of texts that are handed to the next owner. An item beyond them runs again from its first event.
+/// Most bytes of texts, as JSON strings, that are handed to the next owner. An item beyond them runs again from its first event.
 constexpr std::size_t MAXIMUM_PROGRESS_BYTES = 8U << 20U;
 
 } // namespace
 
+auto ItemProgress::appendEvent(std::string_view data) -> void
+{
+    const std::string_view separator = eventCount > 0 ? "\n" : "";
+    text.append(separator).append(data);
+    storedTextBytes += Json::encodedBytes(separator) + Json::encodedBytes(data);
+    ++eventCount;
+}
+
 auto ItemProgress::discardAnswer() -> void
 {
     lastEventId.reset();
     std::string().swap(text);
+    storedTextBytes = 0;
     eventCount = 0;
 }
 
@@ -160,8 +169,9 @@
     JsonArray::Ptr entries = new JsonArray;
     std::size_t bytes = 0;
     const auto hasRoomFor = [&bytes](const std::string &text) {
-        const bool fits = bytes + text.size() <= MAXIMUM_PROGRESS_BYTES;
-        bytes += fits ? text.size() : 0;
+        const std::size_t textBytes = Json::encodedBytes(text);
+        const bool fits = bytes + textBytes <= MAXIMUM_PROGRESS_BYTES;
+        bytes += fits ? textBytes : 0;
         return fits;
     };
     const auto add = [&entries](const std::string &id, const std::string &text) {
@@ -218,6 +228,7 @@
             continue;
         }
         item->text = std::move(progress.text);
+        item->storedTextBytes = Json::encodedBytes(item->text);
         item->eventCount = progress.eventCount;
         item->failures = progress.failures;
         if (entry->has("last_event")) {
--- a/Source/Process/Batch/OwnedJob.h
+++ b/Source/Process/Batch/OwnedJob.h
@@ -26,6 +26,8 @@
     /// Id of the last event received; the next attempt resumes after it. The text holds the data of all events so far.
     std::optional<std::int64_t> lastEventId;
     std::string text;
+    /// Bytes of the text as a JSON string, as the store keeps it.
+    std::size_t storedTextBytes = 0;
     int eventCount = 0;
     /// Responses with a server error.
     int failures = 0;
@@ -34,6 +36,8 @@
     /// Earliest time of the next attempt.
     BootTime notBefore;
 
+    /// Appends the data of an event to the text.
+    auto appendEvent(std::string_view data) -> void;
     /// Forgets the events received, and frees their memory: the next attempt starts from the first event.
     auto discardAnswer() -> void;
     auto operator==(const ItemProgress &) const -> bool = default;
--- a/Source/Process/Json.cpp
+++ b/Source/Process/Json.cpp
@@ -50,6 +50,19 @@
     return bytes + TEXT_COPIES * textBytes;
 }
 
+auto encodedBytes(std::string_view text) -> std::size_t
+{
+    constexpr std::size_t LONG_ESCAPE = 6;
+    constexpr std::size_t SHORT_ESCAPE = 2;
+    std::size_t bytes = 0;
+    for (const char next : text) {
+        const bool isShort = next == '"' || next == '\\' || (next >= '\b' && next <= '\r' && next != '\v');
+        const bool isControl = static_cast<unsigned char>(next) < ' ';
+        bytes += isShort ? SHORT_ESCAPE : isControl ? LONG_ESCAPE : 1;
+    }
+    return bytes;
+}
+
 auto parseObject(const std::string &text, std::uint64_t maximumBytes) -> absl::StatusOr<JsonObject::Ptr>
 {
     if (const std::uint64_t bytes = parsedBytes(text); bytes > maximumBytes) {
--- a/Source/Process/Json.h
+++ b/Source/Process/Json.h
@@ -27,6 +27,9 @@
 /// also holds for malformed text.
 auto parsedBytes(std::string_view text) -> std::uint64_t;
 
+/// Bytes that a text takes as a JSON string, the quotes left out: control characters take up to six.
+auto encodedBytes(std::string_view text) -> std::size_t;
+
 /// For the documents of "serve": submissions of up to 100,000 items, and lists and shards of its store.
 constexpr std::uint64_t MAXIMUM_DOCUMENT_BYTES = 1U << 30U;
 
--- a/Tests/Connection/JobResultsTest.cpp
+++ b/Tests/Connection/JobResultsTest.cpp
@@ -2,6 +2,7 @@
 
 #include <absl/strings/match.h>
 #include <absl/strings/str_cat.h>
+#include <absl/strings/str_replace.h>
 #include <boost/test/unit_test.hpp>
 
 namespace poplardock {
@@ -80,6 +81,56 @@
     BOOST_TEST(totalRuns(fleet, "job-0") == 1);
 }
 
+// Guards against results whose JSON is several times their text, so that the store refuses groups of them.
+BOOST_AUTO_TEST_CASE(ResultsFullOfControlCharactersFitTheStore)
+{
+    PlatformFleet fleet(1, 2);
+    FakeObjectStore::Faults faults;
+    faults.valueBytes = 1U << 20U;
+    fleet.store.setFaults(faults);
+    for (const auto &engine : fleet.engines) {
+        engine->behaviour().eventPadding = std::string(15000, '\x01');
+    }
+    BOOST_TEST(fleet.call(0, PlatformFleet::submission("job", 6, "key1"))->status == 202);
+    BOOST_TEST(awaitResults(fleet, 0, "job", 6).size() == 6U);
+    const auto metrics = fleet.callAddress(fleet.daemons[0]->operatorsAddress(), { "GET", "/metrics", {}, {} });
+    BOOST_REQUIRE(metrics.has_value());
+    BOOST_TEST(!absl::StrContains(metrics->body, "result_writes_refused"));
+}
+
+// Guards against an item whose answer no object of the store can hold, and which takes a slot again every second until it is given up:
+// its neighbours are listed, and it comes less and less often.
+BOOST_AUTO_TEST_CASE(AnItemThatCannotBeStoredDoesNotRunForEver)
+{
+    constexpr const char *LARGE_ITEM = "job-2";
+    PlatformFleet fleet(1, 1);
+    FakeObjectStore::Faults faults;
+    faults.valueBytes = 1U << 20U;
+    fleet.store.setFaults(faults);
+    FakeEngine &engine = *fleet.engines[0];
+    engine.behaviour().events = 4;
+    engine.behaviour().onlyRequests = LARGE_ITEM;
+    engine.behaviour().eventPadding = std::string(100000, '\x01');
+    HttpCall submission = PlatformFleet::submission("job", 4, "key1");
+    submission.body = absl::StrReplaceAll(submission.body, { { "100,35", "100,800" } });
+    BOOST_TEST(fleet.call(0, submission)->status == 202);
+    BOOST_TEST(awaitResults(fleet, 0, "job", 3).size() == 3U);
+    fleet.runFor(Milliseconds(10000));
+    std::vector<BootTime> starts;
+    for (const FakeEngine::Run &run : engine.runsOfRequest(LARGE_ITEM)) {
+        starts.push_back(run.startedAt);
+    }
+    BOOST_REQUIRE(starts.size() >= 4U);
+    const auto gapBefore = [&starts](std::size_t index) {
+        return starts[index] - starts[index - 1];
+    };
+    BOOST_TEST((gapBefore(starts.size() - 1) > std::chrono::milliseconds(1500) + gapBefore(1)));
+    BOOST_TEST(fleet.results(0, "job", "key1").size() == 3U);
+    const auto metrics = fleet.callAddress(fleet.daemons[0]->operatorsAddress(), { "GET", "/metrics", {}, {} });
+    BOOST_REQUIRE(metrics.has_value());
+    BOOST_TEST(!absl::StrContains(metrics->body, "result_writes_refused"));
+}
+
 // Guards against finished jobs that are kept until the process ends: at a quarter of the memory all submissions were refused for good.
 BOOST_AUTO_TEST_CASE(FinishedJobsMakeRoomForSubmissions)
 {
--- a/Tests/Fakes/FakeEngine.cpp
+++ b/Tests/Fakes/FakeEngine.cpp
@@ -310,7 +310,8 @@
         if (!behaviour_.comment.empty()) {
             connection->channel->send(framed(behaviour_.comment));
         }
-        if (!behaviour_.noise.empty() && connection->run->sent >= behaviour_.eventsBeforeNoise) {
+        const bool isConcerned = absl::StrContains(idOf(connection->run->head), behaviour_.onlyRequests);
+        if (isConcerned && !behaviour_.noise.empty() && connection->run->sent >= behaviour_.eventsBeforeNoise) {
             connection->channel->send(framed(behaviour_.noise));
             connection->run->isCut = true;
             connection->run = nullptr;
@@ -330,7 +331,7 @@
             return;
         }
         std::string event = eventOf(idOf(connection->run->head), number);
-        event.insert(event.size() - 2, behaviour_.eventPadding);
+        event.insert(event.size() - 2, isConcerned ? behaviour_.eventPadding : std::string());
         connection->channel->send(framed(event));
         ++connection->run->sent;
         sendEvent(connection, number + 1);
--- a/Tests/Fakes/FakeEngine.h
+++ b/Tests/Fakes/FakeEngine.h
@@ -48,6 +48,8 @@
         std::string comment;
         /// Follows the data of each event of a sound stream.
         std::string eventPadding;
+        /// The padding and the noise are only for requests whose id contains this text; empty for all.
+        std::string onlyRequests;
         /// Answers have neither a length nor chunks and end with the connection.
         bool omitsLength = false;
         /// Bytes of a plain answer's body after which nothing more comes, although its length is larger; 0 for a sound one.
--- a/Tests/Fakes/FakeObjectStore.cpp
+++ b/Tests/Fakes/FakeObjectStore.cpp
@@ -179,6 +179,10 @@
         exchange->reply({ 400, {}, "{}" });
         return;
     }
+    if (isConcerned && faults.valueBytes > 0 && exchange->body().size() > faults.valueBytes) {
+        exchange->reply({ 413, {}, "{}" });
+        return;
+    }
     answer(exchange, view);
 }
 
--- a/Tests/Fakes/FakeObjectStore.h
+++ b/Tests/Fakes/FakeObjectStore.h
@@ -29,6 +29,8 @@
         int lostAnswerStatus = 0;
         /// Writes whose body contains this text are refused with 400; empty for none.
         std::string refusedText;
+        /// Writes with a larger body are refused with 413; 0 for no bound.
+        std::size_t valueBytes = 0;
         /// Only calls whose target contains this text are concerned; empty for all.
         std::string onlyTargets;
 
--- a/Tests/Platform/JobFormatTest.cpp
+++ b/Tests/Platform/JobFormatTest.cpp
@@ -1,5 +1,7 @@
 #include "platform/JobFormat.h"
 
+#include "Request/Utf8Text.h"
+
 #include <boost/test/unit_test.hpp>
 
 namespace poplardock::platform {
@@ -103,6 +105,27 @@
     BOOST_TEST(encodeResults(6, 9, all) == R"({"nextToken":9,"results":[],"total":6})");
 }
 
+// Guards against responses above 1 MB, since JSON takes up to six bytes for one of a text, and against results that are left out of a
+// log entry, which is written with the same function.
+BOOST_AUTO_TEST_CASE(PagesOfEscapedTextStayBelowTheirBound)
+{
+    const std::vector<JobResult> all(4, { "item", true, std::string(100000, '\x01') });
+    const std::string page = encodeResults(all.size(), 0, all);
+    BOOST_TEST(page.size() < 1000000U);
+    const auto results = decodeResults(page);
+    BOOST_REQUIRE(results.ok());
+    BOOST_TEST(results->size() == 1U);
+    BOOST_TEST((results->front() == all.front()));
+}
+
+// Guards against a submission whose escaped text is no UTF-8 once it is decoded, so that the store refuses its payload.
+BOOST_AUTO_TEST_CASE(AHeaderOfHalfASurrogateIsRefused)
+{
+    const std::string body = R"({"items":[{"id":"a","path":"/a","headers":{"Note":"x\ud800y"},"body":"","tokens":1}]})";
+    const auto items = decodeSubmission(body);
+    BOOST_TEST((!items.ok() || isUtf8(encodeItems(*items))));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace poplardock::platform
--- a/Tests/Process/JsonBoundsTest.cpp
+++ b/Tests/Process/JsonBoundsTest.cpp
@@ -88,6 +88,23 @@
     BOOST_TEST(!Json::parseObject(R"({"a":"unfinished)").ok());
 }
 
+// Guards against texts that take more room in the store than was reckoned, or are read back changed.
+BOOST_AUTO_TEST_CASE(EncodedTextHasTheStatedSize)
+{
+    std::string all;
+    for (int code = 0; code < 128; ++code) {
+        all += static_cast<char>(code);
+    }
+    all += "\u00e9\u2028\U0001F9F5";
+    JsonObject object;
+    object.set("text", all);
+    const std::string text = Json::toText(object);
+    BOOST_TEST(Json::encodedBytes(all) + std::string_view(R"({"text":""})").size() == text.size());
+    const auto read = Json::parseObject(text);
+    BOOST_REQUIRE(read.ok());
+    BOOST_TEST((Json::requireString(**read, "text").value_or("") == all));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace poplardock
--- a/Tests/Process/OwnedJobTest.cpp
+++ b/Tests/Process/OwnedJobTest.cpp
@@ -120,6 +120,23 @@
     BOOST_TEST(next.findItem("b")->failures == 1);
 }
 
+// Guards against a handover that the next owner refuses as a whole, since the JSON of its texts is several times their size.
+BOOST_AUTO_TEST_CASE(AHandoverOfControlCharactersIsTaken)
+{
+    constexpr std::size_t TEXT_BYTES = 7U << 20U;
+    OwnedJob former = makeJob();
+    for (const char *id : { "a", "b" }) {
+        ItemProgress &item = *former.findItem(id);
+        item.text = id == std::string("a") ? "sound" : std::string(TEXT_BYTES, '\x01');
+        item.lastEventId = 7;
+        item.eventCount = 8;
+    }
+    OwnedJob next = makeJob();
+    BOOST_TEST(next.applyProgress(former.progressText()).ok());
+    BOOST_TEST(next.findItem("a")->text == "sound");
+    BOOST_TEST(next.findItem("b")->text.empty());
+}
+
 // Guards against a result that the store refuses and that is lost, or kept as the item's only one.
 BOOST_AUTO_TEST_CASE(AWithdrawnResultRunsAgain)
 {
