Let an item whose answers cannot be used come less and less often

Cause: the time to the next run was 1 s after a refused result, and doubled to 2.4 s at most after an unusable answer.

Change: it doubles with each unusable answer, to 38 s. After a lost attempt it stays as it was, 2.4 s at most, as another upstream most likely completes the item.

Failed before, on: JobResultsTest/AResultThatIsRefusedForGoodComesLessOften (8 runs where 6 are allowed). It passes now.

--- a/Source/Process/Batch/JobRegistry.cpp
+++ b/Source/Process/Batch/JobRegistry.cpp
@@ -1,6 +1,7 @@
 #include "Process/Batch/JobRegistry.h"
 
 #include "Process/EventLog.h"
+#include "Request/ItemBackoff.h"
 
 #include <algorithm>
 
@@ -13,8 +14,6 @@
 /// Results this close to the due time are written at once, since callers poll only about twice a second.
 constexpr Milliseconds DUE_MARGIN { 2500 };
 constexpr Milliseconds RETRY_DELAY { 200 };
-/// Time before an item runs again whose result the store has refused.
-constexpr Milliseconds REFUSED_RESULT_BACKOFF { 1000 };
 /// Most bytes of several results in one log entry. A single result may take as many as an entry holds. The function that encodes
 /// entries also makes pages for readers, and leaves out what exceeds 900,000 bytes.
 constexpr std::size_t MAXIMUM_GROUP_BYTES = 800U << 10U;
@@ -311,7 +310,9 @@
     if (count > 1) {
         entry.commitLimit = (count + 1) / 2;
     } else {
-        entry.job.withdrawResult(BootClock::now() + REFUSED_RESULT_BACKOFF);
+        ItemProgress *item = entry.job.findItem(itemId);
+        const int losses = item == nullptr ? 1 : ++item->losses;
+        entry.job.withdrawResult(BootClock::now() + ItemBackoff::afterUnusableAnswer(losses));
         entry.commitLimit = std::numeric_limits<std::size_t>::max();
         entry.charge.set(bytesOf(entry.job));
     }
--- a/Source/Process/Batch/JobRunner.cpp
+++ b/Source/Process/Batch/JobRunner.cpp
@@ -2,6 +2,7 @@
 
 #include "Process/EventLog.h"
 #include "Process/Json.h"
+#include "Request/ItemBackoff.h"
 #include "Request/TextBound.h"
 #include "Request/Utf8Text.h"
 
@@ -23,24 +24,14 @@
 /// An attempt without a further event within this time counts as stalled.
 constexpr Milliseconds STALL_TIMEOUT { 1200 };
 constexpr Milliseconds DECLINED_BACKOFF { 100 };
-constexpr Milliseconds FAILURE_BACKOFF { 300 };
 constexpr Milliseconds PREEMPTION_BACKOFF { 30 };
 /// Time after the removal of a route in which it may come back and its items run.
 constexpr Milliseconds ROUTE_REMOVAL_TIME { 5000 };
-/// How often FAILURE_BACKOFF doubles at most. An item is run again however often upstreams crash under it: it never causes
-/// the crash, and it is owed until it is given up.
-constexpr int MAXIMUM_BACKOFF_DOUBLINGS = 3;
 /// Weight of one completed attempt in the moving averages.
 constexpr double SAMPLE_WEIGHT = 0.1;
 /// An item that has less than this fraction of its expected duration left is late in any case.
 constexpr double FEASIBLE_FRACTION = 0.6;
 
-/// "losses": attempts in a row, this one included, that brought the item no further.
-auto backoffAfterLoss(int losses) -> Milliseconds
-{
-    return FAILURE_BACKOFF * (1 << std::clamp(losses - 1, 0, MAXIMUM_BACKOFF_DOUBLINGS));
-}
-
 } // namespace
 
 JobRunner::JobRunner(FrontParts &context, JobRegistry &registry)
@@ -315,14 +306,14 @@
     if (item->lastEventId && event.id != expectedId) {
         // The events of successive attempts must join without a gap; otherwise the item restarts from its first event.
         EventLog::write("item_event_out_of_order", { { "item", key.item }, { "event", event.id.value_or(-1) }, { "due", expectedId } });
-        restart(key, *item, "event out of order");
+        restart(key, *item, ItemBackoff::afterLoss(item->losses + 1), "event out of order");
         return;
     }
     if (!isUtf8(event.data)) {
         // The store takes no such bytes, and no event of a sound upstream holds any.
         context_.metrics.count("items_no_text");
         context_.directory.recordFailure(active->second.attempt->upstream(), BootClock::now());
-        requeue(key, backoffAfterLoss(++item->losses), "the event is no text");
+        requeue(key, ItemBackoff::afterUnusableAnswer(++item->losses), "the event is no text");
         return;
     }
     const std::size_t separatorBytes = item->eventCount > 0 ? 1 : 0;
@@ -331,12 +322,12 @@
     if (textBytes > active->second.maximumTextBytes || storedBytes > registry_.maximumStoredTextBytes()) {
         context_.metrics.count("items_oversized");
         context_.directory.recordFailure(active->second.attempt->upstream(), BootClock::now());
-        restart(key, *item, "the answer is longer than the item allows");
+        restart(key, *item, ItemBackoff::afterUnusableAnswer(item->losses + 1), "the answer is longer than the item allows");
         return;
     }
     if (!registry_.tryReserveText(key.job, *item, textBytes)) {
         context_.metrics.count("items_without_memory");
-        restart(key, *item, "no memory for the answer");
+        restart(key, *item, ItemBackoff::afterLoss(item->losses + 1), "no memory for the answer");
         return;
     }
     item->appendEvent(event.data);
@@ -344,11 +335,12 @@
     active->second.lastEventId = event.id;
 }
 
-auto JobRunner::restart(const ItemKey &key, ItemProgress &item, const char *reason) -> void
+auto JobRunner::restart(const ItemKey &key, ItemProgress &item, Milliseconds backoff, const char *reason) -> void
 {
     item.discardAnswer();
+    ++item.losses;
     registry_.updateCharge(key.job);
-    requeue(key, backoffAfterLoss(++item.losses), reason);
+    requeue(key, backoff, reason);
 }
 
 auto JobRunner::onAttemptEnd(const ItemKey &key, RunEnd end) -> void
@@ -372,7 +364,7 @@
     if (end != RunEnd::Complete) {
         // The next attempt resumes after the last event.
         item->losses = active->second.attempt->hasFirst() ? 0 : item->losses + 1;
-        requeue(key, backoffAfterLoss(item->losses), "lost");
+        requeue(key, ItemBackoff::afterLoss(item->losses), "lost");
         return;
     }
     const ServingVersionPointer version = context_.version();
@@ -408,7 +400,7 @@
     }
     EventLog::write("item_failed",
                     { { "item", key.item }, { "job", key.job }, { "status", response.status }, { "failures", item.failures } });
-    item.notBefore = BootClock::now() + FAILURE_BACKOFF;
+    item.notBefore = BootClock::now() + ItemBackoff::afterLoss(1);
 }
 
 auto JobRunner::requeue(const ItemKey &key, Milliseconds backoff, const char *reason) -> void
--- a/Source/Process/Batch/JobRunner.h
+++ b/Source/Process/Batch/JobRunner.h
@@ -86,7 +86,7 @@
     auto startItem(const WaitingItem &waiting, const std::string &upstream) -> void;
     auto onEvent(const ItemKey &key, const StreamEvent &event) -> void;
     /// Discards what the item has of its answer, which then restarts from its first event, and puts the item back.
-    auto restart(const ItemKey &key, ItemProgress &item, const char *reason) -> void;
+    auto restart(const ItemKey &key, ItemProgress &item, Milliseconds backoff, const char *reason) -> void;
     auto onAttemptEnd(const ItemKey &key, RunEnd end) -> void;
     /// Aborts the attempt of an item, which waits for at least "backoff" before the next one.
     auto requeue(const ItemKey &key, Milliseconds backoff, const char *reason) -> void;
--- a/Tests/Connection/JobResultsTest.cpp
+++ b/Tests/Connection/JobResultsTest.cpp
@@ -131,6 +131,19 @@
     BOOST_TEST(!absl::StrContains(metrics->body, "result_writes_refused"));
 }
 
+// Guards against an item that runs again every second because the store refuses its result each time.
+BOOST_AUTO_TEST_CASE(AResultThatIsRefusedForGoodComesLessOften)
+{
+    PlatformFleet fleet(1, 1);
+    FakeObjectStore::Faults faults;
+    faults.refusedText = "job-1:1";
+    fleet.store.setFaults(faults);
+    BOOST_TEST(fleet.call(0, PlatformFleet::submission("job", 3, "key1"))->status == 202);
+    BOOST_TEST(awaitResults(fleet, 0, "job", 2).size() == 2U);
+    fleet.runFor(Milliseconds(8000));
+    BOOST_TEST(totalRuns(fleet, "job-1") <= 6);
+}
+
 // Guards against finished jobs that are kept until the process ends: at a quarter of the memory all submissions were refused for good.
 BOOST_AUTO_TEST_CASE(FinishedJobsMakeRoomForSubmissions)
 {
