Let only relays send summaries in the tests of the allowances

Cause (entry of KNOWN-RED.txt, Process.AllowanceTableTest under the thread sanitizer): the fixture let each of 67 daemons send a summary to each other one, 4,489 in all, where a fleet's relays alone send them. Reports carry the time at which the exchange began, and count for 1.5 s. Traced: beside 80 busy processes one exchange takes 1.4 to 2.1 s under the sanitizer, and 0 of 12 requests are admitted, as in the entry; beside 20 it takes 0.5 s at most.

Change: daemons that are no relays send no summary, as in a fleet. Checks and bounds are as before.

Failed before: ASmallTeamGetsItsWholeBurstOverManyDaemons, 2 of 2 runs beside 80 busy processes (thread sanitizer).

--- a/Tests/Support/DaemonTables.h
+++ b/Tests/Support/DaemonTables.h
@@ -76,6 +76,9 @@
             }
         }
         for (std::size_t from = 0; from < tables.size(); ++from) {
+            if (!directories[from]->isRelay(now)) {
+                continue;
+            }
             DaemonReport own;
             own.name = "d" + std::to_string(from);
             own.incarnation = incarnations_[from];
