Bound what an entry of the result log leaves free by the size of an object

Cause (found by reading the change): 16 KiB of each object are left for what an entry holds beside its results. With objects of 16 KiB or less no item could have a text.

Change: a sixteenth of an object at most. At 1 MiB nothing changes.

--- a/Source/Process/Batch/JobRepository.cpp
+++ b/Source/Process/Batch/JobRepository.cpp
@@ -22,7 +22,7 @@
 constexpr double PAYLOAD_FRACTION = 0.6;
 constexpr Milliseconds RETRY_DELAY { 100 };
 constexpr std::size_t ENTRY_DIGITS = 6;
-/// Part of an object that is left for what an entry holds beside its results.
+/// Left of an object for what an entry holds beside its results; a sixteenth of it, if that is less.
 constexpr std::uint64_t ENTRY_RESERVE_BYTES = 16U << 10U;
 /// The id of an item, its state and the names of the fields.
 constexpr std::size_t RESULT_OVERHEAD_BYTES = 256;
@@ -248,7 +248,8 @@
 
 auto JobRepository::maximumEntryBytes() const -> std::size_t
 {
-    return static_cast<std::size_t>(valueBytes_ - std::min(valueBytes_, ENTRY_RESERVE_BYTES));
+    constexpr std::uint64_t SIXTEENTH = 16;
+    return static_cast<std::size_t>(valueBytes_ - std::min(valueBytes_ / SIXTEENTH, ENTRY_RESERVE_BYTES));
 }
 
 auto JobRepository::entryBytes(const JobResult &result) -> std::size_t
