Count the losses of an item anew when an attempt brought it further

Cause: the growing time after an unusable answer counted all such attempts in a row, also those that had brought events; the next attempt resumes after them.

Change: an event that is no text counts as the first loss when its attempt had brought the item further.

Failed before: JobResultsTest/AnItemThatGetsFurtherIsNotHeldBack, fewer than 6 runs within 5 s.

--- a/Source/Process/Batch/JobRunner.cpp
+++ b/Source/Process/Batch/JobRunner.cpp
@@ -313,7 +313,9 @@
         // The store takes no such bytes, and no event of a sound upstream holds any.
         context_.metrics.count("items_no_text");
         context_.directory.recordFailure(active->second.attempt->upstream(), BootClock::now());
-        requeue(key, ItemBackoff::afterUnusableAnswer(++item->losses), "the event is no text");
+        // The next attempt resumes after the events that this one has brought.
+        item->losses = item->eventCount > active->second.initialEventCount ? 1 : item->losses + 1;
+        requeue(key, ItemBackoff::afterUnusableAnswer(item->losses), "the event is no text");
         return;
     }
     const std::size_t separatorBytes = item->eventCount > 0 ? 1 : 0;
--- a/Source/Process/Batch/OwnedJob.h
+++ b/Source/Process/Batch/OwnedJob.h
@@ -31,7 +31,7 @@
     int eventCount = 0;
     /// Responses with a server error.
     int failures = 0;
-    /// Attempts in a row that broke off before their first event, or brought events that are no answer.
+    /// Attempts in a row that brought the item no further: they broke off before their first event, or brought no answer.
     int losses = 0;
     /// Earliest time of the next attempt.
     BootTime notBefore;
--- a/Tests/Connection/JobResultsTest.cpp
+++ b/Tests/Connection/JobResultsTest.cpp
@@ -31,6 +31,26 @@
     }
 }
 
+// Guards against an item that waits longer and longer although each attempt at it brings it further.
+BOOST_AUTO_TEST_CASE(AnItemThatGetsFurtherIsNotHeldBack)
+{
+    // Enough engines that one of them is not passed over for its former answers.
+    PlatformFleet fleet(1, 6);
+    for (const auto &engine : fleet.engines) {
+        engine->behaviour().events = 12;
+        engine->behaviour().noise = "id: DUE_ID\ndata: \xff\xfe\n\n";
+        engine->behaviour().eventsBeforeNoise = 2;
+    }
+    BOOST_TEST(fleet.call(0, PlatformFleet::submission("job", 1, "key1"))->status == 202);
+    BOOST_TEST(fleet.runUntil([&fleet] { return totalRuns(fleet, "job-0") >= 6; }, Milliseconds(5000)));
+    for (const auto &engine : fleet.engines) {
+        engine->behaviour().noise.clear();
+    }
+    const auto results = awaitResults(fleet, 0, "job", 1);
+    BOOST_REQUIRE(results.size() == 1U);
+    BOOST_TEST(results[0].text == FakeEngine::dataOf("job-0", 12));
+}
+
 // Guards against a result that the store refuses for another reason and that keeps its neighbours out with it.
 BOOST_AUTO_TEST_CASE(AResultThatTheStoreRefusesStandsAlone)
 {
--- a/Tests/Fakes/FakeEngine.cpp
+++ b/Tests/Fakes/FakeEngine.cpp
@@ -3,6 +3,7 @@
 #include <absl/strings/match.h>
 #include <absl/strings/numbers.h>
 #include <absl/strings/str_cat.h>
+#include <absl/strings/str_replace.h>
 
 #include <algorithm>
 
@@ -312,7 +313,7 @@
         }
         const bool isConcerned = absl::StrContains(idOf(connection->run->head), behaviour_.onlyRequests);
         if (isConcerned && !behaviour_.noise.empty() && connection->run->sent >= behaviour_.eventsBeforeNoise) {
-            connection->channel->send(framed(behaviour_.noise));
+            connection->channel->send(framed(absl::StrReplaceAll(behaviour_.noise, { { "DUE_ID", absl::StrCat(number) } })));
             connection->run->isCut = true;
             connection->run = nullptr;
             loop_.post([connection] { connection->channel->close(); });
--- a/Tests/Fakes/FakeEngine.h
+++ b/Tests/Fakes/FakeEngine.h
@@ -37,8 +37,8 @@
         bool repeatsFormerAnswer = false;
         /// Bytes that belong to no request follow each answer.
         bool sendsExtraBytes = false;
-        /// Bytes in the body of each stream after "eventsBeforeNoise" events of the run; the connection then ends in order. Empty
-        /// for none.
+        /// Bytes in the body of each stream after "eventsBeforeNoise" events of the run; the connection then ends in order. "DUE_ID"
+        /// stands for the id of the event that is due. Empty for none.
         std::string noise;
         int eventsBeforeNoise = 0;
         /// Status line and headers of the answer to a stream that is resumed, and its body; empty for a sound one.
