--- a/review/Support-3/Deployment.cpp
+++ b/review/Support-3/Deployment.cpp
@@ -16,7 +16,7 @@
 }
 
 /// The classes of the small deployment's sheet that cases use.
-auto configurationText(int version, const std::string &tenants) -> std::string
+auto configurationText(int version, const std::string &tenants, const std::string &moreRoutes) -> std::string
 {
     return absl::StrCat(
         R"({"version":)",
@@ -31,7 +31,10 @@
         R"(","pathPrefix":")",
         Deployment::ONLINE_PREFIX,
         R"(","kind":"streaming","service":"loom-models","timeoutMs":5000,"targetLatencyMs":300,"targetGapMs":300,"maxAttempts":1,)",
-        R"("priority":0,"sticky":true}],"services":[{"name":"loom-models","healthPath":"/health","maxConnections":300,)",
+        R"("priority":0,"sticky":true})",
+        moreRoutes.empty() ? "" : ",",
+        moreRoutes,
+        R"(],"services":[{"name":"loom-models","healthPath":"/health","maxConnections":300,)",
         R"("engine":{"slots":8,"stride":7,"kvTokens":134354}}],"tenants":[)",
         tenants,
         R"(],"limits":{"maxHeaderBytes":16384,"maxBodyBytes":4194304,"headerTimeoutMs":5000,"idleTimeoutMs":10000}})");
@@ -55,9 +58,9 @@
     fleet = std::make_unique<FrontFleet>(loop, store, record, program, folder, zones(), MEMORY_MB);
 }
 
-auto Deployment::configure(const std::string &tenants) -> void
+auto Deployment::configure(const std::string &tenants, const std::string &moreRoutes) -> void
 {
-    store.put("config", "main", configurationText(++version_, tenants));
+    store.put("config", "main", configurationText(++version_, tenants, moreRoutes));
 }
 
 auto Deployment::fronts() const -> std::vector<std::string>
--- a/review/Support-3/Deployment.h
+++ b/review/Support-3/Deployment.h
@@ -30,8 +30,8 @@
     /// "folder" takes settings and logs; it must exist.
     Deployment(EventLoop &eventLoop, Record &record, const std::string &program, const std::string &folder, TokenServer::Shape shape);
 
-    /// Writes the next version of the configuration, with these tenants (elements of a JSON array).
-    auto configure(const std::string &tenants) -> void;
+    /// Writes the next version of the configuration, with these tenants and routes beside the usual ones (elements of JSON arrays).
+    auto configure(const std::string &tenants, const std::string &moreRoutes = {}) -> void;
     /// Runs the loop until all fronts answer that they are ready. Returns false when they are not within the time.
     auto awaitReady(Milliseconds limit) -> bool;
     /// Runs the loop for this time.
--- a/review/Support-3/JobReader.cpp
+++ b/review/Support-3/JobReader.cpp
@@ -57,6 +57,11 @@
     return failures_;
 }
 
+auto JobReader::notFound() const -> int
+{
+    return notFound_;
+}
+
 auto JobReader::read() -> void
 {
     const std::string &address = addresses_[calls_ % addresses_.size()];
@@ -77,6 +82,7 @@
         results_.insert(results_.end(), page.results.begin(), page.results.end());
     } else {
         ++failures_;
+        notFound_ += page.status == HttpStatus::NOT_FOUND ? 1 : 0;
         ++calls_;
     }
     record_.write(absl::StrCat("read ", job_, " at ", address, ": ", page.status, ", ", results_.size(), " of ", total_));
--- a/review/Support-3/JobReader.h
+++ b/review/Support-3/JobReader.h
@@ -29,6 +29,8 @@
     [[nodiscard]] auto hasAll() const -> bool;
     /// Calls that were not answered 200.
     [[nodiscard]] auto failures() const -> int;
+    /// Calls that were answered 404.
+    [[nodiscard]] auto notFound() const -> int;
 
 private:
     auto read() -> void;
@@ -42,6 +44,7 @@
     /// Failures so far, which select the daemon.
     std::size_t calls_ = 0;
     int failures_ = 0;
+    int notFound_ = 0;
     std::size_t total_ = 0;
     std::vector<ReadResult> results_;
     Timer timer_;
