--- a/review/Support-3/Deployment.cpp
+++ b/review/Support-3/Deployment.cpp
@@ -42,8 +42,12 @@
 
 } // namespace
 
-Deployment::Deployment(
-    EventLoop &eventLoop, Record &record, const std::string &program, const std::string &folder, TokenServer::Shape shape)
+Deployment::Deployment(EventLoop &eventLoop,
+                       Record &record,
+                       const std::string &program,
+                       const std::string &folder,
+                       TokenServer::Shape shape,
+                       const std::vector<std::string> &frontZones)
     : loop(eventLoop)
     , store(eventLoop)
     , client(eventLoop, HOST, KEY)
@@ -55,7 +59,7 @@
                   servers.back()->name(),
                   servers.back()->entry("loom-models", zones()[static_cast<std::size_t>(number) % zones().size()]));
     }
-    fleet = std::make_unique<FrontFleet>(loop, store, record, program, folder, zones(), MEMORY_MB);
+    fleet = std::make_unique<FrontFleet>(loop, store, record, program, folder, frontZones.empty() ? zones() : frontZones, MEMORY_MB);
 }
 
 auto Deployment::configure(const std::string &tenants, const std::string &moreRoutes) -> void
--- a/review/Support-3/Deployment.h
+++ b/review/Support-3/Deployment.h
@@ -27,8 +27,13 @@
     static constexpr Milliseconds FINISH_TIME { 18000 };
     static constexpr int MEMORY_MB = 260;
 
-    /// "folder" takes settings and logs; it must exist.
-    Deployment(EventLoop &eventLoop, Record &record, const std::string &program, const std::string &folder, TokenServer::Shape shape);
+    /// "folder" takes settings and logs; it must exist. One front for each of the zones, by default one in each of the three.
+    Deployment(EventLoop &eventLoop,
+               Record &record,
+               const std::string &program,
+               const std::string &folder,
+               TokenServer::Shape shape,
+               const std::vector<std::string> &frontZones = {});
 
     /// Writes the next version of the configuration, with these tenants and routes beside the usual ones (elements of JSON arrays).
     auto configure(const std::string &tenants, const std::string &moreRoutes = {}) -> void;
--- a/review/Support-3/PagedStore.cpp
+++ b/review/Support-3/PagedStore.cpp
@@ -172,11 +172,25 @@
         if (query.contains("watch")) {
             watch(exchange, words[0], query);
         } else {
+            if (words[0] == "servers" && onList_) {
+                const auto onList = onList_;
+                onList();
+            }
             exchange->reply({ HttpStatus::OK, {}, page(words[0], textIn(query, "after")) });
         }
     }
 }
 
+auto PagedStore::erase(const std::string &kind, const std::string &name) -> void
+{
+    static_cast<void>(remove({ kind, name }));
+}
+
+auto PagedStore::setListHandler(std::function<void()> onList) -> void
+{
+    onList_ = std::move(onList);
+}
+
 auto PagedStore::remove(const std::vector<std::string> &path) -> HttpResult
 {
     if (path.size() < 2 || find(path[0], path[1]) == nullptr) {
--- a/review/Support-3/PagedStore.h
+++ b/review/Support-3/PagedStore.h
@@ -23,6 +23,9 @@
     [[nodiscard]] auto address() const -> std::string;
     /// Creates or replaces an object. Shape of the spec: JSON text.
     auto put(const std::string &kind, const std::string &name, const std::string &spec) -> std::uint64_t;
+    auto erase(const std::string &kind, const std::string &name) -> void;
+    /// Called before each answer to a list of the kind "servers"; empty for none.
+    auto setListHandler(std::function<void()> onList) -> void;
     /// Empty when there is no such object.
     [[nodiscard]] auto specOf(const std::string &kind, const std::string &name) const -> std::string;
     [[nodiscard]] auto countOf(const std::string &kind) const -> std::size_t;
@@ -72,6 +75,7 @@
     std::vector<Watch> watches_;
     std::uint64_t revision_ = 1;
     std::function<bool(const std::string &method, const std::string &kind)> isLost_;
+    std::function<void()> onList_;
     int writes_ = 0;
     /// Kept, so that their connections stay open and silent.
     std::vector<std::shared_ptr<CallerExchange>> unanswered_;
