Read results of stored jobs a page at a time

Cause: each page of an answer read the whole log of the job, kept it several times over and charged nothing of it; the cache of finished logs takes small ones only.

The body of an item and the removal of a job no longer read all payloads or the whole log at once. The stand-in of the store gives out lists in pages.

--- a/Source/Connection/JobService.cpp
+++ b/Source/Connection/JobService.cpp
@@ -21,6 +21,8 @@
 constexpr Milliseconds OWNER_SLACK { 500 };
 /// Time in which a submission has to be in the store; callers wait for some seconds.
 constexpr Milliseconds ACCEPT_TIME { 3000 };
+/// Time for a read of the store. Readers wait 1.5 s longer than they ask for results.
+constexpr Milliseconds STORE_READ_TIME { 1200 };
 constexpr Milliseconds RETRY_AFTER { 500 };
 /// Retry hint for a job that has no upstream in its allowed regions; a restarted upstream registers within seconds.
 constexpr Milliseconds REGION_RETRY_AFTER { 1000 };
@@ -77,7 +79,7 @@
     , book_(book)
     , runner_(runner)
     , adoption_(adoption)
-    , finishedLogs_(parts.heldBytes)
+    , storedJobs_(parts.loop, ledger, parts.heldBytes, parts.dialect.resultPageBytes)
 {
 }
 
@@ -341,52 +343,24 @@
         cancelInStore(record, reply);
         return;
     }
-    const auto take = [this, query, record, reply](const JobRepository::ResultLog &log) {
-        if (query.call.kind == JobCall::Kind::ReadResults) {
-            reply(jsonResult(HttpStatus::OK, parts_.dialect.encodeResults(record.itemCount, query.call.from, log.results)));
-        } else {
-            readItemFromStore(query, record, log, reply);
-        }
-    };
-    if (const JobRepository::ResultLog *cached = finishedLogs_.find(record.id)) {
-        take(*cached);
+    const BootTime deadline = BootClock::now() + STORE_READ_TIME;
+    if (query.call.kind == JobCall::Kind::ReadItem) {
+        storedJobs_.readItem(record, query.call.itemId, deadline, [this, reply](const absl::StatusOr<JobItem> &item) {
+            if (item.ok()) {
+                reply(bytesResult(item->body));
+            } else {
+                reply(absl::IsNotFound(item.status()) ? unknown() : unsure("the job cannot be read"));
+            }
+        });
         return;
     }
-    ledger_.readResultLog(record.id, [this, record, take, reply](const absl::StatusOr<JobRepository::ResultLog> &log) {
-        if (!log.ok()) {
-            reply(unsure("the log of the job cannot be read"));
-            return;
-        }
-        if (log->results.size() == record.itemCount) {
-            finishedLogs_.put(record.id, *log, BootClock::now());
-        }
-        take(*log);
-    });
-}
-
-auto JobService::readItemFromStore(const Query &query,
-                                   const JobRecord &record,
-                                   const JobRepository::ResultLog &log,
-                                   const ReplyHandler &reply) -> void
-{
-    for (const JobResult &result : log.results) {
-        if (result.itemId == query.call.itemId) {
-            reply(unknown());
-            return;
-        }
-    }
-    ledger_.readItems(record, [this, query, reply](const absl::StatusOr<std::vector<JobItem>> &items) {
-        if (!items.ok()) {
-            reply(unsure("the items of the job cannot be read"));
-            return;
-        }
-        for (const JobItem &item : *items) {
-            if (item.id == query.call.itemId) {
-                reply(bytesResult(item.body));
-                return;
-            }
+    storedJobs_.readResults(record, query.call.from, deadline, [this, query, record, reply](const auto &results) {
+        if (results.ok()) {
+            reply(jsonResult(HttpStatus::OK, parts_.dialect.encodeResultPage(record.itemCount, query.call.from, *results)));
+        } else {
+            EventLog::write("job_read_failed", { { "job", record.id }, { "reason", results.status().message() } });
+            reply(unsure("the results of the job cannot be read"));
         }
-        reply(unknown());
     });
 }
 
--- a/Source/Connection/JobService.h
+++ b/Source/Connection/JobService.h
@@ -2,8 +2,8 @@
 
 #include "Connection/FrontService.h"
 #include "Connection/HttpClient.h"
-#include "Process/Batch/FinishedLogCache.h"
 #include "Process/Batch/JobTakeover.h"
+#include "Process/Batch/StoredJobReader.h"
 
 #include <map>
 
@@ -63,8 +63,6 @@
     auto notifyOwner(const JobRecord &record, const ReplyHandler &reply) -> void;
     /// Replies to cancellations that a relay has heard by now, or not in time.
     auto checkUnconfirmed() -> void;
-    auto readItemFromStore(const Query &query, const JobRecord &record, const JobRepository::ResultLog &log, const ReplyHandler &reply)
-        -> void;
     [[nodiscard]] auto unsure(const std::string &reason) const -> HttpResult;
     /// The answer to a cancellation that may have taken effect.
     [[nodiscard]] auto cancelUncertain() const -> HttpResult;
@@ -80,8 +78,8 @@
     Timer unconfirmedTimer_;
     /// Records of jobs that other daemons own, as they were last read.
     std::map<std::string, JobRecord> elsewhere_;
-    /// Results of jobs that are done, as they were read from the store.
-    FinishedLogCache finishedLogs_;
+    /// Reads jobs for which no other daemon answers.
+    StoredJobReader storedJobs_;
 };
 
 } // namespace poplardock
--- a/Source/Connection/WireDialect.h
+++ b/Source/Connection/WireDialect.h
@@ -12,6 +12,7 @@
 #include <cstdint>
 #include <functional>
 #include <optional>
+#include <span>
 #include <string>
 #include <vector>
 
@@ -203,6 +204,10 @@
     std::function<std::string(const std::vector<JobItem> &)> encodeItems;
     /// The answer to a read of results: those from position "from" on, cut to a size.
     std::function<std::string(std::size_t total, std::size_t from, const std::vector<JobResult> &all)> encodeResults;
+    /// As encodeResults(), for results of which the first stands at position "from".
+    std::function<std::string(std::size_t total, std::size_t from, std::span<const JobResult> results)> encodeResultPage;
+    /// Most bytes that the texts of one answer take as JSON, unless it has a single result.
+    std::size_t resultPageBytes = 0;
     std::function<absl::StatusOr<std::vector<JobResult>>(const std::string &body)> decodeResults;
 
     std::function<HttpCall(const std::string &kind, const std::string &name)> readCall;
--- a/Source/Process/Batch/JobRepository.cpp
+++ b/Source/Process/Batch/JobRepository.cpp
@@ -178,61 +178,114 @@
 
 auto JobRepository::readItems(const JobRecord &record, ItemsHandler handler) -> void
 {
-    readPayload(record, 0, std::make_shared<std::vector<JobItem>>(), std::move(handler));
+    const auto found = std::make_shared<std::vector<JobItem>>();
+    std::size_t left = record.payloadCount;
+    if (left == 0) {
+        handler(*found);
+        return;
+    }
+    readPayloads(record, 0, [found, left, handler = std::move(handler)](const absl::StatusOr<std::vector<JobItem>> &items) mutable {
+        if (!items.ok()) {
+            handler(items.status());
+            return false;
+        }
+        found->insert(found->end(), items->begin(), items->end());
+        if (--left == 0) {
+            handler(*found);
+        }
+        return left > 0;
+    });
 }
 
-auto JobRepository::readPayload(const JobRecord &record,
-                                std::size_t number,
-                                const std::shared_ptr<std::vector<JobItem>> &found,
-                                ItemsHandler handler) -> void
+auto JobRepository::readItem(const JobRecord &record, const std::string &itemId, ItemHandler handler) -> void
 {
-    if (number >= record.payloadCount) {
-        handler(*found);
+    std::size_t left = record.payloadCount;
+    if (left == 0) {
+        handler(absl::NotFoundError("the job has no items"));
         return;
     }
-    store_.read(
-        PAYLOAD_KIND, payloadName(record.id, number), [this, record, number, found, handler = std::move(handler)](const auto &object) {
-            const auto items = object.ok() ? adapter_.decodeItems(object->spec) : object.status();
-            if (!items.ok()) {
-                handler(items.status());
-                return;
+    readPayloads(record, 0, [itemId, left, handler = std::move(handler)](const absl::StatusOr<std::vector<JobItem>> &items) mutable {
+        if (!items.ok()) {
+            handler(items.status());
+            return false;
+        }
+        const auto item = std::find_if(items->begin(), items->end(), [&itemId](const JobItem &each) { return each.id == itemId; });
+        if (item != items->end()) {
+            handler(*item);
+            return false;
+        }
+        if (--left == 0) {
+            handler(absl::NotFoundError("the job has no such item"));
+        }
+        return left > 0;
+    });
+}
+
+auto JobRepository::readPayloads(const JobRecord &record, std::size_t number, PayloadHandler handler) -> void
+{
+    store_.read(PAYLOAD_KIND, payloadName(record.id, number), [this, record, number, handler = std::move(handler)](const auto &object) {
+        if (handler(object.ok() ? adapter_.decodeItems(object->spec) : object.status())) {
+            readPayloads(record, number + 1, handler);
+        }
+    });
+}
+
+auto JobRepository::readLogPages(const std::string &id, std::size_t firstEntry, LogPageHandler handler) -> void
+{
+    const std::string after = firstEntry == 0 ? std::string() : entryName(firstEntry - 1);
+    store_.listPages(
+        logKind(id), false, after, [this, next = firstEntry, handler = std::move(handler)](const absl::StatusOr<StoreList> &list) mutable {
+            if (!list.ok()) {
+                return absl::IsNotFound(list.status()) ? handler(LogPage()) : handler(list.status());
+            }
+            LogPage page;
+            page.hasMore = list->hasMore;
+            for (const StoredObject &object : list->objects) {
+                if (!isEntryName(object.name)) {
+                    recordOddEntry(object, "its name is no number of the log");
+                    continue;
+                }
+                // The log has no gaps. The store may list its entries in any order, so the names are checked.
+                if (object.name != entryName(next)) {
+                    return handler(
+                        absl::InternalError(absl::StrCat("log out of sequence: entry ", object.name, " where ", next, " is due")));
+                }
+                page.entries.push_back(entryFrom(object, next));
+                ++next;
             }
-            found->insert(found->end(), items->begin(), items->end());
-            readPayload(record, number + 1, found, handler);
+            return handler(page);
         });
 }
 
+auto JobRepository::entryFrom(const StoredObject &object, std::size_t number) -> LogEntry
+{
+    // An entry of another writer takes its number and adds nothing: the daemons' own entries can all be read.
+    auto results = adapter_.decodeResults(object.spec);
+    const auto fence = results.ok() && results->empty() ? fenceOf(object.spec) : 0;
+    if (!results.ok() || !fence.ok()) {
+        recordOddEntry(object, results.ok() ? fence.status().message() : results.status().message());
+        return { number, {}, 0 };
+    }
+    return { number, *std::move(results), static_cast<std::uint64_t>(*fence) };
+}
+
 auto JobRepository::readResultLog(const std::string &id, ResultLogHandler handler) -> void
 {
-    store_.listAll(logKind(id), false, [this, handler = std::move(handler)](const absl::StatusOr<StoreList> &list) {
-        if (!list.ok() && !absl::IsNotFound(list.status())) {
-            handler(list.status());
-            return;
+    const auto log = std::make_shared<ResultLog>();
+    readLogPages(id, 0, [log, handler = std::move(handler)](const absl::StatusOr<LogPage> &page) {
+        if (!page.ok()) {
+            handler(page.status());
+            return false;
         }
-        ResultLog log;
-        for (const StoredObject &object : list.ok() ? list->objects : std::vector<StoredObject>()) {
-            if (!isEntryName(object.name)) {
-                recordOddEntry(object, "its name is no number of the log");
-                continue;
-            }
-            // The log has no gaps. The store may list its entries in any order, so the names are checked.
-            if (object.name != entryName(log.nextEntryNumber)) {
-                handler(absl::InternalError(
-                    absl::StrCat("log out of sequence: entry ", object.name, " where ", log.nextEntryNumber, " is due")));
-                return;
-            }
-            // An entry of another writer takes its number and adds nothing: the daemons' own entries can all be read.
-            ++log.nextEntryNumber;
-            const auto results = adapter_.decodeResults(object.spec);
-            const auto fence = results.ok() && results->empty() ? fenceOf(object.spec) : 0;
-            if (!results.ok() || !fence.ok()) {
-                recordOddEntry(object, results.ok() ? fence.status().message() : results.status().message());
-                continue;
-            }
-            log.fence = std::max(log.fence, static_cast<std::uint64_t>(*fence));
-            log.results.insert(log.results.end(), results->begin(), results->end());
+        for (const LogEntry &entry : page->entries) {
+            log->nextEntryNumber = entry.number + 1;
+            log->fence = std::max(log->fence, entry.fence);
+            log->results.insert(log->results.end(), entry.results.begin(), entry.results.end());
+        }
+        if (!page->hasMore) {
+            handler(*log);
         }
-        handler(log);
+        return page->hasMore;
     });
 }
 
@@ -289,14 +342,17 @@
             EventLog::write("job_removed", { { "job", id }, { "ok", status.ok() } });
         });
     };
-    readResultLog(record.id, [this, record, removeRecord](const absl::StatusOr<ResultLog> &log) {
-        if (!log.ok()) {
-            return;
+    readLogPages(record.id, 0, [this, record, removeRecord](const absl::StatusOr<LogPage> &page) {
+        if (!page.ok()) {
+            return false;
+        }
+        for (const LogEntry &entry : page->entries) {
+            store_.remove(logKind(record.id), entryName(entry.number), [](const absl::Status &) {});
         }
-        for (std::size_t number = 0; number < log->nextEntryNumber; ++number) {
-            store_.remove(logKind(record.id), entryName(number), [](const absl::Status &) {});
+        if (!page->hasMore) {
+            removeRecord();
         }
-        removeRecord();
+        return page->hasMore;
     });
 }
 
--- a/Source/Process/Batch/JobRepository.h
+++ b/Source/Process/Batch/JobRepository.h
@@ -38,12 +38,33 @@
 
         auto operator==(const ResultLog &) const -> bool = default;
     };
+    /// One entry of a result log. An entry never changes, and its number is that of the entries before it.
+    struct LogEntry
+    {
+        std::size_t number = 0;
+        std::vector<JobResult> results;
+        /// As in a ResultLog; 0 for an entry that fences nothing.
+        std::uint64_t fence = 0;
+
+        auto operator==(const LogEntry &) const -> bool = default;
+    };
+    /// Entries that follow one another, and whether the log goes on after them.
+    struct LogPage
+    {
+        std::vector<LogEntry> entries;
+        bool hasMore = false;
+
+        auto operator==(const LogPage &) const -> bool = default;
+    };
     /// Receives the record with its item and payload counts. "isOwn": the stored record is the one written by this
     /// call, not one that existed before; its version is 0 when the store's response was lost.
     using AcceptHandler = std::function<void(Acceptance, bool isOwn, const JobRecord &)>;
     using RecordHandler = std::function<void(const absl::StatusOr<JobRecord> &)>;
     using RecordsHandler = std::function<void(const absl::StatusOr<std::vector<JobRecord>> &)>;
     using ItemsHandler = std::function<void(const absl::StatusOr<std::vector<JobItem>> &)>;
+    using ItemHandler = std::function<void(const absl::StatusOr<JobItem> &)>;
+    /// Receives a page, or the error that ends the reading; returns whether the next page is wanted.
+    using LogPageHandler = std::function<bool(const absl::StatusOr<LogPage> &)>;
     using ResultLogHandler = std::function<void(const absl::StatusOr<ResultLog> &)>;
     /// AlreadyExists: the number is taken by another daemon's entry, or by this daemon's own after a lost response.
     using AppendHandler = std::function<void(const absl::Status &)>;
@@ -61,7 +82,12 @@
     /// Replaces the record if its version is still that of the argument.
     auto replace(const JobRecord &record, RecordHandler handler) -> void;
     auto readItems(const JobRecord &record, ItemsHandler handler) -> void;
-    /// Leaves out entries of other writers: those whose name is no number of the log, and those that cannot be decoded.
+    /// Reads one item; holds one payload at a time. Errors: NotFound for an item that the job does not have.
+    auto readItem(const JobRecord &record, const std::string &itemId, ItemHandler handler) -> void;
+    /// Reads the log from that entry on, a page of the store at a time. Entries of other writers are left out: those whose name is no
+    /// number of the log are skipped, and those that cannot be decoded have no results. Errors: Internal for a log with a gap.
+    auto readLogPages(const std::string &id, std::size_t firstEntry, LogPageHandler handler) -> void;
+    /// As readLogPages(), the whole log at once.
     auto readResultLog(const std::string &id, ResultLogHandler handler) -> void;
     /// Creates an entry without results, after which appends of former owners fail. "claimVersion" is the version of the
     /// record that made the caller the owner.
@@ -82,8 +108,13 @@
     /// Logs an entry that is left out of a log, once.
     auto recordOddEntry(const StoredObject &entry, absl::string_view reason) -> void;
     auto writeNext(const std::shared_ptr<Submission> &submission) -> void;
-    auto readPayload(const JobRecord &record, std::size_t number, const std::shared_ptr<std::vector<JobItem>> &found, ItemsHandler handler)
-        -> void;
+    /// Receives the items of one payload, or the error that ends the reading; returns whether the next payload is wanted.
+    using PayloadHandler = std::function<bool(const absl::StatusOr<std::vector<JobItem>> &)>;
+
+    /// Reads the payloads one after the other from that number on. Precondition: the record has the number.
+    auto readPayloads(const JobRecord &record, std::size_t number, PayloadHandler handler) -> void;
+    /// Decodes one entry of a log.
+    auto entryFrom(const StoredObject &object, std::size_t number) -> LogEntry;
 
     EventLoop &loop_;
     ObjectStore &store_;
--- a/Source/Process/Store/ObjectStore.cpp
+++ b/Source/Process/Store/ObjectStore.cpp
@@ -3,6 +3,7 @@
 #include "Process/EventLog.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace poplardock {
 
@@ -117,48 +118,59 @@
 }
 
 auto ObjectStore::listAll(const std::string &kind, bool allowsStale, ListHandler handler) -> void
+{
+    const auto found = std::make_shared<StoreList>();
+    listPages(kind, allowsStale, {}, [found, isFirst = true, handler = std::move(handler)](const absl::StatusOr<StoreList> &page) mutable {
+        if (!page.ok()) {
+            handler(page.status());
+            return false;
+        }
+        // A watch from the revision of the first page also reports the changes that happened between the pages.
+        if (std::exchange(isFirst, false)) {
+            found->revision = page->revision;
+        }
+        found->unreadable += page->unreadable;
+        found->objects.insert(found->objects.end(), page->objects.begin(), page->objects.end());
+        if (!page->hasMore) {
+            handler(*found);
+        }
+        return page->hasMore;
+    });
+}
+
+auto ObjectStore::listPages(const std::string &kind, bool allowsStale, const std::string &after, PageHandler handler) -> void
 {
     StoreQuery query;
     query.allowsStale = allowsStale;
-    listPage(kind, std::move(query), std::make_shared<StoreList>(), std::move(handler));
+    query.after = after;
+    listPage(kind, std::move(query), std::move(handler));
 }
 
-auto ObjectStore::listPage(const std::string &kind, StoreQuery query, std::shared_ptr<StoreList> found, ListHandler handler) -> void
+auto ObjectStore::listPage(const std::string &kind, StoreQuery query, PageHandler handler) -> void
 {
     ++(query.allowsStale ? counts_.staleReads : counts_.reads);
     ++callsByKind_[(query.allowsStale ? "stale_list " : "list ") + std::string(kind.starts_with(LOG_KIND_PREFIX) ? LOG_KIND_PREFIX : kind)];
     const HttpCall call = adapter_.listCall(kind, query);
-    send(call,
-         Milliseconds(0),
-         CALL_TIMEOUT,
-         [this, kind, query = std::move(query), found = std::move(found), handler = std::move(handler)](const auto &result) {
-             const auto page = result.ok() ? adapter_.decodeList(kind, result->body) : result.status();
-             if (!page.ok()) {
-                 handler(page.status());
-                 return;
-             }
-             // A watch from the revision of the first page also reports the changes that happened between the pages.
-             if (query.after.empty()) {
-                 found->revision = page->revision;
-             }
-             if (page->unreadable > 0) {
-                 EventLog::write("store_objects_unreadable",
-                                 { { "kind", kind }, { "count", static_cast<std::uint64_t>(page->unreadable) } });
-             }
-             if (page->hasMore && page->objects.empty()) {
-                 handler(absl::InvalidArgumentError("a page of the list cannot be read"));
-                 return;
-             }
-             found->unreadable += page->unreadable;
-             found->objects.insert(found->objects.end(), page->objects.begin(), page->objects.end());
-             if (page->hasMore) {
-                 StoreQuery next = query;
-                 next.after = page->objects.back().name;
-                 listPage(kind, std::move(next), found, handler);
-                 return;
-             }
-             handler(*found);
-         });
+    send(call, Milliseconds(0), CALL_TIMEOUT, [this, kind, query = std::move(query), handler = std::move(handler)](const auto &result) {
+        StoreQuery next = query;
+        {
+            const auto page = result.ok() ? adapter_.decodeList(kind, result->body) : result.status();
+            if (page.ok() && page->unreadable > 0) {
+                EventLog::write("store_objects_unreadable",
+                                { { "kind", kind }, { "count", static_cast<std::uint64_t>(page->unreadable) } });
+            }
+            if (page.ok() && page->hasMore && page->objects.empty()) {
+                handler(absl::InvalidArgumentError("a page of the list cannot be read"));
+                return;
+            }
+            const bool isNextWanted = handler(page);
+            if (!page.ok() || !page->hasMore || !isNextWanted) {
+                return;
+            }
+            next.after = page->objects.back().name;
+        }
+        listPage(kind, std::move(next), handler);
+    });
 }
 
 auto ObjectStore::watch(const std::string &kind, std::uint64_t revision, Milliseconds wait, EventsHandler handler) -> void
--- a/Source/Process/Store/ObjectStore.h
+++ b/Source/Process/Store/ObjectStore.h
@@ -33,6 +33,8 @@
     };
     using ObjectHandler = std::function<void(const absl::StatusOr<StoredObject> &)>;
     using ListHandler = std::function<void(const absl::StatusOr<StoreList> &)>;
+    /// Receives a page, or the error that ends the reading; returns whether the next page is wanted.
+    using PageHandler = std::function<bool(const absl::StatusOr<StoreList> &)>;
     using EventsHandler = std::function<void(const absl::StatusOr<StoreEvents> &)>;
     using DoneHandler = std::function<void(const absl::Status &)>;
 
@@ -43,6 +45,9 @@
     /// Reads all pages of a kind; they may be seconds old when "allowsStale". The revision is that of the first page,
     /// so a watch from it reports every later change.
     auto listAll(const std::string &kind, bool allowsStale, ListHandler handler) -> void;
+    /// Reads the pages of a kind one after the other, from the first object whose name comes after "after"; empty for all. Each page is
+    /// dropped before the next one is read. The last page has "hasMore" unset.
+    auto listPages(const std::string &kind, bool allowsStale, const std::string &after, PageHandler handler) -> void;
     /// Long poll: waits up to "wait" for changes after a revision.
     auto watch(const std::string &kind, std::uint64_t revision, Milliseconds wait, EventsHandler handler) -> void;
     /// The handler receives the object as it was stored.
@@ -66,7 +71,7 @@
     /// The store may take "wait" before it responds.
     auto send(const HttpCall &call, Milliseconds wait, Milliseconds timeout, ResultHandler handler) -> void;
     auto sendOnce(const HttpCall &call, Milliseconds wait, Milliseconds timeout, bool isRetryable, ResultHandler handler) -> void;
-    auto listPage(const std::string &kind, StoreQuery query, std::shared_ptr<StoreList> found, ListHandler handler) -> void;
+    auto listPage(const std::string &kind, StoreQuery query, PageHandler handler) -> void;
 
     EventLoop &loop_;
     const WireDialect &adapter_;
--- a/Tests/Connection/JobResultsTest.cpp
+++ b/Tests/Connection/JobResultsTest.cpp
@@ -1,7 +1,9 @@
 #include "Support/JobChecks.h"
+#include "platform/Adapter.h"
 
 #include <absl/strings/match.h>
 #include <absl/strings/str_cat.h>
+#include <absl/strings/str_format.h>
 #include <absl/strings/str_replace.h>
 #include <boost/test/unit_test.hpp>
 
@@ -31,6 +33,36 @@
     }
 }
 
+// Guards against a read of a finished job, whose owner is gone, that takes the whole log from the store for each page.
+BOOST_AUTO_TEST_CASE(ALargeLogIsReadPageByPage)
+{
+    constexpr std::size_t ENTRIES = 20;
+    constexpr std::size_t TEXT_BYTES = 400000;
+    PlatformFleet fleet(0, 1);
+    fleet.adjustSettings = [](FrontSettings &settings) {
+        settings.memoryBytes = 64U << 20U;
+    };
+    JobRecord record;
+    record.id = "large";
+    record.team = "weavers";
+    record.owner = "gone";
+    record.itemCount = ENTRIES;
+    record.isDone = true;
+    record.submittedAt = WallClock::now();
+    record.giveUpAt = record.submittedAt + std::chrono::minutes(1);
+    fleet.store.put("jobs", record.id, toStored(record).spec);
+    for (std::size_t entry = 0; entry < ENTRIES; ++entry) {
+        const JobResult result { absl::StrCat("large-", entry), true, std::string(TEXT_BYTES, 'x') };
+        fleet.store.put("results-large", absl::StrFormat("%06d", entry), platform::makeAdapter().encodeResults(1, 0, { result }));
+    }
+    const std::size_t daemon = fleet.startDaemon("daemon0");
+    fleet.awaitReady();
+    const auto results = awaitResults(fleet, daemon, "large", ENTRIES);
+    BOOST_REQUIRE(results.size() == ENTRIES);
+    BOOST_TEST(results.back().itemId == absl::StrCat("large-", ENTRIES - 1));
+    BOOST_TEST(fleet.store.listedBytes("results-large") < 3 * ENTRIES * TEXT_BYTES);
+}
+
 // Guards against an item that waits longer and longer although each attempt at it brings it further.
 BOOST_AUTO_TEST_CASE(AnItemThatGetsFurtherIsNotHeldBack)
 {
--- a/Tests/Fakes/FakeObjectStore.cpp
+++ b/Tests/Fakes/FakeObjectStore.cpp
@@ -13,6 +13,9 @@
 namespace {
 
 constexpr const char *ROOT = "/-/objects/";
+/// Bounds of one page of a list.
+constexpr std::size_t PAGE_OBJECTS = 500;
+constexpr std::size_t PAGE_BYTES = 1000000;
 
 auto queryOf(const std::string &target) -> std::map<std::string, std::string>
 {
@@ -161,6 +164,12 @@
     return count;
 }
 
+auto FakeObjectStore::listedBytes(const std::string &kind) const -> std::size_t
+{
+    const auto found = listedBytes_.find(kind);
+    return found == listedBytes_.end() ? 0 : found->second;
+}
+
 auto FakeObjectStore::handle(const std::shared_ptr<CallerExchange> &exchange, std::size_t view) -> void
 {
     const std::string &target = exchange->head().target;
@@ -261,13 +270,27 @@
                                  const std::map<std::string, std::string> &query) -> void
 {
     if (!query.contains("watch")) {
+        const auto afterName = query.find("after");
+        const auto &objects = objects_[kind];
+        auto next = afterName == query.end() ? objects.begin() : objects.upper_bound(afterName->second);
         std::vector<std::string> items;
-        for (const auto &[name, object] : objects_[kind]) {
-            items.push_back(textOf(kind, name));
+        std::size_t bytes = 0;
+        for (; next != objects.end() && items.size() < PAGE_OBJECTS && bytes < PAGE_BYTES; ++next) {
+            items.push_back(textOf(kind, next->first));
+            bytes += items.back().size();
         }
+        listedBytes_[kind] += bytes;
         reply(exchange,
               view,
-              { 200, {}, absl::StrCat(R"({"items":[)", absl::StrJoin(items, ","), R"(],"hasMore":false,"at":)", revision_, "}") });
+              { 200,
+                {},
+                absl::StrCat(R"({"items":[)",
+                             absl::StrJoin(items, ","),
+                             R"(],"hasMore":)",
+                             next == objects.end() ? "false" : "true",
+                             R"(,"at":)",
+                             revision_,
+                             "}") });
         return;
     }
     Watch watch { exchange, view, kind, numberIn(query, "watch"), {} };
--- a/Tests/Fakes/FakeObjectStore.h
+++ b/Tests/Fakes/FakeObjectStore.h
@@ -58,6 +58,8 @@
     [[nodiscard]] auto specOf(const std::string &kind, const std::string &name) const -> std::string;
     [[nodiscard]] auto statusOf(const std::string &kind, const std::string &name) const -> std::string;
     [[nodiscard]] auto countOf(const std::string &kind) const -> std::size_t;
+    /// Bytes of the objects of a kind in all lists so far.
+    [[nodiscard]] auto listedBytes(const std::string &kind) const -> std::size_t;
     /// Calls so far whose method and target begin with the text.
     [[nodiscard]] auto callCount(const std::string &prefix) const -> int;
 
@@ -115,6 +117,7 @@
     std::vector<Change> history_;
     std::vector<Watch> watches_;
     std::map<std::string, int> calls_;
+    std::map<std::string, std::size_t> listedBytes_;
     std::uint64_t revision_ = 1;
     std::uint64_t historyBegin_ = 0;
 };
