Let the key decide who makes a jobs call

Cause: the identity of a jobs call was taken from the route of its path; on a public route the key was not looked at.

Change: identifyJobCaller() decides by the key, whatever routes there are. A submission with a key on a public batch route now belongs to the key's team.

--- a/Source/Connection/FrontService.cpp
+++ b/Source/Connection/FrontService.cpp
@@ -2,6 +2,7 @@
 
 #include "Connection/Refusal.h"
 #include "Process/EventLog.h"
+#include "Request/CallerIdentity.h"
 #include "Request/OnlineAdmission.h"
 
 #include <absl/strings/str_cat.h>
@@ -59,22 +60,6 @@
     caller->reply(refusalOf(parts_.dialect, code, message, retryAfter));
 }
 
-auto FrontService::identify(const ServingVersion &version, const ServiceRoute *route, const RequestTerms &terms) const -> Caller
-{
-    if (!version.hasTeams() || (route != nullptr && route->isPublic)) {
-        return {};
-    }
-    // An old configuration may hold a key that was withdrawn, and may lack one that was added.
-    if (!isFresh(BootClock::now())) {
-        return { nullptr, ResultCode::ConfigurationStale };
-    }
-    if (terms.key.empty()) {
-        return { nullptr, ResultCode::KeyMissing };
-    }
-    const ServedTeam *team = version.findTeamOfKey(terms.key);
-    return team == nullptr ? Caller { nullptr, ResultCode::KeyUnknown } : Caller { team, std::nullopt };
-}
-
 auto FrontService::handle(const std::shared_ptr<CallerExchange> &caller) -> void
 {
     const RequestTerms terms = parts_.dialect.requestTerms(caller->head().headers);
@@ -94,7 +79,10 @@
         }
         return;
     }
-    const Caller identity = identify(*version, route, terms);
+    const bool isFreshNow = isFresh(BootClock::now());
+    const ServiceRoute *submissionRoute = job && job->kind == JobCall::Kind::Submit ? route : nullptr;
+    const CallerIdentity identity = job ? identifyJobCaller(*version, submissionRoute, terms.host, terms.key, isFreshNow)
+                                        : identifyCaller(*version, route, terms.key, isFreshNow);
     if (identity.refusal) {
         const bool isStale = *identity.refusal == ResultCode::ConfigurationStale;
         refuse(caller, terms, *identity.refusal, "", isStale ? std::optional(STALE_RETRY_AFTER) : std::nullopt);
@@ -102,7 +90,7 @@
     }
     const std::string team = identity.team == nullptr ? std::string() : identity.team->team.name;
     if (job) {
-        onJob_({ caller, *job, terms, team, isOnJobRoute ? route : nullptr, version });
+        onJob_({ caller, *job, terms, team, submissionRoute, version });
         return;
     }
     // Passed on, it could be cut without an answer; another daemon can still serve it.
--- a/Source/Connection/FrontService.h
+++ b/Source/Connection/FrontService.h
@@ -35,13 +35,6 @@
     [[nodiscard]] auto isFresh(BootTime now) const -> bool;
 
 private:
-    struct Caller
-    {
-        const ServedTeam *team = nullptr;
-        std::optional<ResultCode> refusal;
-    };
-
-    [[nodiscard]] auto identify(const ServingVersion &version, const ServiceRoute *route, const RequestTerms &terms) const -> Caller;
     auto refuse(const std::shared_ptr<CallerExchange> &caller,
                 const RequestTerms &terms,
                 ResultCode code,
