Keep the jobs of teams that chose the same id apart

Callers: a submission whose id another team had used was answered 202 and never ran; a submission that met payloads of another team's unfinished one could run the other's items after a takeover.

Cause: a job's objects were named by the caller's id alone, and JobRepository::accept() took any existing object for its own.

Change: existing objects are compared by team, id and items. A job whose id is taken is stored under jobNameOf(), a name made of the id and a digest of the team; reads look for the id first. Jobs that were submitted without a key are readable by everybody who knows the id, so that they are not lost once keys are asked for. A submission costs one more read.

Before, on: JobIdentityTest/AnIdBelongsToEachTeamAlone (0 of 2 results of the second team, 0 runs), ALostCreateAndAnotherTeamsSubmission (0 runs) and ItemsThatAnotherTeamLeftAreNotRun (4 runs of a foreign item, 0 of 2 results) failed, and the reads of a job without a team.

After: all pass, JobServiceTest and JobResultsTest too.

--- a/Source/Connection/JobService.cpp
+++ b/Source/Connection/JobService.cpp
@@ -64,11 +64,11 @@
     return "unknown";
 }
 
-/// "/jobs/KIND/TEAM/ID/FROM/WAIT_MS/ITEM"; the team may be empty. Names hold no slashes.
-auto peerTarget(const JobCall &call, const std::string &team, Milliseconds wait) -> std::string
+/// "/jobs/KIND/TEAM/JOB/FROM/WAIT_MS/ITEM"; the team may be empty. Names hold no slashes.
+auto peerTarget(const JobCall &call, const std::string &team, const std::string &job, Milliseconds wait) -> std::string
 {
     return absl::StrCat(
-        PEER_PATH, "/", static_cast<int>(call.kind), "/", team, "/", call.jobId, "/", call.from, "/", wait.count(), "/", call.itemId);
+        PEER_PATH, "/", static_cast<int>(call.kind), "/", team, "/", job, "/", call.from, "/", wait.count(), "/", call.itemId);
 }
 
 } // namespace
@@ -106,7 +106,7 @@
     }
     const Milliseconds wait
         = request.call.kind == JobCall::Kind::ReadResults ? std::min(request.terms.resultWait, LONGEST_WAIT) : Milliseconds(0);
-    const Query query { request.call, request.team, BootClock::now() + wait };
+    const Query query { request.call, request.team, BootClock::now() + wait, request.call.jobId };
     answer(query, [caller = request.caller, id = request.call.jobId, kind = static_cast<int>(request.call.kind)](const HttpResult &result) {
         if (result.status != HttpStatus::OK) {
             EventLog::write("job_call_failed", { { "job", id }, { "kind", kind }, { "status", result.status } });
@@ -119,7 +119,11 @@
 {
     const std::string &id = request.call.jobId;
     const auto caller = request.caller;
-    if (book_.find(id) != nullptr) {
+    const auto isOwned = [this, &request, &id](const std::string &name) {
+        const OwnedJob *job = book_.find(name);
+        return job != nullptr && job->record().isJobOf(request.team, id);
+    };
+    if (isOwned(id) || isOwned(jobNameOf(request.team, id))) {
         caller->reply(jsonResult(HttpStatus::ACCEPTED, "{}"));
         return;
     }
@@ -210,16 +214,16 @@
 
 auto JobService::answer(const Query &query, const ReplyHandler &reply) -> void
 {
-    if (answersFor(query.call.jobId)) {
+    if (answersFor(query.job)) {
         answerAsOwner(query, reply, [this, query, reply] { findOwner(query, reply); });
         return;
     }
-    if (const Peer *owner = parts_.peers.ownerOf(query.call.jobId, BootClock::now())) {
+    if (const Peer *owner = parts_.peers.ownerOf(query.job, BootClock::now())) {
         askOwner(query, owner->address, reply);
         return;
     }
-    const auto known = elsewhere_.find(query.call.jobId);
-    if (known != elsewhere_.end() && known->second.team == query.team && isOwnerAlive(known->second)) {
+    const auto known = elsewhere_.find(query.job);
+    if (known != elsewhere_.end() && known->second.isJobOf(query.team, query.call.jobId) && isOwnerAlive(known->second)) {
         askOwner(query, known->second.ownerAddress, reply);
         return;
     }
@@ -238,27 +242,31 @@
         return;
     }
     const auto end = [this, query, reply, onNotOwner] {
-        if (answersFor(query.call.jobId)) {
+        if (answersFor(query.job)) {
             replyOwned(query, reply);
         } else {
             onNotOwner();
         }
     };
-    book_.awaitResults(query.call.jobId, query.call.from, query.deadline, [this, query, end] {
-        const OwnedJob *job = book_.find(query.call.jobId);
+    book_.awaitResults(query.job, query.call.from, query.deadline, [this, query, end] {
+        const OwnedJob *job = book_.find(query.job);
         if (job == nullptr || job->isComplete() || query.call.from < job->committed().size()) {
             end();
         } else {
-            adoption_.proveOwnership(query.call.jobId, end);
+            adoption_.proveOwnership(query.job, end);
         }
     });
 }
 
 auto JobService::replyOwned(const Query &query, const ReplyHandler &reply) -> void
 {
-    OwnedJob *job = book_.find(query.call.jobId);
-    if (job->record().team != query.team) {
-        reply(unknown());
+    OwnedJob *job = book_.find(query.job);
+    if (!job->record().isJobOf(query.team, query.call.jobId)) {
+        if (query.isFromPeer) {
+            reply(unknown());
+        } else {
+            findOwner(query, reply);
+        }
         return;
     }
     if (query.call.kind == JobCall::Kind::ReadResults) {
@@ -270,13 +278,13 @@
         reply(item == nullptr || item->phase == ItemPhase::Committed ? unknown() : bytesResult(item->item.body));
         return;
     }
-    runner_.stopJob(query.call.jobId);
-    book_.cancel(query.call.jobId, [this, query, reply](const absl::Status &status) {
-        EventLog::write("job_cancelled", { { "job", query.call.jobId }, { "ok", status.ok() } });
+    runner_.stopJob(query.job);
+    book_.cancel(query.job, [this, query, reply](const absl::Status &status) {
+        EventLog::write("job_cancelled", { { "job", query.job }, { "ok", status.ok() } });
         if (status.ok()) {
             reply(jsonResult(HttpStatus::OK, "{}"));
         } else {
-            adoption_.verifyAgain(query.call.jobId);
+            adoption_.verifyAgain(query.job);
             // The store may have recorded it, so a later refusal must not say that nothing was done.
             findOwner(query, [this, reply](const HttpResult &result) {
                 reply(result.status == HttpStatus::UNAVAILABLE ? cancelUncertain() : result);
@@ -302,13 +310,35 @@
 
 auto JobService::readRecord(const Query &query, const ReplyHandler &reply, std::function<void(const JobRecord &)> onRecord) -> void
 {
-    ledger_.read(query.call.jobId, [this, query, reply, onRecord = std::move(onRecord)](const absl::StatusOr<JobRecord> &record) {
+    ledger_.read(query.job, [this, query, reply, onRecord = std::move(onRecord)](const absl::StatusOr<JobRecord> &record) {
         if (!record.ok() && !absl::IsNotFound(record.status())) {
             reply(unsure("the store does not answer"));
-        } else if (!record.ok() || record->team != query.team) {
-            reply(unknown());
-        } else {
+        } else if (record.ok() && record->isJobOf(query.team, query.call.jobId)) {
             onRecord(*record);
+        } else {
+            const bool isOpen = record.ok() && record->isJobOf({}, query.call.jobId);
+            answerUnderOtherName(query, isOpen ? std::optional(*record) : std::nullopt, reply);
+        }
+    });
+}
+
+auto JobService::answerUnderOtherName(const Query &query, const std::optional<JobRecord> &openJob, const ReplyHandler &reply) -> void
+{
+    if (query.isFromPeer || query.job != query.call.jobId) {
+        reply(unknown());
+        return;
+    }
+    Query other = query;
+    other.job = jobNameOf(query.team, query.call.jobId);
+    if (!openJob) {
+        answer(other, reply);
+        return;
+    }
+    ledger_.read(other.job, [this, query, other, openJob, reply](const absl::StatusOr<JobRecord> &record) {
+        if (absl::IsNotFound(record.status())) {
+            answerFromStore(query, *openJob, reply);
+        } else {
+            answer(other, reply);
         }
     });
 }
@@ -323,7 +353,7 @@
 {
     const BootTime now = BootClock::now();
     const auto wait = std::max(Milliseconds(0), std::chrono::duration_cast<Milliseconds>(query.deadline - now));
-    const HttpCall call { "GET", peerTarget(query.call, query.team, wait), {}, {} };
+    const HttpCall call { "GET", peerTarget(query.call, query.team, query.job, wait), {}, {} };
     parts_.peerClient.call(address, call, now + wait + OWNER_SLACK, [this, query, reply](const HttpCallOutcome &outcome) {
         const auto *result = std::get_if<HttpResult>(&outcome);
         if (result != nullptr && result->status == HttpStatus::OK) {
@@ -332,7 +362,7 @@
             reply(answer);
             return;
         }
-        elsewhere_.erase(query.call.jobId);
+        elsewhere_.erase(query.job);
         readRecord(query, reply, [this, query, reply](const JobRecord &record) { answerFromStore(query, record, reply); });
     });
 }
@@ -454,16 +484,17 @@
         return;
     }
     call.kind = static_cast<JobCall::Kind>(kind);
-    call.jobId = words[4];
+    const std::string &job = words[4];
     call.itemId = words[7];
     const auto refuse = [exchange] {
         exchange->reply(jsonResult(HttpStatus::CONFLICT, "{}"));
     };
-    if (!answersFor(call.jobId)) {
+    if (!answersFor(job)) {
         refuse();
         return;
     }
-    const Query query { call, words[3], BootClock::now() + boundedMilliseconds(waitMs) };
+    call.jobId = book_.find(job)->record().chosenId();
+    const Query query { call, words[3], BootClock::now() + boundedMilliseconds(waitMs), job, true };
     answerAsOwner(
         query, [exchange](const HttpResult &result) { exchange->reply(result); }, refuse);
 }
--- a/Source/Connection/JobService.h
+++ b/Source/Connection/JobService.h
@@ -31,6 +31,11 @@
         JobCall call;
         std::string team;
         BootTime deadline;
+        /// The job's name in the store and between daemons: the id of the call, or the name that the job has where another team's job
+        /// has the id.
+        std::string job;
+        /// Passed on by another daemon, which looks for the other name itself.
+        bool isFromPeer = false;
     };
     /// A cancellation in the store whose owner has not answered.
     struct UnconfirmedCancellation
@@ -54,6 +59,8 @@
     auto answerAsOwner(const Query &query, const ReplyHandler &reply, const std::function<void()> &onNotOwner) -> void;
     auto replyOwned(const Query &query, const ReplyHandler &reply) -> void;
     auto findOwner(const Query &query, const ReplyHandler &reply) -> void;
+    /// Answers a call whose id names no job of the team. "openJob": the job that the id names, if it was submitted without a key.
+    auto answerUnderOtherName(const Query &query, const std::optional<JobRecord> &openJob, const ReplyHandler &reply) -> void;
     /// Replies itself unless the store has a record of the team's job.
     auto readRecord(const Query &query, const ReplyHandler &reply, std::function<void(const JobRecord &)> onRecord) -> void;
     auto askOwner(const Query &query, const std::string &address, const ReplyHandler &reply) -> void;
--- a/Source/Process/Batch/JobRecord.cpp
+++ b/Source/Process/Batch/JobRecord.cpp
@@ -4,6 +4,9 @@
 #include "Process/Json.h"
 #include "Process/JsonFields.h"
 
+#include <Poco/SHA2Engine.h>
+#include <absl/strings/str_cat.h>
+
 #include <algorithm>
 
 namespace poplardock {
@@ -24,6 +27,16 @@
 
 } // namespace
 
+auto JobRecord::chosenId() const -> const std::string &
+{
+    return callerId.empty() ? id : callerId;
+}
+
+auto JobRecord::isJobOf(std::string_view submitter, std::string_view submittedId) const -> bool
+{
+    return team == submitter && chosenId() == submittedId;
+}
+
 auto JobRecord::isOpen() const -> bool
 {
     return !isCancelled && !isDone;
@@ -41,9 +54,21 @@
     return { route == nullptr ? all : route->allowedRegions, team == nullptr ? all : team->allowedRegions, regions };
 }
 
+auto jobNameOf(const std::string &team, const std::string &callerId) -> std::string
+{
+    // Half of the digest: names stay short, and two teams still do not meet.
+    constexpr std::size_t DIGITS = 32;
+    Poco::SHA2Engine engine(Poco::SHA2Engine::SHA_256);
+    engine.update(team);
+    return absl::StrCat(callerId, ".", Poco::DigestEngine::digestToHex(engine.digest()).substr(0, DIGITS));
+}
+
 auto toStored(const JobRecord &record) -> StoredObject
 {
     JsonObject spec;
+    if (!record.callerId.empty()) {
+        spec.set("caller_id", record.callerId);
+    }
     spec.set("team", record.team);
     spec.set("host", record.host);
     spec.set("prefix", record.prefix);
@@ -79,6 +104,7 @@
     std::int64_t giveUpMs = 0;
     record.id = object.name;
     record.version = object.version;
+    Json::assign(Json::optionalString(spec, "caller_id", {}), record.callerId, status);
     Json::assign(Json::requireString(spec, "team"), record.team, status);
     Json::assign(Json::requireString(spec, "host"), record.host, status);
     Json::assign(Json::requireString(spec, "prefix"), record.prefix, status);
--- a/Source/Process/Batch/JobRecord.h
+++ b/Source/Process/Batch/JobRecord.h
@@ -10,6 +10,7 @@
 #include <cstdint>
 #include <map>
 #include <string>
+#include <string_view>
 
 namespace poplardock {
 
@@ -17,7 +18,12 @@
 /// exists, the job is accepted.
 struct JobRecord
 {
+    /// Name of the record in the store, which also names the job's other objects, and the job between daemons: the id that the caller
+    /// chose, or jobNameOf() where another team had that id first.
     std::string id;
+    /// The id that the caller chose; empty if it is "id".
+    std::string callerId;
+    /// Empty for a job that was submitted without a key; everybody who knows its id may read it.
     std::string team;
     std::string host;
     /// Path prefix of the route on which the job was submitted.
@@ -40,6 +46,10 @@
     /// The store's version of the record, for conditional updates.
     std::uint64_t version = 0;
 
+    /// The id that the caller chose.
+    [[nodiscard]] auto chosenId() const -> const std::string &;
+    /// Whether the team submitted it under that id. Ids are unique for each team only.
+    [[nodiscard]] auto isJobOf(std::string_view submitter, std::string_view submittedId) const -> bool;
     /// Neither done nor cancelled.
     [[nodiscard]] auto isOpen() const -> bool;
     auto operator==(const JobRecord &) const -> bool = default;
@@ -50,6 +60,8 @@
 auto regionFilterOf(const ServingVersion &version, const JobRecord &record, const std::map<std::string, std::string> &regions)
     -> RegionFilter;
 
+/// The name of a job whose id names the record of another team's job: differs for each pair of team and id. Thread-safe.
+auto jobNameOf(const std::string &team, const std::string &callerId) -> std::string;
 auto toStored(const JobRecord &record) -> StoredObject;
 /// Errors: InvalidArgument.
 auto jobRecordFrom(const StoredObject &object) -> absl::StatusOr<JobRecord>;
--- a/Source/Process/Batch/JobRepository.cpp
+++ b/Source/Process/Batch/JobRepository.cpp
@@ -61,9 +61,11 @@
 
 struct JobRepository::Submission
 {
+    JobRecord record;
+    std::vector<JobItem> items;
+    /// The payloads and, last, the record.
     std::vector<StoredObject> writes;
     std::size_t nextWrite = 0;
-    JobRecord record;
     BootTime deadline;
     AcceptHandler onDone;
     /// The response to a write of the record was lost, so it may have been stored.
@@ -82,21 +84,33 @@
 auto JobRepository::accept(const JobRecord &record, const std::vector<JobItem> &items, BootTime deadline, AcceptHandler handler) -> void
 {
     auto submission = std::make_shared<Submission>();
+    submission->record = record;
+    submission->items = items;
     submission->deadline = deadline;
     submission->onDone = std::move(handler);
+    prepareWrites(*submission, record.id);
+    findOwnName(submission);
+}
+
+auto JobRepository::prepareWrites(Submission &submission, const std::string &name) const -> void
+{
+    submission.record.id = name;
+    submission.writes.clear();
+    submission.nextWrite = 0;
+    submission.isUncertain = false;
     const auto maxBytes = static_cast<std::size_t>(PAYLOAD_FRACTION * static_cast<double>(valueBytes_));
     std::vector<JobItem> payloadItems;
     std::size_t bytes = 0;
     const auto addPayload = [&] {
         StoredObject payload;
         payload.kind = PAYLOAD_KIND;
-        payload.name = payloadName(record.id, submission->writes.size());
+        payload.name = payloadName(name, submission.writes.size());
         payload.spec = adapter_.encodeItems(payloadItems);
-        submission->writes.push_back(std::move(payload));
+        submission.writes.push_back(std::move(payload));
         payloadItems.clear();
         bytes = 0;
     };
-    for (const JobItem &item : items) {
+    for (const JobItem &item : submission.items) {
         if (!payloadItems.empty() && bytes + item.body.size() > maxBytes) {
             addPayload();
         }
@@ -104,12 +118,37 @@
         payloadItems.push_back(item);
     }
     addPayload();
-    JobRecord complete = record;
-    complete.itemCount = items.size();
-    complete.payloadCount = submission->writes.size();
-    submission->record = complete;
-    submission->writes.push_back(toStored(complete));
-    writeNext(submission);
+    submission.record.itemCount = submission.items.size();
+    submission.record.payloadCount = submission.writes.size();
+    submission.writes.push_back(toStored(submission.record));
+}
+
+auto JobRepository::findOwnName(const std::shared_ptr<Submission> &submission) -> void
+{
+    // The job may have been accepted under the other name while another team's record had the id.
+    read(jobNameOf(submission->record.team, submission->record.id), [this, submission](const absl::StatusOr<JobRecord> &found) {
+        if (found.ok()) {
+            submission->record = *found;
+            submission->onDone(Acceptance::Accepted, false, submission->record);
+        } else if (absl::IsNotFound(found.status()) || absl::IsInvalidArgument(found.status())) {
+            writeNext(submission);
+        } else {
+            retryOrGiveUp(submission, found.status(), [this, submission] { findOwnName(submission); });
+        }
+    });
+}
+
+auto JobRepository::retryOrGiveUp(const std::shared_ptr<Submission> &submission, const absl::Status &status, std::function<void()> retry)
+    -> void
+{
+    const bool isRefused = !absl::IsUnknown(status) && !submission->isUncertain;
+    if (isRefused || BootClock::now() >= submission->deadline) {
+        EventLog::write("job_not_stored",
+                        { { "job", submission->record.id }, { "uncertain", submission->isUncertain }, { "reason", status.message() } });
+        submission->onDone(submission->isUncertain ? Acceptance::Uncertain : Acceptance::Refused, false, submission->record);
+        return;
+    }
+    submission->retryTimer = loop_.at(BootClock::now() + RETRY_DELAY, std::move(retry));
 }
 
 auto JobRepository::writeNext(const std::shared_ptr<Submission> &submission) -> void
@@ -117,11 +156,15 @@
     const bool isRecord = submission->nextWrite + 1 == submission->writes.size();
     store_.create(submission->writes[submission->nextWrite], [this, submission, isRecord](const absl::StatusOr<StoredObject> &created) {
         const absl::Status &status = created.status();
-        if (status.ok() || absl::IsAlreadyExists(status)) {
+        if (absl::IsAlreadyExists(status)) {
+            compareWithRecord(submission);
+            return;
+        }
+        if (status.ok()) {
             ++submission->nextWrite;
             if (isRecord) {
-                submission->record.version = created.ok() ? created->version : 0;
-                submission->onDone(Acceptance::Accepted, status.ok() || submission->isUncertain, submission->record);
+                submission->record.version = created->version;
+                submission->onDone(Acceptance::Accepted, true, submission->record);
             } else {
                 writeNext(submission);
             }
@@ -130,18 +173,74 @@
         // A create whose response was lost may still take effect seconds later. Once that happened to the record, only
         // a success or an existing record ends the retries before the deadline.
         submission->isUncertain = submission->isUncertain || (isRecord && absl::IsUnknown(status));
-        const bool isRefused = !absl::IsUnknown(status) && !submission->isUncertain;
-        if (isRefused || BootClock::now() >= submission->deadline) {
-            EventLog::write(
-                "job_not_stored",
-                { { "job", submission->writes.back().name }, { "uncertain", submission->isUncertain }, { "reason", status.message() } });
-            submission->onDone(submission->isUncertain ? Acceptance::Uncertain : Acceptance::Refused, false, submission->record);
-            return;
+        retryOrGiveUp(submission, status, [this, submission] { writeNext(submission); });
+    });
+}
+
+auto JobRepository::compareWithRecord(const std::shared_ptr<Submission> &submission) -> void
+{
+    read(submission->record.id, [this, submission](const absl::StatusOr<JobRecord> &found) {
+        const JobRecord &record = submission->record;
+        if (found.ok() && found->isJobOf(record.team, record.chosenId())) {
+            // An earlier call of this submission, or a repeat of it, has stored it.
+            const bool isOwn
+                = submission->isUncertain && found->owner == record.owner && found->ownerIncarnation == record.ownerIncarnation;
+            submission->record.version = 0;
+            submission->onDone(Acceptance::Accepted, isOwn, submission->record);
+        } else if (found.ok() || absl::IsInvalidArgument(found.status())) {
+            useOtherName(submission);
+        } else if (absl::IsNotFound(found.status())) {
+            compareWithPayload(submission);
+        } else {
+            retryOrGiveUp(submission, found.status(), [this, submission] { compareWithRecord(submission); });
         }
-        submission->retryTimer = loop_.at(BootClock::now() + RETRY_DELAY, [this, submission] { writeNext(submission); });
     });
 }
 
+auto JobRepository::compareWithPayload(const std::shared_ptr<Submission> &submission) -> void
+{
+    const StoredObject &write = submission->writes[submission->nextWrite];
+    if (write.kind != PAYLOAD_KIND) {
+        // The record existed a moment ago.
+        retryOrGiveUp(submission, absl::UnknownError("the record was removed"), [this, submission] { writeNext(submission); });
+        return;
+    }
+    store_.read(PAYLOAD_KIND, write.name, [this, submission, expected = write.spec](const absl::StatusOr<StoredObject> &found) {
+        if (found.ok()) {
+            // Left by a submission that was not finished: of this one or, with other items, of another team.
+            const auto items = adapter_.decodeItems(found->spec);
+            if (items.ok() && adapter_.encodeItems(*items) == expected) {
+                ++submission->nextWrite;
+                writeNext(submission);
+            } else {
+                useOtherName(submission);
+            }
+        } else {
+            const auto status = absl::IsNotFound(found.status()) ? absl::UnknownError("the payload was removed") : found.status();
+            retryOrGiveUp(submission, status, [this, submission] { writeNext(submission); });
+        }
+    });
+}
+
+auto JobRepository::useOtherName(const std::shared_ptr<Submission> &submission) -> void
+{
+    JobRecord &record = submission->record;
+    if (!record.callerId.empty()) {
+        if (submission->nextWrite + 1 == submission->writes.size()) {
+            retryOrGiveUp(submission, absl::UnavailableError("the record has another writer"), {});
+            return;
+        }
+        // Only submissions of this team write payloads of the name.
+        ++submission->nextWrite;
+        writeNext(submission);
+        return;
+    }
+    record.callerId = record.id;
+    EventLog::write("job_id_of_other_team", { { "job", record.id }, { "team", record.team } });
+    prepareWrites(*submission, jobNameOf(record.team, record.callerId));
+    writeNext(submission);
+}
+
 auto JobRepository::read(const std::string &id, RecordHandler handler) -> void
 {
     store_.read(JOB_KIND, id, [handler = std::move(handler)](const absl::StatusOr<StoredObject> &object) {
--- a/Source/Process/Batch/JobRepository.h
+++ b/Source/Process/Batch/JobRepository.h
@@ -75,6 +75,9 @@
 
     /// Writes the items and then the record. Calls whose response is lost are retried until the deadline. That is safe
     /// since all writes create objects under fixed names: a retry finds the object that an earlier call has created.
+    ///
+    /// A repeat of a submission is the same job. Where another team has the id, or has left payloads under it, the job is stored under
+    /// jobNameOf() instead, and the record that the handler receives has that name.
     auto accept(const JobRecord &record, const std::vector<JobItem> &items, BootTime deadline, AcceptHandler handler) -> void;
     auto read(const std::string &id, RecordHandler handler) -> void;
     /// Reads all records, leaving out those that cannot be decoded; may be seconds old when "allowsStale".
@@ -107,7 +110,17 @@
     auto createEntry(const std::string &id, std::size_t entryNumber, const std::string &spec, AppendHandler handler) -> void;
     /// Logs an entry that is left out of a log, once.
     auto recordOddEntry(const StoredObject &entry, absl::string_view reason) -> void;
+    /// Makes the objects of a submission whose job has that name in the store.
+    auto prepareWrites(Submission &submission, const std::string &name) const -> void;
+    /// Ends a submission that is stored under the name that it has beside another team's.
+    auto findOwnName(const std::shared_ptr<Submission> &submission) -> void;
     auto writeNext(const std::shared_ptr<Submission> &submission) -> void;
+    /// Called when an object exists already: whose it is.
+    auto compareWithRecord(const std::shared_ptr<Submission> &submission) -> void;
+    auto compareWithPayload(const std::shared_ptr<Submission> &submission) -> void;
+    auto useOtherName(const std::shared_ptr<Submission> &submission) -> void;
+    /// Retries after a response that was lost; ends the submission after a refusal or at its deadline.
+    auto retryOrGiveUp(const std::shared_ptr<Submission> &submission, const absl::Status &status, std::function<void()> retry) -> void;
     /// Receives the items of one payload, or the error that ends the reading; returns whether the next payload is wanted.
     using PayloadHandler = std::function<bool(const absl::StatusOr<std::vector<JobItem>> &)>;
 
--- a/Tests/Connection/JobIdentityTest.cpp
+++ b/Tests/Connection/JobIdentityTest.cpp
@@ -86,6 +86,7 @@
     for (std::size_t daemon = 0; daemon < 2; ++daemon) {
         BOOST_TEST(fleet.results(daemon, "keyed", "key1").size() == 2U);
         BOOST_TEST(fleet.results(daemon, "keyed", "key2").empty());
+        BOOST_TEST(fleet.results(daemon, "open", "key2").size() == 2U);
     }
 }
 
@@ -101,6 +102,89 @@
     BOOST_TEST(statusOf(fleet, 1, callOn("GET", "/-/lots/job?after=0", "key1")) == 401);
 }
 
+// Guards against an accepted job that never runs because another team has used its id, and against one that reads the other's results.
+BOOST_AUTO_TEST_CASE(AnIdBelongsToEachTeamAlone)
+{
+    PlatformFleet fleet(2, 2);
+    fleet.engines[0]->behaviour().eventPause = Milliseconds(10);
+    fleet.engines[1]->behaviour().eventPause = Milliseconds(10);
+    BOOST_TEST(fleet.call(0, PlatformFleet::submission("job", 3, "key1"))->status == 202);
+    for (std::size_t daemon = 0; daemon < 2; ++daemon) {
+        HttpCall other = PlatformFleet::submission("job", 2, "key2");
+        other.body = absl::StrReplaceAll(other.body, { { R"("id":"job)", R"("id":"other)" } });
+        BOOST_TEST(fleet.call(daemon, other)->status == 202);
+        BOOST_TEST(fleet.call(daemon, PlatformFleet::submission("job", 3, "key1"))->status == 202);
+    }
+    for (std::size_t daemon = 0; daemon < 2; ++daemon) {
+        BOOST_TEST(fleet.runUntil([&] { return fleet.results(daemon, "job", "key2").size() == 2U; }, RUN_TIME));
+        const auto own = fleet.results(daemon, "job", "key2");
+        BOOST_TEST(std::all_of(own.begin(), own.end(), [](const JobResult &each) { return each.itemId.starts_with("other"); }));
+        const auto first = awaitResults(fleet, daemon, "job", 3);
+        BOOST_TEST(first.size() == 3U);
+        BOOST_TEST(std::all_of(first.begin(), first.end(), [](const JobResult &each) { return each.itemId.starts_with("job"); }));
+    }
+    BOOST_TEST(totalRuns(fleet, "job-0") == 1);
+    BOOST_TEST(totalRuns(fleet, "other-0") == 1);
+    // The owner is gone: both are read from the store, and a repeat is still the same job.
+    const std::size_t later = fleet.startDaemon("daemon2");
+    fleet.awaitReady();
+    fleet.killDaemon(0);
+    fleet.killDaemon(1);
+    fleet.runFor(Milliseconds(1500));
+    BOOST_TEST(fleet.results(later, "job", "key1").size() == 3U);
+    BOOST_TEST(fleet.results(later, "job", "key2").size() == 2U);
+    HttpCall repeat = PlatformFleet::submission("job", 2, "key2");
+    repeat.body = absl::StrReplaceAll(repeat.body, { { R"("id":"job)", R"("id":"other)" } });
+    BOOST_TEST(fleet.call(later, repeat)->status == 202);
+    // The name that the second job has in the store is an id that somebody may choose.
+    const std::string name = jobNameOf("dyers", "job");
+    BOOST_TEST(fleet.call(later, PlatformFleet::submission(name, 1, "key2"))->status == 202);
+    BOOST_TEST(fleet.runUntil([&] { return totalRuns(fleet, name + "-0") == 1; }, RUN_TIME));
+    // Ending one does not end the other.
+    BOOST_TEST(statusOf(fleet, later, callOn("DELETE", "/-/lots/job", "key2")) == 200);
+    fleet.runFor(Milliseconds(300));
+    BOOST_TEST(totalRuns(fleet, "other-0") == 1);
+    BOOST_TEST(totalRuns(fleet, "job-0") == 1);
+}
+
+// Guards against items of one team that run for another: a submission that was not finished has left them under the id of the job.
+BOOST_AUTO_TEST_CASE(ItemsThatAnotherTeamLeftAreNotRun)
+{
+    PlatformFleet fleet(2, 1);
+    fleet.engines[0]->behaviour().declines = true;
+    fleet.store.put("payloads", "job.0", R"({"items":[{"id":"foreign","path":"/batch/f","headers":{},"body":"","tokens":1}]})");
+    BOOST_TEST(fleet.call(0, PlatformFleet::submission("job", 2, "key1"))->status == 202);
+    // Those of this very submission are taken over.
+    HttpCall again = PlatformFleet::submission("again", 2, "key1");
+    fleet.store.put("payloads", "again.0", platform::makeAdapter().encodeItems(*platform::makeAdapter().decodeSubmission(again.body)));
+    BOOST_TEST(fleet.call(0, again)->status == 202);
+    BOOST_TEST(!fleet.store.specOf("jobs", "again").empty());
+    // The next owner has only what is stored.
+    fleet.killDaemon(0);
+    fleet.engines[0]->behaviour().declines = false;
+    BOOST_TEST(awaitResults(fleet, 1, "job", 2).size() == 2U);
+    BOOST_TEST(awaitResults(fleet, 1, "again", 2).size() == 2U);
+    BOOST_TEST(totalRuns(fleet, "foreign") == 0);
+}
+
+// Guards against a create whose answer was lost and that another team's submission of the same id then meets.
+BOOST_AUTO_TEST_CASE(ALostCreateAndAnotherTeamsSubmission)
+{
+    PlatformFleet fleet(2, 1);
+    FakeObjectStore::Faults lost;
+    lost.onlyTargets = "/jobs";
+    lost.loseWriteAnswers = 1;
+    fleet.store.setFaults(lost);
+    BOOST_TEST(fleet.call(0, PlatformFleet::submission("job", 1, "key1"))->status == 202);
+    HttpCall other = PlatformFleet::submission("job", 1, "key2");
+    other.body = absl::StrReplaceAll(other.body, { { R"("id":"job)", R"("id":"other)" } });
+    BOOST_TEST(fleet.call(1, other)->status == 202);
+    BOOST_TEST(awaitResults(fleet, 1, "job", 1).size() == 1U);
+    BOOST_TEST(fleet.runUntil([&] { return fleet.results(0, "job", "key2").size() == 1U; }, RUN_TIME));
+    BOOST_TEST(totalRuns(fleet, "job-0") == 1);
+    BOOST_TEST(totalRuns(fleet, "other-0") == 1);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace poplardock
