Escape names in the path by which one daemon asks another

Callers: what only a job's owner knows could not be read through other daemons when the team's name held a space or a slash; while the store refuses, the answer was 503.

Cause: JobService::peerTarget() wrote the names as they are into a path that the owner splits at slashes.

Change: WordCodec writes any text as one word; it is used for all names in that path. Ordinary names are written as before.

--- a/Source/Connection/JobService.cpp
+++ b/Source/Connection/JobService.cpp
@@ -3,6 +3,7 @@
 #include "Connection/Refusal.h"
 #include "Process/BoundedTime.h"
 #include "Process/EventLog.h"
+#include "Process/Peers/WordCodec.h"
 
 #include <absl/strings/match.h>
 #include <absl/strings/numbers.h>
@@ -64,11 +65,22 @@
     return "unknown";
 }
 
-/// "/jobs/KIND/TEAM/JOB/FROM/WAIT_MS/ITEM"; the team may be empty. Names hold no slashes.
+/// "/jobs/KIND/TEAM/JOB/FROM/WAIT_MS/ITEM", each part a word of WordCodec.
 auto peerTarget(const JobCall &call, const std::string &team, const std::string &job, Milliseconds wait) -> std::string
 {
-    return absl::StrCat(
-        PEER_PATH, "/", static_cast<int>(call.kind), "/", team, "/", job, "/", call.from, "/", wait.count(), "/", call.itemId);
+    return absl::StrCat(PEER_PATH,
+                        "/",
+                        static_cast<int>(call.kind),
+                        "/",
+                        encodeWord(team),
+                        "/",
+                        encodeWord(job),
+                        "/",
+                        call.from,
+                        "/",
+                        wait.count(),
+                        "/",
+                        encodeWord(call.itemId));
 }
 
 } // namespace
@@ -484,17 +496,23 @@
         return;
     }
     call.kind = static_cast<JobCall::Kind>(kind);
-    const std::string &job = words[4];
-    call.itemId = words[7];
+    const auto team = decodeWord(words[3]);
+    const auto job = decodeWord(words[4]);
+    const auto item = decodeWord(words[7]);
+    if (!team || !job || !item) {
+        exchange->reply(refusalOf(parts_.dialect, ResultCode::RouteUnknown, "", std::nullopt));
+        return;
+    }
+    call.itemId = *item;
     const auto refuse = [exchange] {
         exchange->reply(jsonResult(HttpStatus::CONFLICT, "{}"));
     };
-    if (!answersFor(job)) {
+    if (!answersFor(*job)) {
         refuse();
         return;
     }
-    call.jobId = book_.find(job)->record().chosenId();
-    const Query query { call, words[3], BootClock::now() + boundedMilliseconds(waitMs), job, true };
+    call.jobId = book_.find(*job)->record().chosenId();
+    const Query query { call, *team, BootClock::now() + boundedMilliseconds(waitMs), *job, true };
     answerAsOwner(
         query, [exchange](const HttpResult &result) { exchange->reply(result); }, refuse);
 }
--- a/Tests/Connection/JobIdentityTest.cpp
+++ b/Tests/Connection/JobIdentityTest.cpp
@@ -185,6 +185,28 @@
     BOOST_TEST(totalRuns(fleet, "other-0") == 1);
 }
 
+// Guards against a job that other daemons cannot read or cancel because of the name of its team.
+BOOST_AUTO_TEST_CASE(AnyNameOfATeamCanBePassedOn)
+{
+    PlatformFleet fleet(2, 1);
+    fleet.engines[0]->behaviour().events = 1000;
+    fleet.engines[0]->behaviour().eventPause = Milliseconds(20);
+    int number = 0;
+    for (const char *name : { "North Shops", "a/b", "a?b#c", "100%", "%2F", "a b/ c" }) {
+        const std::string id = absl::StrCat("job", ++number);
+        configure(fleet, batchRoute(false), absl::StrCat(R"([{"name":")", name, R"(","apiKeys":["key3"]}])"));
+        BOOST_TEST(fleet.call(0, PlatformFleet::submission(id, 1, "key3"))->status == 202);
+        // The owner has had no time to commit anything, and the store does not answer: only it can tell.
+        FakeObjectStore::Faults silent;
+        silent.refuseStatus = 503;
+        silent.onlyTargets = "/payloads/";
+        fleet.store.setFaults(silent);
+        BOOST_TEST(fleet.call(1, callOn("GET", absl::StrCat("/-/items/", id, "?id=", id, "-0"), "key3"))->status == 200, name);
+        fleet.store.setFaults({});
+        BOOST_TEST(statusOf(fleet, 1, callOn("DELETE", "/-/lots/" + id, "key3")) == 200, name);
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace poplardock
