Let a daemon say how far back it knows all removals of upstreams

Cause, two: a daemon that had just listed the store answered its neighbours with the changes that it happened to know as if they were all; and it named no revision that made them ask.

Change: UpstreamFollower knows from which revision its history is complete and gives out a feed that names all entries to who asks from before it. A list after a start, after failed calls or at the beginning of a watch names its revision. Fingerprints keep answers short where nothing has changed, and let a daemon that differs from another notice it and list the store. Malformed lines cost themselves. Daemons of earlier versions are refused what they would take for complete; they read the store then.

--- a/Source/Process/Load/UpstreamFollower.cpp
+++ b/Source/Process/Load/UpstreamFollower.cpp
@@ -2,6 +2,7 @@
 
 #include "Process/EventLog.h"
 #include "Process/Peers/PeerFetch.h"
+#include "Version/MemberTable.h"
 
 #include <absl/strings/ascii.h>
 #include <absl/strings/match.h>
@@ -11,7 +12,6 @@
 #include <absl/strings/strip.h>
 
 #include <algorithm>
-#include <set>
 #include <utility>
 
 namespace poplardock {
@@ -29,12 +29,18 @@
 /// Part of the removal bound that may pass before this daemon hears of the removal: the pause and the retry of the store
 /// watcher's watch, the period of the summaries, and the time-out of an earlier fetch.
 constexpr Milliseconds REMOVAL_NEWS_TIME { 1400 };
-/// Removals that are kept for peers. A peer that lags behind by more has to list the store.
+/// Removals that are kept for peers. A peer that lags behind by more gets all entries.
 constexpr std::size_t MAX_REMOVALS = 1000;
-/// First words of a feed's lines: the revisions, an entry that is present, an entry that was removed.
-constexpr const char *REVISION_TAG = "revision";
+/// Time between two lists of the store because of entries that differ from a peer's.
+constexpr Milliseconds DIVERGENCE_LIST_INTERVAL { 5000 };
+/// First words of a feed's lines: the revisions, an entry that is present, an entry that was removed. The first line is
+/// "revision KNOWN SYNCED" in its first form, and "revision2 KNOWN SYNCED AFTER FINGERPRINT" since: the feed holds all changes after
+/// AFTER, which is 0 for a feed that names all entries. Of those that the asker has, it says only that they are the same.
+constexpr const char *FIRST_REVISION_TAG = "revision";
+constexpr const char *REVISION_TAG = "revision2";
 constexpr const char *PRESENT_TAG = "present";
 constexpr const char *REMOVED_TAG = "missed";
+constexpr const char *UNCHANGED_TAG = "same";
 
 /// Whether a name can stand in a line of a feed.
 auto isFeedName(const std::string &name) -> bool
@@ -110,19 +116,30 @@
         listed.insert(object.name);
         put(object);
     }
+    removeAbsent(listed, list.revision);
+    // Entries that came and went since the last list or watch are known to peers, perhaps, but not here.
+    historyFrom_ = std::max(historyFrom_, list.revision);
+    if (watch_.isResuming()) {
+        // Those peers have to compare.
+        revision_ = std::max(revision_, list.revision);
+    }
+    hasSynced_ = true;
+    syncedRevision_ = std::max(syncedRevision_, list.revision);
+    EventLog::write("upstreams_listed", { { "count", static_cast<std::uint64_t>(list.objects.size()) }, { "revision", list.revision } });
+}
+
+auto UpstreamFollower::removeAbsent(const std::set<std::string> &present, std::uint64_t revision) -> void
+{
     std::vector<std::string> removed;
     for (const auto &[name, object] : entries_) {
-        if (!listed.contains(name)) {
+        if (!present.contains(name) && object.version <= revision) {
             removed.push_back(name);
         }
     }
     for (const std::string &name : removed) {
-        revision_ = std::max(revision_, list.revision);
-        handleRemoval(name, list.revision);
+        revision_ = std::max(revision_, revision);
+        handleRemoval(name, revision);
     }
-    hasSynced_ = true;
-    syncedRevision_ = std::max(syncedRevision_, list.revision);
-    EventLog::write("upstreams_listed", { { "count", static_cast<std::uint64_t>(list.objects.size()) }, { "revision", list.revision } });
 }
 
 auto UpstreamFollower::handleEvents(const StoreEvents &events) -> void
@@ -149,8 +166,10 @@
     std::uint64_t &removal = removals_[name];
     removal = std::max(removal, revision);
     if (removals_.size() > MAX_REMOVALS) {
-        removals_.erase(
-            std::min_element(removals_.begin(), removals_.end(), [](const auto &a, const auto &b) { return a.second < b.second; }));
+        const auto oldest
+            = std::min_element(removals_.begin(), removals_.end(), [](const auto &a, const auto &b) { return a.second < b.second; });
+        historyFrom_ = std::max(historyFrom_, oldest->second);
+        removals_.erase(oldest);
     }
     EventLog::write("upstream_missed", { { "upstream", name }, { "revision", revision } });
     directory_.markSuspect(name, suspectUsableUntil(BootClock::now()));
@@ -200,21 +219,45 @@
     directory_.put(*upstream);
 }
 
+auto UpstreamFollower::fingerprint(std::uint64_t revision) const -> std::uint64_t
+{
+    std::uint64_t sum = 0;
+    for (const auto &[name, object] : entries_) {
+        sum += object.version > revision ? 0 : stableHash(absl::StrCat(name, " ", object.version));
+    }
+    return sum;
+}
+
 auto UpstreamFollower::responseForPeer(const std::string &target) const -> HttpResult
 {
+    // "AFTER" in the first form, "AFTER/2/FINGERPRINT" since.
+    const std::vector<std::string> words = absl::StrSplit(absl::StripPrefix(target, PEER_PATH), '/');
+    const bool isFirstForm = words.size() == 1;
     std::uint64_t after = 0;
-    if (!absl::SimpleAtoi(absl::StripPrefix(target, PEER_PATH), &after)) {
+    std::uint64_t peerFingerprint = 0;
+    if (!absl::SimpleAtoi(words[0], &after)
+        || (!isFirstForm && (words.size() != 3 || words[1] != FEED_FORM || !absl::SimpleAtoi(words[2], &peerFingerprint)))) {
         return { HttpStatus::BAD_REQUEST, {}, {} };
     }
-    std::string feed = absl::StrCat(REVISION_TAG, " ", revision_, " ", syncedRevision_);
+    const bool isWhole = after < historyFrom_ && (isFirstForm || fingerprint(after) != peerFingerprint);
+    // A daemon of an earlier version takes any answer for all changes after its revision.
+    if (!hasSynced_ || (isFirstForm && isWhole)) {
+        return { HttpStatus::CONFLICT, {}, {} };
+    }
+    std::string feed
+        = isFirstForm ? absl::StrCat(FIRST_REVISION_TAG, " ", revision_, " ", syncedRevision_)
+                      : absl::StrCat(
+                          REVISION_TAG, " ", revision_, " ", syncedRevision_, " ", isWhole ? 0 : after, " ", fingerprint(syncedRevision_));
     for (const auto &[name, object] : entries_) {
         if (object.version > after) {
             absl::StrAppend(&feed, "\n", PRESENT_TAG, " ", name, " ", object.version, " ", object.spec);
+        } else if (isWhole) {
+            absl::StrAppend(&feed, "\n", UNCHANGED_TAG, " ", name, " ", object.version);
         }
     }
-    for (const auto &[name, revision] : removals_) {
-        if (revision > after) {
-            absl::StrAppend(&feed, "\n", REMOVED_TAG, " ", name, " ", revision);
+    for (const auto &[name, removedAt] : removals_) {
+        if (removedAt > after) {
+            absl::StrAppend(&feed, "\n", REMOVED_TAG, " ", name, " ", removedAt);
         }
     }
     return { HttpStatus::OK, {}, feed };
@@ -222,43 +265,86 @@
 
 auto UpstreamFollower::fetchFromPeer(const std::string &address) -> void
 {
-    fetchFrom(peers_, address, absl::StrCat(PEER_PATH, syncedRevision_), [this, address](const absl::StatusOr<std::string> &feed) {
+    const std::string path = absl::StrCat(PEER_PATH, syncedRevision_, "/", FEED_FORM, "/", fingerprint(syncedRevision_));
+    fetchFrom(peers_, address, path, [this, address](const absl::StatusOr<std::string> &feed) {
         const absl::Status status = feed.ok() ? applyFeed(*feed) : feed.status();
         EventLog::write("upstreams_fetched", { { "peer", address }, { "reason", status.message() }, { "revision", revision_ } });
     });
 }
 
+auto UpstreamFollower::applyFeedLine(const std::string &line) -> std::optional<std::string>
+{
+    constexpr std::size_t FIELDS = 4;
+    const std::vector<std::string> words = absl::StrSplit(line, absl::MaxSplits(' ', FIELDS - 1));
+    StoredObject object;
+    if (words.size() < FIELDS - 1 || !absl::SimpleAtoi(words[2], &object.version)) {
+        return std::nullopt;
+    }
+    object.kind = dialect_.upstreamKind;
+    object.name = words[1];
+    if (words[0] == PRESENT_TAG && words.size() == FIELDS) {
+        object.spec = words[3];
+        put(object);
+        return object.name;
+    }
+    if (words.size() == FIELDS) {
+        return std::nullopt;
+    }
+    if (words[0] == UNCHANGED_TAG) {
+        const auto known = entries_.find(object.name);
+        return known != entries_.end() && known->second.version >= object.version ? std::optional(object.name) : std::nullopt;
+    }
+    if (words[0] != REMOVED_TAG) {
+        return std::nullopt;
+    }
+    handleRemoval(object.name, object.version);
+    return object.name;
+}
+
 auto UpstreamFollower::applyFeed(const std::string &feed) -> absl::Status
 {
     const std::vector<std::string> lines = absl::StrSplit(feed, '\n');
+    constexpr std::size_t HEAD_FIELDS = 5;
     std::uint64_t revision = 0;
     std::uint64_t syncedRevision = 0;
+    std::uint64_t since = 0;
+    std::uint64_t peerFingerprint = 0;
     const std::vector<std::string> head = absl::StrSplit(lines.front(), ' ');
-    if (head.size() != 3 || head[0] != REVISION_TAG || !absl::SimpleAtoi(head[1], &revision)
-        || !absl::SimpleAtoi(head[2], &syncedRevision)) {
+    if (head.size() != HEAD_FIELDS || head[0] != REVISION_TAG || !absl::SimpleAtoi(head[1], &revision)
+        || !absl::SimpleAtoi(head[2], &syncedRevision) || !absl::SimpleAtoi(head[3], &since)
+        || !absl::SimpleAtoi(head[4], &peerFingerprint)) {
         return absl::InvalidArgumentError("the feed has no revision");
     }
+    if (since > syncedRevision_) {
+        return absl::InvalidArgumentError("the feed begins after the revision that was asked for");
+    }
+    std::set<std::string> present;
+    std::size_t malformed = 0;
     for (std::size_t index = 1; index < lines.size(); ++index) {
-        constexpr int FIELDS = 4;
-        const std::vector<std::string> words = absl::StrSplit(lines[index], absl::MaxSplits(' ', FIELDS - 1));
-        StoredObject object;
-        if (words.size() < FIELDS - 1 || !absl::SimpleAtoi(words[2], &object.version)) {
-            return absl::InvalidArgumentError("a line of the feed is malformed");
-        }
-        object.kind = dialect_.upstreamKind;
-        object.name = words[1];
-        if (words[0] == PRESENT_TAG && words.size() == FIELDS) {
-            object.spec = words[3];
-            put(object);
-        } else if (words[0] == REMOVED_TAG) {
-            handleRemoval(object.name, object.version);
-        } else {
-            return absl::InvalidArgumentError("a line of the feed is of no known kind");
+        const auto name = applyFeedLine(lines[index]);
+        if (!name) {
+            ++malformed;
+        } else if (!absl::StartsWith(lines[index], REMOVED_TAG)) {
+            present.insert(*name);
         }
     }
+    if (malformed > 0) {
+        return absl::InvalidArgumentError(absl::StrCat(malformed, " lines of the feed are malformed"));
+    }
+    if (since == 0) {
+        removeAbsent(present, syncedRevision);
+        historyFrom_ = std::max(historyFrom_, syncedRevision);
+    }
     hasSynced_ = true;
     revision_ = std::max(revision_, revision);
     syncedRevision_ = std::max(syncedRevision_, syncedRevision);
+    const BootTime now = BootClock::now();
+    if (syncedRevision_ == syncedRevision && fingerprint(syncedRevision) != peerFingerprint
+        && now - divergedAt_ > DIVERGENCE_LIST_INTERVAL) {
+        divergedAt_ = now;
+        EventLog::write("upstreams_diverged", { { "revision", syncedRevision } });
+        watch_.refresh();
+    }
     return absl::OkStatus();
 }
 
--- a/Source/Process/Store/KindWatch.cpp
+++ b/Source/Process/Store/KindWatch.cpp
@@ -48,6 +48,7 @@
     }
     isWatching_ = isWatching;
     if (isWatching_) {
+        isResuming_ = true;
         refresh();
     }
 }
@@ -62,6 +63,11 @@
     return failures_ > 0;
 }
 
+auto KindWatch::isResuming() const -> bool
+{
+    return isResuming_;
+}
+
 auto KindWatch::confirmedAt() const -> BootTime
 {
     return confirmedAt_;
@@ -80,6 +86,7 @@
         }
         revision_ = list->revision;
         handlers_.onList(*list);
+        isResuming_ = false;
         recordSuccess(sentAt);
         if (isWatching_) {
             watch();
@@ -134,6 +141,7 @@
     }
     const Milliseconds backoff = std::min(MAX_BACKOFF, MIN_BACKOFF * (1 << std::min(failures_, MAX_DOUBLINGS)));
     ++failures_;
+    isResuming_ = true;
     std::uniform_real_distribution<double> jitter(0.5, 1.0);
     const auto delay = std::chrono::duration_cast<Milliseconds>(backoff * jitter(random_));
     // Retries with a list: it returns at once when the store is back, while a watch confirms nothing until it ends.
--- a/Source/Process/Store/KindWatch.h
+++ b/Source/Process/Store/KindWatch.h
@@ -49,6 +49,9 @@
     /// When the last successful call was sent: the known state is at least that recent. The clock's epoch before the
     /// first one.
     [[nodiscard]] auto confirmedAt() const -> BootTime;
+    /// Whether the list that is being handled is the first one after a start, after failed calls or since watching began: changes before
+    /// it may be known to nobody but other daemons.
+    [[nodiscard]] auto isResuming() const -> bool;
 
 private:
     auto list() -> void;
@@ -62,6 +65,7 @@
     Handlers handlers_;
     Milliseconds wait_ = DEFAULT_WAIT;
     bool isWatching_ = false;
+    bool isResuming_ = true;
     std::uint64_t revision_ = 0;
     /// Responses to calls of an earlier generation are ignored.
     std::uint64_t generation_ = 0;
