Take a 421 for a version of the weights as no verdict on an upstream

Cause: any 421 was taken for the answer of another upstream at a used address, and the upstream was removed until its entry changes.

Change: a 421 to a request that names a version leaves the upstream as it is; the request is tried at one other and then answered 421 with a code of its own. Any other 421 makes the upstream be passed over for 3 s. Items that name a version go on to the upstreams that have not declined them.

--- a/Source/Connection/OnlineRun.cpp
+++ b/Source/Connection/OnlineRun.cpp
@@ -23,6 +23,9 @@
 constexpr int WAIT_CHECKS = 4;
 /// Upstreams that may decline a request before the caller is told to come back.
 constexpr int MAXIMUM_DECLINES = 4;
+/// The same for those that lack the version of the weights that the request names. More are tried only in vain as a rule: upstreams of a
+/// group change their weights together or in turn.
+constexpr int MAXIMUM_VERSION_DECLINES = 2;
 /// Bytes that a slow caller may leave unread before its upstream is slowed down too.
 constexpr std::size_t QUEUE_BYTES = 256U << 10U;
 
@@ -79,6 +82,10 @@
     }
     const auto views = parts_.directory.candidates(order_.group, now, order_.regions);
     const auto choice = chooseForOnline(views, excluded_, now, parts_.random());
+    if (versionDeclines_ >= MAXIMUM_VERSION_DECLINES || (versionDeclines_ > 0 && !choice)) {
+        giveUp(mayHaveRun_ ? ResultCode::RetriesExhausted : ResultCode::VersionUnavailable, "the version of the weights is not found");
+        return;
+    }
     if (!choice || declines_ >= MAXIMUM_DECLINES) {
         const bool isLimited = std::any_of(views.begin(), views.end(), [now](const UpstreamView &view) { return view.usableAt > now; });
         giveUp(mayHaveRun_           ? ResultCode::RetriesExhausted
@@ -118,6 +125,7 @@
     run.address = upstream->address;
     run.isStream = isStream();
     run.needsEventIds = isStream() && order_.route->isResumable;
+    run.namesWeightVersion = order_.terms.namesWeightVersion;
     run.needsFreshConnection = !order_.route->isRetryable;
     run.isTimed = view.online + view.batch < view.slots;
     run.subject = order_.subject;
@@ -240,7 +248,8 @@
     const std::string upstream = run_->upstream();
     run_ = nullptr;
     stallTimer_.cancel();
-    if (end == RunEnd::NotRun) {
+    if (end == RunEnd::NotRun || end == RunEnd::OtherVersion) {
+        versionDeclines_ += end == RunEnd::OtherVersion ? 1 : 0;
         ++declines_;
         excluded_.insert(upstream);
         tryNext();
--- a/Source/Connection/OnlineRun.h
+++ b/Source/Connection/OnlineRun.h
@@ -80,6 +80,8 @@
     /// Attempts that may have run.
     int attempts_ = 0;
     int declines_ = 0;
+    /// Those of them that lack the version of the weights that the request names.
+    int versionDeclines_ = 0;
     std::int64_t lastEventId_ = 0;
     bool hasEvents_ = false;
     /// The next event has to follow the last one of a former attempt.
--- a/Source/Connection/UpstreamRun.cpp
+++ b/Source/Connection/UpstreamRun.cpp
@@ -236,15 +236,16 @@
 {
     const bool isEnded = end == ExchangeEnd::Complete || end == ExchangeEnd::Closed;
     if (isEnded && (terms_.isNotRun || terms_.isMisdirected)) {
-        if (terms_.isMisdirected) {
-            // Another upstream has the address now: the one that this daemon knows is gone.
-            parts_.directory.remove(order_.upstream);
+        const bool isOtherVersion = terms_.isMisdirected && order_.namesWeightVersion;
+        if (terms_.isMisdirected && !isOtherVersion) {
+            // Most likely another upstream has the address now. The store tells for good, by the entry.
+            parts_.directory.recordMisdirected(order_.upstream, BootClock::now());
             parts_.upstreams.drop(order_.upstream);
         }
         EventLog::write(
             "run_declined",
             { { "request", order_.requestId }, { "upstream", order_.upstream }, { "status", status_ }, { "waiting", terms_.waiting } });
-        finish(RunEnd::NotRun);
+        finish(isOtherVersion ? RunEnd::OtherVersion : RunEnd::NotRun);
         return;
     }
     if (isEnded && !splitter_.hasPartial()) {
--- a/Source/Connection/UpstreamRun.h
+++ b/Source/Connection/UpstreamRun.h
@@ -16,6 +16,8 @@
     Complete,
     /// The upstream stated that it did not run the request, or could not be reached: nothing ran.
     NotRun,
+    /// The upstream declined a request that names a version of the weights: nothing ran, and nothing is said about the upstream.
+    OtherVersion,
     /// The answer broke off or never came: the request may have run.
     Lost,
     /// Bytes came that are no answer to this request: it may have run.
@@ -55,6 +57,8 @@
         bool needsEventIds = false;
         /// A request that may not be repeated needs a connection that the upstream has certainly not closed.
         bool needsFreshConnection = false;
+        /// Upstreams without the version of the weights that the request names decline it.
+        bool namesWeightVersion = false;
         /// The run is expected to find a free slot, so that its times tell the speed of the upstream.
         bool isTimed = false;
         /// What a crash of the upstream is attributed to.
--- a/Source/Connection/WireDialect.h
+++ b/Source/Connection/WireDialect.h
@@ -37,6 +37,8 @@
     std::vector<std::string> sharedParts;
     /// Time for which the caller waits for more results of a job.
     Milliseconds resultWait { 0 };
+    /// Only an upstream with the version of the weights that the request names is to run it.
+    bool namesWeightVersion = false;
 
     static constexpr std::size_t MAXIMUM_SHARED_PARTS = 32;
 
@@ -62,7 +64,7 @@
     std::string requestId;
     /// The upstream states that the request has not run and will not.
     bool isNotRun = false;
-    /// Another upstream has the address.
+    /// The upstream is not the one that was meant, or does not have the version of the weights that the request names.
     bool isMisdirected = false;
     /// The answer bears the mark of an upstream. A success without it is none of an upstream's.
     bool isFromUpstream = false;
--- a/Source/Process/Batch/JobRunner.cpp
+++ b/Source/Process/Batch/JobRunner.cpp
@@ -188,7 +188,8 @@
             if (!*mayStart) {
                 return;
             }
-            waiting.push_back({ { id, item.item.id }, groupOf(*route, context_.random()), regions, record.dueAt, rankOf(job, item) });
+            waiting.push_back(
+                { { id, item.item.id }, groupOf(*route, context_.random()), regions, record.dueAt, rankOf(job, item), item.otherVersions });
         }
     });
     std::stable_sort(waiting.begin(), waiting.end(), [](const WaitingItem &a, const WaitingItem &b) {
@@ -212,7 +213,13 @@
         if (starts <= 0) {
             return;
         }
-        const auto choice = BatchPlan::chooseForBatch(views, isUrgent ? 0 : reserve, now, context_.random());
+        const int kept = isUrgent ? 0 : reserve;
+        const bool hasDeclines = !item->otherVersions.empty();
+        const auto choice
+            = hasDeclines ? chooseForVersion(*item, views, kept, now) : BatchPlan::chooseForBatch(views, kept, now, context_.random());
+        if (!choice && hasDeclines) {
+            continue;
+        }
         if (!choice) {
             return;
         }
@@ -223,6 +230,28 @@
     }
 }
 
+auto JobRunner::chooseForVersion(const WaitingItem &waiting, const std::vector<UpstreamView> &views, int reserve, BootTime now)
+    -> std::optional<std::size_t>
+{
+    std::vector<UpstreamView> others;
+    std::vector<std::size_t> indexes;
+    for (std::size_t index = 0; index < views.size(); ++index) {
+        if (!waiting.otherVersions.contains(views[index].name)) {
+            others.push_back(views[index]);
+            indexes.push_back(index);
+        }
+    }
+    if (others.empty()) {
+        // All were tried; their weights may have changed since.
+        if (OwnedJob *job = registry_.find(waiting.key.job)) {
+            job->findItem(waiting.key.item)->otherVersions.clear();
+        }
+        return std::nullopt;
+    }
+    const auto choice = BatchPlan::chooseForBatch(others, reserve, now, context_.random());
+    return choice ? std::optional(indexes[*choice]) : std::nullopt;
+}
+
 auto JobRunner::startItem(const WaitingItem &waiting, const std::string &upstreamName) -> void
 {
     OwnedJob *job = registry_.find(waiting.key.job);
@@ -250,6 +279,7 @@
     order.isStream = true;
     order.needsEventIds = true;
     const RequestTerms terms = context_.dialect.requestTerms(order.call.headers);
+    order.namesWeightVersion = terms.namesWeightVersion;
     order.subject = { crashFingerprint(record.team, item->item.path, item->item.body), terms.sharedParts };
     RunHandlers handlers;
     handlers.onHead = [this, key = waiting.key](const MessageHead &head) {
@@ -363,6 +393,13 @@
         requeue(key, DECLINED_BACKOFF, "declined");
         return;
     }
+    if (end == RunEnd::OtherVersion) {
+        // Another upstream may have the version, or this one later.
+        item->otherVersions.insert(active->second.attempt->upstream());
+        ++item->losses;
+        requeue(key, ItemBackoff::afterLoss(item->losses), "other version of the weights");
+        return;
+    }
     if (end != RunEnd::Complete) {
         // The next attempt resumes after the last event.
         item->losses = active->second.attempt->hasFirst() ? 0 : item->losses + 1;
--- a/Source/Process/Batch/JobRunner.h
+++ b/Source/Process/Batch/JobRunner.h
@@ -67,6 +67,8 @@
         WallClock::time_point dueAt;
         /// Lower ranks start first. 0: urgent, must start now to be in time; 1: has time; 2: will be late in any case.
         int rank = 1;
+        /// Upstreams that are passed over.
+        std::set<std::string> otherVersions;
     };
 
     auto tick() -> void;
@@ -83,6 +85,9 @@
     [[nodiscard]] auto rankOf(const OwnedJob &job, const ItemProgress &item) const -> int;
     /// Starts items of one group that may run in the same data centres.
     auto startItems(const std::vector<const WaitingItem *> &waiting, BootTime now) -> void;
+    /// Chooses an upstream for an item that some have declined for its version of the weights, among the others.
+    auto chooseForVersion(const WaitingItem &waiting, const std::vector<UpstreamView> &views, int reserve, BootTime now)
+        -> std::optional<std::size_t>;
     auto startItem(const WaitingItem &waiting, const std::string &upstream) -> void;
     auto onEvent(const ItemKey &key, const StreamEvent &event) -> void;
     /// Discards what the item has of its answer, which then restarts from its first event, and puts the item back.
--- a/Source/Process/Batch/OwnedJob.h
+++ b/Source/Process/Batch/OwnedJob.h
@@ -35,6 +35,8 @@
     int losses = 0;
     /// Earliest time of the next attempt.
     BootTime notBefore;
+    /// Upstreams that lacked the version of the weights that the item names, until all others were tried.
+    std::set<std::string> otherVersions;
 
     /// Appends the data of an event to the text.
     auto appendEvent(std::string_view data) -> void;
--- a/Source/Process/Load/UpstreamDirectory.cpp
+++ b/Source/Process/Load/UpstreamDirectory.cpp
@@ -16,6 +16,8 @@
 /// Duration of the ejection after the first failure, and how often it doubles at most. A crashed upstream is back after
 /// some seconds.
 constexpr Milliseconds INITIAL_EJECTION { 400 };
+/// Covers the time in which the entry of an upstream that has ended is removed.
+constexpr Milliseconds MISDIRECTED_EJECTION { 3000 };
 constexpr int MAX_EJECTION_DOUBLINGS = 3;
 /// For an upstream that does not state its slots.
 constexpr int DEFAULT_SLOTS = 4;
@@ -301,4 +303,12 @@
     }
 }
 
+auto UpstreamDirectory::recordMisdirected(const std::string &name, BootTime now) -> void
+{
+    const auto found = entries_.find(name);
+    if (found != entries_.end()) {
+        found->second.ejectedUntil = std::max(found->second.ejectedUntil, now + MISDIRECTED_EJECTION);
+    }
+}
+
 } // namespace poplardock
--- a/Source/Process/Load/UpstreamDirectory.h
+++ b/Source/Process/Load/UpstreamDirectory.h
@@ -53,6 +53,9 @@
     /// have crashed, or its entry may have expired because it could not be renewed: it becomes suspect, and is removed by
     /// removeExpired() once "usableUntil" has passed.
     auto markSuspect(const std::string &name, BootTime usableUntil) -> void;
+    /// Records that another upstream has answered at the address: the upstream is passed over for some seconds while others have room.
+    /// What has become of it is for its entry to say.
+    auto recordMisdirected(const std::string &name, BootTime now) -> void;
     /// Removes an upstream whose entry is gone for good or describes no usable upstream.
     auto remove(const std::string &name) -> void;
     /// Removes the suspect upstreams whose time has passed.
--- a/Source/Request/ResultCode.h
+++ b/Source/Request/ResultCode.h
@@ -58,6 +58,7 @@
     ClaimConflict = 3010,
     ShuttingDown = 3011,
     UpstreamAnswerInvalid = 3012,
+    VersionUnavailable = 3013,
 
     // 4xxx: batch jobs and their items.
     JobInvalid = 4001,
--- a/Tests/Fakes/FakeEngine.cpp
+++ b/Tests/Fakes/FakeEngine.cpp
@@ -188,7 +188,8 @@
     connection->reader = MessageReader(MessageReader::Kind::Request, { 65536, 4U << 20U });
     connection->reader.feed(rest);
     const std::string expected(head.headers.valueOf("Expect-Instance"));
-    if (!expected.empty() && expected != name_) {
+    const std::string version(head.headers.valueOf("Expect-Version"));
+    if ((!expected.empty() && expected != name_) || (!version.empty() && version != behaviour_.weightVersion)) {
         connection->channel->send(absl::StrCat(
             "HTTP/1.1 421 Misdirected Request\r\nInstance-Id: ", name_, "\r\nRequest-Id: ", idOf(head), "\r\nContent-Length: 0\r\n\r\n"));
         return;
--- a/Tests/Fakes/FakeEngine.h
+++ b/Tests/Fakes/FakeEngine.h
@@ -56,6 +56,8 @@
         std::size_t unfinishedBodyBytes = 0;
         /// Requests are read and never answered.
         bool isSilent = false;
+        /// Requests that name another version of the weights are declined.
+        std::string weightVersion = "1";
         /// Status of all answers.
         int status = 200;
         /// Requests a second that the engine says it takes; empty when it names no limit.
