--- a/Tests/Request/CallerIdentityTest.cpp
+++ b/Tests/Request/CallerIdentityTest.cpp
@@ -1,6 +1,7 @@
-#include "Connection/CallerAuthentication.h"
 #include "Request/CallerIdentity.h"
 
+#include "Connection/CallerAuthentication.h"
+
 #include <boost/test/unit_test.hpp>
 
 namespace poplardock {
