Try all upstreams in turn for an item of another version of the weights

Cause: the time to the next attempt grew with each upstream that declined the item, so a round over the group took up to 2.4 s for each, and an upstream that gets the version is found only in the next round.

Change: within a round the item goes on after 100 ms; the time between rounds grows.

--- a/Source/Process/Batch/JobRunner.cpp
+++ b/Source/Process/Batch/JobRunner.cpp
@@ -242,9 +242,12 @@
         }
     }
     if (others.empty()) {
-        // All were tried; their weights may have changed since.
+        // All were tried. One of them may have the version later.
         if (OwnedJob *job = registry_.find(waiting.key.job)) {
-            job->findItem(waiting.key.item)->otherVersions.clear();
+            ItemProgress &item = *job->findItem(waiting.key.item);
+            item.otherVersions.clear();
+            ++item.losses;
+            item.notBefore = now + ItemBackoff::afterLoss(item.losses);
         }
         return std::nullopt;
     }
@@ -394,10 +397,8 @@
         return;
     }
     if (end == RunEnd::OtherVersion) {
-        // Another upstream may have the version, or this one later.
         item->otherVersions.insert(active->second.attempt->upstream());
-        ++item->losses;
-        requeue(key, ItemBackoff::afterLoss(item->losses), "other version of the weights");
+        requeue(key, DECLINED_BACKOFF, "other version of the weights");
         return;
     }
     if (end != RunEnd::Complete) {
