Find a job under its other name without a read for each submission

Change: no read. The record that takes the id is kept as long as another job has that id, so that a repeat meets it, and the owners that daemons have announced lately are asked for in memory.

JobIdentityTest/ARecordWhoseIdIsSharedStays is new with the rule; it and the other cases pass.

--- a/Source/Connection/JobService.cpp
+++ b/Source/Connection/JobService.cpp
@@ -135,7 +135,8 @@
         const OwnedJob *job = book_.find(name);
         return job != nullptr && job->record().isJobOf(request.team, id);
     };
-    if (isOwned(id) || isOwned(jobNameOf(request.team, id))) {
+    const std::string otherName = jobNameOf(request.team, id);
+    if (isOwned(id) || isOwned(otherName) || parts_.peers.ownerOf(otherName, BootClock::now()) != nullptr) {
         caller->reply(jsonResult(HttpStatus::ACCEPTED, "{}"));
         return;
     }
--- a/Source/Process/Batch/JobRepository.cpp
+++ b/Source/Process/Batch/JobRepository.cpp
@@ -89,7 +89,7 @@
     submission->deadline = deadline;
     submission->onDone = std::move(handler);
     prepareWrites(*submission, record.id);
-    findOwnName(submission);
+    writeNext(submission);
 }
 
 auto JobRepository::prepareWrites(Submission &submission, const std::string &name) const -> void
@@ -123,21 +123,6 @@
     submission.writes.push_back(toStored(submission.record));
 }
 
-auto JobRepository::findOwnName(const std::shared_ptr<Submission> &submission) -> void
-{
-    // The job may have been accepted under the other name while another team's record had the id.
-    read(jobNameOf(submission->record.team, submission->record.id), [this, submission](const absl::StatusOr<JobRecord> &found) {
-        if (found.ok()) {
-            submission->record = *found;
-            submission->onDone(Acceptance::Accepted, false, submission->record);
-        } else if (absl::IsNotFound(found.status()) || absl::IsInvalidArgument(found.status())) {
-            writeNext(submission);
-        } else {
-            retryOrGiveUp(submission, found.status(), [this, submission] { findOwnName(submission); });
-        }
-    });
-}
-
 auto JobRepository::retryOrGiveUp(const std::shared_ptr<Submission> &submission, const absl::Status &status, std::function<void()> retry)
     -> void
 {
--- a/Source/Process/Batch/JobRepository.h
+++ b/Source/Process/Batch/JobRepository.h
@@ -77,7 +77,8 @@
     /// since all writes create objects under fixed names: a retry finds the object that an earlier call has created.
     ///
     /// A repeat of a submission is the same job. Where another team has the id, or has left payloads under it, the job is stored under
-    /// jobNameOf() instead, and the record that the handler receives has that name.
+    /// jobNameOf() instead, and the record that the handler receives has that name. Precondition: no record has that name while none has
+    /// the id, or a repeat would be stored a second time; see remove().
     auto accept(const JobRecord &record, const std::vector<JobItem> &items, BootTime deadline, AcceptHandler handler) -> void;
     auto read(const std::string &id, RecordHandler handler) -> void;
     /// Reads all records, leaving out those that cannot be decoded; may be seconds old when "allowsStale".
@@ -101,7 +102,7 @@
     static auto entryBytes(const JobResult &result) -> std::size_t;
     /// Creates one entry of the result log.
     auto append(const std::string &id, std::size_t entryNumber, const std::vector<JobResult> &results, AppendHandler handler) -> void;
-    /// Removes all objects of a job, the record last.
+    /// Removes all objects of a job, the record last. Precondition: no other record has the job's id as the id that its caller chose.
     auto remove(const JobRecord &record) -> void;
 
 private:
@@ -112,8 +113,6 @@
     auto recordOddEntry(const StoredObject &entry, absl::string_view reason) -> void;
     /// Makes the objects of a submission whose job has that name in the store.
     auto prepareWrites(Submission &submission, const std::string &name) const -> void;
-    /// Ends a submission that is stored under the name that it has beside another team's.
-    auto findOwnName(const std::shared_ptr<Submission> &submission) -> void;
     auto writeNext(const std::shared_ptr<Submission> &submission) -> void;
     /// Called when an object exists already: whose it is.
     auto compareWithRecord(const std::shared_ptr<Submission> &submission) -> void;
--- a/Source/Process/Batch/JobTakeover.cpp
+++ b/Source/Process/Batch/JobTakeover.cpp
@@ -349,13 +349,19 @@
         if (!records.ok()) {
             return;
         }
+        std::set<std::string> sharedIds;
         for (const JobRecord &record : *records) {
-            reconcileJob(record);
+            if (!record.callerId.empty()) {
+                sharedIds.insert(record.callerId);
+            }
+        }
+        for (const JobRecord &record : *records) {
+            reconcileJob(record, sharedIds.contains(record.id));
         }
     });
 }
 
-auto JobTakeover::reconcileJob(const JobRecord &record) -> void
+auto JobTakeover::reconcileJob(const JobRecord &record, bool isIdShared) -> void
 {
     const BootTime now = BootClock::now();
     const bool isOwner = isOwnRecord(record);
@@ -368,7 +374,7 @@
     }
     if (!record.isOpen()) {
         const auto end = std::max(record.giveUpAt, record.submittedAt + context_.settings.bounds.resultRetention) + REMOVAL_MARGIN;
-        if (WallClock::now() > end && context_.peers.homeOf(record.id, now) == context_.settings.name && !isDraining_) {
+        if (WallClock::now() > end && !isIdShared && context_.peers.homeOf(record.id, now) == context_.settings.name && !isDraining_) {
             repository_.remove(record);
         }
         return;
--- a/Source/Process/Batch/JobTakeover.h
+++ b/Source/Process/Batch/JobTakeover.h
@@ -73,7 +73,8 @@
     auto reconcile(bool allowsStale) -> void;
     /// Verifies an owned job whose newer record names another owner or is cancelled, takes over an open job without a
     /// live owner, or removes an expired one.
-    auto reconcileJob(const JobRecord &record) -> void;
+    /// "isIdShared": a job of another team, under another name, has the same id. Its repeats are known by the record that has the id.
+    auto reconcileJob(const JobRecord &record, bool isIdShared) -> void;
     /// Whether the record names this incarnation of this daemon as the owner.
     [[nodiscard]] auto isOwnRecord(const JobRecord &record) const -> bool;
     /// Whether an owner is gone, draining or without contact to the store.
--- a/Tests/Connection/JobIdentityTest.cpp
+++ b/Tests/Connection/JobIdentityTest.cpp
@@ -147,6 +147,29 @@
     BOOST_TEST(totalRuns(fleet, "job-0") == 1);
 }
 
+// Guards against a job that runs a second time because the record that showed its id to be taken was removed before its own.
+BOOST_AUTO_TEST_CASE(ARecordWhoseIdIsSharedStays)
+{
+    PlatformFleet fleet(1, 1);
+    JobRecord record;
+    record.id = "job";
+    record.team = "weavers";
+    record.owner = "gone";
+    record.isDone = true;
+    record.submittedAt = WallClock::now() - std::chrono::hours(2);
+    record.giveUpAt = record.submittedAt;
+    fleet.store.put("jobs", "job", toStored(record).spec);
+    record.id = "alone";
+    fleet.store.put("jobs", "alone", toStored(record).spec);
+    HttpCall other = PlatformFleet::submission("job", 1, "key2");
+    other.body = absl::StrReplaceAll(other.body, { { R"("id":"job)", R"("id":"other)" } });
+    BOOST_TEST(fleet.call(0, other)->status == 202);
+    BOOST_TEST(fleet.runUntil([&fleet] { return fleet.store.specOf("jobs", "alone").empty(); }, Milliseconds(40000)));
+    BOOST_TEST(!fleet.store.specOf("jobs", "job").empty());
+    BOOST_TEST(fleet.call(0, other)->status == 202);
+    BOOST_TEST(totalRuns(fleet, "other-0") == 1);
+}
+
 // Guards against items of one team that run for another: a submission that was not finished has left them under the id of the job.
 BOOST_AUTO_TEST_CASE(ItemsThatAnotherTeamLeftAreNotRun)
 {
