Remove a job whose log has a gap

Found in reading the change: the removal of a job page by page could be cut short after the first page, and the next one refused the log for its gap, so that record and rest stayed for good. And a submission that met a record of another writer under its other name after a lost answer called an empty function.

Change: a removal goes by the names that are there. The submission ends as refused, or as uncertain.

JobIdentityTest/ARecordWhoseIdIsSharedStays now removes such a log, and passes; the second was not run."

--- a/Source/Process/Batch/JobRepository.cpp
+++ b/Source/Process/Batch/JobRepository.cpp
@@ -212,7 +212,8 @@
     JobRecord &record = submission->record;
     if (!record.callerId.empty()) {
         if (submission->nextWrite + 1 == submission->writes.size()) {
-            retryOrGiveUp(submission, absl::UnavailableError("the record has another writer"), {});
+            EventLog::write("job_not_stored", { { "job", record.id }, { "reason", "the record has another writer" } });
+            submission->onDone(submission->isUncertain ? Acceptance::Uncertain : Acceptance::Refused, false, record);
             return;
         }
         // Only submissions of this team write payloads of the name.
@@ -426,17 +427,22 @@
             EventLog::write("job_removed", { { "job", id }, { "ok", status.ok() } });
         });
     };
-    readLogPages(record.id, 0, [this, record, removeRecord](const absl::StatusOr<LogPage> &page) {
-        if (!page.ok()) {
+    // By the names that are there: a removal that was cut short has left a gap.
+    const std::string kind = logKind(record.id);
+    store_.listPages(kind, false, {}, [this, kind, removeRecord](const absl::StatusOr<StoreList> &page) {
+        if (!page.ok() && !absl::IsNotFound(page.status())) {
             return false;
         }
-        for (const LogEntry &entry : page->entries) {
-            store_.remove(logKind(record.id), entryName(entry.number), [](const absl::Status &) {});
+        if (page.ok()) {
+            for (const StoredObject &entry : page->objects) {
+                store_.remove(kind, entry.name, [](const absl::Status &) {});
+            }
         }
-        if (!page->hasMore) {
+        const bool hasMore = page.ok() && page->hasMore;
+        if (!hasMore) {
             removeRecord();
         }
-        return page->hasMore;
+        return hasMore;
     });
 }
 
--- a/Tests/Connection/JobIdentityTest.cpp
+++ b/Tests/Connection/JobIdentityTest.cpp
@@ -161,10 +161,14 @@
     fleet.store.put("jobs", "job", toStored(record).spec);
     record.id = "alone";
     fleet.store.put("jobs", "alone", toStored(record).spec);
+    // What a removal leaves that was cut short.
+    fleet.store.put("results-alone", "000004", R"({"results":[{"id":"x","state":"completed","text":"y"}]})");
+    fleet.store.put("results-alone", "odd", "{}");
     HttpCall other = PlatformFleet::submission("job", 1, "key2");
     other.body = absl::StrReplaceAll(other.body, { { R"("id":"job)", R"("id":"other)" } });
     BOOST_TEST(fleet.call(0, other)->status == 202);
     BOOST_TEST(fleet.runUntil([&fleet] { return fleet.store.specOf("jobs", "alone").empty(); }, Milliseconds(40000)));
+    BOOST_TEST(fleet.store.countOf("results-alone") == 0U);
     BOOST_TEST(!fleet.store.specOf("jobs", "job").empty());
     BOOST_TEST(fleet.call(0, other)->status == 202);
     BOOST_TEST(totalRuns(fleet, "other-0") == 1);
