Find a listed item whose entry the index had no room for

Found in reading the change: the body of an item whose result is listed was given out when the index of result logs was at its bound, since only the index said what is listed.

Change: a read of an item also looks at the entries that it passes over.

Before: StoredJobReaderTest/AListedItemIsFoundWithoutAnIndex failed (the body came). After: all cases of the program pass.

--- a/Source/Process/Batch/StoredJobReader.cpp
+++ b/Source/Process/Batch/StoredJobReader.cpp
@@ -110,6 +110,8 @@
 auto StoredJobReader::take(Read &read, const std::vector<JobResult> &results) -> void
 {
     for (const JobResult &result : results) {
+        // The index may have no room for the entry.
+        read.isListed = read.isListed || result.itemId == read.itemId;
         if (read.next.position >= read.from) {
             read.resultBytes += Json::encodedBytes(result.text);
             read.results.push_back(result);
@@ -122,7 +124,7 @@
 auto StoredJobReader::hasEnough(const Read &read) const -> bool
 {
     return read.resultBytes >= pageBytes_ || read.next.position >= read.record.itemCount
-           || (read.onItem != nullptr && cache_.lists(read.log, read.itemId));
+           || (read.onItem != nullptr && (read.isListed || cache_.lists(read.log, read.itemId)));
 }
 
 auto StoredJobReader::readStore(const ReadPointer &read) -> void
--- a/Source/Process/Batch/StoredJobReader.h
+++ b/Source/Process/Batch/StoredJobReader.h
@@ -51,6 +51,8 @@
         ResultLogCache::Start next;
         std::vector<JobResult> results;
         std::size_t resultBytes = 0;
+        /// The item has a result.
+        bool isListed = false;
         std::unique_ptr<HeldBytes::Charge> charge;
         Timer timeout;
         bool hasTimeout = false;
--- a/Tests/Process/StoredJobReaderTest.cpp
+++ b/Tests/Process/StoredJobReaderTest.cpp
@@ -164,6 +164,24 @@
     BOOST_TEST(absl::IsNotFound(readItem(record, "unknown").status()));
 }
 
+// Guards against the body of an item whose result is listed in an entry that the index had no room for.
+BOOST_FIXTURE_TEST_CASE(AListedItemIsFoundWithoutAnIndex, Fixture)
+{
+    JobRecord record = putJob("job");
+    record.itemCount = ITEMS + 1;
+    platformStore.put("payloads", "job.0", dialect.encodeItems({ { itemId(0), "/p", {}, "body 0", 1 } }));
+    platformStore.put("payloads", "job.1", dialect.encodeItems({ { "open", "/p", {}, "body of open", 1 } }));
+    constexpr std::uint64_t NO_ROOM = 4096;
+    const auto small = std::make_shared<HeldBytes>(HeldBytes::Bounds { NO_ROOM, 0, NO_ROOM });
+    StoredJobReader smallReader(loop, repository, small, dialect.resultPageBytes);
+    std::optional<absl::StatusOr<JobItem>> found;
+    smallReader.readItem(record, itemId(0), BootClock::now() + Milliseconds(5000), [&found](const auto &item) { found = item; });
+    runLoopUntil(
+        loop, [&found] { return found.has_value(); }, Milliseconds(6000));
+    BOOST_REQUIRE(found.has_value());
+    BOOST_TEST(absl::IsNotFound(found->status()));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace poplardock
