UpstreamFollowerTest: wait for the end of a list or a fetch

Cause: the test waited 100 ms for a list and for a fetch between daemons. With the address sanitizer beside other tests a fetch of 1101 entries takes longer, and MoreRemovalsThanAreKeptAreNotLost then counted 1100 entries that were about to go. Change: a list is awaited by the time of its confirmation and must succeed; a fetch by its time-out, after which it has ended either way. No check of what follows is changed.

--- a/Tests/Process/UpstreamFollowerTest.cpp
+++ b/Tests/Process/UpstreamFollowerTest.cpp
@@ -16,6 +16,8 @@
 
 constexpr Milliseconds REMOVAL_BOUND { 2000 };
 constexpr Milliseconds TIME { 3000 };
+/// By then a fetch has ended, whatever its outcome.
+constexpr Milliseconds FETCH_TIME = PEER_FETCH_TIMEOUT + Milliseconds(50);
 constexpr ClientPool::Options POOL { {}, Milliseconds(500), Milliseconds(5000) };
 
 /// One daemon's view of the upstreams, and the address at which others fetch it.
@@ -43,9 +45,10 @@
 
     auto list() -> void
     {
+        const BootTime begin = BootClock::now();
         follower_.watch().refresh();
-        runLoopUntil(
-            loop_, [] { return false; }, Milliseconds(100));
+        BOOST_TEST(runLoopUntil(
+            loop_, [this, begin] { return follower_.watch().confirmedAt() >= begin; }, TIME));
     }
 
     /// Asks the other daemon for what it knows beyond this one.
@@ -53,7 +56,7 @@
     {
         follower_.fetchFromPeer(other.server_->address());
         runLoopUntil(
-            loop_, [] { return false; }, Milliseconds(100));
+            loop_, [] { return false; }, FETCH_TIME);
     }
 
     /// Answers this text to other daemons from then on; empty for the true answer.
