Answer HEAD requests without waiting for a body

What callers saw: a HEAD request that a server answers with the length of the body that a GET would return ended with 504 at its time-out, and with a JSON text that the caller takes for the head of its next answer. A stream's answer and each refusal of the daemon itself had a body, too. Cause: ClientChannel read an answer by its own head alone, and CallerExchange wrote each answer with its body. Change: the answer to a HEAD request ends with its head, both ways; the length that the server states is passed on.

--- a/Source/Connection/CallerExchange.cpp
+++ b/Source/Connection/CallerExchange.cpp
@@ -49,11 +49,24 @@
     isAnswered_ = true;
     onGone_ = nullptr;
     if (const auto session = session_.lock()) {
-        session->send(encodeResponse(result.status, result.headers, result.body, session->announceKeeping()));
+        session->send(encodeReply(result, session->announceKeeping()));
         session->finishExchange(true);
     }
 }
 
+auto CallerExchange::encodeReply(const HttpResult &result, bool keepAlive) const -> std::string
+{
+    if (!isHeadRequest()) {
+        return encodeResponse(result.status, result.headers, result.body, keepAlive);
+    }
+    std::string text = encodeHead(result.status, result.headers, keepAlive);
+    if (!result.body.empty()) {
+        absl::StrAppend(&text, "Content-Length: ", result.body.size(), "\r\n");
+    }
+    absl::StrAppend(&text, "\r\n");
+    return text;
+}
+
 auto CallerExchange::begin(int status, const HeaderList &headers) -> void
 {
     hasBegun_ = true;
@@ -65,7 +78,7 @@
 auto CallerExchange::sendPiece(std::string_view bytes) -> void
 {
     const auto session = session_.lock();
-    if (session == nullptr || isAnswered_ || bytes.empty()) {
+    if (session == nullptr || isAnswered_ || bytes.empty() || isHeadRequest()) {
         return;
     }
     std::string chunk = absl::StrFormat("%x\r\n", bytes.size());
@@ -81,7 +94,7 @@
     isAnswered_ = true;
     onGone_ = nullptr;
     if (const auto session = session_.lock()) {
-        session->send("0\r\n\r\n");
+        session->send(isHeadRequest() ? "" : "0\r\n\r\n");
         session->finishExchange(true);
     }
 }
@@ -103,6 +116,11 @@
     return hasBegun_;
 }
 
+auto CallerExchange::isHeadRequest() const -> bool
+{
+    return head_.method == "HEAD";
+}
+
 auto CallerExchange::isGone() const -> bool
 {
     return isGone_;
--- a/Source/Connection/CallerExchange.h
+++ b/Source/Connection/CallerExchange.h
@@ -31,6 +31,9 @@
     /// When the first byte of the request came.
     [[nodiscard]] auto receivedAt() const -> BootTime;
 
+    /// Whether the answer is a head alone; the body of what is replied is then left out.
+    [[nodiscard]] auto isHeadRequest() const -> bool;
+
     auto reply(const HttpResult &result) -> void;
     /// Starts an answer in pieces.
     auto begin(int status, const HeaderList &headers) -> void;
@@ -56,6 +59,8 @@
 private:
     friend class CallerSession;
 
+    [[nodiscard]] auto encodeReply(const HttpResult &result, bool keepAlive) const -> std::string;
+
     std::weak_ptr<CallerSession> session_;
     MessageHead head_;
     std::string body_;
--- a/Source/Connection/ClientChannel.cpp
+++ b/Source/Connection/ClientChannel.cpp
@@ -2,6 +2,7 @@
 
 #include "Request/AnswerVerdict.h"
 
+#include <absl/strings/match.h>
 #include <absl/strings/str_cat.h>
 
 #include <algorithm>
@@ -61,6 +62,7 @@
 {
     handlers_ = std::move(handlers);
     isRunning_ = true;
+    isHeadRequest_ = absl::StartsWith(absl::string_view(request.data(), request.size()), "HEAD ");
     reader_.emplace(freshReader());
     skippedAnswers_ = 0;
     skippedBytes_ = 0;
@@ -119,7 +121,7 @@
 {
     hasHead_ = false;
     isSkipping_ = false;
-    return MessageReader(MessageReader::Kind::Response, ANSWER_LIMITS);
+    return MessageReader(isHeadRequest_ ? MessageReader::Kind::ResponseToHead : MessageReader::Kind::Response, ANSWER_LIMITS);
 }
 
 auto ClientChannel::takeData(std::string_view bytes) -> void
--- a/Source/Connection/ClientChannel.h
+++ b/Source/Connection/ClientChannel.h
@@ -87,6 +87,7 @@
     std::optional<MessageReader> reader_;
     ExchangeHandlers handlers_;
     bool isRunning_ = false;
+    bool isHeadRequest_ = false;
     bool hasHead_ = false;
     bool isSkipping_ = false;
     int skippedAnswers_ = 0;
--- a/Source/Connection/Io/MessageReader.cpp
+++ b/Source/Connection/Io/MessageReader.cpp
@@ -77,8 +77,8 @@
     Parser(Kind kind, Limits limits)
         : unreadLimit(limits.headBytes)
     {
-        if (kind == Kind::Response) {
-            collector.emplace<MessageCollector<false>>();
+        if (kind != Kind::Request) {
+            collector.emplace<MessageCollector<false>>().skip(kind == Kind::ResponseToHead);
         }
         std::visit(
             [&limits](auto &each) {
--- a/Source/Connection/Io/MessageReader.h
+++ b/Source/Connection/Io/MessageReader.h
@@ -34,6 +34,8 @@
     {
         Request,
         Response,
+        /// The response to a HEAD request: no body follows, whatever length the head states.
+        ResponseToHead,
     };
 
     /// Maximum sizes of a message, in bytes.
--- a/Source/Connection/OnlineRun.cpp
+++ b/Source/Connection/OnlineRun.cpp
@@ -9,6 +9,7 @@
 
 namespace {
 
+constexpr const char *CONTENT_LENGTH = "Content-Length";
 /// Time for a request whose caller names none and whose route has none.
 constexpr Milliseconds USUAL_PATIENCE { 30000 };
 /// Part of a target after which a silent upstream is left for another one: early enough for the other one to answer
@@ -180,6 +181,10 @@
     result_.status = head.status;
     if (!isStream() || !HttpStatus::isSuccess(head.status)) {
         result_.headers = head.headers.withoutHopByHop();
+        if (const std::string length(head.headers.valueOf(CONTENT_LENGTH)); order_.caller->isHeadRequest() && !length.empty()) {
+            // The length of the body that a GET would return; replies without a body state none of their own.
+            result_.headers.set(CONTENT_LENGTH, length);
+        }
         return;
     }
     // A resumed stream keeps the headers of its first upstream.
