Answer a second retirement of a VM's name

What the platform saw: the retirement of a VM whose name had been retired before was never answered, since each store daemon keeps the names that it has handled. Change: a name is forgotten once its retirement is removed. Failed before: StoreVmTest, ASecondRetirementIsAnswered, for the daemon's own VM and for another one. After: passed.

--- a/Source/Process/StoreVmDaemon.cpp
+++ b/Source/Process/StoreVmDaemon.cpp
@@ -3,6 +3,7 @@
 #include "Process/EventLog.h"
 
 #include <csignal>
+#include <set>
 
 namespace poplardock {
 
@@ -22,21 +23,35 @@
     , retirements_(loop_,
                    store_,
                    { adapter_.retirementKind, Milliseconds(0), Milliseconds(0), true },
-                   { [this](const StoreList &list) {
-                        for (const StoredObject &retirement : list.objects) {
-                            completeRetirement(retirement.name);
-                        }
-                    },
+                   { [this](const StoreList &list) { handleList(list); },
                      [this](const StoreEvents &events) {
-                         for (const StoreEvent &event : events.events) {
-                             if (!event.isRemoved) {
-                                 completeRetirement(event.object.name);
-                             }
-                         }
+                         handleEvents(events);
                      } })
 {
 }
 
+auto StoreVmDaemon::handleList(const StoreList &list) -> void
+{
+    std::set<std::string> listed;
+    for (const StoredObject &retirement : list.objects) {
+        listed.insert(retirement.name);
+        completeRetirement(retirement.name);
+    }
+    // A VM of the same name may be retired again.
+    std::erase_if(reportTimers_, [&listed](const auto &entry) { return !listed.contains(entry.first); });
+}
+
+auto StoreVmDaemon::handleEvents(const StoreEvents &events) -> void
+{
+    for (const StoreEvent &event : events.events) {
+        if (event.isRemoved) {
+            reportTimers_.erase(event.object.name);
+        } else {
+            completeRetirement(event.object.name);
+        }
+    }
+}
+
 auto StoreVmDaemon::completeRetirement(const std::string &vm) -> void
 {
     if (reportTimers_.contains(vm)) {
@@ -48,7 +63,9 @@
         reportTimers_[vm] = loop_.at(BootClock::now() + reportDelay, [this, vm, self] {
             store_.write(adapter_.retirementDoneCall(vm), [this, vm, self](const absl::Status &status) {
                 EventLog::write("retirement_answered", { { "vm", vm }, { "ok", status.ok() }, { "reason", status.message() } });
-                if (!status.ok() && !absl::IsNotFound(status)) {
+                if (absl::IsNotFound(status)) {
+                    reportTimers_.erase(vm);
+                } else if (!status.ok()) {
                     self(self, RETRY_DELAY);
                 }
             });
--- a/Source/Process/StoreVmDaemon.h
+++ b/Source/Process/StoreVmDaemon.h
@@ -19,6 +19,8 @@
     auto run() -> void;
 
 private:
+    auto handleList(const StoreList &list) -> void;
+    auto handleEvents(const StoreEvents &events) -> void;
     /// Reports the retirement of a VM as done; retries until the store accepts it or no longer has the retirement.
     auto completeRetirement(const std::string &vm) -> void;
 
@@ -27,7 +29,8 @@
     EventLoop loop_;
     ObjectStore store_;
     KindWatch retirements_;
-    /// The timer of the next report, by VM. An entry stays after the report, so that each VM is handled once.
+    /// The timer of the next report, by VM. An entry stays after the report until the retirement is removed, so that each one is
+    /// handled once.
     std::map<std::string, Timer> reportTimers_;
     Timer logFlushTimer_;
 };
--- a/Tests/Failure/StoreVmTest.cpp
+++ b/Tests/Failure/StoreVmTest.cpp
@@ -89,6 +89,18 @@
     BOOST_TEST((status && *status == 0));
 }
 
+// Guards against a VM that is retired again under its former name and never answered for.
+BOOST_AUTO_TEST_CASE(ASecondRetirementIsAnswered)
+{
+    StoreVm vm;
+    for (const std::string name : { "vm1", "vm2" }) {
+        BOOST_TEST(vm.isAnswered(name), name);
+        vm.store.remove(platform::makeAdapter().retirementKind, name);
+        vm.loop.runUntil(BootClock::now() + Milliseconds(500));
+        BOOST_TEST(vm.isAnswered(name), name);
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace poplardock
