front: take what the kernel accepted before a planned stop closes the listener

What callers saw: a connection that was made while a stopping process stood still across the end of its grace was reset without an answer. Cause: the listener closed with connections waiting in the kernel, and idle connections were closed in the same step as it, before a request that had just come was read. Change: the listener hands out what waits before it closes; idle connections are closed 100 ms later. With the next step of the shutdown in place of the 100 ms, one of three connections was still closed: after a pause that step follows at once. Failed before: PlannedStopTest, ADaemonThatStoodStillAnswersWhatTheKernelAccepted (connection reset).

--- a/Source/Connection/CallerServer.cpp
+++ b/Source/Connection/CallerServer.cpp
@@ -181,7 +181,7 @@
 
 auto CallerServer::stopAccepting() -> void
 {
-    listener_ = nullptr;
+    listener_->close();
 }
 
 auto CallerServer::answerUnfinished(const HttpResult &result) -> void
--- a/Source/Connection/CallerServer.h
+++ b/Source/Connection/CallerServer.h
@@ -43,7 +43,7 @@
     auto drain() -> void;
     /// Closes connections without a request; precondition: drain() was called.
     auto closeIdle() -> void;
-    /// Accepts no more connections.
+    /// Accepts no more connections than those that the kernel has accepted already.
     auto stopAccepting() -> void;
     /// Gives this answer to all requests that were read whole and whose answer has not begun; what runs for them ends.
     auto answerUnfinished(const HttpResult &result) -> void;
--- a/Source/Connection/Io/Listener.cpp
+++ b/Source/Connection/Io/Listener.cpp
@@ -30,7 +30,7 @@
     auto accept() -> void
     {
         acceptor.async_accept([self = shared_from_this()](const boost::system::error_code &error, Tcp::socket socket) {
-            if (!self->acceptor.is_open()) {
+            if (self->onAccept == nullptr || (error && !self->acceptor.is_open())) {
                 return;
             }
             if (error) {
@@ -38,11 +38,20 @@
                 return;
             }
             // Before the handler, which may throw.
-            self->accept();
+            if (self->acceptor.is_open()) {
+                self->accept();
+            }
             self->onAccept(makeChannel(std::move(socket)));
         });
     }
 
+    auto close() -> void
+    {
+        boost::system::error_code ignored;
+        acceptor.close(ignored);
+        retryTimer.cancel();
+    }
+
     EventLoop &loop;
     Tcp::acceptor acceptor;
     AcceptHandler onAccept;
@@ -78,9 +87,25 @@
 
 Listener::~Listener()
 {
-    boost::system::error_code ignored;
-    acceptor_->acceptor.close(ignored);
-    acceptor_->retryTimer.cancel();
+    acceptor_->onAccept = nullptr;
+    acceptor_->close();
+}
+
+auto Listener::close() -> void
+{
+    if (!acceptor_->acceptor.is_open()) {
+        return;
+    }
+    boost::system::error_code error;
+    acceptor_->acceptor.non_blocking(true, error);
+    while (!error) {
+        Tcp::socket socket(acceptor_->loop.context());
+        acceptor_->acceptor.accept(socket, error);
+        if (!error) {
+            acceptor_->onAccept(makeChannel(std::move(socket)));
+        }
+    }
+    acceptor_->close();
 }
 
 auto Listener::address() const -> std::string
--- a/Source/Connection/Io/Listener.h
+++ b/Source/Connection/Io/Listener.h
@@ -21,7 +21,9 @@
     auto operator=(Listener &&) -> Listener & = delete;
     ~Listener();
 
-    /// The bound "IP:port", with the actual port when it was opened with port 0.
+    /// Hands out the connections that the kernel has accepted so far, and accepts no more: later ones are refused.
+    auto close() -> void;
+    /// The bound "IP:port", with the actual port when it was opened with port 0. Precondition: not closed.
     [[nodiscard]] auto address() const -> std::string;
 
 private:
--- a/Source/Process/FrontDaemon.cpp
+++ b/Source/Process/FrontDaemon.cpp
@@ -28,6 +28,8 @@
 /// Time before the margin in which requests that have no answer yet get one, so that no connection ends without it.
 constexpr Milliseconds LAST_ANSWERS_TIME { 300 };
 constexpr Milliseconds SHUTDOWN_STEP { 50 };
+/// Time in which requests are read that came while the process stood still, before connections without one are closed.
+constexpr Milliseconds UNREAD_TIME { 100 };
 constexpr ClientPool::Options UPSTREAM_POOL { { 1500, 1000 }, Milliseconds(400), Milliseconds(20000) };
 /// Time for which reports name a job that this daemon has come to own, so that a read at another daemon needs no call to
 /// the store; several reports, since datagrams are lost at times.
@@ -675,6 +677,12 @@
     // The platform sends on to a daemon that is not ready while too few others are; such a connection is refused before
     // its request is read, and the caller goes to another daemon.
     callers_->stopAccepting();
+    if (!closesIdleFrom_) {
+        closesIdleFrom_ = BootClock::now() + UNREAD_TIME;
+    }
+    if (BootClock::now() < *closesIdleFrom_) {
+        return;
+    }
     callers_->closeIdle();
     book_.flush();
     if (elapsed > settings_.bounds.shutdown - SHUTDOWN_MARGIN - LAST_ANSWERS_TIME) {
--- a/Source/Process/FrontDaemon.h
+++ b/Source/Process/FrontDaemon.h
@@ -108,6 +108,8 @@
     bool isStopping_ = false;
     bool hasStopped_ = false;
     BootTime stoppingSince_;
+    /// Unset as long as callers may connect.
+    std::optional<BootTime> closesIdleFrom_;
     BootTime lastCheckAt_;
     bool wasAlone_ = false;
     bool wasReady_ = false;
--- a/Tests/Connection/PlannedStopTest.cpp
+++ b/Tests/Connection/PlannedStopTest.cpp
@@ -4,6 +4,8 @@
 #include <absl/strings/match.h>
 #include <boost/test/unit_test.hpp>
 
+#include <thread>
+
 namespace poplardock {
 
 namespace {
@@ -94,6 +96,31 @@
     BOOST_TEST(absl::StartsWith(caller.readUntil("\r\n\r\n", Milliseconds(500)), "HTTP/1.1 200 "));
 }
 
+// Guards against connections that end without an answer because the process stood still when it would have read their requests.
+BOOST_AUTO_TEST_CASE(ADaemonThatStoodStillAnswersWhatTheKernelAccepted)
+{
+    PlatformFleet fleet(0, 1);
+    startFleet(fleet, Milliseconds(7500));
+    CallerSocket kept(fleet);
+    kept.send(encodeCall(PlatformFleet::request("/plain/x", "early", "key1")));
+    BOOST_REQUIRE(absl::StartsWith(kept.readUntil("answer to body of early", Milliseconds(500)), "HTTP/1.1 200 "));
+    fleet.daemons[0]->beginShutdown();
+    fleet.runFor(Milliseconds(2000));
+    std::vector<std::unique_ptr<CallerSocket>> callers;
+    for (const std::string id : { "a", "b", "c" }) {
+        callers.push_back(std::make_unique<CallerSocket>(fleet));
+        callers.back()->send(encodeCall(PlatformFleet::request("/plain/x", id, "key1")));
+    }
+    kept.send(encodeCall(PlatformFleet::request("/plain/x", "late", "key1")));
+    std::this_thread::sleep_for(Milliseconds(1000));
+    for (const auto &caller : callers) {
+        const std::string received = caller->readUntil("answer to ", Milliseconds(500));
+        BOOST_TEST(absl::StartsWith(received, "HTTP/1.1 200 "), received);
+    }
+    BOOST_TEST(absl::StrContains(kept.readUntil("answer to body of late", Milliseconds(500)), "answer to body of late"));
+    BOOST_TEST(fleet.runUntil([&fleet] { return fleet.daemons[0]->hasStopped(); }, Milliseconds(1000)));
+}
+
 // Guards against a connection that ends without an answer because the request's server is still at work at the end of the grace.
 BOOST_AUTO_TEST_CASE(AnUnfinishedRequestIsAnsweredAtTheEnd)
 {
