LeavingUpstreamTest: ask for the server in a way that chance does not decide

Cause: in the test. A request goes to the server with the lower expected time, within 4 ms by chance. The only run on that server had taken longer under load, so that its expected time was higher than the other's 0.5 ms; the log shows the entry applied at both daemons 1.5 s before the requests, and no mark after it. Change: the other server declines in that phase, so that each of the requests needs this one, and the check asks for all of them (13 and 25) where it asked for one. The same in AnAnswerToAnotherRequestMarksNobody.

--- a/Tests/Connection/LeavingUpstreamTest.cpp
+++ b/Tests/Connection/LeavingUpstreamTest.cpp
@@ -46,6 +46,14 @@
         BOOST_REQUIRE(leaving().arrivals().size() == 1U);
     }
 
+    /// Makes the other engines decline, so that each further request needs the leaving one, however the estimates of their times differ.
+    auto leaveOnlyTheFirst() -> void
+    {
+        for (std::size_t engine = 1; engine < fleet.engines.size(); ++engine) {
+            fleet.engines[engine]->behaviour().declines = true;
+        }
+    }
+
     /// Sends further requests, each of which has to be served, and returns how many requests the leaving engine has got in all.
     auto sendMore(std::size_t daemon) -> std::size_t
     {
@@ -167,8 +175,9 @@
     leaving.leaving().behaviour().isLeaving = false;
     leaving.fleet.store.put("servers", leaving.leaving().name(), entryOf(leaving.leaving(), 2000));
     leaving.fleet.runFor(Milliseconds(1500));
-    BOOST_TEST(leaving.sendMore(0) > 1U);
-    BOOST_TEST(leaving.sendMore(1) > 1U);
+    leaving.leaveOnlyTheFirst();
+    BOOST_TEST(leaving.sendMore(0) == 13U);
+    BOOST_TEST(leaving.sendMore(1) == 25U);
 }
 
 // Guards against a sound server that is spared because of bytes that belong to no request.
@@ -179,7 +188,8 @@
     leaving.leaving().behaviour().sendsStrayAnswer = true;
     leaving.leaving().behaviour().strayAnswerLeaves = true;
     leaving.sendUntilMarked(0, "/plain/x");
-    BOOST_TEST(leaving.sendMore(0) > 1U);
+    leaving.leaveOnlyTheFirst();
+    BOOST_TEST(leaving.sendMore(0) == 13U);
 }
 
 // Guards against requests that wait until their deadline, or get no time to come back, when all servers leave.
