PeerExchangeTest: let the confirmation that is relayed be the younger one

Cause: in the test. A relayed confirmation is dated by the sending of the call, less its age at the answer, so that it looks older by the time that the answer took. The peer's confirmation was a few ms younger than the own one, so that an answer that took longer made it the older. Change: half a second passes before the peer's confirmation. No check is changed.

--- a/Tests/Process/PeerExchangeTest.cpp
+++ b/Tests/Process/PeerExchangeTest.cpp
@@ -4,10 +4,14 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include <thread>
+
 namespace poplardock {
 
 namespace {
 
+constexpr Milliseconds LONGEST_CALL { 500 };
+
 /// Two members whose threads do not run.
 struct ExchangeFixture
 {
@@ -46,6 +50,8 @@
 // Guards against confirmations that grow younger on their way between daemons.
 BOOST_AUTO_TEST_CASE(AnswerRelaysTheConfirmationAndCountsAsHeard)
 {
+    // A confirmation ages by the time of the call that relays it.
+    std::this_thread::sleep_for(LONGEST_CALL);
     BOOST_REQUIRE(a.watcher.watchOnce());
     const TimePoint before = b.state.confirmedAt().value();
     const ExchangeCounts earlier = b.exchange.counts();
