Listener: mark the end of a listener, and keep its handler

The destructor cleared the handler, which would end it while it runs if a listener were closed for good from within it.

--- a/Source/Connection/Io/Listener.cpp
+++ b/Source/Connection/Io/Listener.cpp
@@ -30,7 +30,7 @@
     auto accept() -> void
     {
         acceptor.async_accept([self = shared_from_this()](const boost::system::error_code &error, Tcp::socket socket) {
-            if (self->onAccept == nullptr || (error && !self->acceptor.is_open())) {
+            if (self->isAbandoned || (error && !self->acceptor.is_open())) {
                 return;
             }
             if (error) {
@@ -55,6 +55,8 @@
     EventLoop &loop;
     Tcp::acceptor acceptor;
     AcceptHandler onAccept;
+    /// The listener is gone, perhaps from within the handler: nobody takes connections any more.
+    bool isAbandoned = false;
     Timer retryTimer;
 };
 
@@ -87,7 +89,7 @@
 
 Listener::~Listener()
 {
-    acceptor_->onAccept = nullptr;
+    acceptor_->isAbandoned = true;
     acceptor_->close();
 }
 
