--- a/Source/Connection/ClientChannel.h
+++ b/Source/Connection/ClientChannel.h
@@ -56,7 +56,7 @@
 
     /// Call once after construction.
     auto start() -> void;
-    /// Sends a request. Precondition: isReusable().
+    /// Sends a request. The answer to a HEAD request ends with its head. Precondition: isReusable().
     auto exchange(std::string_view request, ExchangeHandlers handlers) -> void;
     /// Ends the running exchange, if any, and closes the connection.
     auto cancel() -> void;
