Front: write the mark of a finished job again until it is confirmed

Callers saw 503 "the memory for jobs is in use" from a daemon all of whose jobs had ended, for as long as it ran.

Cause: JobRegistry::markDone() left a failed write alone, as a mere hint for other daemons. But only a job whose record is not open can be dropped from memory. Where the store had done the write and its answer was lost, each later attempt named an old version and was refused.

Change: after a mark that was not confirmed the record is read, after 0.2 s and then less and less often, and decides: marked, to be marked again, or another's.

Failed before: JobResultsTest, FinishedJobsWithoutAConfirmedMarkMakeRoom (5 of 12 submissions refused with the answers to the marks lost, likewise with an answer of 500) and ARefusedMarkIsWrittenAgain (open after 10 s). Both pass now, and FinishedJobsMakeRoomForSubmissions before and after.

--- a/Source/Process/Batch/JobRegistry.cpp
+++ b/Source/Process/Batch/JobRegistry.cpp
@@ -14,6 +14,8 @@
 /// Results this close to the due time are written at once, since callers poll only about twice a second.
 constexpr Milliseconds DUE_MARGIN { 2500 };
 constexpr Milliseconds RETRY_DELAY { 200 };
+/// How often RETRY_DELAY is doubled while the mark of a job that is done cannot be written.
+constexpr int MAXIMUM_MARK_DOUBLINGS = 7;
 /// Most bytes of several results in one log entry. A single result may take as many as an entry holds. The function that encodes
 /// entries also makes pages for readers, and leaves out what exceeds 900,000 bytes.
 constexpr std::size_t MAXIMUM_GROUP_BYTES = 800U << 10U;
@@ -354,17 +356,49 @@
     JobRecord record = found->second->job.record();
     record.isDone = true;
     repository_.replace(record, [this, id](const absl::StatusOr<JobRecord> &result) {
-        OwnedJob *job = find(id);
-        if (job == nullptr) {
+        const auto entry = entries_.find(id);
+        if (entry == entries_.end()) {
             return;
         }
-        entries_[id]->isMarkingDone = false;
+        entry->second->isMarkingDone = false;
         if (result.ok()) {
-            job->setRecord(*result);
-        } else {
-            // Harmless: the mark is only a hint for other daemons, and the next owner sets it after a takeover.
-            EventLog::write("job_not_marked_done", { { "job", id }, { "reason", result.status().message() } });
+            entry->second->job.setRecord(*result);
+            return;
         }
+        EventLog::write("job_not_marked_done", { { "job", id }, { "reason", result.status().message() } });
+        scheduleMarkCheck(id, *entry->second);
+    });
+}
+
+auto JobRegistry::scheduleMarkCheck(const std::string &id, Entry &entry) -> void
+{
+    if (!entry.markTimer.isPending()) {
+        const Milliseconds delay = RETRY_DELAY * (1 << std::min(entry.markFailures++, MAXIMUM_MARK_DOUBLINGS));
+        entry.markTimer = context_.loop.at(BootClock::now() + delay, [this, id] { checkMark(id); });
+    }
+}
+
+auto JobRegistry::checkMark(const std::string &id) -> void
+{
+    repository_.read(id, [this, id](const absl::StatusOr<JobRecord> &record) {
+        const auto found = entries_.find(id);
+        if (found == entries_.end()) {
+            return;
+        }
+        Entry &entry = *found->second;
+        const JobRecord &known = entry.job.record();
+        if (!record.ok() && !absl::IsNotFound(record.status())) {
+            scheduleMarkCheck(id, entry);
+            return;
+        }
+        if (!record.ok() || record->owner != known.owner || record->ownerIncarnation != known.ownerIncarnation) {
+            onConflict_(id);
+            return;
+        }
+        if (record->version > known.version && !entry.isCancelling) {
+            entry.job.setRecord(*record);
+        }
+        markDone(id);
     });
 }
 
--- a/Source/Process/Batch/JobRegistry.h
+++ b/Source/Process/Batch/JobRegistry.h
@@ -42,7 +42,8 @@
     /// Calls "visit" for each owned job; it must neither add nor drop one.
     auto forEach(const std::function<void(const std::string &id, OwnedJob &job)> &visit) -> void;
     /// The handler is called when a commit finds an unknown entry in the result log: one of another owner, or one that
-    /// this daemon wrote without receiving the response. Commits of the job stop until resumeCommits().
+    /// this daemon wrote without receiving the response. Commits of the job stop until resumeCommits(). It is also called when the
+    /// record of a job that is done names another owner or is gone.
     auto setConflictHandler(std::function<void(const std::string &id)> onConflict) -> void;
     /// Reloads the result log and continues the commits after a conflict; does nothing without one. Call when the
     /// ownership of the job has been verified.
@@ -84,8 +85,10 @@
         std::size_t commitLimit = std::numeric_limits<std::size_t>::max();
         bool hasConflict = false;
         bool isMarkingDone = false;
+        int markFailures = 0;
         bool isCancelling = false;
         Timer commitTimer;
+        Timer markTimer;
         std::map<std::uint64_t, Reader> readers;
     };
 
@@ -101,6 +104,9 @@
     auto startCommitTimer(Entry &entry, const std::string &id, Milliseconds delay) -> void;
     auto wakeReaders(Entry &entry) -> void;
     auto markDone(const std::string &id) -> void;
+    auto scheduleMarkCheck(const std::string &id, Entry &entry) -> void;
+    /// Reads the record of a job whose mark was not confirmed, since the store may have it, and marks the job again if it does not.
+    auto checkMark(const std::string &id) -> void;
     static auto wakeAll(std::map<std::uint64_t, Reader> &&readers) -> void;
 
     FrontParts &context_;
--- a/Tests/Connection/JobResultsTest.cpp
+++ b/Tests/Connection/JobResultsTest.cpp
@@ -9,6 +9,38 @@
 
 namespace poplardock {
 
+namespace {
+
+constexpr int FINISHED_JOBS = 12;
+
+/// Runs more jobs, one after the other, than the daemon has memory for at once.
+auto checkThatFinishedJobsMakeRoom(const FakeObjectStore::Faults &faults) -> void
+{
+    PlatformFleet fleet(0, 1);
+    fleet.adjustSettings = [](FrontSettings &settings) {
+        settings.memoryBytes = 4U << 20U;
+    };
+    fleet.startDaemon("daemon0");
+    fleet.awaitReady();
+    fleet.store.setFaults(faults);
+    FakeEngine &engine = *fleet.engines[0];
+    engine.behaviour().eventPadding = std::string(4000, 'x');
+    for (int job = 0; job < FINISHED_JOBS; ++job) {
+        const std::string id = absl::StrCat("job", job);
+        BOOST_TEST(fleet.call(0, PlatformFleet::submission(id, 10, "key1"))->status == 202, id);
+        BOOST_TEST(awaitResults(fleet, 0, id, 10).size() == 10U, id);
+    }
+    // All of them can be read, from the store as well.
+    for (int job = 0; job < FINISHED_JOBS; ++job) {
+        BOOST_TEST(fleet.results(0, absl::StrCat("job", job), "key1").size() == 10U, job);
+    }
+    // A submission that is repeated is accepted once.
+    BOOST_TEST(fleet.call(0, PlatformFleet::submission("job0", 10, "key1"))->status == 202);
+    BOOST_TEST(totalRuns(fleet, "job0-0") == 1);
+}
+
+} // namespace
+
 BOOST_AUTO_TEST_SUITE(JobResultsSuite)
 
 // Guards against one event that is no text and keeps all results of its job from the store for good.
@@ -199,27 +231,38 @@
 // Guards against finished jobs that are kept until the process ends: at a quarter of the memory all submissions were refused for good.
 BOOST_AUTO_TEST_CASE(FinishedJobsMakeRoomForSubmissions)
 {
-    constexpr int JOBS = 12;
-    PlatformFleet fleet(0, 1);
-    fleet.adjustSettings = [](FrontSettings &settings) {
-        settings.memoryBytes = 4U << 20U;
+    checkThatFinishedJobsMakeRoom({});
+}
+
+// Guards against finished jobs that are kept for good because the store's answer to their mark was lost, or the mark refused.
+BOOST_AUTO_TEST_CASE(FinishedJobsWithoutAConfirmedMarkMakeRoom)
+{
+    FakeObjectStore::Faults lostAnswers;
+    lostAnswers.onlyTargets = "jobs/job";
+    lostAnswers.loseWriteAnswers = FINISHED_JOBS;
+    checkThatFinishedJobsMakeRoom(lostAnswers);
+    FakeObjectStore::Faults failures = lostAnswers;
+    failures.lostAnswerStatus = 500;
+    checkThatFinishedJobsMakeRoom(failures);
+}
+
+// Guards against a mark that the store refused and that is never written again, so that the record of a finished job stays open.
+BOOST_AUTO_TEST_CASE(ARefusedMarkIsWrittenAgain)
+{
+    constexpr const char *MARK = R"("done":true)";
+    PlatformFleet fleet(1, 1);
+    FakeObjectStore::Faults faults;
+    faults.refusedText = MARK;
+    fleet.store.setFaults(faults);
+    const auto isMarked = [&fleet] {
+        return absl::StrContains(fleet.store.specOf("jobs", "job"), MARK);
     };
-    fleet.startDaemon("daemon0");
-    fleet.awaitReady();
-    FakeEngine &engine = *fleet.engines[0];
-    engine.behaviour().eventPadding = std::string(4000, 'x');
-    for (int job = 0; job < JOBS; ++job) {
-        const std::string id = absl::StrCat("job", job);
-        BOOST_TEST(fleet.call(0, PlatformFleet::submission(id, 10, "key1"))->status == 202, id);
-        BOOST_TEST(awaitResults(fleet, 0, id, 10).size() == 10U, id);
-    }
-    // All of them can be read, from the store as well.
-    for (int job = 0; job < JOBS; ++job) {
-        BOOST_TEST(fleet.results(0, absl::StrCat("job", job), "key1").size() == 10U, job);
-    }
-    // A submission that is repeated is accepted once.
-    BOOST_TEST(fleet.call(0, PlatformFleet::submission("job0", 10, "key1"))->status == 202);
-    BOOST_TEST(totalRuns(fleet, "job0-0") == 1);
+    BOOST_TEST(fleet.call(0, PlatformFleet::submission("job", 2, "key1"))->status == 202);
+    BOOST_TEST(awaitResults(fleet, 0, "job", 2).size() == 2U);
+    BOOST_REQUIRE(fleet.runUntil([&fleet] { return fleet.store.callCount("PUT /-/objects/jobs/job") > 0; }, Milliseconds(1000)));
+    BOOST_TEST(!isMarked());
+    fleet.store.setFaults({});
+    BOOST_TEST(fleet.runUntil(isMarked, Milliseconds(10000)));
 }
 
 // Guards against items that wait until the end of their retention after their route was removed.
