ProcessFleet: give each upstream a port that no other test is given

An upstream that was killed started again at the port that the kernel had chosen for it. Meanwhile the kernel may have given that port to a server of another test, and as both bind with reuse of the port, the two share its connections. That fits the one failure of EndlessAnswerTest in KNOWN-RED.txt but is not shown for it, so the entry stays.

Upstreams of ProcessFleet, and the one that UpstreamTableTest starts again, now take a port of FreePort, which is locked for its test and outside of the kernel's range.

--- a/Tests/Process/UpstreamTableTest.cpp
+++ b/Tests/Process/UpstreamTableTest.cpp
@@ -1,7 +1,9 @@
 #include "Process/UpstreamTable.h"
 
 #include "Fakes/FakeUpstream.h"
+#include "Support/FreePort.h"
 
+#include <absl/strings/str_cat.h>
 #include <boost/test/unit_test.hpp>
 
 #include <thread>
@@ -138,8 +140,8 @@
 {
     FleetState state("d1");
     UpstreamTable table(state);
-    auto fake = *FakeUpstream::start("127.0.0.1:0", { .reportLagMs = 0 });
-    const std::string address = fake->address();
+    const std::string address = absl::StrCat("127.0.0.1:", freePort());
+    auto fake = *FakeUpstream::start(address, { .reportLagMs = 0 });
     install(state, 1, { makeUpstream("a", address) });
     table.startPolling();
     BOOST_TEST(waitUntil([&] { return table.snapshotOf("a").reportedAt.has_value(); }));
--- a/Tests/Support/ProcessFleet.cpp
+++ b/Tests/Support/ProcessFleet.cpp
@@ -1,6 +1,7 @@
 #include "Support/ProcessFleet.h"
 
 #include "Connection/CallerAuthentication.h"
+#include "Support/FreePort.h"
 #include "Support/TestEnvironment.h"
 
 #include <Poco/Net/HTTPRequest.h>
@@ -155,17 +156,12 @@
 
 auto ProcessFleet::launchUpstream(Upstream &upstream) const -> void
 {
-    std::vector<std::string> arguments = { "--name", upstream.name };
-    if (!upstream.address.empty()) {
-        arguments.insert(arguments.end(), { "--listen", upstream.address });
-    }
+    std::vector<std::string> arguments = { "--name", upstream.name, "--listen", upstream.address };
     arguments.insert(arguments.end(), upstream.options.arguments.begin(), upstream.options.arguments.end());
     upstream.process = launch("fake_upstream", upstream.name, std::move(arguments));
-    const auto address = upstream.process->awaitLine("listening ", START_LIMIT);
-    if (!address) {
+    if (!upstream.process->awaitLine("listening ", START_LIMIT)) {
         throw std::runtime_error(absl::StrCat(upstream.name, " does not start"));
     }
-    upstream.address = *address;
 }
 
 auto ProcessFleet::launchDaemon(Daemon &daemon) const -> void
@@ -181,7 +177,9 @@
 
 auto ProcessFleet::addUpstream(const UpstreamOptions &options) -> std::size_t
 {
-    upstreams_.push_back({ absl::StrCat("u", upstreams_.size()), {}, options, nullptr });
+    // A port of its own: while the upstream is down, a test elsewhere may be given one of the kernel's choice.
+    const std::string address = absl::StrCat("127.0.0.1:", freePort());
+    upstreams_.push_back({ absl::StrCat("u", upstreams_.size()), address, options, nullptr });
     launchUpstream(upstreams_.back());
     return upstreams_.size() - 1;
 }
