Front: remove a finished job whose home still owns it

The record, payloads and log of a finished job stayed in the store after its retention for as long as the daemon that is its home also owned it: one job in N with N daemons. Each daemon lists all records every few seconds.

Cause: JobTakeover::reconcileJob() leaves owned jobs alone, and a finished job stays owned until memory is needed.

Change: at the end of the retention such a job is dropped if nothing is left to do or to write, and then removed as others are.

Failed before: JobResultsTest, AnOwnedJobIsRemovedAtTheEndOfItsRetention (record and 2 objects of the log still there after 40 s). Passes now within 5 s; JobResultsTest, JobIdentityTest and JobServiceTest pass.

--- a/Source/Process/Batch/JobRegistry.cpp
+++ b/Source/Process/Batch/JobRegistry.cpp
@@ -101,6 +101,16 @@
     wakeAll(std::move(entry->readers));
 }
 
+auto JobRegistry::dropIfEnded(const std::string &id) -> bool
+{
+    const auto found = entries_.find(id);
+    if (found == entries_.end() || !hasEnded(*found->second)) {
+        return false;
+    }
+    drop(id);
+    return true;
+}
+
 auto JobRegistry::find(const std::string &id) -> OwnedJob *
 {
     const auto found = entries_.find(id);
--- a/Source/Process/Batch/JobRegistry.h
+++ b/Source/Process/Batch/JobRegistry.h
@@ -23,6 +23,8 @@
     auto add(OwnedJob job) -> bool;
     /// Removes a job that another daemon owns now, and wakes its readers.
     auto drop(const std::string &id) -> void;
+    /// Drops a job of which nothing is left to do or to write. Returns whether that was so.
+    auto dropIfEnded(const std::string &id) -> bool;
     /// Null for a job that this daemon does not own. The pointer is valid until the job is dropped.
     [[nodiscard]] auto find(const std::string &id) -> OwnedJob *;
     [[nodiscard]] auto ids() const -> std::vector<std::string>;
--- a/Source/Process/Batch/JobTakeover.cpp
+++ b/Source/Process/Batch/JobTakeover.cpp
@@ -365,16 +365,20 @@
 {
     const BootTime now = BootClock::now();
     const bool isOwner = isOwnRecord(record);
+    const auto readableUntil = std::max(record.giveUpAt, record.submittedAt + context_.settings.bounds.resultRetention);
+    const bool isToBeRemoved = !record.isOpen() && WallClock::now() > readableUntil + REMOVAL_MARGIN && !isIdShared && !isDraining_;
     if (OwnedJob *job = registry_.find(record.id)) {
         // A stale list may show a former owner, so the current record decides.
         if (record.version > job->record().version && (!isOwner || record.isCancelled)) {
             verifyJob(record.id);
+            return;
+        }
+        if (!isToBeRemoved || !registry_.dropIfEnded(record.id)) {
+            return;
         }
-        return;
     }
     if (!record.isOpen()) {
-        const auto end = std::max(record.giveUpAt, record.submittedAt + context_.settings.bounds.resultRetention) + REMOVAL_MARGIN;
-        if (WallClock::now() > end && !isIdShared && context_.peers.homeOf(record.id, now) == context_.settings.name && !isDraining_) {
+        if (isToBeRemoved && context_.peers.homeOf(record.id, now) == context_.settings.name) {
             repository_.remove(record);
         }
         return;
--- a/Tests/Connection/JobResultsTest.cpp
+++ b/Tests/Connection/JobResultsTest.cpp
@@ -265,6 +265,28 @@
     BOOST_TEST(fleet.runUntil(isMarked, Milliseconds(10000)));
 }
 
+// Guards against the objects of finished jobs that stay in the store for as long as their owner lives, so that the list of jobs grows.
+BOOST_AUTO_TEST_CASE(AnOwnedJobIsRemovedAtTheEndOfItsRetention)
+{
+    PlatformFleet fleet(0, 1);
+    JobRecord record;
+    record.id = "late";
+    record.team = "weavers";
+    record.owner = "gone";
+    record.submittedAt = WallClock::now() - std::chrono::hours(2);
+    record.giveUpAt = record.submittedAt;
+    record.itemCount = 1;
+    record.payloadCount = 1;
+    fleet.store.put("jobs", record.id, toStored(record).spec);
+    fleet.store.put("payloads", "late.0", R"({"items":[{"id":"late-0","path":"/batch/f","headers":{},"body":"","tokens":1}]})");
+    fleet.startDaemon("daemon0");
+    fleet.awaitReady();
+    // The daemon takes the job over and gives its item up.
+    BOOST_REQUIRE(fleet.runUntil([&fleet] { return fleet.store.countOf("results-late") > 0; }, Milliseconds(10000)));
+    BOOST_TEST(fleet.runUntil([&fleet] { return fleet.store.specOf("jobs", "late").empty(); }, Milliseconds(40000)));
+    BOOST_TEST(fleet.store.countOf("results-late") == 0U);
+}
+
 // Guards against items that wait until the end of their retention after their route was removed.
 BOOST_AUTO_TEST_CASE(ItemsOfARemovedRouteAreGivenUp)
 {
